--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! notchspool: the decisions of a client-side load balancer, free of I/O. Start with [`logic`].
+pub mod logic;
+pub mod tally;
+pub mod units;
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,628 @@
+//! All decisions of one balancer. A front opens a `Balancer` with its `Terms` (units.rs) and a seed, sets its
+//! `clock`, and calls it: `listed`/`list_failed` for the server list, `reported`/`probed` for load, `wake` when
+//! a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned` and `left` are all
+//! that can happen to it. What the balancer does goes out through the `Outlet` that the front implements.
+//! Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
+use std::collections::{BTreeMap, VecDeque};
+
+use oorandom::Rand64;
+
+use crate::tally::Tally;
+use crate::units::*;
+
+const GUARD_WINDOW: Micros = Micros::ms(10_000); // entries turning gone within this are judged together
+const GUARD_FRACTION: f64 = 0.15; // above this part of the list they are frozen instead of dropped
+const GUARD_HOLD: Micros = Micros::ms(30_000); // how long a frozen entry stays unless listed ready again
+const FLOOR: f64 = 0.1; // least part of its size that a reported utilisation leaves a backend
+const BEAT: Micros = Micros::ms(50); // how often the balancer looks after itself
+const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
+const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
+
+/// What a balancer does, carried out by the front.
+pub trait Outlet {
+    fn post(&mut self, txn: TxnRef, to: BackendId, until: Micros);
+    fn cancel(&mut self, txn: TxnRef, posting: u32);
+    fn decline(&mut self, txn: TxnRef, away: Option<Micros>);
+    fn reverse(&mut self, txn: TxnRef);
+    fn probe(&mut self, backend: BackendId);
+    fn watch(&mut self);
+    fn wake_in(&mut self, span: Micros);
+    fn note(&mut self, line: &str);
+}
+
+/// One backend as this agent knows it.
+struct Backend {
+    entry: Entry,
+    told: Option<Micros>,   // since when it is known to drain or to be gone
+    frozen: Option<Micros>, // gone, but held on the list by the guard since then
+    dropped: bool,
+    out: Vec<(TxnRef, Micros, SchemeId)>, // own postings not yet back
+    report: Option<(f64, Option<f64>, Micros)>, // utilisation (or nothing), in flight, when
+    pace: f64,                            // own response times against those of all backends, smoothed
+    paced: Micros,
+    doubt: f64, // 0 sound, 1 nothing works
+    shut_until: Micros,
+    shut_for: Micros,
+    probing: bool,
+    probed: Micros,
+    flow: f64,                          // postings within a fall span, smoothed
+    cold_sent: VecDeque<(Micros, f64)>, // what went there while cold, in postings
+}
+
+impl Backend {
+    fn new(entry: Entry, now: Micros) -> Backend {
+        Backend {
+            entry,
+            told: None,
+            frozen: None,
+            dropped: false,
+            out: Vec::new(),
+            report: None,
+            pace: 1.0,
+            paced: now,
+            doubt: 0.0,
+            shut_until: Micros(0),
+            shut_for: Micros::ms(500),
+            probing: false,
+            probed: Micros(0),
+            flow: 0.0,
+            cold_sent: VecDeque::new(),
+        }
+    }
+    fn shut(&self) -> bool {
+        self.shut_until > Micros(0)
+    }
+}
+
+struct State {
+    scheme: SchemeId,
+    expiry: Micros,
+    postings: u32,
+    out: Option<(u32, BackendId)>,
+    ran: Option<(BackendId, Micros)>, // the first posting that may have run, and when it was sent
+    last: Option<BackendId>,
+    closed: bool,
+}
+
+pub struct Balancer {
+    terms: Terms,
+    now: Micros,
+    chance: Rand64,
+    backends: Vec<Option<Backend>>,
+    generation: Generation,
+    gone_lately: VecDeque<(Micros, BackendId)>,
+    watch_at: Option<Micros>, // when to ask for the watch next
+    asked: bool,              // a call for the watch is out
+    failures: i32,
+    txns: BTreeMap<TxnRef, State>,
+    took: Vec<Tally>, // by scheme: response times of settled postings
+    spare: f64,       // further postings still allowed after a time-out
+    probes: f64,      // probes still allowed
+    beating: bool,
+}
+
+/// A txn in hand. All that happens to it is a call on this handle.
+pub struct Txn<'a> {
+    desk: &'a mut Balancer,
+    txn: TxnRef,
+}
+
+impl Balancer {
+    pub fn open(terms: Terms, seed: u64, now: Micros) -> Balancer {
+        let mut chance = Rand64::new(seed as u128);
+        // Agents that restart together must not ask together: the first call is jittered like all others.
+        let first = terms.ask_within.times(0.4 * chance.rand_float());
+        Balancer {
+            now,
+            chance,
+            backends: Vec::new(),
+            generation: Generation(0),
+            gone_lately: VecDeque::new(),
+            watch_at: terms.list_on_request.then_some(now + first),
+            asked: false,
+            failures: 0,
+            txns: BTreeMap::new(),
+            took: vec![Tally::default(); terms.schemes.len()],
+            spare: 3.0,
+            probes: 0.0,
+            beating: false,
+            terms,
+        }
+    }
+
+    pub fn clock(&mut self, now: Micros) {
+        self.now = now;
+    }
+
+    pub fn take(
+        &mut self,
+        txn: TxnRef,
+        scheme: SchemeId,
+        _tenant: Option<TenantId>,
+        expiry: Micros,
+    ) -> Txn<'_> {
+        let closed = false;
+        let state = State { scheme, expiry, postings: 0, out: None, ran: None, last: None, closed };
+        self.txns.insert(txn, state);
+        self.spare = (self.spare + 0.1).min(10.0);
+        if self.terms.may_probe && self.terms.report_by_probe {
+            // Probes cost; with reports by probe alone, one point in a hundred of the value is spent on them.
+            self.probes = (self.probes + (0.01 / self.terms.probe_price.max(1e-3)).min(1.0)).min(8.0);
+        }
+        Txn { desk: self, txn }
+    }
+
+    /// The handle of a txn that is still of interest.
+    pub fn txn(&mut self, txn: TxnRef) -> Option<Txn<'_>> {
+        self.txns.contains_key(&txn).then_some(Txn { desk: self, txn })
+    }
+
+    // ---- The list -------------------------------------------------------------------------------------------
+
+    /// A refresh arrived. An older version, or a full list without entries, changes nothing.
+    pub fn listed(&mut self, how: Refresh, version: Generation, entries: &[Entry], out: &mut dyn Outlet) {
+        self.start_beat(out);
+        if how != Refresh::Restored {
+            (self.asked, self.failures) = (false, 0);
+            if !self.terms.list_on_request {
+                self.watch_at = None;
+            }
+        }
+        if version < self.generation || (how == Refresh::Full && entries.is_empty()) {
+            return;
+        }
+        self.generation = version;
+        let mut turned_gone = Vec::new();
+        for entry in entries {
+            let at = entry.backend.0 as usize;
+            if self.backends.len() <= at {
+                self.backends.resize_with(at + 1, || None);
+            }
+            let now = self.now;
+            let b = self.backends[at].get_or_insert_with(|| Backend::new(entry.clone(), now));
+            // A backend with a new start is cold and unknown again, whatever was known of it.
+            if entry.started > b.entry.started || (b.dropped && entry.standing == Standing::Ready) {
+                let (out, cold_sent) = (std::mem::take(&mut b.out), std::mem::take(&mut b.cold_sent));
+                *b = Backend { out, cold_sent, ..Backend::new(entry.clone(), now) };
+            }
+            b.entry = entry.clone();
+            match entry.standing {
+                Standing::Ready => (b.told, b.frozen, b.dropped) = (None, None, false),
+                Standing::Draining => b.told = b.told.or(Some(now)),
+                Standing::Gone => turned_gone.push(entry.backend),
+            }
+        }
+        if how != Refresh::Delta {
+            let here = |id: usize| entries.iter().any(|e| e.backend.0 as usize == id);
+            turned_gone.extend((0..self.backends.len()).filter(|&i| !here(i)).map(|i| BackendId(i as u32)));
+        }
+        self.guard(&turned_gone, out);
+    }
+
+    /// The expiry guard: few entries turning gone leave the list, many at once are frozen on it.
+    fn guard(&mut self, turned_gone: &[BackendId], out: &mut dyn Outlet) {
+        let now = self.now;
+        for &id in turned_gone {
+            let Some(b) = self.backends[id.0 as usize].as_mut().filter(|b| !b.dropped && b.frozen.is_none())
+            else {
+                continue;
+            };
+            b.told = b.told.or(Some(now));
+            self.gone_lately.push_back((now, id));
+        }
+        while self.gone_lately.front().is_some_and(|&(at, _)| now - at > GUARD_WINDOW) {
+            self.gone_lately.pop_front();
+        }
+        let lately = &self.gone_lately;
+        let listed = self.backends.iter().flatten().filter(|b| !b.dropped).count();
+        let freeze = lately.len() as f64 > GUARD_FRACTION * listed as f64;
+        for &(_, id) in lately {
+            if let Some(b) = self.backends[id.0 as usize].as_mut().filter(|b| b.told.is_some() && !b.dropped)
+            {
+                if !freeze {
+                    b.dropped = true;
+                } else if b.frozen.is_none() {
+                    b.frozen = Some(now);
+                }
+            }
+        }
+        if freeze && !turned_gone.is_empty() {
+            out.note(&format!("{} of {listed} entries turned gone: removals frozen", lately.len()));
+        }
+    }
+
+    /// The watch or a call for it failed: the list stays, and the watch resumes after a jittered backoff.
+    pub fn list_failed(&mut self) {
+        let base = Micros::ms(500).times(2f64.powi(self.failures.min(6)));
+        let span = base.times(2.0).min(self.terms.ask_within.times(0.7));
+        self.watch_at = Some(self.now + Micros::ms(20) + span.times(self.chance.rand_float()));
+        (self.asked, self.failures) = (false, self.failures + 1);
+    }
+
+    // ---- Load and health ------------------------------------------------------------------------------------
+
+    fn at(&mut self, id: BackendId) -> Option<&mut Backend> {
+        self.backends.get_mut(id.0 as usize)?.as_mut()
+    }
+
+    pub fn reported(&mut self, id: BackendId, report: Option<Report>) {
+        let now = self.now;
+        if let (Some(b), Some(r)) = (self.at(id), report) {
+            b.report = Some((r.utilisation.unwrap_or(-1.0), r.in_flight, now));
+        }
+    }
+
+    pub fn probed(&mut self, id: BackendId, fate: Fate, _took: Micros) {
+        if let Some(b) = self.at(id) {
+            b.probing = false;
+        }
+        if matches!(fate, Fate::NoLink | Fate::Broken) {
+            self.judge(id, 0.5);
+        }
+    }
+
+    /// Evidence against a backend. Past the bound it is ejected, for longer each time, until a trial settles.
+    fn judge(&mut self, id: BackendId, weight: f64) {
+        let now = self.now;
+        let Some(b) = self.at(id) else { return };
+        b.doubt += (1.0 - b.doubt) * weight;
+        if b.doubt > 0.6 && b.shut_until <= now {
+            b.shut_until = now + b.shut_for;
+            b.shut_for = (b.shut_for + b.shut_for).min(Micros::ms(4_000));
+        }
+    }
+
+    fn came_back(&mut self, id: BackendId, scheme: SchemeId, sent: Micros, fate: Fate, took: Micros) {
+        let mean = self.took[scheme.0].mean();
+        let (now, sla) = (self.now, self.terms.schemes[scheme.0].sla);
+        let Some(b) = self.at(id) else { return };
+        if fate == Fate::Settled || fate == Fate::TimedOut {
+            let ratio = (took.0 as f64 / mean.unwrap_or(took.0 as f64).max(1.0)).min(8.0);
+            b.pace += 0.2 * (ratio - b.pace);
+            b.paced = now;
+        }
+        if sent < b.entry.started {
+            return; // what an earlier process did says nothing of this one
+        }
+        match fate {
+            Fate::Settled => {
+                b.doubt *= 0.6;
+                (b.shut_until, b.shut_for) = (Micros(0), Micros::ms(500));
+                self.took[scheme.0].add(took.0);
+            }
+            Fate::Errored | Fate::Broken | Fate::NoLink => self.judge(id, 0.45),
+            Fate::TimedOut if took > sla.times(0.2) => self.judge(id, 0.3),
+            Fate::TurnedAway => self.judge(id, 0.2),
+            _ => {}
+        }
+    }
+
+    /// Share of its full capacity that a backend has for certain, by its age.
+    fn warmth(&self, b: &Backend) -> f64 {
+        let age = (self.now - b.entry.started).over(self.terms.cold_span);
+        (self.terms.cold_from + (1.0 - self.terms.cold_from) * age).min(1.0)
+    }
+
+    // ---- The rules ------------------------------------------------------------------------------------------
+
+    /// The one gate. Each line keeps one rule; no path around it exists.
+    fn may_post(&self, txn: TxnRef, id: BackendId) -> bool {
+        let Some(s) = self.txns.get(&txn) else {
+            return false;
+        };
+        let Some(b) = self.backends.get(id.0 as usize).and_then(Option::as_ref) else {
+            return false;
+        };
+        // Rule 1: nothing for a closed or overdue txn, or beyond the agreed number of postings.
+        if s.closed || self.now + self.terms.tick >= s.expiry || s.postings >= self.terms.max_postings {
+            return false;
+        }
+        // Rule 2: never two postings out; what may have run goes again only where a repeat does no harm.
+        let row = &self.terms.schemes[s.scheme.0];
+        let harmless = match (s.ran, row.kind) {
+            (None, _) | (_, Kind::Repeatable) => true,
+            (_, Kind::OnceOnly) => false,
+            (Some((first, sent)), Kind::Referenced) => {
+                let first = self.backends[first.0 as usize].as_ref();
+                self.now + MARGIN < sent + row.window
+                    && match row.group {
+                        Group::All => true,
+                        Group::Zone => first.is_some_and(|f| f.entry.zone == b.entry.zone),
+                        Group::Cell => first.is_some_and(|f| f.entry.cell == b.entry.cell),
+                    }
+            }
+        };
+        // Rule 3 binds frozen entries too: the freeze never outlives the grace where there is one.
+        let drained = match (b.told, self.terms.drain_grace) {
+            (Some(told), Some(grace)) => self.now + MARGIN >= told + grace.times(0.8),
+            _ => b.dropped,
+        };
+        s.out.is_none() && harmless && !drained && !b.dropped && self.cold_room(b)
+    }
+
+    /// Rule 4: while a backend is cold, this agent's postings within the span stay under what it sends to a warm
+    /// backend of that size, times the share warmed up, times half the multiple (the rest is for chance).
+    fn cold_room(&self, b: &Backend) -> bool {
+        let warmth = self.warmth(b);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let (mut flow, mut size, mut all_flow, mut all_size) = (0.0, 0.0, 0.0, 0.0);
+        for peer in self.backends.iter().flatten().filter(|p| !p.dropped && p.told.is_none()) {
+            (all_flow, all_size) = (all_flow + peer.flow, all_size + peer.entry.size);
+            if peer.entry.zone == b.entry.zone && self.warmth(peer) >= 1.0 {
+                (flow, size) = (flow + peer.flow, size + peer.entry.size);
+            }
+        }
+        let usual = if size > 0.0 { flow / size } else { all_flow / all_size.max(1e-9) };
+        let room = self.terms.fall_multiple / 2.0 * warmth * usual * b.entry.size;
+        let since = self.now - self.terms.fall_span - MARGIN;
+        let spent: f64 = b.cold_sent.iter().filter(|&&(at, _)| at > since).map(|&(_, n)| n).sum();
+        spent + 1.0 <= room.max(1.0)
+    }
+
+    fn post(&mut self, txn: TxnRef, id: BackendId, until: Micros, out: &mut dyn Outlet) -> bool {
+        if !self.may_post(txn, id) {
+            return false;
+        }
+        let (now, cold) =
+            (self.now, self.backends[id.0 as usize].as_ref().map_or(1.0, |b| self.warmth(b)) < 1.0);
+        let (Some(s), Some(b)) = (self.txns.get_mut(&txn), self.backends[id.0 as usize].as_mut()) else {
+            return false;
+        };
+        s.out = Some((s.postings, id));
+        s.postings += 1;
+        s.last = Some(id);
+        b.out.push((txn, now, s.scheme));
+        b.flow += 1.0;
+        if cold {
+            b.cold_sent.push_back((now, 1.05)); // with the handshake it may need
+        }
+        out.post(txn, id, until.min(s.expiry));
+        true
+    }
+
+    // ---- The pick -------------------------------------------------------------------------------------------
+
+    /// Utilisation as last reported, fading towards the mean of all as the report ages.
+    fn weights(&self, ids: &[BackendId], scheme: SchemeId) -> Vec<f64> {
+        let all: Vec<&Backend> = ids.iter().filter_map(|i| self.backends[i.0 as usize].as_ref()).collect();
+        let held: Vec<f64> = all.iter().filter_map(|b| Some(b.report?.1? / b.entry.size.max(1e-9))).collect();
+        let mean_held = held.iter().sum::<f64>() / held.len().max(1) as f64;
+        let idle = |b: &Backend| {
+            let (utilisation, in_flight, at) = b.report?;
+            // Where only txns in hand are reported, idleness is judged against what all hold for their size.
+            let by_held =
+                in_flight.map(|n| (mean_held + 0.1) / (mean_held + 0.1 + n / b.entry.size.max(1e-9)));
+            let idle = match (utilisation >= 0.0, by_held) {
+                (true, Some(by_held)) => (1.0 - utilisation + by_held) / 2.0,
+                (true, None) => 1.0 - utilisation,
+                (false, by_held) => by_held?,
+            };
+            let age = (self.now - at).over(REPORT_FADE);
+            Some((idle.max(FLOOR), 1.0 / (1.0 + age * age)))
+        };
+        let seen: Vec<Option<(f64, f64)>> = all.iter().map(|b| idle(b)).collect();
+        let n = seen.iter().flatten().count();
+        let mean = if n == 0 { 1.0 } else { seen.iter().flatten().map(|x| x.0).sum::<f64>() / n as f64 };
+        let expected = self.took[scheme.0].mean().unwrap_or(f64::MAX);
+        let mut weights: Vec<f64> = all
+            .iter()
+            .zip(&seen)
+            .map(|(b, seen)| {
+                let (idle, trust) = seen.unwrap_or((mean, 0.0));
+                let fade = 1.0 / (1.0 + (self.now - b.paced).over(Micros::ms(4_000)));
+                let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
+                let pace = (1.0 + (b.pace - 1.0) * fade).max(waiting / 3.0);
+                let near = if b.entry.zone == self.terms.zone { 1.0 } else { 0.6 };
+                let sound = (1.0 - b.doubt) * (1.0 - b.doubt);
+                b.entry.size * (mean + (idle - mean) * trust) / pace.clamp(0.6, 20.0) * near * sound
+            })
+            .collect();
+        let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
+        for (w, b) in weights.iter_mut().zip(&all) {
+            if self.warmth(b) < 1.0 {
+                *w = w.min(mean);
+            }
+        }
+        weights
+    }
+
+    fn pick(&mut self, txn: TxnRef) -> Option<BackendId> {
+        let s = self.txns.get(&txn)?;
+        let (scheme, last, first) = (s.scheme, s.last, s.postings == 0);
+        let open: Vec<BackendId> = (0..self.backends.len() as u32)
+            .map(BackendId)
+            .filter(|&id| self.may_post(txn, id))
+            .filter(|&id| Some(id) != last)
+            .collect();
+        let open = if open.is_empty() {
+            last.filter(|&l| self.may_post(txn, l)).into_iter().collect()
+        } else {
+            open
+        };
+        let b = |id: BackendId| self.backends[id.0 as usize].as_ref();
+        // Draining backends are used within their grace only when nothing else is left.
+        let staying: Vec<_> = open
+            .iter()
+            .copied()
+            .filter(|&i| b(i).is_some_and(|b| b.entry.standing != Standing::Draining))
+            .collect();
+        let open = if staying.is_empty() { open } else { staying };
+        // An ejected backend comes back by a single trial of the scheme that can best bear to fail.
+        let harmless = self.terms.schemes.iter().map(|r| (r.kind as u8, r.value as i64)).min();
+        let row = &self.terms.schemes[scheme.0];
+        if first && Some((row.kind as u8, row.value as i64)) == harmless {
+            let due = |b: &Backend| b.shut() && b.shut_until <= self.now && b.out.is_empty();
+            if let Some(&id) = open.iter().find(|&&i| b(i).is_some_and(due)) {
+                return Some(id);
+            }
+        }
+        // When half of all looks ill, the observer or something shared is the likelier cause: none is ejected.
+        let sound: Vec<_> = open.iter().copied().filter(|&i| b(i).is_some_and(|b| !b.shut())).collect();
+        let open = if 2 * sound.len() < open.len() { open } else { sound };
+        let mut weights = self.weights(&open, scheme);
+        let load = |i: usize| b(open[i]).map_or(0.0, |b| b.out.len() as f64);
+        let mean = (0..open.len()).map(load).sum::<f64>() / open.len().max(1) as f64;
+        let loads: Vec<f64> = (0..open.len()).map(load).collect();
+        let warm: Vec<f64> = open.iter().map(|&i| b(i).map_or(1.0, |b| self.warmth(b))).collect();
+        let mut fallback = None;
+        loop {
+            let total: f64 = weights.iter().sum();
+            if total <= 0.0 {
+                return fallback;
+            }
+            let mut dart = self.chance.rand_float() * total;
+            let mut at = 0;
+            while at + 1 < weights.len() && dart >= weights[at] {
+                dart -= weights[at];
+                at += 1;
+            }
+            // Passed over: one well above the mean in flight, and by chance one not yet warm.
+            let crowded = loads[at] > 1.5 * mean + 0.5;
+            if !crowded && self.chance.rand_float() < warm[at] {
+                return Some(open[at]);
+            }
+            fallback = fallback.or(Some(open[at]));
+            weights[at] = 0.0;
+        }
+    }
+
+    /// How long the first posting may take before another is tried elsewhere, where that can still help.
+    fn patience(&self, s: &State, id: BackendId) -> Option<Micros> {
+        let row = &self.terms.schemes[s.scheme.0];
+        if row.kind == Kind::OnceOnly || s.postings > 0 || self.spare < 1.0 {
+            return None;
+        }
+        let usual = Micros(self.took[s.scheme.0].quantile(0.97).unwrap_or(0)).times(1.3);
+        let mut span = usual.max(row.sla.times(0.3)).min(row.sla.times(0.6));
+        if row.kind == Kind::Referenced {
+            span = span.min(row.window.times(0.6));
+        }
+        if self.backends[id.0 as usize].as_ref().is_some_and(Backend::shut) {
+            span = span.min(row.sla.times(0.35));
+        }
+        (self.now + span + span < s.expiry).then_some(self.now + span)
+    }
+
+    fn answer(&mut self, txn: TxnRef, out: &mut dyn Outlet) {
+        let Some(s) = self.txns.get_mut(&txn).filter(|s| !s.closed) else {
+            return;
+        };
+        s.closed = true;
+        let row = &self.terms.schemes[s.scheme.0];
+        // Rule 2: a decline promises that asking again is harmless.
+        let harmless = s.ran.is_none()
+            || row.kind == Kind::Repeatable
+            || (row.kind == Kind::Referenced && row.group == Group::All);
+        if harmless {
+            out.decline(txn, self.terms.retry_after.map(|most| most.min(Micros::ms(300))));
+        } else {
+            out.reverse(txn);
+        }
+        if s.out.is_none() {
+            self.txns.remove(&txn);
+        }
+    }
+
+    // ---- Timers ---------------------------------------------------------------------------------------------
+
+    fn start_beat(&mut self, out: &mut dyn Outlet) {
+        if !self.beating {
+            self.beating = true;
+            out.wake_in(BEAT);
+        }
+    }
+
+    pub fn wake(&mut self, out: &mut dyn Outlet) {
+        out.wake_in(BEAT);
+        let now = self.now;
+        if self.watch_at.is_some_and(|at| at <= now) && !self.asked {
+            (self.asked, self.watch_at) = (true, None);
+            out.watch();
+        }
+        let fade = 1.0 - BEAT.over(self.terms.fall_span + self.terms.fall_span);
+        for b in self.backends.iter_mut().flatten() {
+            b.flow *= fade;
+            while b.cold_sent.front().is_some_and(|c| now - c.0 > self.terms.fall_span + MARGIN) {
+                b.cold_sent.pop_front();
+            }
+            if b.frozen.is_some_and(|since| now - since > GUARD_HOLD) {
+                (b.frozen, b.dropped) = (None, true);
+            }
+        }
+        while self.probes >= 1.0 {
+            let stale =
+                self.backends.iter_mut().flatten().filter(|b| !b.dropped && !b.probing && b.told.is_none());
+            let Some(b) = stale.min_by_key(|b| b.probed.max(b.report.map_or(Micros(0), |r| r.2))) else {
+                break;
+            };
+            if now - b.probed < Micros::ms(200) {
+                break;
+            }
+            (b.probing, b.probed) = (true, now);
+            self.probes -= 1.0;
+            out.probe(b.entry.backend);
+        }
+    }
+}
+
+impl Txn<'_> {
+    /// Sends the txn on its way, or answers it at once where it has none.
+    pub fn route(self, out: &mut dyn Outlet) {
+        self.desk.start_beat(out);
+        if let Some(id) = self.desk.pick(self.txn) {
+            let s = &self.desk.txns[&self.txn];
+            let until = self.desk.patience(s, id).unwrap_or(s.expiry);
+            if self.desk.post(self.txn, id, until, out) {
+                return;
+            }
+        }
+        self.desk.answer(self.txn, out);
+    }
+
+    /// A posting came back; `closed` says that the client has its answer.
+    pub fn returned(self, posting: u32, fate: Fate, took: Micros, closed: bool, out: &mut dyn Outlet) {
+        let Txn { desk, txn } = self;
+        let Some(s) = desk.txns.get_mut(&txn) else { return };
+        let Some((_, id)) = s.out.filter(|o| o.0 == posting) else {
+            return;
+        };
+        s.out = None;
+        let (scheme, mut sent) = (s.scheme, desk.now - took);
+        if let Some(b) = desk.backends[id.0 as usize].as_mut()
+            && let Some(at) = b.out.iter().position(|o| o.0 == txn)
+        {
+            sent = b.out.swap_remove(at).1;
+        }
+        if !fate.never_ran() {
+            s.ran = s.ran.or(Some((id, sent)));
+        }
+        s.closed |= closed || fate == Fate::Settled;
+        let (over, late) = (s.closed, fate == Fate::TimedOut);
+        desk.came_back(id, scheme, sent, fate, took);
+        if over {
+            desk.txns.remove(&txn);
+            return;
+        }
+        if late && desk.spare < 1.0 {
+            return desk.answer(txn, out);
+        }
+        if late {
+            desk.spare -= 1.0;
+        }
+        desk.txn(txn).into_iter().for_each(|t| t.route(out));
+    }
+
+    /// The client left: nothing is owed any more, and work still waiting is withdrawn.
+    pub fn left(self, out: &mut dyn Outlet) {
+        let Txn { desk, txn } = self;
+        let Some(s) = desk.txns.get_mut(&txn) else { return };
+        s.closed = true;
+        match s.out {
+            Some((posting, _)) if desk.terms.may_cancel => out.cancel(txn, posting),
+            Some(_) => {}
+            None => drop(desk.txns.remove(&txn)),
+        }
+    }
+}
--- /dev/null
+++ b/src/tally.rs
@@ -0,0 +1,48 @@
+//! A small histogram with few coarse bins, halved now and then so that old days fade.
+
+const BINS: usize = 24;
+/// Lower edge of the first bin in microseconds; each next one is larger by `STEP`.
+const FIRST: f64 = 2_000.0;
+const STEP: f64 = 1.35;
+
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    bins: [f64; BINS],
+    count: f64,
+    sum: f64,
+}
+
+impl Tally {
+    pub fn add(&mut self, micros: i64) {
+        let bin = ((micros.max(1) as f64 / FIRST).ln() / STEP.ln()).max(0.0) as usize;
+        self.bins[bin.min(BINS - 1)] += 1.0;
+        self.count += 1.0;
+        self.sum += micros as f64;
+        if self.count >= 256.0 {
+            self.bins.iter_mut().for_each(|b| *b /= 2.0);
+            self.count /= 2.0;
+            self.sum /= 2.0;
+        }
+    }
+    pub fn count(&self) -> f64 {
+        self.count
+    }
+    /// The mean in microseconds, once something was measured.
+    pub fn mean(&self) -> Option<f64> {
+        (self.count > 0.0).then(|| self.sum / self.count)
+    }
+    /// The upper edge of the bin that holds the given share of what was measured.
+    pub fn quantile(&self, share: f64) -> Option<i64> {
+        let mut left = share * self.count;
+        if self.count <= 0.0 {
+            return None;
+        }
+        for (i, bin) in self.bins.iter().enumerate() {
+            left -= bin;
+            if left <= 0.0 {
+                return Some((FIRST * STEP.powi(i as i32 + 1)) as i64);
+            }
+        }
+        Some((FIRST * STEP.powi(BINS as i32)) as i64)
+    }
+}
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,178 @@
+//! Ids, times and the terms an instance starts with. No decisions here.
+use std::ops::{Add, AddAssign, Sub};
+
+/// A point in time or a span, in whole microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Micros(pub i64);
+
+impl Micros {
+    pub const FAR: Micros = Micros(i64::MAX / 4);
+    pub const fn ms(ms: i64) -> Micros {
+        Micros(ms * 1000)
+    }
+    /// This span times `factor`, rounded down.
+    pub fn times(self, factor: f64) -> Micros {
+        Micros((self.0 as f64 * factor).floor() as i64)
+    }
+    /// This span as a multiple of `other` (of one microsecond at the least).
+    pub fn over(self, other: Micros) -> f64 {
+        self.0 as f64 / other.0.max(1) as f64
+    }
+}
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+impl Sub for Micros {
+    type Output = Micros;
+    fn sub(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_sub(other.0))
+    }
+}
+impl AddAssign for Micros {
+    fn add_assign(&mut self, other: Micros) {
+        *self = *self + other;
+    }
+}
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+        pub struct $name(pub $inner);
+    )*};
+}
+ids! {
+    /// The front's own number for a txn.
+    TxnRef(u64);
+    /// A backend, numbered by the front as it is first named.
+    BackendId(u32);
+    /// A row of the scheme table.
+    SchemeId(usize);
+    /// A row of the tenant table.
+    TenantId(usize);
+    /// A zone, numbered by the front.
+    ZoneId(u32);
+    /// A cell: a small set of backends that remember refs together.
+    CellId(i64);
+    /// The version of a server list.
+    Generation(u64);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Repeatable,
+    Referenced,
+    OnceOnly,
+}
+
+/// Which backends drop the repeats of a referenced txn together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// One row of the scheme table.
+#[derive(Clone, Debug)]
+pub struct Scheme {
+    pub kind: Kind,
+    pub group: Group,
+    pub window: Micros,
+    pub sla: Micros,
+    pub value: f64,
+}
+
+/// One tenant's agreed rate, over all agents together.
+#[derive(Clone, Debug)]
+pub struct Share {
+    pub quota_per_s: f64,
+}
+
+/// What an instance is told at start and never changes.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub agents: u32,
+    pub zone: ZoneId,
+    pub schemes: Vec<Scheme>,
+    pub shares: Vec<Share>,
+    /// Value left to a txn beyond its tenant's share.
+    pub surplus_value: f64,
+    pub max_postings: u32,
+    pub drain_grace: Option<Micros>,
+    pub ask_within: Micros,
+    /// The list has to be asked for; otherwise it comes unsolicited.
+    pub list_on_request: bool,
+    pub cold_from: f64,
+    pub cold_span: Micros,
+    pub fall_multiple: f64,
+    pub fall_span: Micros,
+    /// The longest span a client is known to stay away for; none where clients are not told.
+    pub retry_after: Option<Micros>,
+    pub may_probe: bool,
+    pub may_cancel: bool,
+    /// Load is reported to probes only.
+    pub report_by_probe: bool,
+    /// Prices, as a share of the value: one probe a txn, one zone crossing a txn.
+    pub probe_price: f64,
+    pub crossing_price: f64,
+    pub tick: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of a server list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub backend: BackendId,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub standing: Standing,
+    pub started: Micros,
+    pub size: f64,
+}
+
+/// How a list reached us: only the altered lines, all of them, or the list as held before a restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refresh {
+    Delta,
+    Full,
+    Restored,
+}
+
+/// What became of one posting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Settled,
+    Errored,
+    TurnedAway,
+    TimedOut,
+    NoLink,
+    Broken,
+    Withdrawn,
+    NeverSent,
+}
+
+impl Fate {
+    /// Whether this outcome proves that the txn never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Fate::TurnedAway | Fate::NoLink | Fate::NeverSent)
+    }
+}
+
+/// A backend's own report of its load; what it does not report is absent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub utilisation: Option<f64>,
+    pub in_flight: Option<f64>,
+    pub service: Option<Micros>,
+    pub rate: Option<f64>,
+}
