A window on own postings out with a short line ends the collapse under overload

Change: one window per agent on postings out, moved by response times against the SLA time; a short line before it; every further posting is paid from what traffic has saved up; the line answers each txn before its own time is up.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,6 +16,8 @@
 const FLOOR: f64 = 0.1; // least part of its size that a reported utilisation leaves a backend
 const BEAT: Micros = Micros::ms(50); // how often the balancer looks after itself
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
+const EASE: f64 = 0.3; // response time aimed at, as a part of the SLA time, when the window is used up
+const LINE: f64 = 0.3; // longest wait in line that is taken on, as a part of the SLA time
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
 /// What a balancer does, carried out by the front.
@@ -96,8 +98,13 @@
     failures: i32,
     txns: BTreeMap<TxnRef, State>,
     took: Vec<Tally>, // by scheme: response times of settled postings
-    spare: f64,       // further postings still allowed after a time-out
-    probes: f64,      // probes still allowed
+    window: f64,      // own postings that may be out at once
+    stress: f64,      // response times as a part of the SLA time, smoothed
+    in_flight: usize,
+    line: VecDeque<(TxnRef, Micros)>, // txns waiting for room in the window, and until when
+    finish: f64,                      // postings coming back within a second, smoothed
+    spare: f64,                       // further postings still allowed after a time-out
+    probes: f64,                      // probes still allowed
     beating: bool,
 }
 
@@ -123,6 +130,11 @@
             failures: 0,
             txns: BTreeMap::new(),
             took: vec![Tally::default(); terms.schemes.len()],
+            window: 2.0,
+            stress: 0.0,
+            in_flight: 0,
+            line: VecDeque::new(),
+            finish: 0.0,
             spare: 3.0,
             probes: 0.0,
             beating: false,
@@ -197,6 +209,9 @@
             turned_gone.extend((0..self.backends.len()).filter(|&i| !here(i)).map(|i| BackendId(i as u32)));
         }
         self.guard(&turned_gone, out);
+        if how == Refresh::Restored {
+            self.window = (2.0 * self.backends.len() as f64 / self.terms.agents.max(1) as f64).max(2.0);
+        }
     }
 
     /// The expiry guard: few entries turning gone leave the list, many at once are frozen on it.
@@ -286,6 +301,7 @@
         }
         match fate {
             Fate::Settled => {
+                b.flow += 1.0;
                 b.doubt *= 0.6;
                 (b.shut_until, b.shut_for) = (Micros(0), Micros::ms(500));
                 self.took[scheme.0].add(took.0);
@@ -297,6 +313,41 @@
         }
     }
 
+    /// Every posting that comes back moves the window: up while it is used and answers come with ease, down as
+    /// they near the SLA time. Many agents doing so keep the queues at the backends short without talking.
+    fn ease(&mut self, scheme: SchemeId, fate: Fate, took: Micros) {
+        let part = took.over(self.terms.schemes[scheme.0].sla);
+        let strain = match fate {
+            Fate::Settled => part.min(1.5),
+            Fate::TimedOut => part.clamp(1.0, 1.5),
+            Fate::TurnedAway => 1.5,
+            _ => return,
+        };
+        self.finish += 1.0;
+        self.stress += 0.1 * (strain - self.stress);
+        let pull = ((EASE - self.stress) / EASE).clamp(-1.0, 1.0);
+        if pull < 0.0 || self.in_flight as f64 + 1.0 >= 0.7 * self.window {
+            self.window = (self.window * (1.0 + 0.3 * pull / self.window.max(1.0))).max(1.0);
+        }
+    }
+
+    /// Sends what waits in line while there is room, and turns away at once what has waited its part.
+    fn serve_line(&mut self, out: &mut dyn Outlet) {
+        let now = self.now;
+        let (waiting, over): (VecDeque<_>, VecDeque<_>) =
+            self.line.drain(..).partition(|&(_, until)| now < until);
+        self.line = waiting;
+        for (txn, _) in over {
+            self.answer(txn, out);
+        }
+        while (self.in_flight as f64) < self.window {
+            let Some((txn, _)) = self.line.pop_front() else { return };
+            if let Some(handle) = self.txn(txn) {
+                handle.send(out);
+            }
+        }
+    }
+
     /// Share of its full capacity that a backend has for certain, by its age.
     fn warmth(&self, b: &Backend) -> f64 {
         let age = (self.now - b.entry.started).over(self.terms.cold_span);
@@ -374,10 +425,10 @@
         s.postings += 1;
         s.last = Some(id);
         b.out.push((txn, now, s.scheme));
-        b.flow += 1.0;
         if cold {
             b.cold_sent.push_back((now, 1.05)); // with the handshake it may need
         }
+        self.in_flight += 1;
         out.post(txn, id, until.min(s.expiry));
         true
     }
@@ -541,6 +592,8 @@
             (self.asked, self.watch_at) = (true, None);
             out.watch();
         }
+        self.finish *= 1.0 - BEAT.over(Micros::ms(1000));
+        self.serve_line(out);
         let fade = 1.0 - BEAT.over(self.terms.fall_span + self.terms.fall_span);
         for b in self.backends.iter_mut().flatten() {
             b.flow *= fade;
@@ -568,9 +621,24 @@
 }
 
 impl Txn<'_> {
-    /// Sends the txn on its way, or answers it at once where it has none.
+    /// Sends the txn on its way, lets it wait in line where that will be short, or answers it at once.
     pub fn route(self, out: &mut dyn Outlet) {
-        self.desk.start_beat(out);
+        let Txn { desk, txn } = self;
+        desk.start_beat(out);
+        if (desk.in_flight as f64) < desk.window && desk.line.is_empty() {
+            return Txn { desk, txn }.send(out);
+        }
+        let Some(s) = desk.txns.get(&txn) else { return };
+        let wait = Micros::ms(1000).times((desk.line.len() + 1) as f64 / desk.finish.max(1.0));
+        let most = desk.terms.schemes[s.scheme.0].sla.times(LINE).min((s.expiry - desk.now).times(0.3));
+        if wait <= most {
+            desk.line.push_back((txn, desk.now + most + most));
+        } else {
+            desk.answer(txn, out);
+        }
+    }
+
+    fn send(self, out: &mut dyn Outlet) {
         if let Some(id) = self.desk.pick(self.txn) {
             let s = &self.desk.txns[&self.txn];
             let until = self.desk.patience(s, id).unwrap_or(s.expiry);
@@ -589,6 +657,7 @@
             return;
         };
         s.out = None;
+        desk.in_flight -= 1;
         let (scheme, mut sent) = (s.scheme, desk.now - took);
         if let Some(b) = desk.backends[id.0 as usize].as_mut()
             && let Some(at) = b.out.iter().position(|o| o.0 == txn)
@@ -599,19 +668,23 @@
             s.ran = s.ran.or(Some((id, sent)));
         }
         s.closed |= closed || fate == Fate::Settled;
-        let (over, late) = (s.closed, fate == Fate::TimedOut);
+        let over = s.closed;
         desk.came_back(id, scheme, sent, fate, took);
+        desk.ease(scheme, fate, took);
+        // Another posting is paid for from what the traffic has saved up, so that failures never feed an overload.
+        let price = match fate {
+            Fate::TimedOut | Fate::TurnedAway => 1.0,
+            _ => 0.3,
+        };
         if over {
             desk.txns.remove(&txn);
-            return;
-        }
-        if late && desk.spare < 1.0 {
-            return desk.answer(txn, out);
-        }
-        if late {
-            desk.spare -= 1.0;
+        } else if desk.spare < price {
+            desk.answer(txn, out);
+        } else {
+            desk.spare -= price;
+            Txn { desk: &mut *desk, txn }.send(out);
         }
-        desk.txn(txn).into_iter().for_each(|t| t.route(out));
+        desk.serve_line(out);
     }
 
     /// The client left: nothing is owed any more, and work still waiting is withdrawn.
