--- a/src/logic.rs
+++ b/src/logic.rs
@@ -530,7 +530,7 @@
                 at += 1;
             }
             // Passed over: one well above the mean in flight, and by chance one not yet warm.
-            let crowded = loads[at] > 1.5 * mean + 0.5;
+            let crowded = loads[at] > mean + 0.2;
             if !crowded && self.chance.rand_float() < warm[at] {
                 return Some(open[at]);
             }
