--- a/src/logic.rs
+++ b/src/logic.rs
@@ -99,6 +99,7 @@
     txns: BTreeMap<TxnRef, State>,
     took: Vec<Tally>, // by scheme: response times of settled postings
     window: f64,      // own postings that may be out at once
+    opening: bool,    // never yet under strain: the window grows fast
     stress: f64,      // response times as a part of the SLA time, smoothed
     in_flight: usize,
     line: VecDeque<(TxnRef, Micros)>, // txns waiting for room in the window, and until when
@@ -132,6 +133,7 @@
             took: vec![Tally::default(); terms.schemes.len()],
             window: 2.0,
             stress: 0.0,
+            opening: true,
             in_flight: 0,
             line: VecDeque::new(),
             finish: 0.0,
@@ -158,8 +160,8 @@
         self.txns.insert(txn, state);
         self.spare = (self.spare + 0.1).min(10.0);
         if self.terms.may_probe && self.terms.report_by_probe {
-            // Probes cost; with reports by probe alone, one point in a hundred of the value is spent on them.
-            self.probes = (self.probes + (0.01 / self.terms.probe_price.max(1e-3)).min(1.0)).min(8.0);
+            // Probes cost; with reports by probe alone, a fifth of a point in a hundred of the value is spent.
+            self.probes = (self.probes + (0.002 / self.terms.probe_price.max(1e-3)).min(1.0)).min(8.0);
         }
         Txn { desk: self, txn }
     }
@@ -327,7 +329,8 @@
         self.stress += 0.1 * (strain - self.stress);
         let pull = ((EASE - self.stress) / EASE).clamp(-1.0, 1.0);
         if pull < 0.0 || self.in_flight as f64 + 1.0 >= 0.7 * self.window {
-            self.window = (self.window * (1.0 + 0.3 * pull / self.window.max(1.0))).max(1.0);
+            self.opening &= pull > 0.0;
+            self.window = (self.window + if self.opening { 1.0 } else { 0.3 } * pull).max(1.0);
         }
     }
 
