Under pressure a tenant's txns beyond its share go first; weaker pull of outliers on the window

Change: water-filling of what the agent gets done over the agreed rates; only once the window is used up.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,8 +16,9 @@
 const FLOOR: f64 = 0.1; // least part of its size that a reported utilisation leaves a backend
 const BEAT: Micros = Micros::ms(50); // how often the balancer looks after itself
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
-const EASE: f64 = 0.3; // response time aimed at, as a part of the SLA time, when the window is used up
+const EASE: f64 = 0.27; // response time aimed at, as a part of the SLA time, when the window is used up
 const LINE: f64 = 0.3; // longest wait in line that is taken on, as a part of the SLA time
+const PACE_SPAN: Micros = Micros::ms(2_000); // what is asked and what comes back is counted over this
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
 /// What a balancer does, carried out by the front.
@@ -78,6 +79,7 @@
 
 struct State {
     scheme: SchemeId,
+    tenant: Option<TenantId>,
     expiry: Micros,
     postings: u32,
     out: Option<(u32, BackendId)>,
@@ -104,7 +106,8 @@
     in_flight: usize,
     line: VecDeque<(TxnRef, Micros)>, // txns waiting for room in the window, and until when
     finish: f64,                      // postings coming back within a second, smoothed
-    spare: f64,                       // further postings still allowed after a time-out
+    asked_by: Vec<f64>,               // txns taken by tenant, smoothed like `finish`
+    spare: f64,                       // further postings still allowed after a failure
     probes: f64,                      // probes still allowed
     beating: bool,
 }
@@ -137,6 +140,7 @@
             in_flight: 0,
             line: VecDeque::new(),
             finish: 0.0,
+            asked_by: vec![0.0; terms.shares.len()],
             spare: 3.0,
             probes: 0.0,
             beating: false,
@@ -152,11 +156,14 @@
         &mut self,
         txn: TxnRef,
         scheme: SchemeId,
-        _tenant: Option<TenantId>,
+        tenant: Option<TenantId>,
         expiry: Micros,
     ) -> Txn<'_> {
         let closed = false;
-        let state = State { scheme, expiry, postings: 0, out: None, ran: None, last: None, closed };
+        if let Some(asked) = tenant.and_then(|t| self.asked_by.get_mut(t.0)) {
+            *asked += 1.0;
+        }
+        let state = State { scheme, tenant, expiry, postings: 0, out: None, ran: None, last: None, closed };
         self.txns.insert(txn, state);
         self.spare = (self.spare + 0.1).min(10.0);
         if self.terms.may_probe && self.terms.report_by_probe {
@@ -320,9 +327,9 @@
     fn ease(&mut self, scheme: SchemeId, fate: Fate, took: Micros) {
         let part = took.over(self.terms.schemes[scheme.0].sla);
         let strain = match fate {
-            Fate::Settled => part.min(1.5),
-            Fate::TimedOut => part.clamp(1.0, 1.5),
-            Fate::TurnedAway => 1.5,
+            Fate::Settled => part.min(0.8),
+            Fate::TimedOut => 0.8,
+            Fate::TurnedAway => 0.8,
             _ => return,
         };
         self.finish += 1.0;
@@ -330,8 +337,27 @@
         let pull = ((EASE - self.stress) / EASE).clamp(-1.0, 1.0);
         if pull < 0.0 || self.in_flight as f64 + 1.0 >= 0.7 * self.window {
             self.opening &= pull > 0.0;
-            self.window = (self.window + if self.opening { 1.0 } else { 0.3 } * pull).max(1.0);
+            self.window = (self.window + if self.opening { 1.0 } else { 0.2 } * pull).max(1.0);
+        }
+    }
+
+    /// The part of a tenant's txns that goes beyond its share, when what this agent gets done is dealt out by the
+    /// tenants' agreed rates, and what some leave over to the others.
+    fn beyond_share(&self, tenant: TenantId) -> f64 {
+        let ask = |t: usize| self.asked_by[t] / self.terms.shares[t].quota_per_s.max(1e-9);
+        let mut order: Vec<usize> = (0..self.asked_by.len()).collect();
+        order.sort_by(|&a, &b| ask(a).total_cmp(&ask(b)));
+        let (mut left, mut quota) =
+            (self.finish, self.terms.shares.iter().map(|s| s.quota_per_s).sum::<f64>());
+        for t in order {
+            let level = left / quota.max(1e-9);
+            if ask(t) > level {
+                return (1.0 - level / ask(tenant.0)).max(0.0);
+            }
+            left -= self.asked_by[t];
+            quota -= self.terms.shares[t].quota_per_s;
         }
+        0.0
     }
 
     /// Sends what waits in line while there is room, and turns away at once what has waited its part.
@@ -468,7 +494,7 @@
                 let fade = 1.0 / (1.0 + (self.now - b.paced).over(Micros::ms(4_000)));
                 let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
                 let pace = (1.0 + (b.pace - 1.0) * fade).max(waiting / 3.0);
-                let near = if b.entry.zone == self.terms.zone { 1.0 } else { 0.6 };
+                let near = if b.entry.zone == self.terms.zone { 1.0 } else { 0.2 };
                 let sound = (1.0 - b.doubt) * (1.0 - b.doubt);
                 b.entry.size * (mean + (idle - mean) * trust) / pace.clamp(0.6, 20.0) * near * sound
             })
@@ -533,7 +559,7 @@
                 at += 1;
             }
             // Passed over: one well above the mean in flight, and by chance one not yet warm.
-            let crowded = loads[at] > mean + 0.2;
+            let crowded = loads[at] > mean;
             if !crowded && self.chance.rand_float() < warm[at] {
                 return Some(open[at]);
             }
@@ -595,7 +621,9 @@
             (self.asked, self.watch_at) = (true, None);
             out.watch();
         }
-        self.finish *= 1.0 - BEAT.over(Micros::ms(1000));
+        let fade = 1.0 - BEAT.over(PACE_SPAN);
+        self.finish *= fade;
+        self.asked_by.iter_mut().for_each(|n| *n *= fade);
         self.serve_line(out);
         let fade = 1.0 - BEAT.over(self.terms.fall_span + self.terms.fall_span);
         for b in self.backends.iter_mut().flatten() {
@@ -632,7 +660,12 @@
             return Txn { desk, txn }.send(out);
         }
         let Some(s) = desk.txns.get(&txn) else { return };
-        let wait = Micros::ms(1000).times((desk.line.len() + 1) as f64 / desk.finish.max(1.0));
+        // Under pressure, what a tenant asks beyond its share goes first.
+        let beyond = s.tenant.map_or(0.0, |t| desk.beyond_share(t));
+        if desk.chance.rand_float() < beyond {
+            return desk.answer(txn, out);
+        }
+        let wait = PACE_SPAN.times((desk.line.len() + 1) as f64 / desk.finish.max(1.0));
         let most = desk.terms.schemes[s.scheme.0].sla.times(LINE).min((s.expiry - desk.now).times(0.3));
         if wait <= most {
             desk.line.push_back((txn, desk.now + most + most));
