No time-out before a txn's expiry

Cause: on all sites 6-10% of postings timed out before the SLA time; most were heavy txns, not ill backends, and the repeat costs the same work again. Hung backends need an answer of their own: next.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -441,7 +441,7 @@
         spent + 1.0 <= room.max(1.0)
     }
 
-    fn post(&mut self, txn: TxnRef, id: BackendId, until: Micros, out: &mut dyn Outlet) -> bool {
+    fn post(&mut self, txn: TxnRef, id: BackendId, out: &mut dyn Outlet) -> bool {
         if !self.may_post(txn, id) {
             return false;
         }
@@ -458,7 +458,7 @@
             b.cold_sent.push_back((now, 1.05)); // with the handshake it may need
         }
         self.in_flight += 1;
-        out.post(txn, id, until.min(s.expiry));
+        out.post(txn, id, s.expiry);
         true
     }
 
@@ -568,23 +568,6 @@
         }
     }
 
-    /// How long the first posting may take before another is tried elsewhere, where that can still help.
-    fn patience(&self, s: &State, id: BackendId) -> Option<Micros> {
-        let row = &self.terms.schemes[s.scheme.0];
-        if row.kind == Kind::OnceOnly || s.postings > 0 || self.spare < 1.0 {
-            return None;
-        }
-        let usual = Micros(self.took[s.scheme.0].quantile(0.97).unwrap_or(0)).times(1.3);
-        let mut span = usual.max(row.sla.times(0.3)).min(row.sla.times(0.6));
-        if row.kind == Kind::Referenced {
-            span = span.min(row.window.times(0.6));
-        }
-        if self.backends[id.0 as usize].as_ref().is_some_and(Backend::shut) {
-            span = span.min(row.sla.times(0.35));
-        }
-        (self.now + span + span < s.expiry).then_some(self.now + span)
-    }
-
     fn answer(&mut self, txn: TxnRef, out: &mut dyn Outlet) {
         let Some(s) = self.txns.get_mut(&txn).filter(|s| !s.closed) else {
             return;
@@ -676,9 +659,7 @@
 
     fn send(self, out: &mut dyn Outlet) {
         if let Some(id) = self.desk.pick(self.txn) {
-            let s = &self.desk.txns[&self.txn];
-            let until = self.desk.patience(s, id).unwrap_or(s.expiry);
-            if self.desk.post(self.txn, id, until, out) {
+            if self.desk.post(self.txn, id, out) {
                 return;
             }
         }
