The window is moved by the square of response times

Cause: one mean response time does not suit sites whose work is 7% and 20% of the SLA time; the square weighs what nears the SLA time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,7 +16,7 @@
 const FLOOR: f64 = 0.1; // least part of its size that a reported utilisation leaves a backend
 const BEAT: Micros = Micros::ms(50); // how often the balancer looks after itself
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
-const EASE: f64 = 0.27; // response time aimed at, as a part of the SLA time, when the window is used up
+const EASE: f64 = 0.12; // square of the response time as a part of the SLA time, aimed at when the window is full
 const LINE: f64 = 0.3; // longest wait in line that is taken on, as a part of the SLA time
 const PACE_SPAN: Micros = Micros::ms(2_000); // what is asked and what comes back is counted over this
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
@@ -102,7 +102,7 @@
     took: Vec<Tally>, // by scheme: response times of settled postings
     window: f64,      // own postings that may be out at once
     opening: bool,    // never yet under strain: the window grows fast
-    stress: f64,      // response times as a part of the SLA time, smoothed
+    stress: f64,      // squares of response times as a part of the SLA time, smoothed
     in_flight: usize,
     line: VecDeque<(TxnRef, Micros)>, // txns waiting for room in the window, and until when
     finish: f64,                      // postings coming back within a second, smoothed
@@ -327,7 +327,7 @@
     fn ease(&mut self, scheme: SchemeId, fate: Fate, took: Micros) {
         let part = took.over(self.terms.schemes[scheme.0].sla);
         let strain = match fate {
-            Fate::Settled => part.min(0.8),
+            Fate::Settled => part.min(1.2).powi(2),
             Fate::TimedOut => 0.8,
             Fate::TurnedAway => 0.8,
             _ => return,
