Postings long past their SLA time leave the window; shorter line and stay away

Told from overload by the short times of all other backends. Change: postings past 1.5 SLA times are not counted in the window.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -17,7 +17,7 @@
 const BEAT: Micros = Micros::ms(50); // how often the balancer looks after itself
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
 const EASE: f64 = 0.12; // square of the response time as a part of the SLA time, aimed at when the window is full
-const LINE: f64 = 0.3; // longest wait in line that is taken on, as a part of the SLA time
+const LINE: f64 = 0.2; // longest wait in line that is taken on, as a part of the SLA time
 const PACE_SPAN: Micros = Micros::ms(2_000); // what is asked and what comes back is counted over this
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
@@ -99,11 +99,10 @@
     asked: bool,              // a call for the watch is out
     failures: i32,
     txns: BTreeMap<TxnRef, State>,
-    took: Vec<Tally>, // by scheme: response times of settled postings
-    window: f64,      // own postings that may be out at once
-    opening: bool,    // never yet under strain: the window grows fast
-    stress: f64,      // squares of response times as a part of the SLA time, smoothed
-    in_flight: usize,
+    took: Vec<Tally>,                 // by scheme: response times of settled postings
+    window: f64,                      // own postings that may be out at once
+    opening: bool,                    // never yet under strain: the window grows fast
+    stress: f64,                      // squares of response times as a part of the SLA time, smoothed
     line: VecDeque<(TxnRef, Micros)>, // txns waiting for room in the window, and until when
     finish: f64,                      // postings coming back within a second, smoothed
     asked_by: Vec<f64>,               // txns taken by tenant, smoothed like `finish`
@@ -137,7 +136,6 @@
             window: 2.0,
             stress: 0.0,
             opening: true,
-            in_flight: 0,
             line: VecDeque::new(),
             finish: 0.0,
             asked_by: vec![0.0; terms.shares.len()],
@@ -322,6 +320,13 @@
         }
     }
 
+    /// Own postings not long past their SLA time: what is stuck somewhere must not use up the window.
+    fn in_flight(&self) -> f64 {
+        let young =
+            |o: &&(TxnRef, Micros, SchemeId)| self.now - o.1 < self.terms.schemes[o.2.0].sla.times(1.5);
+        self.backends.iter().flatten().map(|b| b.out.iter().filter(young).count() as f64).sum()
+    }
+
     /// Every posting that comes back moves the window: up while it is used and answers come with ease, down as
     /// they near the SLA time. Many agents doing so keep the queues at the backends short without talking.
     fn ease(&mut self, scheme: SchemeId, fate: Fate, took: Micros) {
@@ -335,7 +340,7 @@
         self.finish += 1.0;
         self.stress += 0.1 * (strain - self.stress);
         let pull = ((EASE - self.stress) / EASE).clamp(-1.0, 1.0);
-        if pull < 0.0 || self.in_flight as f64 + 1.0 >= 0.7 * self.window {
+        if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * self.window {
             self.opening &= pull > 0.0;
             self.window = (self.window + if self.opening { 1.0 } else { 0.2 } * pull).max(1.0);
         }
@@ -369,7 +374,7 @@
         for (txn, _) in over {
             self.answer(txn, out);
         }
-        while (self.in_flight as f64) < self.window {
+        while self.in_flight() < self.window {
             let Some((txn, _)) = self.line.pop_front() else { return };
             if let Some(handle) = self.txn(txn) {
                 handle.send(out);
@@ -457,7 +462,6 @@
         if cold {
             b.cold_sent.push_back((now, 1.05)); // with the handshake it may need
         }
-        self.in_flight += 1;
         out.post(txn, id, s.expiry);
         true
     }
@@ -579,7 +583,7 @@
             || row.kind == Kind::Repeatable
             || (row.kind == Kind::Referenced && row.group == Group::All);
         if harmless {
-            out.decline(txn, self.terms.retry_after.map(|most| most.min(Micros::ms(300))));
+            out.decline(txn, self.terms.retry_after.map(|most| most.min(Micros::ms(50))));
         } else {
             out.reverse(txn);
         }
@@ -639,7 +643,7 @@
     pub fn route(self, out: &mut dyn Outlet) {
         let Txn { desk, txn } = self;
         desk.start_beat(out);
-        if (desk.in_flight as f64) < desk.window && desk.line.is_empty() {
+        if desk.in_flight() < desk.window && desk.line.is_empty() {
             return Txn { desk, txn }.send(out);
         }
         let Some(s) = desk.txns.get(&txn) else { return };
@@ -674,7 +678,6 @@
             return;
         };
         s.out = None;
-        desk.in_flight -= 1;
         let (scheme, mut sent) = (s.scheme, desk.now - took);
         if let Some(b) = desk.backends[id.0 as usize].as_mut()
             && let Some(at) = b.out.iter().position(|o| o.0 == txn)
