--- a/src/logic.rs
+++ b/src/logic.rs
@@ -500,7 +500,7 @@
                 let pace = (1.0 + (b.pace - 1.0) * fade).max(waiting / 3.0);
                 let near = if b.entry.zone == self.terms.zone { 1.0 } else { 0.2 };
                 let sound = (1.0 - b.doubt) * (1.0 - b.doubt);
-                b.entry.size * (mean + (idle - mean) * trust) / pace.clamp(0.6, 20.0) * near * sound
+                b.entry.size * (mean + (idle - mean) * trust) / pace.clamp(0.6, 20.0).powi(2) * near * sound
             })
             .collect();
         let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
