--- a/crates/wirehost/src/actions.rs
+++ b/crates/wirehost/src/actions.rs
@@ -1,8 +1,7 @@
 //! Writes a balancer's actions as wire messages.
 use std::fmt::Write;
 
-use notchspool::logic::Outlet;
-use notchspool::units::{BackendId, Micros, TxnRef};
+use notchspool::units::{BackendId, Micros, Outlet, TxnRef};
 
 /// The wire names of an instance's backends, by the numbers its balancer knows them under.
 #[derive(Default)]
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -179,7 +179,6 @@
                 .iter()
                 .map(|row| Ok(Share { quota_per_s: number(row, "quotaPerS", Some(0.0))? }))
                 .collect::<Read<_>>()?,
-            surplus_value: number(facts, "surplusValue", Some(1.0))?,
             max_postings: number(permissions, "maxPostings", Some(1.0))? as u32,
             drain_grace: match contract["drainGraceMs"] {
                 Value::Null => None,
@@ -196,7 +195,6 @@
             may_probe: flag(permissions, "probes")?,
             report_by_probe: facts["loadReport"]["via"].as_str() == Some("probe"),
             probe_price: number(costs, "probe", Some(0.0))?,
-            crossing_price: number(costs, "crossZone", Some(0.0))?,
             tick: time(facts, "tickMs", Some(1.0))?,
         };
         Ok(Instance {
@@ -260,7 +258,7 @@
             _ => {
                 let (backend, fate) = (backend()?, fate(event)?);
                 balancer.reported(backend, report);
-                balancer.probed(backend, fate, time(event, "tookMs", Some(0.0))?);
+                balancer.probed(backend, fate);
             }
         }
         Ok(())
@@ -276,8 +274,6 @@
             match field.as_str() {
                 "busy" => report.utilisation = Some(value),
                 "rif" => report.in_flight = Some(value),
-                "lat_ms" => report.service = Some(Micros((value * 1000.0) as i64)),
-                "rate" => report.rate = Some(value),
                 _ => {}
             }
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,12 +1,13 @@
 //! All decisions of one balancer. A front opens a `Balancer` with its `Terms` (units.rs) and a seed, sets its
 //! `clock`, and calls it: `listed`/`list_failed` for the server list, `reported`/`probed` for load, `wake` when
 //! a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned` and `left` are all
-//! that can happen to it. What the balancer does goes out through the `Outlet` that the front implements.
+//! that can happen to it. What the balancer does goes out through the `Outlet` (units.rs) that the front has.
 //! Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
 use std::collections::{BTreeMap, VecDeque};
 
 use oorandom::Rand64;
 
+use crate::book::{Backend, State};
 use crate::tally::Tally;
 use crate::units::*;
 
@@ -15,88 +16,24 @@
 const GUARD_HOLD: Micros = Micros::ms(30_000); // how long a frozen entry stays unless listed ready again
 const FLOOR: f64 = 0.1; // least part of its size that a reported utilisation leaves a backend
 const BEAT: Micros = Micros::ms(50); // how often the balancer looks after itself
+const FIRST_SHUT: Micros = Micros::ms(500); // an ejected backend's wait for a trial; doubled up to
+const LAST_SHUT: Micros = Micros::ms(4_000); // this while trials fail
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
 const EASE: f64 = 0.12; // square of the response time as a part of the SLA time, aimed at when the window is full
 const LINE: f64 = 0.2; // longest wait in line that is taken on, as a part of the SLA time
 const PACE_SPAN: Micros = Micros::ms(2_000); // what is asked and what comes back is counted over this
+const PACE_FADE: Micros = Micros::ms(4_000); // a pace not measured for this long counts half
+const AFAR: f64 = 0.2; // weight of a backend in another zone
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
-/// What a balancer does, carried out by the front.
-pub trait Outlet {
-    fn post(&mut self, txn: TxnRef, to: BackendId, until: Micros);
-    fn cancel(&mut self, txn: TxnRef, posting: u32);
-    fn decline(&mut self, txn: TxnRef, away: Option<Micros>);
-    fn reverse(&mut self, txn: TxnRef);
-    fn probe(&mut self, backend: BackendId);
-    fn watch(&mut self);
-    fn wake_in(&mut self, span: Micros);
-    fn note(&mut self, line: &str);
-}
-
-/// One backend as this agent knows it.
-struct Backend {
-    entry: Entry,
-    told: Option<Micros>,   // since when it is known to drain or to be gone
-    frozen: Option<Micros>, // gone, but held on the list by the guard since then
-    dropped: bool,
-    out: Vec<(TxnRef, Micros, SchemeId)>, // own postings not yet back
-    report: Option<(f64, Option<f64>, Micros)>, // utilisation (or nothing), in flight, when
-    pace: f64,                            // own response times against those of all backends, smoothed
-    paced: Micros,
-    doubt: f64, // 0 sound, 1 nothing works
-    shut_until: Micros,
-    shut_for: Micros,
-    probing: bool,
-    probed: Micros,
-    flow: f64,                          // postings within a fall span, smoothed
-    cold_sent: VecDeque<(Micros, f64)>, // what went there while cold, in postings
-}
-
-impl Backend {
-    fn new(entry: Entry, now: Micros) -> Backend {
-        Backend {
-            entry,
-            told: None,
-            frozen: None,
-            dropped: false,
-            out: Vec::new(),
-            report: None,
-            pace: 1.0,
-            paced: now,
-            doubt: 0.0,
-            shut_until: Micros(0),
-            shut_for: Micros::ms(500),
-            probing: false,
-            probed: Micros(0),
-            flow: 0.0,
-            cold_sent: VecDeque::new(),
-        }
-    }
-    fn shut(&self) -> bool {
-        self.shut_until > Micros(0)
-    }
-}
-
-struct State {
-    scheme: SchemeId,
-    tenant: Option<TenantId>,
-    expiry: Micros,
-    postings: u32,
-    out: Option<(u32, BackendId)>,
-    ran: Option<(BackendId, Micros)>, // the first posting that may have run, and when it was sent
-    last: Option<BackendId>,
-    closed: bool,
-}
-
 pub struct Balancer {
     terms: Terms,
     now: Micros,
     chance: Rand64,
     backends: Vec<Option<Backend>>,
     generation: Generation,
-    gone_lately: VecDeque<(Micros, BackendId)>,
+    gone_lately: Vec<(Micros, BackendId)>,
     watch_at: Option<Micros>, // when to ask for the watch next
-    asked: bool,              // a call for the watch is out
     failures: i32,
     txns: BTreeMap<TxnRef, State>,
     took: Vec<Tally>,                 // by scheme: response times of settled postings
@@ -127,9 +64,8 @@
             chance,
             backends: Vec::new(),
             generation: Generation(0),
-            gone_lately: VecDeque::new(),
+            gone_lately: Vec::new(),
             watch_at: terms.list_on_request.then_some(now + first),
-            asked: false,
             failures: 0,
             txns: BTreeMap::new(),
             took: vec![Tally::default(); terms.schemes.len()],
@@ -182,10 +118,7 @@
     pub fn listed(&mut self, how: Refresh, version: Generation, entries: &[Entry], out: &mut dyn Outlet) {
         self.start_beat(out);
         if how != Refresh::Restored {
-            (self.asked, self.failures) = (false, 0);
-            if !self.terms.list_on_request {
-                self.watch_at = None;
-            }
+            (self.watch_at, self.failures) = (None, 0);
         }
         if version < self.generation || (how == Refresh::Full && entries.is_empty()) {
             return;
@@ -225,27 +158,20 @@
     fn guard(&mut self, turned_gone: &[BackendId], out: &mut dyn Outlet) {
         let now = self.now;
         for &id in turned_gone {
-            let Some(b) = self.backends[id.0 as usize].as_mut().filter(|b| !b.dropped && b.frozen.is_none())
-            else {
-                continue;
-            };
-            b.told = b.told.or(Some(now));
-            self.gone_lately.push_back((now, id));
-        }
-        while self.gone_lately.front().is_some_and(|&(at, _)| now - at > GUARD_WINDOW) {
-            self.gone_lately.pop_front();
+            if let Some(b) = self.at(id).filter(|b| !b.dropped && b.frozen.is_none()) {
+                b.told = b.told.or(Some(now));
+                self.gone_lately.push((now, id));
+            }
         }
-        let lately = &self.gone_lately;
+        self.gone_lately.retain(|&(at, _)| now - at <= GUARD_WINDOW);
+        let lately = self.gone_lately.clone();
         let listed = self.backends.iter().flatten().filter(|b| !b.dropped).count();
         let freeze = lately.len() as f64 > GUARD_FRACTION * listed as f64;
-        for &(_, id) in lately {
-            if let Some(b) = self.backends[id.0 as usize].as_mut().filter(|b| b.told.is_some() && !b.dropped)
-            {
-                if !freeze {
-                    b.dropped = true;
-                } else if b.frozen.is_none() {
-                    b.frozen = Some(now);
-                }
+        for &(_, id) in &lately {
+            match self.at(id).filter(|b| b.told.is_some() && !b.dropped) {
+                Some(b) if freeze => b.frozen = b.frozen.or(Some(now)),
+                Some(b) => b.dropped = true,
+                None => {}
             }
         }
         if freeze && !turned_gone.is_empty() {
@@ -258,7 +184,7 @@
         let base = Micros::ms(500).times(2f64.powi(self.failures.min(6)));
         let span = base.times(2.0).min(self.terms.ask_within.times(0.7));
         self.watch_at = Some(self.now + Micros::ms(20) + span.times(self.chance.rand_float()));
-        (self.asked, self.failures) = (false, self.failures + 1);
+        self.failures += 1;
     }
 
     // ---- Load and health ------------------------------------------------------------------------------------
@@ -267,17 +193,18 @@
         self.backends.get_mut(id.0 as usize)?.as_mut()
     }
 
+    fn backend(&self, id: BackendId) -> Option<&Backend> {
+        self.backends.get(id.0 as usize)?.as_ref()
+    }
+
     pub fn reported(&mut self, id: BackendId, report: Option<Report>) {
         let now = self.now;
-        if let (Some(b), Some(r)) = (self.at(id), report) {
-            b.report = Some((r.utilisation.unwrap_or(-1.0), r.in_flight, now));
+        if let (Some(b), Some(report)) = (self.at(id), report) {
+            b.report = Some((report, now));
         }
     }
 
-    pub fn probed(&mut self, id: BackendId, fate: Fate, _took: Micros) {
-        if let Some(b) = self.at(id) {
-            b.probing = false;
-        }
+    pub fn probed(&mut self, id: BackendId, fate: Fate) {
         if matches!(fate, Fate::NoLink | Fate::Broken) {
             self.judge(id, 0.5);
         }
@@ -289,14 +216,14 @@
         let Some(b) = self.at(id) else { return };
         b.doubt += (1.0 - b.doubt) * weight;
         if b.doubt > 0.6 && b.shut_until <= now {
+            b.shut_for = (b.shut_for + b.shut_for).max(FIRST_SHUT).min(LAST_SHUT);
             b.shut_until = now + b.shut_for;
-            b.shut_for = (b.shut_for + b.shut_for).min(Micros::ms(4_000));
         }
     }
 
     fn came_back(&mut self, id: BackendId, scheme: SchemeId, sent: Micros, fate: Fate, took: Micros) {
         let mean = self.took[scheme.0].mean();
-        let (now, sla) = (self.now, self.terms.schemes[scheme.0].sla);
+        let now = self.now;
         let Some(b) = self.at(id) else { return };
         if fate == Fate::Settled || fate == Fate::TimedOut {
             let ratio = (took.0 as f64 / mean.unwrap_or(took.0 as f64).max(1.0)).min(8.0);
@@ -310,11 +237,11 @@
             Fate::Settled => {
                 b.flow += 1.0;
                 b.doubt *= 0.6;
-                (b.shut_until, b.shut_for) = (Micros(0), Micros::ms(500));
+                (b.shut_until, b.shut_for) = (Micros(0), Micros(0));
                 self.took[scheme.0].add(took.0);
             }
             Fate::Errored | Fate::Broken | Fate::NoLink => self.judge(id, 0.45),
-            Fate::TimedOut if took > sla.times(0.2) => self.judge(id, 0.3),
+            Fate::TimedOut => self.judge(id, 0.3),
             Fate::TurnedAway => self.judge(id, 0.2),
             _ => {}
         }
@@ -333,8 +260,7 @@
         let part = took.over(self.terms.schemes[scheme.0].sla);
         let strain = match fate {
             Fate::Settled => part.min(1.2).powi(2),
-            Fate::TimedOut => 0.8,
-            Fate::TurnedAway => 0.8,
+            Fate::TimedOut | Fate::TurnedAway => 0.8,
             _ => return,
         };
         self.finish += 1.0;
@@ -392,12 +318,7 @@
 
     /// The one gate. Each line keeps one rule; no path around it exists.
     fn may_post(&self, txn: TxnRef, id: BackendId) -> bool {
-        let Some(s) = self.txns.get(&txn) else {
-            return false;
-        };
-        let Some(b) = self.backends.get(id.0 as usize).and_then(Option::as_ref) else {
-            return false;
-        };
+        let (Some(s), Some(b)) = (self.txns.get(&txn), self.backend(id)) else { return false };
         // Rule 1: nothing for a closed or overdue txn, or beyond the agreed number of postings.
         if s.closed || self.now + self.terms.tick >= s.expiry || s.postings >= self.terms.max_postings {
             return false;
@@ -408,7 +329,7 @@
             (None, _) | (_, Kind::Repeatable) => true,
             (_, Kind::OnceOnly) => false,
             (Some((first, sent)), Kind::Referenced) => {
-                let first = self.backends[first.0 as usize].as_ref();
+                let first = self.backend(first);
                 self.now + MARGIN < sent + row.window
                     && match row.group {
                         Group::All => true,
@@ -450,8 +371,7 @@
         if !self.may_post(txn, id) {
             return false;
         }
-        let (now, cold) =
-            (self.now, self.backends[id.0 as usize].as_ref().map_or(1.0, |b| self.warmth(b)) < 1.0);
+        let (now, cold) = (self.now, self.backend(id).is_some_and(|b| self.warmth(b) < 1.0));
         let (Some(s), Some(b)) = (self.txns.get_mut(&txn), self.backends[id.0 as usize].as_mut()) else {
             return false;
         };
@@ -468,88 +388,76 @@
 
     // ---- The pick -------------------------------------------------------------------------------------------
 
-    /// Utilisation as last reported, fading towards the mean of all as the report ages.
-    fn weights(&self, ids: &[BackendId], scheme: SchemeId) -> Vec<f64> {
-        let all: Vec<&Backend> = ids.iter().filter_map(|i| self.backends[i.0 as usize].as_ref()).collect();
-        let held: Vec<f64> = all.iter().filter_map(|b| Some(b.report?.1? / b.entry.size.max(1e-9))).collect();
-        let mean_held = held.iter().sum::<f64>() / held.len().max(1) as f64;
-        let idle = |b: &Backend| {
-            let (utilisation, in_flight, at) = b.report?;
-            // Where only txns in hand are reported, idleness is judged against what all hold for their size.
-            let by_held =
-                in_flight.map(|n| (mean_held + 0.1) / (mean_held + 0.1 + n / b.entry.size.max(1e-9)));
-            let idle = match (utilisation >= 0.0, by_held) {
-                (true, Some(by_held)) => (1.0 - utilisation + by_held) / 2.0,
-                (true, None) => 1.0 - utilisation,
-                (false, by_held) => by_held?,
+    /// How idle the given backends are by their last reports, and how far each report is still to be trusted.
+    fn idleness(&self, all: &[&Backend]) -> Vec<Option<(f64, f64)>> {
+        let by_size = |b: &Backend, held: f64| held / b.entry.size.max(1e-9);
+        let held: Vec<f64> = all.iter().filter_map(|b| Some(by_size(b, b.report?.0.in_flight?))).collect();
+        let usual = held.iter().sum::<f64>() / held.len().max(1) as f64 + 0.1;
+        let one = |b: &&Backend| {
+            let (report, at) = b.report?;
+            // Txns in hand tell of idleness against what all hold for their size; by themselves where no
+            // utilisation is reported, else in equal parts.
+            let by_held = report.in_flight.map(|n| usual / (usual + by_size(b, n)));
+            let idle = match (report.utilisation, by_held) {
+                (Some(utilisation), Some(by_held)) => (1.0 - utilisation + by_held) / 2.0,
+                (Some(utilisation), None) => 1.0 - utilisation,
+                (None, by_held) => by_held?,
             };
             let age = (self.now - at).over(REPORT_FADE);
             Some((idle.max(FLOOR), 1.0 / (1.0 + age * age)))
         };
-        let seen: Vec<Option<(f64, f64)>> = all.iter().map(|b| idle(b)).collect();
-        let n = seen.iter().flatten().count();
-        let mean = if n == 0 { 1.0 } else { seen.iter().flatten().map(|x| x.0).sum::<f64>() / n as f64 };
+        all.iter().map(one).collect()
+    }
+
+    /// Weight of each backend: what it reports to have left, for its size, held against its pace with us.
+    /// The unreported count as the mean, and as a report ages it fades towards the mean, so that one that is
+    /// late or stuck pins nothing.
+    fn weights(&self, all: &[&Backend], scheme: SchemeId) -> Vec<f64> {
+        let idle = self.idleness(all);
+        let known: Vec<f64> = idle.iter().flatten().map(|x| x.0).collect();
+        let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
         let expected = self.took[scheme.0].mean().unwrap_or(f64::MAX);
-        let mut weights: Vec<f64> = all
-            .iter()
-            .zip(&seen)
-            .map(|(b, seen)| {
-                let (idle, trust) = seen.unwrap_or((mean, 0.0));
-                let fade = 1.0 / (1.0 + (self.now - b.paced).over(Micros::ms(4_000)));
-                let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
-                let pace = (1.0 + (b.pace - 1.0) * fade).max(waiting / 3.0);
-                let near = if b.entry.zone == self.terms.zone { 1.0 } else { 0.2 };
-                let sound = (1.0 - b.doubt) * (1.0 - b.doubt);
-                b.entry.size * (mean + (idle - mean) * trust) / pace.clamp(0.6, 20.0).powi(2) * near * sound
-            })
-            .collect();
+        let weigh = |(b, idle): (&&Backend, &Option<(f64, f64)>)| {
+            let left = idle.map_or(mean, |(idle, trust)| mean + (idle - mean) * trust);
+            let fade = 1.0 / (1.0 + (self.now - b.paced).over(PACE_FADE));
+            let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
+            let pace = (1.0 + (b.pace - 1.0) * fade).max(waiting / 3.0).clamp(0.6, 20.0);
+            let near = if b.entry.zone == self.terms.zone { 1.0 } else { AFAR };
+            b.entry.size * left * near * ((1.0 - b.doubt) / pace).powi(2)
+        };
+        let weights: Vec<f64> = all.iter().zip(&idle).map(weigh).collect();
         let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
-        for (w, b) in weights.iter_mut().zip(&all) {
-            if self.warmth(b) < 1.0 {
-                *w = w.min(mean);
-            }
-        }
-        weights
+        let capped = |(w, b): (&f64, &&Backend)| if self.warmth(b) < 1.0 { w.min(mean) } else { *w };
+        weights.iter().zip(all).map(capped).collect()
     }
 
+    /// Draws a backend by weight among those that the gate lets pass.
     fn pick(&mut self, txn: TxnRef) -> Option<BackendId> {
         let s = self.txns.get(&txn)?;
-        let (scheme, last, first) = (s.scheme, s.last, s.postings == 0);
-        let open: Vec<BackendId> = (0..self.backends.len() as u32)
-            .map(BackendId)
-            .filter(|&id| self.may_post(txn, id))
-            .filter(|&id| Some(id) != last)
-            .collect();
-        let open = if open.is_empty() {
-            last.filter(|&l| self.may_post(txn, l)).into_iter().collect()
-        } else {
-            open
-        };
-        let b = |id: BackendId| self.backends[id.0 as usize].as_ref();
-        // Draining backends are used within their grace only when nothing else is left.
-        let staying: Vec<_> = open
-            .iter()
-            .copied()
-            .filter(|&i| b(i).is_some_and(|b| b.entry.standing != Standing::Draining))
-            .collect();
-        let open = if staying.is_empty() { open } else { staying };
-        // An ejected backend comes back by a single trial of the scheme that can best bear to fail.
-        let harmless = self.terms.schemes.iter().map(|r| (r.kind as u8, r.value as i64)).min();
-        let row = &self.terms.schemes[scheme.0];
-        if first && Some((row.kind as u8, row.value as i64)) == harmless {
-            let due = |b: &Backend| b.shut() && b.shut_until <= self.now && b.out.is_empty();
-            if let Some(&id) = open.iter().find(|&&i| b(i).is_some_and(due)) {
-                return Some(id);
+        let (now, scheme, last, first) = (self.now, s.scheme, s.last, s.postings == 0);
+        let mut open: Vec<&Backend> = self.backends.iter().flatten().collect();
+        open.retain(|b| self.may_post(txn, b.entry.backend));
+        // Another backend than the last, and one that stays, wherever there is one.
+        prefer(&mut open, |b| Some(b.entry.backend) != last);
+        prefer(&mut open, |b| b.entry.standing != Standing::Draining);
+        // An ejected backend comes back by single trials of the scheme that can best bear to fail.
+        let bears = |row: &Scheme| (row.kind as u8, (row.value * 1e6) as i64);
+        let least = self.terms.schemes.iter().map(bears).min();
+        if first && Some(bears(&self.terms.schemes[scheme.0])) == least {
+            let due = |b: &&&Backend| b.shut() && b.shut_until <= now && b.out.is_empty();
+            if let Some(b) = open.iter().find(due) {
+                return Some(b.entry.backend);
             }
         }
-        // When half of all looks ill, the observer or something shared is the likelier cause: none is ejected.
-        let sound: Vec<_> = open.iter().copied().filter(|&i| b(i).is_some_and(|b| !b.shut())).collect();
-        let open = if 2 * sound.len() < open.len() { open } else { sound };
+        // When more than half looks ill, the observer or something shared is the likelier cause: none is ejected.
+        let sound = open.iter().filter(|b| !b.shut()).count();
+        if 2 * sound >= open.len() {
+            open.retain(|b| !b.shut());
+        }
         let mut weights = self.weights(&open, scheme);
-        let load = |i: usize| b(open[i]).map_or(0.0, |b| b.out.len() as f64);
-        let mean = (0..open.len()).map(load).sum::<f64>() / open.len().max(1) as f64;
-        let loads: Vec<f64> = (0..open.len()).map(load).collect();
-        let warm: Vec<f64> = open.iter().map(|&i| b(i).map_or(1.0, |b| self.warmth(b))).collect();
+        let mean = open.iter().map(|b| b.out.len() as f64).sum::<f64>() / open.len().max(1) as f64;
+        let found: Vec<(BackendId, bool, f64)> =
+            open.iter().map(|b| (b.entry.backend, b.out.len() as f64 > mean, self.warmth(b))).collect();
         let mut fallback = None;
         loop {
             let total: f64 = weights.iter().sum();
@@ -557,25 +465,23 @@
                 return fallback;
             }
             let mut dart = self.chance.rand_float() * total;
-            let mut at = 0;
-            while at + 1 < weights.len() && dart >= weights[at] {
-                dart -= weights[at];
-                at += 1;
-            }
-            // Passed over: one well above the mean in flight, and by chance one not yet warm.
-            let crowded = loads[at] > mean;
-            if !crowded && self.chance.rand_float() < warm[at] {
-                return Some(open[at]);
+            let hit = |w: &f64| {
+                dart -= w;
+                dart < 0.0
+            };
+            let at = weights.iter().position(hit).unwrap_or(weights.len() - 1);
+            // Passed over: one that holds more of ours than the mean, and by chance one not yet warm.
+            let (id, crowded, warmth) = found[at];
+            if !crowded && self.chance.rand_float() < warmth {
+                return Some(id);
             }
-            fallback = fallback.or(Some(open[at]));
+            fallback = fallback.or(Some(id));
             weights[at] = 0.0;
         }
     }
 
     fn answer(&mut self, txn: TxnRef, out: &mut dyn Outlet) {
-        let Some(s) = self.txns.get_mut(&txn).filter(|s| !s.closed) else {
-            return;
-        };
+        let Some(s) = self.txns.get_mut(&txn).filter(|s| !s.closed) else { return };
         s.closed = true;
         let row = &self.terms.schemes[s.scheme.0];
         // Rule 2: a decline promises that asking again is harmless.
@@ -604,8 +510,8 @@
     pub fn wake(&mut self, out: &mut dyn Outlet) {
         out.wake_in(BEAT);
         let now = self.now;
-        if self.watch_at.is_some_and(|at| at <= now) && !self.asked {
-            (self.asked, self.watch_at) = (true, None);
+        if self.watch_at.is_some_and(|at| at <= now) {
+            self.watch_at = Some(now + self.terms.ask_within.times(0.7)); // should no answer come at all
             out.watch();
         }
         let fade = 1.0 - BEAT.over(PACE_SPAN);
@@ -622,22 +528,28 @@
                 (b.frozen, b.dropped) = (None, true);
             }
         }
-        while self.probes >= 1.0 {
-            let stale =
-                self.backends.iter_mut().flatten().filter(|b| !b.dropped && !b.probing && b.told.is_none());
-            let Some(b) = stale.min_by_key(|b| b.probed.max(b.report.map_or(Micros(0), |r| r.2))) else {
-                break;
-            };
-            if now - b.probed < Micros::ms(200) {
-                break;
-            }
-            (b.probing, b.probed) = (true, now);
+        // The report longest unheard is asked for first; a cold backend is spared even that.
+        let mut due: Vec<(Micros, BackendId)> = (self.backends.iter().flatten())
+            .filter(|b| !b.dropped && b.told.is_none() && self.warmth(b) >= 1.0)
+            .map(|b| (b.probed.max(b.report.map_or(Micros(0), |r| r.1)), b.entry.backend))
+            .filter(|&(at, _)| now - at >= Micros::ms(500))
+            .collect();
+        due.sort();
+        for (_, id) in due.into_iter().take(self.probes as usize) {
             self.probes -= 1.0;
-            out.probe(b.entry.backend);
+            self.backends[id.0 as usize].iter_mut().for_each(|b| b.probed = now);
+            out.probe(id);
         }
     }
 }
 
+/// Keeps only what is good, if anything is.
+fn prefer(open: &mut Vec<&Backend>, good: impl Fn(&Backend) -> bool) {
+    if open.iter().any(|b| good(b)) {
+        open.retain(|b| good(b));
+    }
+}
+
 impl Txn<'_> {
     /// Sends the txn on its way, lets it wait in line where that will be short, or answers it at once.
     pub fn route(self, out: &mut dyn Outlet) {
@@ -662,21 +574,17 @@
     }
 
     fn send(self, out: &mut dyn Outlet) {
-        if let Some(id) = self.desk.pick(self.txn) {
-            if self.desk.post(self.txn, id, out) {
-                return;
-            }
+        let found = self.desk.pick(self.txn);
+        if !found.is_some_and(|id| self.desk.post(self.txn, id, out)) {
+            self.desk.answer(self.txn, out);
         }
-        self.desk.answer(self.txn, out);
     }
 
     /// A posting came back; `closed` says that the client has its answer.
     pub fn returned(self, posting: u32, fate: Fate, took: Micros, closed: bool, out: &mut dyn Outlet) {
         let Txn { desk, txn } = self;
         let Some(s) = desk.txns.get_mut(&txn) else { return };
-        let Some((_, id)) = s.out.filter(|o| o.0 == posting) else {
-            return;
-        };
+        let Some((_, id)) = s.out.filter(|o| o.0 == posting) else { return };
         s.out = None;
         let (scheme, mut sent) = (s.scheme, desk.now - took);
         if let Some(b) = desk.backends[id.0 as usize].as_mut()
--- a/src/units.rs
+++ b/src/units.rs
@@ -99,8 +99,6 @@
     pub zone: ZoneId,
     pub schemes: Vec<Scheme>,
     pub shares: Vec<Share>,
-    /// Value left to a txn beyond its tenant's share.
-    pub surplus_value: f64,
     pub max_postings: u32,
     pub drain_grace: Option<Micros>,
     pub ask_within: Micros,
@@ -116,21 +114,21 @@
     pub may_cancel: bool,
     /// Load is reported to probes only.
     pub report_by_probe: bool,
-    /// Prices, as a share of the value: one probe a txn, one zone crossing a txn.
+    /// Price of one probe a txn, as a share of the value.
     pub probe_price: f64,
-    pub crossing_price: f64,
     pub tick: Micros,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// One line of a server list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     pub backend: BackendId,
     pub zone: ZoneId,
@@ -173,6 +171,16 @@
 pub struct Report {
     pub utilisation: Option<f64>,
     pub in_flight: Option<f64>,
-    pub service: Option<Micros>,
-    pub rate: Option<f64>,
+}
+
+/// What a balancer does, carried out by the front.
+pub trait Outlet {
+    fn post(&mut self, txn: TxnRef, to: BackendId, until: Micros);
+    fn cancel(&mut self, txn: TxnRef, posting: u32);
+    fn decline(&mut self, txn: TxnRef, away: Option<Micros>);
+    fn reverse(&mut self, txn: TxnRef);
+    fn probe(&mut self, backend: BackendId);
+    fn watch(&mut self);
+    fn wake_in(&mut self, span: Micros);
+    fn note(&mut self, line: &str);
 }
