The window's aim allows for work that itself takes much of its SLA time

Change: aim is four times the square of the quicker quarter where that is more, up to 1.5 times the usual.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,6 +24,7 @@
 const PACE_SPAN: Micros = Micros::ms(2_000); // what is asked and what comes back is counted over this
 const PACE_FADE: Micros = Micros::ms(4_000); // a pace not measured for this long counts half
 const AFAR: f64 = 0.2; // weight of a backend in another zone
+const QUICK: f64 = 4.0; // the aim is this many times the square of the quicker quarter, where that is more
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
 pub struct Balancer {
@@ -40,6 +41,7 @@
     window: f64,                      // own postings that may be out at once
     opening: bool,                    // never yet under strain: the window grows fast
     stress: f64,                      // squares of response times as a part of the SLA time, smoothed
+    rest: f64,                        // the same of the quicker quarter
     line: VecDeque<(TxnRef, Micros)>, // txns waiting for room in the window, and until when
     finish: f64,                      // postings coming back within a second, smoothed
     asked_by: Vec<f64>,               // txns taken by tenant, smoothed like `finish`
@@ -71,6 +73,7 @@
             took: vec![Tally::default(); terms.schemes.len()],
             window: 2.0,
             stress: 0.0,
+            rest: 0.0,
             opening: true,
             line: VecDeque::new(),
             finish: 0.0,
@@ -265,7 +268,12 @@
         };
         self.finish += 1.0;
         self.stress += 0.1 * (strain - self.stress);
-        let pull = ((EASE - self.stress) / EASE).clamp(-1.0, 1.0);
+        // Where even the quicker answers take much of the SLA time and few take far more, that is work, not waiting.
+        let quick = Micros(self.took[scheme.0].quantile(0.25).unwrap_or(0));
+        let quick = quick.over(self.terms.schemes[scheme.0].sla);
+        self.rest += 0.05 * (quick * quick - self.rest);
+        let aim = (QUICK * self.rest).clamp(EASE, 1.5 * EASE);
+        let pull = ((aim - self.stress) / aim).clamp(-1.0, 1.0);
         if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * self.window {
             self.opening &= pull > 0.0;
             self.window = (self.window + if self.opening { 1.0 } else { 0.2 } * pull).max(1.0);
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -31,17 +31,17 @@
     pub fn mean(&self) -> Option<f64> {
         (self.count > 0.0).then(|| self.sum / self.count)
     }
-    /// The upper edge of the bin that holds the given share of what was measured.
+    /// The time that the given share of what was measured stays under, read off within its bin.
     pub fn quantile(&self, share: f64) -> Option<i64> {
         let mut left = share * self.count;
         if self.count <= 0.0 {
             return None;
         }
         for (i, bin) in self.bins.iter().enumerate() {
-            left -= bin;
-            if left <= 0.0 {
-                return Some((FIRST * STEP.powi(i as i32 + 1)) as i64);
+            if left <= *bin {
+                return Some((FIRST * STEP.powf(i as f64 + left / bin.max(1e-9))) as i64);
             }
+            left -= bin;
         }
         Some((FIRST * STEP.powi(BINS as i32)) as i64)
     }
