--- a/src/logic.rs
+++ b/src/logic.rs
@@ -250,11 +250,20 @@
         }
     }
 
-    /// Own postings not long past their SLA time: what is stuck somewhere must not use up the window.
+    /// Own postings out, but for those long past their SLA time or at an ejected backend: what is stuck somewhere
+    /// must not use up the window, and trials must not keep an agent with a small one from all else.
     fn in_flight(&self) -> f64 {
+        let some = self.ejecting();
         let young =
             |o: &&(TxnRef, Micros, SchemeId)| self.now - o.1 < self.terms.schemes[o.2.0].sla.times(1.5);
-        self.backends.iter().flatten().map(|b| b.out.iter().filter(young).count() as f64).sum()
+        let counted = self.backends.iter().flatten().filter(|b| !(some && b.shut()));
+        counted.map(|b| b.out.iter().filter(young).count() as f64).sum()
+    }
+
+    /// When more than half looks ill, the observer or something shared is the likelier cause: none is ejected.
+    fn ejecting(&self) -> bool {
+        let listed = || self.backends.iter().flatten().filter(|b| !b.dropped);
+        2 * listed().filter(|b| b.shut()).count() <= listed().count()
     }
 
     /// Every posting that comes back moves the window: up while it is used and answers come with ease, down as
@@ -460,10 +469,8 @@
                 return Some(b.entry.backend);
             }
         }
-        // When more than half looks ill, the observer or something shared is the likelier cause: none is ejected.
-        let sound = open.iter().filter(|b| !b.shut()).count();
-        if 2 * sound >= open.len() {
-            open.retain(|b| !b.shut());
+        if self.ejecting() {
+            prefer(&mut open, |b| !b.shut());
         }
         let mut weights = self.weights(&open, scheme);
         let mean = open.iter().map(|b| b.out.len() as f64).sum::<f64>() / open.len().max(1) as f64;
@@ -608,8 +615,11 @@
         }
         s.closed |= closed || fate == Fate::Settled;
         let over = s.closed;
+        let ejected = desk.ejecting() && desk.backend(id).is_some_and(Backend::shut);
         desk.came_back(id, scheme, sent, fate, took);
-        desk.ease(scheme, fate, took);
+        if !ejected {
+            desk.ease(scheme, fate, took);
+        }
         // Another posting is paid for from what the traffic has saved up, so that failures never feed an overload.
         let price = match fate {
             Fate::TimedOut | Fate::TurnedAway => 1.0,
