--- a/src/logic.rs
+++ b/src/logic.rs
@@ -285,7 +285,11 @@
         let pull = ((aim - self.stress) / aim).clamp(-1.0, 1.0);
         if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * self.window {
             self.opening &= pull > 0.0;
-            self.window = (self.window + if self.opening { 1.0 } else { 0.2 } * pull).max(1.0);
+            // Never under this agent's part of one posting a backend: that much overloads nobody, and an agent with
+            // less learns too little to recover.
+            let least = self.backends.iter().flatten().filter(|b| !b.dropped).count() as f64
+                / self.terms.agents.max(1) as f64;
+            self.window = (self.window + if self.opening { 1.0 } else { 0.2 } * pull).max(least).max(1.0);
         }
     }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -192,9 +192,8 @@
             "take" => self.take(number(words[1]) as u64, words[2], number(words[3]), words.get(4)),
             "back" => self.back(number(words[1]) as u64, fate(words[2]), number(words[3])),
             "left" => {
-                if let Some(handle) = self.desk.txn(TxnRef(number(words[1]) as u64)) {
-                    handle.left(&mut self.stage);
-                }
+                let handle = self.desk.txn(TxnRef(number(words[1]) as u64));
+                handle.into_iter().for_each(|h| h.left(&mut self.stage));
             }
             "report" => {
                 let report = Report { utilisation: words[2].parse().ok(), in_flight: words[3].parse().ok() };
