--- a/src/logic.rs
+++ b/src/logic.rs
@@ -289,7 +289,7 @@
             // less learns too little to recover.
             let least = self.backends.iter().flatten().filter(|b| !b.dropped).count() as f64
                 / self.terms.agents.max(1) as f64;
-            self.window = (self.window + if self.opening { 1.0 } else { 0.2 } * pull).max(least).max(1.0);
+            self.window = (self.window + if self.opening { 0.5 } else { 0.2 } * pull).max(least).max(1.0);
         }
     }
 
