--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! All decisions of one balancer. A front opens a `Balancer` with its `Terms` (units.rs) and a seed, sets its
-//! `clock`, and calls it: `listed`/`list_failed` for the server list, `reported`/`probed` for load, `wake` when
-//! a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned` and `left` are all
-//! that can happen to it. What the balancer does goes out through the `Outlet` (units.rs) that the front has.
+//! `clock`, and calls it: `listed`/`list_failed` for the server list, `reported`/`probed` for load, `wake`
+//! when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned` and `left`
+//! are all that can happen to it. What the balancer does goes out through the front's `Outlet` (units.rs).
 //! Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
 use std::collections::{BTreeMap, VecDeque};
 
@@ -19,9 +19,9 @@
 const FIRST_SHUT: Micros = Micros::ms(500); // an ejected backend's wait for a trial; doubled up to
 const LAST_SHUT: Micros = Micros::ms(4_000); // this while trials fail
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
-const EASE: f64 = 0.12; // square of the response time as a part of the SLA time, aimed at when the window is full
+const EASE: f64 = 0.12; // square of response time over SLA time aimed at when the window is full
 const LINE: f64 = 0.2; // longest wait in line that is taken on, as a part of the SLA time
-const PACE_SPAN: Micros = Micros::ms(2_000); // what is asked and what comes back is counted over this
+const PACE_SPAN: Micros = Micros::ms(2_000); // what is asked and comes back is counted over this
 const PACE_FADE: Micros = Micros::ms(4_000); // a pace not measured for this long counts half
 const AFAR: f64 = 0.2; // weight of a backend in another zone
 const QUICK: f64 = 4.0; // the aim is this many times the square of the quicker quarter, where that is more
@@ -43,7 +43,7 @@
     stress: f64,                      // squares of response times as a part of the SLA time, smoothed
     rest: f64,                        // the same of the quicker quarter
     line: VecDeque<(TxnRef, Micros)>, // txns waiting for room in the window, and until when
-    finish: f64,                      // postings coming back within a second, smoothed
+    finish: f64,                      // postings coming back within `PACE_SPAN`, smoothed
     asked_by: Vec<f64>,               // txns taken by tenant, smoothed like `finish`
     spare: f64,                       // further postings still allowed after a failure
     probes: f64,                      // probes still allowed
@@ -104,7 +104,7 @@
         self.txns.insert(txn, state);
         self.spare = (self.spare + 0.1).min(10.0);
         if self.terms.may_probe && self.terms.report_by_probe {
-            // Probes cost; with reports by probe alone, a fifth of a point in a hundred of the value is spent.
+            // Probes cost: a fifth of a point in a hundred of the value is spent on reports by probe alone.
             self.probes = (self.probes + (0.002 / self.terms.probe_price.max(1e-3)).min(1.0)).min(8.0);
         }
         Txn { desk: self, txn }
@@ -115,7 +115,7 @@
         self.txns.contains_key(&txn).then_some(Txn { desk: self, txn })
     }
 
-    // ---- The list -------------------------------------------------------------------------------------------
+    // ---- The list ---------------------------------------------------------------------------------------
 
     /// A refresh arrived. An older version, or a full list without entries, changes nothing.
     pub fn listed(&mut self, how: Refresh, version: Generation, entries: &[Entry], out: &mut dyn Outlet) {
@@ -190,7 +190,7 @@
         self.failures += 1;
     }
 
-    // ---- Load and health ------------------------------------------------------------------------------------
+    // ---- Load and health --------------------------------------------------------------------------------
 
     fn at(&mut self, id: BackendId) -> Option<&mut Backend> {
         self.backends.get_mut(id.0 as usize)?.as_mut()
@@ -250,8 +250,8 @@
         }
     }
 
-    /// Own postings out, but for those long past their SLA time or at an ejected backend: what is stuck somewhere
-    /// must not use up the window, and trials must not keep an agent with a small one from all else.
+    /// Own postings out, but for those long past their SLA time or at an ejected backend: what is stuck
+    /// somewhere must not use up the window, and trials must not keep a small agent from all else.
     fn in_flight(&self) -> f64 {
         let some = self.ejecting();
         let young =
@@ -260,14 +260,14 @@
         counted.map(|b| b.out.iter().filter(young).count() as f64).sum()
     }
 
-    /// When more than half looks ill, the observer or something shared is the likelier cause: none is ejected.
+    /// When more than half looks ill, the observer or something shared is the likelier cause: all stay.
     fn ejecting(&self) -> bool {
         let listed = || self.backends.iter().flatten().filter(|b| !b.dropped);
         2 * listed().filter(|b| b.shut()).count() <= listed().count()
     }
 
-    /// Every posting that comes back moves the window: up while it is used and answers come with ease, down as
-    /// they near the SLA time. Many agents doing so keep the queues at the backends short without talking.
+    /// Every posting that comes back moves the window: up while it is used and answers come with ease, down
+    /// as they near the SLA time. Many agents doing so keep the backends' queues short without talking.
     fn ease(&mut self, scheme: SchemeId, fate: Fate, took: Micros) {
         let part = took.over(self.terms.schemes[scheme.0].sla);
         let strain = match fate {
@@ -277,7 +277,7 @@
         };
         self.finish += 1.0;
         self.stress += 0.1 * (strain - self.stress);
-        // Where even the quicker answers take much of the SLA time and few take far more, that is work, not waiting.
+        // Where even the quicker answers take much of the SLA time, that is work, not waiting.
         let quick = Micros(self.took[scheme.0].quantile(0.25).unwrap_or(0));
         let quick = quick.over(self.terms.schemes[scheme.0].sla);
         self.rest += 0.05 * (quick * quick - self.rest);
@@ -285,16 +285,16 @@
         let pull = ((aim - self.stress) / aim).clamp(-1.0, 1.0);
         if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * self.window {
             self.opening &= pull > 0.0;
-            // Never under this agent's part of one posting a backend: that much overloads nobody, and an agent with
-            // less learns too little to recover.
+            // Never under this agent's part of one posting a backend: that overloads nobody, and an agent
+            // with less learns too little to recover.
             let least = self.backends.iter().flatten().filter(|b| !b.dropped).count() as f64
                 / self.terms.agents.max(1) as f64;
             self.window = (self.window + if self.opening { 0.5 } else { 0.2 } * pull).max(least).max(1.0);
         }
     }
 
-    /// The part of a tenant's txns that goes beyond its share, when what this agent gets done is dealt out by the
-    /// tenants' agreed rates, and what some leave over to the others.
+    /// The part of a tenant's txns that goes beyond its share, when what this agent gets done is dealt out
+    /// by the tenants' agreed rates, and what some leave over to the others.
     fn beyond_share(&self, tenant: TenantId) -> f64 {
         let ask = |t: usize| self.asked_by[t] / self.terms.shares[t].quota_per_s.max(1e-9);
         let mut order: Vec<usize> = (0..self.asked_by.len()).collect();
@@ -338,7 +338,7 @@
         (self.terms.cold_from + (1.0 - self.terms.cold_from) * age).min(1.0)
     }
 
-    // ---- The rules ------------------------------------------------------------------------------------------
+    // ---- The rules --------------------------------------------------------------------------------------
 
     /// The one gate. Each line keeps one rule; no path around it exists.
     fn may_post(&self, txn: TxnRef, id: BackendId) -> bool {
@@ -370,8 +370,9 @@
         s.out.is_none() && harmless && !drained && !b.dropped && self.cold_room(b)
     }
 
-    /// Rule 4: while a backend is cold, this agent's postings within the span stay under what it sends to a warm
-    /// backend of that size, times the share warmed up, times half the multiple (the rest is for chance).
+    /// Rule 4: while a backend is cold, this agent's postings within the span stay under what a warm backend
+    /// of that size settles for it, times the share warmed up, times half the multiple (the rest is for
+    /// chance). It goes by what is settled: under overload more is sent than any backend can do.
     fn cold_room(&self, b: &Backend) -> bool {
         let warmth = self.warmth(b);
         if warmth >= 1.0 {
@@ -410,7 +411,7 @@
         true
     }
 
-    // ---- The pick -------------------------------------------------------------------------------------------
+    // ---- The pick ---------------------------------------------------------------------------------------
 
     /// How idle the given backends are by their last reports, and how far each report is still to be trusted.
     fn idleness(&self, all: &[&Backend]) -> Vec<Option<(f64, f64)>> {
@@ -520,7 +521,7 @@
         }
     }
 
-    // ---- Timers ---------------------------------------------------------------------------------------------
+    // ---- Timers -----------------------------------------------------------------------------------------
 
     fn start_beat(&mut self, out: &mut dyn Outlet) {
         if !self.beating {
@@ -624,7 +625,7 @@
         if !ejected {
             desk.ease(scheme, fate, took);
         }
-        // Another posting is paid for from what the traffic has saved up, so that failures never feed an overload.
+        // Another posting is paid for from what the traffic saved up, so that failures feed no overload.
         let price = match fate {
             Fate::TimedOut | Fate::TurnedAway => 1.0,
             _ => 0.3,
