--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -151,12 +151,12 @@
                 return Ok(());
             }
             "down" => {
-                self.instances.remove(id).ok_or_else(|| format!("instance `{id}` is not known"))?;
+                self.instances.remove(id).ok_or_else(|| format!("field `i`: `{id}` is not known"))?;
                 return Ok(());
             }
             _ => {}
         }
-        let instance = self.instances.get_mut(id).ok_or_else(|| format!("instance `{id}` is not known"))?;
+        let instance = self.instances.get_mut(id).ok_or_else(|| format!("field `i`: `{id}` is not known"))?;
         instance.event(now, &what, event, &self.ledgers, reply)
     }
 }
