--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 const LAST_SHUT: Micros = Micros::ms(4_000); // this while trials fail
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
 const EASE: f64 = 0.12; // square of response time over SLA time aimed at when the window is full
-const LINE: f64 = 0.2; // longest wait in line that is taken on, as a part of the SLA time
+const LINE: f64 = 0.2; // longest wait in line that is taken on, as a part of the shortest SLA time
 const PACE_SPAN: Micros = Micros::ms(2_000); // what is asked and comes back is counted over this
 const PACE_FADE: Micros = Micros::ms(4_000); // a pace not measured for this long counts half
 const AFAR: f64 = 0.2; // weight of a backend in another zone
@@ -588,7 +588,9 @@
             return desk.answer(txn, out);
         }
         let wait = PACE_SPAN.times((desk.line.len() + 1) as f64 / desk.finish.max(1.0));
-        let most = desk.terms.schemes[s.scheme.0].sla.times(LINE).min((s.expiry - desk.now).times(0.3));
+        // One longest wait for all, so that schemes with a long SLA time do not fill the line against others.
+        let shortest = desk.terms.schemes.iter().map(|row| row.sla).min().unwrap_or_default();
+        let most = shortest.times(LINE).min((s.expiry - desk.now).times(0.3));
         if wait <= most {
             desk.line.push_back((txn, desk.now + most + most));
         } else {
