--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -133,8 +133,11 @@
         if what == "ledger" {
             let slot = whole(event, "slot")?;
             rows(event, "lines")?;
-            let lines = event["lines"].take();
-            self.ledgers.insert(slot, lines.as_array().cloned().unwrap_or_default());
+            let lines = match event["lines"].take() {
+                Value::Array(lines) => lines,
+                _ => Vec::new(),
+            };
+            self.ledgers.insert(slot, lines);
             return Ok(());
         }
         const KNOWN: [&str; 8] =
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -168,7 +168,7 @@
         }
         self.gone_lately.retain(|&(at, _)| now - at <= GUARD_WINDOW);
         let lately = self.gone_lately.clone();
-        let listed = self.backends.iter().flatten().filter(|b| !b.dropped).count();
+        let listed = self.kept().count();
         let freeze = lately.len() as f64 > GUARD_FRACTION * listed as f64;
         for &(_, id) in &lately {
             match self.at(id).filter(|b| b.told.is_some() && !b.dropped) {
@@ -184,8 +184,8 @@
 
     /// The watch or a call for it failed: the list stays, and the watch resumes after a jittered backoff.
     pub fn list_failed(&mut self) {
-        let base = Micros::ms(500).times(2f64.powi(self.failures.min(6)));
-        let span = base.times(2.0).min(self.terms.ask_within.times(0.7));
+        let base = Micros::ms(1_000).times(2f64.powi(self.failures.min(6)));
+        let span = base.min(self.terms.ask_within.times(0.7));
         self.watch_at = Some(self.now + Micros::ms(20) + span.times(self.chance.rand_float()));
         self.failures += 1;
     }
@@ -200,6 +200,11 @@
         self.backends.get(id.0 as usize)?.as_ref()
     }
 
+    /// All that is still on the list, frozen entries too.
+    fn kept(&self) -> impl Iterator<Item = &Backend> {
+        self.backends.iter().flatten().filter(|b| !b.dropped)
+    }
+
     pub fn reported(&mut self, id: BackendId, report: Option<Report>) {
         let now = self.now;
         if let (Some(b), Some(report)) = (self.at(id), report) {
@@ -262,8 +267,7 @@
 
     /// When more than half looks ill, the observer or something shared is the likelier cause: all stay.
     fn ejecting(&self) -> bool {
-        let listed = || self.backends.iter().flatten().filter(|b| !b.dropped);
-        2 * listed().filter(|b| b.shut()).count() <= listed().count()
+        2 * self.kept().filter(|b| b.shut()).count() <= self.kept().count()
     }
 
     /// Every posting that comes back moves the window: up while it is used and answers come with ease, down
@@ -287,8 +291,7 @@
             self.opening &= pull > 0.0;
             // Never under this agent's part of one posting a backend: that overloads nobody, and an agent
             // with less learns too little to recover.
-            let least = self.backends.iter().flatten().filter(|b| !b.dropped).count() as f64
-                / self.terms.agents.max(1) as f64;
+            let least = self.kept().count() as f64 / self.terms.agents.max(1) as f64;
             self.window = (self.window + if self.opening { 0.5 } else { 0.2 } * pull).max(least).max(1.0);
         }
     }
@@ -365,7 +368,7 @@
         // Rule 3 binds frozen entries too: the freeze never outlives the grace where there is one.
         let drained = match (b.told, self.terms.drain_grace) {
             (Some(told), Some(grace)) => self.now + MARGIN >= told + grace.times(0.8),
-            _ => b.dropped,
+            _ => false,
         };
         s.out.is_none() && harmless && !drained && !b.dropped && self.cold_room(b)
     }
@@ -379,7 +382,7 @@
             return true;
         }
         let (mut flow, mut size, mut all_flow, mut all_size) = (0.0, 0.0, 0.0, 0.0);
-        for peer in self.backends.iter().flatten().filter(|p| !p.dropped && p.told.is_none()) {
+        for peer in self.kept().filter(|p| p.told.is_none()) {
             (all_flow, all_size) = (all_flow + peer.flow, all_size + peer.entry.size);
             if peer.entry.zone == b.entry.zone && self.warmth(peer) >= 1.0 {
                 (flow, size) = (flow + peer.flow, size + peer.entry.size);
@@ -552,15 +555,15 @@
             }
         }
         // The report longest unheard is asked for first; a cold backend is spared even that.
-        let mut due: Vec<(Micros, BackendId)> = (self.backends.iter().flatten())
-            .filter(|b| !b.dropped && b.told.is_none() && self.warmth(b) >= 1.0)
+        let mut due: Vec<(Micros, BackendId)> = (self.kept())
+            .filter(|b| b.told.is_none() && self.warmth(b) >= 1.0)
             .map(|b| (b.probed.max(b.report.map_or(Micros(0), |r| r.1)), b.entry.backend))
             .filter(|&(at, _)| now - at >= Micros::ms(500))
             .collect();
         due.sort();
         for (_, id) in due.into_iter().take(self.probes as usize) {
             self.probes -= 1.0;
-            self.backends[id.0 as usize].iter_mut().for_each(|b| b.probed = now);
+            self.at(id).into_iter().for_each(|b| b.probed = now);
             out.probe(id);
         }
     }
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -24,9 +24,6 @@
             self.sum /= 2.0;
         }
     }
-    pub fn count(&self) -> f64 {
-        self.count
-    }
     /// The mean in microseconds, once something was measured.
     pub fn mean(&self) -> Option<f64> {
         (self.count > 0.0).then(|| self.sum / self.count)
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,12 +1,11 @@
 //! Ids, times and the terms an instance starts with. No decisions here.
-use std::ops::{Add, AddAssign, Sub};
+use std::ops::{Add, Sub};
 
 /// A point in time or a span, in whole microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Micros(pub i64);
 
 impl Micros {
-    pub const FAR: Micros = Micros(i64::MAX / 4);
     pub const fn ms(ms: i64) -> Micros {
         Micros(ms * 1000)
     }
@@ -31,11 +30,6 @@
         Micros(self.0.saturating_sub(other.0))
     }
 }
-impl AddAssign for Micros {
-    fn add_assign(&mut self, other: Micros) {
-        *self = *self + other;
-    }
-}
 
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
