--- /dev/null
+++ b/crates/agent/src/life/bounds.rs
@@ -0,0 +1,32 @@
+//! What the agent may hold at once, from the limits it is told. Each bound is stated where it acts.
+pub const BODY: usize = 64 * 1024; // bytes of one body, either way
+pub const LINE: usize = 1024 * 1024; // bytes of one line of the list
+pub const BACKENDS: usize = 4096; // ids ever seen
+
+const KEPT_BACK: usize = 96; // descriptors for the listener, discovery, timers, the log, and answers at the bound
+const TXN_BYTES: usize = 256 * 1024; // a txn in hand at its largest: two bodies, and the buffers of two connections
+
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Connections of the application that may hold a txn; up to `KEPT_BACK` / 2 more are told to come back.
+    pub callers: usize,
+    pub most_callers: usize,
+    /// Connections to all backends together, idle ones too.
+    pub links: usize,
+    /// Txns in hand.
+    pub txns: usize,
+}
+
+impl Bounds {
+    pub fn within(sockets: usize, memory_mb: usize) -> Bounds {
+        let half = sockets.saturating_sub(KEPT_BACK) / 2;
+        let by_memory = memory_mb * 1024 * 1024 / 2 / TXN_BYTES;
+        let callers = half.max(4);
+        Bounds {
+            callers,
+            most_callers: callers + KEPT_BACK / 2,
+            links: half.max(4),
+            txns: by_memory.clamp(4, callers),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/life/run.rs
@@ -0,0 +1,91 @@
+//! Puts the actors together and lets them run to the end.
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix_http::HttpService;
+use actix_service::{Service, ServiceFactory, fn_service};
+use notchspool::units::Micros;
+use tokio::net::TcpListener;
+
+use super::clock::{Clock, span};
+use super::start::Told;
+use super::stop;
+use crate::memory::counters::Counters;
+use crate::memory::desk::{Ask, Desk};
+use crate::memory::list::{List, Restore};
+use crate::wire::application::Front;
+use crate::wire::backend::Ground;
+use crate::wire::caller::{Caller, Calls};
+use crate::wire::gate::{Gate, Serve};
+use crate::wire::registry::Registry;
+
+/// A connection of the application may stand idle this long.
+const CALL_IDLE: Duration = Duration::from_secs(300);
+/// The head of its first request must be here by then.
+const FIRST_HEAD: Duration = Duration::from_secs(30);
+
+pub fn run(told: Told) -> io::Result<()> {
+    let counters = Rc::new(Counters::default());
+    let system = actix::System::new();
+    system.block_on(begin(told, counters.clone()))?;
+    let ran = system.run();
+    for line in counters.print().lines() {
+        log::info!("counter {line}");
+    }
+    ran
+}
+
+async fn begin(told: Told, counters: Rc<Counters>) -> io::Result<()> {
+    let Told { name, listen, discovery, seed, bounds, known, agreed } = told;
+    log::info!("{name}: {bounds:?}");
+    let clock = Clock::start();
+    let ground = Rc::new(Ground {
+        clock,
+        counters: counters.clone(),
+        links: bounds.links,
+        connect_within: span(agreed.connect_within),
+        // Not near the time at which the backend closes: a posting written then may have run.
+        idle: span(agreed.idle_close.times(0.8).min(agreed.idle_close - Micros::ms(1_000))),
+    });
+    let desk = Desk::open(agreed.terms, seed, clock, counters.clone()).start();
+    let list = List::open(desk.clone(), ground.clone(), counters.clone(), agreed.zones).start();
+    // The mailboxes keep the order: the known list is with the module before the first txn is.
+    list.send(Restore(known)).await.map_err(io::Error::other)?;
+    let registry = Registry::new(discovery, ground.client(), list, desk.clone()).start();
+    desk.send(Ask(registry.recipient())).await.map_err(io::Error::other)?;
+
+    let front = Rc::new(Front {
+        desk,
+        clock,
+        counters,
+        bounds,
+        schemes: agreed.schemes,
+        leaving: Cell::new(false),
+        next: Cell::new(0),
+    });
+    let serve = serve(front.clone()).await?;
+    let listener = TcpListener::bind(listen).await?;
+    let gate =
+        Gate { front, calls: Rc::new(Calls::default()), serve, clock, longest: agreed.longest, asked: None };
+    log::info!("{name}: ready at {listen}");
+    stop::listen(gate.listen(listener))
+}
+
+/// One HTTP service for all connections of the application.
+async fn serve(front: Rc<Front>) -> io::Result<Serve> {
+    let service = HttpService::<Caller, _, _, _, _>::build()
+        .keep_alive(CALL_IDLE)
+        .client_request_timeout(FIRST_HEAD)
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|caller: &Caller, data| {
+            data.insert(caller.call.clone());
+        })
+        .h1(fn_service(move |request| front.clone().answer(request)));
+    let handler =
+        service.new_service(()).await.map_err(|()| io::Error::other("the service does not start"))?;
+    let handler = Rc::new(handler);
+    Ok(Rc::new(move |caller| Box::pin(handler.call((caller, None)))))
+}
--- /dev/null
+++ b/crates/agent/src/life/start.rs
@@ -0,0 +1,56 @@
+//! What an agent is told: the environment and the configuration file. Anything senseless ends the start.
+use std::net::SocketAddr;
+
+use notchspool_terms::read::{Read, text};
+use notchspool_terms::{Agreed, agreed};
+use serde_json::Value;
+
+use super::bounds::Bounds;
+
+pub struct Told {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub bounds: Bounds,
+    pub known: Value,
+    pub agreed: Agreed,
+}
+
+pub fn told() -> Read<Told> {
+    let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_owned())?;
+    let file = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    read(&file, |name| std::env::var(name).ok()).map_err(|why| format!("{path}: {why}"))
+}
+
+/// The environment outranks the file where both name a thing.
+fn read(file: &[u8], env: impl Fn(&str) -> Option<String>) -> Read<Told> {
+    let mut all: Value = serde_json::from_slice(file).map_err(|e| format!("not JSON: {e}"))?;
+    let either = |var: &str, field: &str| match env(var) {
+        Some(value) => Ok(value),
+        None => text(&all, field).map(str::to_owned),
+    };
+    let address = |var: &str, field: &str| {
+        let value = either(var, field)?;
+        value.parse::<SocketAddr>().map_err(|_| format!("field `{field}`: `{value}` is no address and port"))
+    };
+    let seed = text(&all, "seed")?;
+    let limit = |field: &str, default: usize| match &all["limits"][field] {
+        Value::Null => Ok(default),
+        value => value
+            .as_f64()
+            .filter(|n| *n >= 1.0)
+            .map(|n| n as usize)
+            .ok_or_else(|| format!("field `limits.{field}` is no number above 0")),
+    };
+    Ok(Told {
+        name: either("ROUTER_NAME", "name")?,
+        listen: address("ROUTER_LISTEN", "listen")?,
+        discovery: address("ROUTER_DISCOVERY", "discovery")?,
+        seed: u64::from_str_radix(seed, 16)
+            .map_err(|_| format!("field `seed`: `{seed}` is not hexadecimal"))?,
+        bounds: Bounds::within(limit("sockets", 1024)?, limit("memory_mb", 192)?),
+        agreed: agreed(&all["settings"])?,
+        known: all["known"].take(),
+    })
+}
--- /dev/null
+++ b/crates/agent/src/memory/counters.rs
@@ -0,0 +1,45 @@
+//! Counts of what the agent takes in, sends and answers. Printed at exit, and for `GET /-/counters`.
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use notchspool::units::Fate;
+
+#[derive(Default)]
+pub struct Counters {
+    counts: RefCell<BTreeMap<&'static str, u64>>,
+    /// Txns in hand, connections of the application, connections to backends: now.
+    pub in_hand: Cell<usize>,
+    pub callers: Cell<usize>,
+    pub links: Cell<usize>,
+}
+
+impl Counters {
+    pub fn add(&self, what: &'static str) {
+        *self.counts.borrow_mut().entry(what).or_default() += 1;
+    }
+    pub fn posting(&self, fate: Fate) {
+        self.add(match fate {
+            Fate::Settled => "posting_settled",
+            Fate::Errored => "posting_errored",
+            Fate::TurnedAway => "posting_turned_away",
+            Fate::TimedOut => "posting_timed_out",
+            Fate::NoLink => "posting_no_link",
+            Fate::Broken => "posting_broken",
+            Fate::Withdrawn => "posting_withdrawn",
+            Fate::NeverSent => "posting_never_sent",
+        });
+    }
+    pub fn print(&self) -> String {
+        let mut page = String::new();
+        for (what, count) in self.counts.borrow().iter() {
+            let _ = writeln!(page, "{what} {count}");
+        }
+        for (what, now) in
+            [("now_in_hand", &self.in_hand), ("now_callers", &self.callers), ("now_links", &self.links)]
+        {
+            let _ = writeln!(page, "{what} {}", now.get());
+        }
+        page
+    }
+}
--- /dev/null
+++ b/crates/agent/src/memory/desk.rs
@@ -0,0 +1,197 @@
+//! The actor that owns the module and the txns in hand. Only here is the module called.
+use std::rc::Rc;
+use std::sync::Arc;
+
+use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, Recipient};
+use notchspool::logic::Balancer;
+use notchspool::units::*;
+use tokio::sync::oneshot;
+
+use super::counters::Counters;
+use super::hand::Hand;
+use super::txn::{Answer, Carried, InHand, Made};
+use crate::life::clock::{Clock, span};
+use crate::wire::backend::Peer;
+use crate::wire::registry::Watch;
+
+pub struct Desk {
+    balancer: Balancer,
+    hand: Hand,
+    clock: Clock,
+}
+
+impl Desk {
+    pub fn open(terms: Terms, seed: u64, clock: Clock, counters: Rc<Counters>) -> Desk {
+        let hand = Hand {
+            txns: Default::default(),
+            peers: Default::default(),
+            registry: None,
+            counters,
+            wake: None,
+        };
+        Desk { balancer: Balancer::open(terms, seed, clock.now()), hand, clock }
+    }
+    /// Every call on the module passes here: its clock is set before, a wake it asks for is arranged after.
+    fn call(&mut self, ctx: &mut Context<Desk>, call: impl FnOnce(&mut Balancer, &mut Hand)) {
+        self.balancer.clock(self.clock.now());
+        call(&mut self.balancer, &mut self.hand);
+        if let Some(wake) = self.hand.wake.take() {
+            ctx.notify_later(Wake, span(wake));
+        }
+    }
+}
+
+impl Actor for Desk {
+    type Context = Context<Desk>;
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Wake;
+impl Handler<Wake> for Desk {
+    type Result = ();
+    fn handle(&mut self, _: Wake, ctx: &mut Context<Desk>) {
+        self.call(ctx, |balancer, hand| balancer.wake(hand));
+    }
+}
+
+/// The registry that answers when the module asks for the watch.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Ask(pub Recipient<Watch>);
+impl Handler<Ask> for Desk {
+    type Result = ();
+    fn handle(&mut self, ask: Ask, _: &mut Context<Desk>) {
+        self.hand.registry = Some(ask.0);
+    }
+}
+
+/// A backend that the list names for the first time.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Meet(pub BackendId, pub Addr<Peer>);
+impl Handler<Meet> for Desk {
+    type Result = ();
+    fn handle(&mut self, meet: Meet, _: &mut Context<Desk>) {
+        self.hand.peers.insert(meet.0, meet.1);
+    }
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Listed {
+    pub how: Refresh,
+    pub version: Generation,
+    pub entries: Vec<Entry>,
+}
+impl Handler<Listed> for Desk {
+    type Result = ();
+    fn handle(&mut self, listed: Listed, ctx: &mut Context<Desk>) {
+        self.hand.counters.add("lists");
+        self.call(ctx, |balancer, hand| balancer.listed(listed.how, listed.version, &listed.entries, hand));
+    }
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct ListFailed;
+impl Handler<ListFailed> for Desk {
+    type Result = ();
+    fn handle(&mut self, _: ListFailed, ctx: &mut Context<Desk>) {
+        self.hand.counters.add("lists_failed");
+        self.call(ctx, |balancer, _| balancer.list_failed());
+    }
+}
+
+/// A txn came in whole.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Take {
+    pub txn: TxnRef,
+    pub scheme: SchemeId,
+    pub expiry: Micros,
+    pub carried: Arc<Carried>,
+    pub caller: oneshot::Sender<Answer>,
+}
+impl Handler<Take> for Desk {
+    type Result = ();
+    fn handle(&mut self, take: Take, ctx: &mut Context<Desk>) {
+        let Take { txn, scheme, expiry, carried, caller } = take;
+        self.hand.counters.add("taken");
+        self.hand.txns.insert(txn, InHand { carried, caller: Some(caller), postings: 0, out: None });
+        self.hand.counters.in_hand.set(self.hand.txns.len());
+        self.call(ctx, |balancer, hand| balancer.take(txn, scheme, expiry).route(hand));
+    }
+}
+
+/// The application no longer waits.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Left(pub TxnRef);
+impl Handler<Left> for Desk {
+    type Result = ();
+    fn handle(&mut self, left: Left, ctx: &mut Context<Desk>) {
+        let txn = left.0;
+        let Some(held) = self.hand.txns.get_mut(&txn) else { return };
+        held.caller = None;
+        self.hand.counters.add("left");
+        self.call(ctx, |balancer, hand| {
+            if let Some(handle) = balancer.txn(txn) {
+                handle.left(hand);
+            }
+        });
+        self.hand.let_go(txn);
+    }
+}
+
+/// A posting came back.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Returned {
+    pub txn: TxnRef,
+    pub posting: u32,
+    pub backend: BackendId,
+    pub fate: Fate,
+    pub took: Micros,
+    pub report: Option<Report>,
+    pub made: Option<Made>,
+}
+impl Handler<Returned> for Desk {
+    type Result = ();
+    fn handle(&mut self, back: Returned, ctx: &mut Context<Desk>) {
+        let Returned { txn, posting, backend, fate, took, report, made } = back;
+        self.hand.counters.posting(fate);
+        let held = self.hand.txns.get_mut(&txn);
+        let closed = held.as_ref().is_none_or(|held| held.caller.is_none());
+        if let Some(held) = held {
+            held.out = None;
+        }
+        if let Some(made) = made {
+            self.hand.answer(txn, Answer::Settled(made), "settled");
+        }
+        self.call(ctx, |balancer, hand| {
+            balancer.reported(backend, report);
+            if let Some(handle) = balancer.txn(txn) {
+                handle.returned(posting, fate, took, closed, hand);
+            }
+        });
+        self.hand.let_go(txn);
+    }
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Probed {
+    pub backend: BackendId,
+    pub fate: Fate,
+    pub report: Option<Report>,
+}
+impl Handler<Probed> for Desk {
+    type Result = ();
+    fn handle(&mut self, probed: Probed, ctx: &mut Context<Desk>) {
+        self.call(ctx, |balancer, _| {
+            balancer.reported(probed.backend, probed.report);
+            balancer.probed(probed.backend, probed.fate);
+        });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/memory/hand.rs
@@ -0,0 +1,80 @@
+//! The hand that carries out what the module decides.
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use actix::{Addr, Recipient};
+use notchspool::units::{BackendId, Micros, Outlet, TxnRef};
+
+use super::counters::Counters;
+use super::txn::{Answer, InHand};
+use crate::wire::backend::{Cancel, Peer, Post, Probe};
+use crate::wire::registry::Watch;
+
+pub struct Hand {
+    pub txns: BTreeMap<TxnRef, InHand>,
+    pub peers: BTreeMap<BackendId, Addr<Peer>>,
+    pub registry: Option<Recipient<Watch>>,
+    pub counters: Rc<Counters>,
+    /// When the module wants to be woken, if it said so in the call just made.
+    pub wake: Option<Micros>,
+}
+
+impl Hand {
+    /// Gives the final answer, once; what is then of no further use is let go.
+    pub fn answer(&mut self, txn: TxnRef, answer: Answer, name: &'static str) {
+        let Some(held) = self.txns.get_mut(&txn) else { return };
+        if let Some(caller) = held.caller.take() {
+            self.counters.add(name);
+            // Fails only when the application has just left; that is counted when it is noticed.
+            let _ = caller.send(answer);
+        }
+        self.let_go(txn);
+    }
+    pub fn let_go(&mut self, txn: TxnRef) {
+        if self.txns.get(&txn).is_some_and(|held| held.caller.is_none() && held.out.is_none()) {
+            self.txns.remove(&txn);
+            self.counters.in_hand.set(self.txns.len());
+        }
+    }
+}
+
+impl Outlet for Hand {
+    fn post(&mut self, txn: TxnRef, to: BackendId, until: Micros) {
+        let (Some(held), Some(peer)) = (self.txns.get_mut(&txn), self.peers.get(&to)) else { return };
+        let posting = held.postings;
+        held.postings += 1;
+        held.out = Some(to);
+        self.counters.add("postings");
+        peer.do_send(Post { txn, posting, until, carried: held.carried.clone() });
+    }
+    fn cancel(&mut self, txn: TxnRef, posting: u32) {
+        let to = self.txns.get(&txn).and_then(|held| held.out);
+        if let Some(peer) = to.and_then(|to| self.peers.get(&to)) {
+            peer.do_send(Cancel { txn, posting });
+        }
+    }
+    fn decline(&mut self, txn: TxnRef, away: Option<Micros>) {
+        self.answer(txn, Answer::Declined(away), "declined");
+    }
+    fn reverse(&mut self, txn: TxnRef) {
+        self.answer(txn, Answer::Reversed, "reversed");
+    }
+    fn probe(&mut self, backend: BackendId) {
+        if let Some(peer) = self.peers.get(&backend) {
+            self.counters.add("probes");
+            peer.do_send(Probe);
+        }
+    }
+    fn watch(&mut self) {
+        self.counters.add("watches");
+        if let Some(registry) = &self.registry {
+            registry.do_send(Watch);
+        }
+    }
+    fn wake_in(&mut self, span: Micros) {
+        self.wake = Some(span);
+    }
+    fn note(&mut self, line: &str) {
+        log::info!("module: {line}");
+    }
+}
--- /dev/null
+++ b/crates/agent/src/memory/list.rs
@@ -0,0 +1,118 @@
+//! The actor that owns the server list: ids and addresses of backends, and the version last heard.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix::{Actor, Addr, Context, Handler, Message};
+use bytes::Bytes;
+use notchspool::units::*;
+use notchspool_terms::zone_number;
+
+use super::counters::Counters;
+use super::desk::{Desk, Listed, Meet};
+use crate::life::bounds::BACKENDS;
+use crate::wire::backend::{Ground, Move, Peer};
+use crate::wire::listing;
+
+pub struct List {
+    desk: Addr<Desk>,
+    ground: Rc<Ground>,
+    counters: Rc<Counters>,
+    zones: Vec<String>,
+    ids: BTreeMap<String, BackendId>,
+    peers: Vec<(SocketAddr, Addr<Peer>)>,
+    version: Option<Generation>,
+    staged: Vec<Entry>,
+}
+
+impl List {
+    pub fn open(desk: Addr<Desk>, ground: Rc<Ground>, counters: Rc<Counters>, zones: Vec<String>) -> List {
+        List {
+            desk,
+            ground,
+            counters,
+            zones,
+            ids: BTreeMap::new(),
+            peers: Vec::new(),
+            version: None,
+            staged: Vec::new(),
+        }
+    }
+
+    /// One entry of a list that is being read. Its address may be new; a new id gets an actor of its own.
+    pub fn entry(&mut self, name: &str, at: SocketAddr, zone: &str, mut entry: Entry) {
+        let known = self.ids.get(name).copied();
+        if known.is_none() && self.peers.len() >= BACKENDS {
+            log::warn!("list: over {BACKENDS} ids seen, {name} is left out");
+            return;
+        }
+        entry.zone = zone_number(&mut self.zones, zone);
+        entry.backend = known.unwrap_or(BackendId(self.peers.len() as u32));
+        match self.peers.get_mut(entry.backend.0 as usize) {
+            None => {
+                let peer = Peer::meet(entry.backend, at, self.desk.clone(), self.ground.clone());
+                self.ids.insert(name.to_owned(), entry.backend);
+                self.desk.do_send(Meet(entry.backend, peer.clone()));
+                self.peers.push((at, peer));
+            }
+            Some((old, peer)) if *old != at => {
+                *old = at;
+                peer.do_send(Move(at));
+            }
+            Some(_) => {}
+        }
+        self.staged.push(entry);
+    }
+
+    /// The list was read to its end.
+    pub fn read(&mut self, how: Refresh, version: Generation) {
+        self.version = self.version.max(Some(version));
+        self.desk.do_send(Listed { how, version, entries: std::mem::take(&mut self.staged) });
+    }
+}
+
+impl Actor for List {
+    type Context = Context<List>;
+}
+
+/// The list as it was known before this start.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Restore(pub serde_json::Value);
+impl Handler<Restore> for List {
+    type Result = ();
+    fn handle(&mut self, known: Restore, _: &mut Context<List>) {
+        if let Err(why) = listing::entries(&known.0, Some(Refresh::Restored), self) {
+            log::warn!("list: the known list can't be used: {why}");
+        }
+    }
+}
+
+/// A line of the watch; an empty one only says that the watch lives.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Line(pub Bytes);
+impl Handler<Line> for List {
+    type Result = ();
+    fn handle(&mut self, line: Line, _: &mut Context<List>) {
+        if line.0.iter().all(u8::is_ascii_whitespace) {
+            if let Some(version) = self.version {
+                self.desk.do_send(Listed { how: Refresh::Delta, version, entries: Vec::new() });
+            }
+        } else if let Err(why) = listing::line(&line.0, self) {
+            self.counters.add("lists_garbled");
+            log::warn!("list: a line changes nothing: {why}");
+        }
+    }
+}
+
+/// The version last heard, to go on from.
+#[derive(Message)]
+#[rtype(result = "Option<u64>")]
+pub struct Since;
+impl Handler<Since> for List {
+    type Result = Option<u64>;
+    fn handle(&mut self, _: Since, _: &mut Context<List>) -> Option<u64> {
+        self.version.map(|version| version.0)
+    }
+}
--- /dev/null
+++ b/crates/agent/src/wire/application.rs
@@ -0,0 +1,153 @@
+//! What the application says and hears: HTTP in, a txn to the desk, its answer out.
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use actix::Addr;
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use awc::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use notchspool::units::{Micros, SchemeId, TxnRef};
+use tokio::sync::oneshot;
+
+use super::caller::{Asked, Call};
+use crate::life::bounds::{BODY, Bounds};
+use crate::life::clock::Clock;
+use crate::memory::counters::Counters;
+use crate::memory::desk::{Desk, Left, Take};
+use crate::memory::txn::{Answer, Carried};
+
+/// Kept clear of an expiry for the way back.
+const WAY: Micros = Micros::ms(5);
+/// No txn is waited for longer, whatever it says.
+const LONGEST: Micros = Micros::ms(3_600_000);
+
+pub struct Front {
+    pub desk: Addr<Desk>,
+    pub clock: Clock,
+    pub counters: Rc<Counters>,
+    pub bounds: Bounds,
+    pub schemes: Vec<String>,
+    /// Set once the agent is asked to end: every answer then closes its connection.
+    pub leaving: Cell<bool>,
+    pub next: Cell<u64>,
+}
+
+type Reply = Response<BoxBody>;
+
+/// Tells the desk when the application stops waiting: dropped before the answer came, it has left.
+struct Waiting<'a> {
+    front: &'a Front,
+    txn: TxnRef,
+    answered: bool,
+}
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.front.desk.do_send(Left(self.txn));
+        }
+    }
+}
+
+impl Front {
+    pub async fn answer(self: Rc<Front>, request: Request) -> Result<Reply, Infallible> {
+        let _asked = Asked::on(request.conn_data::<Rc<Call>>().cloned());
+        let mut reply = match request.path() {
+            "/healthz" => plain(StatusCode::OK, "ready\n"),
+            "/-/counters" => plain(StatusCode::OK, self.counters.print()),
+            _ => match self.txn(request).await {
+                Ok(answer) => reply(answer),
+                Err((status, why)) => {
+                    self.counters.add("bad_requests");
+                    log::warn!("bad request: {why}");
+                    plain(status, format!("{why}\n"))
+                }
+            },
+        };
+        if self.leaving.get() {
+            reply.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        }
+        Ok(reply)
+    }
+
+    async fn txn(&self, mut request: Request) -> Result<Answer, (StatusCode, &'static str)> {
+        let bad = |why| (StatusCode::BAD_REQUEST, why);
+        let head = request.head();
+        let scheme = request.path().split('/').nth(1).unwrap_or("");
+        let scheme = self.schemes.iter().position(|s| s == scheme);
+        let scheme = SchemeId(scheme.ok_or((StatusCode::NOT_FOUND, "no scheme of that name"))?);
+        let expires =
+            head.headers().get("x-expires-in-ms").and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
+        let expires = Micros::ms(expires.ok_or(bad("X-Expires-In-Ms is no whole number"))?.into());
+        let trace = head.headers().get("x-trace-id").cloned().ok_or(bad("no X-Trace-Id"))?;
+        let path = head.uri.path_and_query().cloned().ok_or(bad("no path"))?;
+        let mut carried = Carried {
+            method: head.method.clone(),
+            path,
+            trace,
+            reference: head.headers().get("idempotency-key").cloned(),
+            form: head.headers().get(CONTENT_TYPE).cloned(),
+            body: Bytes::new(),
+        };
+        carried.body = body(&mut request).await?;
+        if self.counters.in_hand.get() >= self.bounds.txns
+            || self.counters.callers.get() > self.bounds.callers
+        {
+            // At the bound nothing is begun: a decline, as true as any.
+            self.counters.add("declined_at_bound");
+            log::warn!("all room for txns is taken: declined");
+            return Ok(Answer::Declined(None));
+        }
+        let expiry = self.clock.now() + expires.min(LONGEST) - WAY;
+        let txn = TxnRef(self.next.get());
+        self.next.set(txn.0 + 1);
+        let (caller, answer) = oneshot::channel();
+        let mut waiting = Waiting { front: self, txn, answered: false };
+        self.desk.do_send(Take { txn, scheme, expiry, carried: Arc::new(carried), caller });
+        let answer = answer.await.unwrap_or(Answer::Reversed);
+        waiting.answered = true;
+        Ok(answer)
+    }
+}
+
+async fn body(request: &mut Request) -> Result<Bytes, (StatusCode, &'static str)> {
+    let mut whole = BytesMut::new();
+    let mut payload = request.take_payload();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off"))?;
+        if whole.len() + chunk.len() > BODY {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
+
+fn plain(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    Response::with_body(status, BoxBody::new(body.into()))
+}
+
+fn reply(answer: Answer) -> Reply {
+    match answer {
+        Answer::Settled(made) => {
+            let mut reply = plain(StatusCode::OK, made.body);
+            if let Some(form) = made.form {
+                reply.headers_mut().insert(CONTENT_TYPE, form);
+            }
+            reply
+        }
+        Answer::Declined(away) => {
+            let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "declined\n");
+            let away =
+                away.and_then(|away| HeaderValue::try_from(format!("{:.3}", away.0 as f64 / 1e6)).ok());
+            if let Some(away) = away {
+                reply.headers_mut().insert(RETRY_AFTER, away);
+            }
+            reply
+        }
+        Answer::Reversed => plain(StatusCode::BAD_GATEWAY, "reversed\n"),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/wire/backend.rs
@@ -0,0 +1,127 @@
+//! The actor of one backend: its address, its connections, the postings out to it.
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle, WrapFuture};
+use awc::Client;
+use notchspool::units::*;
+
+use super::posting::{self, Outcome};
+use crate::life::clock::Clock;
+use crate::memory::counters::Counters;
+use crate::memory::desk::{Desk, Probed, Returned};
+use crate::memory::txn::Carried;
+
+/// What all backends' actors share.
+pub struct Ground {
+    pub clock: Clock,
+    pub counters: Rc<Counters>,
+    pub links: usize,
+    pub connect_within: Duration,
+    /// How long a connection is kept idle: short of when the backend may close it.
+    pub idle: Duration,
+}
+
+impl Ground {
+    pub fn client(&self) -> Client {
+        posting::client(self.links, self.connect_within, self.idle, self.counters.clone())
+    }
+}
+
+pub struct Peer {
+    id: BackendId,
+    at: SocketAddr,
+    client: Client,
+    desk: Addr<Desk>,
+    ground: Rc<Ground>,
+    out: BTreeMap<(TxnRef, u32), (SpawnHandle, Micros)>,
+}
+
+impl Peer {
+    pub fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
+        Peer { id, at, client: ground.client(), desk, ground, out: BTreeMap::new() }.start()
+    }
+    fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome) {
+        let Some((_, sent)) = self.out.remove(&(txn, posting)) else { return };
+        let Outcome { fate, report, made, no_room } = outcome;
+        if no_room {
+            self.ground.counters.add("no_room_for_links");
+            log::warn!("backend {}: all {} connections are in use", self.at, self.ground.links);
+        }
+        let (backend, took) = (self.id, self.ground.clock.now() - sent);
+        self.desk.do_send(Returned { txn, posting, backend, fate, took, report, made });
+    }
+}
+
+impl Actor for Peer {
+    type Context = Context<Peer>;
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Post {
+    pub txn: TxnRef,
+    pub posting: u32,
+    pub until: Micros,
+    pub carried: Arc<Carried>,
+}
+impl Handler<Post> for Peer {
+    type Result = ();
+    fn handle(&mut self, post: Post, ctx: &mut Context<Peer>) {
+        let Post { txn, posting, until, carried } = post;
+        let within = self.ground.clock.until(until);
+        let sent = posting::post(self.client.clone(), self.at, carried, within)
+            .into_actor(self)
+            .map(move |outcome, peer, _| peer.returned(txn, posting, outcome));
+        self.out.insert((txn, posting), (ctx.spawn(sent), self.ground.clock.now()));
+    }
+}
+
+/// Gives a posting up: its connection closes.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Cancel {
+    pub txn: TxnRef,
+    pub posting: u32,
+}
+impl Handler<Cancel> for Peer {
+    type Result = ();
+    fn handle(&mut self, cancel: Cancel, ctx: &mut Context<Peer>) {
+        if let Some((handle, _)) = self.out.get(&(cancel.txn, cancel.posting)) {
+            ctx.cancel_future(*handle);
+            let outcome = Outcome { fate: Fate::Withdrawn, report: None, made: None, no_room: false };
+            self.returned(cancel.txn, cancel.posting, outcome);
+        }
+    }
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Probe;
+impl Handler<Probe> for Peer {
+    type Result = ();
+    fn handle(&mut self, _: Probe, ctx: &mut Context<Peer>) {
+        let asked = posting::probe(self.client.clone(), self.at, Duration::from_millis(500))
+            .into_actor(self)
+            .map(|(fate, report), peer: &mut Peer, _| {
+                peer.desk.do_send(Probed { backend: peer.id, fate, report });
+            });
+        ctx.spawn(asked);
+    }
+}
+
+/// The backend is now at another address. What is out stays out; idle connections are let go.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Move(pub SocketAddr);
+impl Handler<Move> for Peer {
+    type Result = ();
+    fn handle(&mut self, to: Move, _: &mut Context<Peer>) {
+        log::info!("backend {} is now at {}", self.at, to.0);
+        self.at = to.0;
+        self.client = self.ground.client();
+    }
+}
--- /dev/null
+++ b/crates/agent/src/wire/gate.rs
@@ -0,0 +1,109 @@
+//! The actor of the application: accepts its connections, and sees them all out when the agent ends.
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
+use actix::{StreamHandler, System};
+use actix_http::error::DispatchError;
+use actix_rt::net::TcpStream;
+use futures_util::future::LocalBoxFuture;
+use notchspool::units::Micros;
+use tokio::net::TcpListener;
+
+use super::application::Front;
+use super::caller::{Caller, Calls};
+use crate::life::clock::Clock;
+
+/// New connections may still come for a good part of this after the agent was asked to end.
+const STILL_COMING: Micros = Micros::ms(900);
+const LOOK: Duration = Duration::from_millis(20);
+
+pub type Serve = Rc<dyn Fn(Caller) -> LocalBoxFuture<'static, Result<(), DispatchError>>>;
+
+pub struct Gate {
+    pub front: Rc<Front>,
+    pub calls: Rc<Calls>,
+    pub serve: Serve,
+    pub clock: Clock,
+    pub longest: Micros,
+    pub asked: Option<Micros>,
+}
+
+impl Gate {
+    /// Listens from now on; what was accepted waits in the mailbox until it is served.
+    pub fn listen(self, listener: TcpListener) -> actix::Addr<Gate> {
+        Gate::create(|ctx| {
+            let (counters, most) = (self.front.counters.clone(), self.front.bounds.most_callers);
+            let accepted =
+                futures_util::stream::unfold((listener, counters), move |(listener, counters)| async move {
+                    while counters.callers.get() >= most {
+                        actix_rt::time::sleep(LOOK).await; // the rest waits outside, not yet taken
+                    }
+                    let came = listener.accept().await;
+                    if came.is_err() {
+                        actix_rt::time::sleep(LOOK).await; // out of descriptors: the rest waits outside
+                    }
+                    Some((came, (listener, counters)))
+                });
+            ctx.add_stream(accepted);
+            self
+        })
+    }
+    fn look(&mut self, ctx: &mut Context<Gate>) {
+        let Some(asked) = self.asked else { return };
+        let since = self.clock.now() - asked;
+        let quiet = since > STILL_COMING && self.calls.busy() == 0;
+        if quiet || since > self.longest + STILL_COMING {
+            log::info!("all answered, the end");
+            ctx.stop();
+            System::current().stop();
+        } else {
+            self.calls.close_idle();
+            ctx.run_later(LOOK, Gate::look);
+        }
+    }
+}
+
+impl Actor for Gate {
+    type Context = Context<Gate>;
+}
+
+impl StreamHandler<io::Result<(TcpStream, SocketAddr)>> for Gate {
+    fn handle(&mut self, came: io::Result<(TcpStream, SocketAddr)>, ctx: &mut Context<Gate>) {
+        let (io, from) = match came {
+            Ok(came) => came,
+            Err(why) => return log::warn!("accept: {why}"),
+        };
+        let caller = Caller::new(io, self.calls.clone(), self.front.counters.clone());
+        let served = (self.serve)(caller).into_actor(self).map(move |end, gate, _| {
+            let code = match &end {
+                Ok(()) => "CALL_CLOSED",
+                Err(DispatchError::Io(_)) => "CALL_RESET",
+                Err(DispatchError::Parse(_)) => "CALL_BROKEN_HTTP",
+                Err(DispatchError::SlowRequestTimeout) => "CALL_SLOW",
+                Err(_) => "CALL_FAILED",
+            };
+            gate.front.counters.add("calls_ended");
+            log::info!("connection from {from} ended: {code}");
+        });
+        ctx.spawn(served);
+    }
+}
+
+/// The agent is asked to end: go on accepting and answering, tell clients to close, end when all is answered.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Leave;
+impl Handler<Leave> for Gate {
+    type Result = ();
+    fn handle(&mut self, _: Leave, ctx: &mut Context<Gate>) {
+        if self.asked.is_none() {
+            log::info!("asked to end: {} txns in hand", self.front.counters.in_hand.get());
+            self.asked = Some(self.clock.now());
+            self.front.leaving.set(true);
+            self.look(ctx);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/wire/listing.rs
@@ -0,0 +1,43 @@
+//! Reads a server list in discovery's form. All of it is read before any of it counts.
+use std::net::SocketAddr;
+
+use notchspool::units::*;
+use notchspool_terms::read::*;
+use serde_json::Value;
+
+use crate::memory::list::List;
+
+pub fn line(line: &[u8], list: &mut List) -> Read<()> {
+    let told: Value = serde_json::from_slice(line).map_err(|e| format!("not JSON: {e}"))?;
+    entries(&told, None, list)
+}
+
+pub fn entries(told: &Value, how: Option<Refresh>, list: &mut List) -> Read<()> {
+    let version = Generation(whole(told, "revision")?);
+    let how = how.unwrap_or(if flag(told, "complete")? { Refresh::Full } else { Refresh::Delta });
+    let mut read = Vec::new();
+    for row in rows(told, "members")? {
+        let name = text(row, "id")?;
+        let at: SocketAddr = text(row, "host_port")?
+            .parse()
+            .map_err(|_| format!("{name}: field `host_port` is no address and port"))?;
+        let entry = Entry {
+            cell: CellId(row["cell"].as_i64().unwrap_or(0)),
+            standing: match text(row, "phase")? {
+                "in_service" => Standing::Ready,
+                "terminating" => Standing::Draining,
+                "terminated" => Standing::Gone,
+                other => return Err(format!("{name}: field `phase`: `{other}` is not known")),
+            },
+            started: time(row, "up_since_ms", Some(0.0))?,
+            size: number(row, "size", Some(1.0))?,
+            ..Entry::default()
+        };
+        read.push((name, at, row["locality"].as_str().unwrap_or(""), entry));
+    }
+    for (name, at, zone, entry) in read {
+        list.entry(name, at, zone, entry);
+    }
+    list.read(how, version);
+    Ok(())
+}
--- /dev/null
+++ b/crates/agent/src/wire/mod.rs
@@ -0,0 +1,9 @@
+//! What is spoken: with the application, with backends, with discovery.
+pub mod application;
+pub mod backend;
+pub mod caller;
+pub mod gate;
+pub mod link;
+pub mod listing;
+pub mod posting;
+pub mod registry;
--- /dev/null
+++ b/crates/agent/src/wire/posting.rs
@@ -0,0 +1,160 @@
+//! One posting, from its first byte to what became of it.
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode};
+use actix_tls::connect::{ConnectError as NoAddress, ConnectInfo, Connection};
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::Uri;
+use awc::http::header::{CONTENT_TYPE, HeaderMap};
+use awc::{Client, Connector};
+use notchspool::units::{Fate, Report};
+use notchspool_terms::report_line;
+
+use super::link::{Link, MARK, Mark};
+use crate::life::bounds::BODY;
+use crate::memory::counters::Counters;
+use crate::memory::txn::{Carried, Made};
+
+/// Error text of a connection that was not even tried, for want of room.
+const NO_ROOM: &str = "no room for another connection";
+
+/// A client for one peer. It adds nothing of its own: no time-out but the connect one, no redirects, no
+/// decompression, no second sending; connections are dropped before the peer may have closed them.
+pub fn client(most: usize, connect_within: Duration, idle: Duration, counters: Rc<Counters>) -> Client {
+    let connect = actix_service::fn_service(move |info: ConnectInfo<Uri>| {
+        let counters = counters.clone();
+        async move {
+            let uri = info.request().clone();
+            let at = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
+            let at = at.ok_or(NoAddress::Unresolved)?;
+            if counters.links.get() >= most {
+                return Err(NoAddress::Io(std::io::Error::other(NO_ROOM)));
+            }
+            let io = actix_rt::net::TcpStream::connect(at).await.map_err(NoAddress::Io)?;
+            Ok(Connection::new(uri, Link::up(io, at, counters)))
+        }
+    });
+    let connector = Connector::new()
+        .connector(connect)
+        .timeout(connect_within)
+        .limit(0)
+        .conn_keep_alive(idle)
+        .conn_lifetime(Duration::from_secs(24 * 3600))
+        .disconnect_timeout(Duration::ZERO);
+    Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
+}
+
+pub struct Outcome {
+    pub fate: Fate,
+    pub report: Option<Report>,
+    pub made: Option<Made>,
+    /// It failed for want of room, not by the peer's doing.
+    pub no_room: bool,
+}
+
+impl Outcome {
+    fn only(fate: Fate) -> Outcome {
+        Outcome { fate, report: None, made: None, no_room: false }
+    }
+}
+
+/// Sends the txn to a backend and waits for its answer till the posting's time is up.
+pub async fn post(client: Client, at: SocketAddr, carried: Arc<Carried>, within: Duration) -> Outcome {
+    let mark = Mark::new(carried.body.len());
+    let sent = MARK.scope(mark.clone(), send(client, at, carried, within, mark.clone()));
+    match actix_rt::time::timeout(within, sent).await {
+        Ok(outcome) => outcome,
+        Err(_) if mark.whole() => Outcome::only(Fate::TimedOut),
+        Err(_) => Outcome::only(Fate::NoLink),
+    }
+}
+
+async fn send(
+    client: Client,
+    at: SocketAddr,
+    carried: Arc<Carried>,
+    within: Duration,
+    mark: Rc<Mark>,
+) -> Outcome {
+    let uri = Uri::builder().scheme("http").authority(at.to_string()).path_and_query(carried.path.clone());
+    let Ok(uri) = uri.build() else { return Outcome::only(Fate::NeverSent) };
+    let mut request = client
+        .request(carried.method.clone(), uri)
+        .no_decompress()
+        .insert_header(("x-trace-id", carried.trace.clone()))
+        .insert_header(("x-expires-in-ms", within.as_millis().to_string()));
+    if let Some(reference) = &carried.reference {
+        request = request.insert_header(("idempotency-key", reference.clone()));
+    }
+    if let Some(form) = &carried.form {
+        request = request.insert_header((CONTENT_TYPE, form.clone()));
+    }
+    let bodiless = carried.body.is_empty() && carried.method == Method::GET;
+    let sent = if bodiless { request.send() } else { request.send_body(carried.body.clone()) };
+    let mut answer = match sent.await {
+        Ok(answer) => answer,
+        Err(why) => return broke(&why, mark.whole()),
+    };
+    let report = report(answer.headers());
+    let fate = fate(answer.status(), answer.headers());
+    let form = answer.headers().get(CONTENT_TYPE).cloned();
+    let length = answer.headers().get("content-length").and_then(|n| n.to_str().ok()?.parse::<usize>().ok());
+    let chunked = answer.headers().contains_key("transfer-encoding");
+    let body = answer.body().limit(BODY).await;
+    // An answer that stops short of its length, or between chunks, is no answer.
+    let whole = |n: usize| length.is_none_or(|length| length == n) && !(chunked && mark.ended.get());
+    let body = body.ok().filter(|body| whole(body.len()));
+    match (fate, body) {
+        (Fate::Settled, Some(body)) => {
+            Outcome { fate, report, made: Some(Made { body, form }), no_room: false }
+        }
+        (Fate::Settled, None) => Outcome { report, ..Outcome::only(Fate::Broken) },
+        (fate, _) => Outcome { report, ..Outcome::only(fate) },
+    }
+}
+
+fn fate(status: StatusCode, headers: &HeaderMap) -> Fate {
+    let never_ran = headers.get("x-never-ran").is_some_and(|v| v.as_bytes() == b"1");
+    match status.as_u16() {
+        200 => Fate::Settled,
+        503 | 504 if never_ran => Fate::TurnedAway,
+        _ => Fate::Errored,
+    }
+}
+
+pub fn report(headers: &HeaderMap) -> Option<Report> {
+    headers.get("endpoint-load-metrics").and_then(|line| report_line(line.to_str().ok()?))
+}
+
+/// A break before the last byte was written never ran; after it, it may have.
+fn broke(why: &SendRequestError, whole: bool) -> Outcome {
+    let no_room = matches!(why, SendRequestError::Connect(ConnectError::Io(e)) if e.to_string() == NO_ROOM);
+    if no_room {
+        return Outcome { no_room, ..Outcome::only(Fate::NeverSent) };
+    }
+    Outcome::only(if whole { Fate::Broken } else { Fate::NoLink })
+}
+
+/// Asks a backend for its health and load.
+pub async fn probe(client: Client, at: SocketAddr, within: Duration) -> (Fate, Option<Report>) {
+    let mark = Mark::new(0);
+    let asked = async {
+        let mut answer = match client.get(format!("http://{at}/load")).no_decompress().send().await {
+            Ok(answer) => answer,
+            Err(why) => return (broke(&why, mark.whole()).fate, None),
+        };
+        let fate = if answer.status() == StatusCode::OK { Fate::Settled } else { Fate::Errored };
+        let by_header = report(answer.headers());
+        match answer.body().limit(BODY).await {
+            Ok(body) => {
+                let line = std::str::from_utf8(&body).ok();
+                (fate, line.and_then(report_line).or(by_header))
+            }
+            Err(_) => (Fate::Broken, by_header),
+        }
+    };
+    actix_rt::time::timeout(within, MARK.scope(mark.clone(), asked)).await.unwrap_or((Fate::TimedOut, None))
+}
--- /dev/null
+++ b/crates/agent/src/wire/registry.rs
@@ -0,0 +1,83 @@
+//! The actor of discovery: holds the watch, hands its lines to the list, and says when it failed.
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix::{Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle, WrapFuture};
+use awc::Client;
+use awc::error::SendRequestError;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+
+use crate::life::bounds::LINE;
+use crate::memory::desk::{Desk, ListFailed};
+use crate::memory::list::{Line, List, Since};
+
+/// A watch without a sign of life for this long has failed: two of its empty lines are missing.
+const SILENCE: Duration = Duration::from_millis(4_500);
+
+pub struct Registry {
+    at: SocketAddr,
+    client: Client,
+    list: Addr<List>,
+    desk: Addr<Desk>,
+    watch: Option<SpawnHandle>,
+}
+
+impl Registry {
+    pub fn new(at: SocketAddr, client: Client, list: Addr<List>, desk: Addr<Desk>) -> Registry {
+        Registry { at, client, list, desk, watch: None }
+    }
+}
+
+impl Actor for Registry {
+    type Context = Context<Registry>;
+}
+
+/// Asks for the watch, anew if there is one.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Watch;
+impl Handler<Watch> for Registry {
+    type Result = ();
+    fn handle(&mut self, _: Watch, ctx: &mut Context<Registry>) {
+        if let Some(before) = self.watch.take() {
+            ctx.cancel_future(before);
+        }
+        let ended = follow(self.at, self.client.clone(), self.list.clone()).into_actor(self).map(
+            |code, registry: &mut Registry, _| {
+                log::info!("watch at {} ended: {code}", registry.at);
+                registry.watch = None;
+                registry.desk.do_send(ListFailed);
+            },
+        );
+        self.watch = Some(ctx.spawn(ended));
+    }
+}
+
+/// Follows one watch to its end and tells the reason code.
+async fn follow(at: SocketAddr, client: Client, list: Addr<List>) -> &'static str {
+    let since = list.send(Since).await.ok().flatten().map(|v| format!("&since={v}")).unwrap_or_default();
+    let asked = client.get(format!("http://{at}/v1/servers?follow=1{since}")).no_decompress().send();
+    let mut answer = match actix_rt::time::timeout(SILENCE, asked).await {
+        Err(_) => return "WATCH_SILENT",
+        Ok(Err(SendRequestError::Connect(_))) => return "WATCH_NO_LINK",
+        Ok(Err(_)) => return "WATCH_RESET",
+        Ok(Ok(answer)) if answer.status() != 200 => return "WATCH_TURNED_AWAY",
+        Ok(Ok(answer)) => answer,
+    };
+    let mut rest = BytesMut::new();
+    loop {
+        match actix_rt::time::timeout(SILENCE, answer.next()).await {
+            Err(_) => return "WATCH_SILENT",
+            Ok(None) => return "WATCH_CLOSED",
+            Ok(Some(Err(_))) => return "WATCH_RESET",
+            Ok(Some(Ok(chunk))) => rest.extend_from_slice(&chunk),
+        }
+        while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
+            list.do_send(Line(rest.split_to(end + 1).freeze()));
+        }
+        if rest.len() > LINE {
+            return "WATCH_LINE_TOO_LONG";
+        }
+    }
+}
--- /dev/null
+++ b/crates/terms/src/lib.rs
@@ -0,0 +1,115 @@
+//! What both hosts read alike: the settings object into [`Terms`], load reports into [`Report`].
+pub mod read;
+
+use notchspool::units::*;
+use serde_json::Value;
+
+use read::*;
+
+/// The settings of one instance: the module's terms, and the names and figures that only a host needs.
+pub struct Agreed {
+    pub terms: Terms,
+    pub zones: Vec<String>,
+    pub schemes: Vec<String>,
+    pub report_fields: Vec<String>,
+    /// After this a backend closes a connection that stands idle.
+    pub idle_close: Micros,
+    /// A connection that is not up by then never comes up.
+    pub connect_within: Micros,
+    /// The longest that a client waits for any txn.
+    pub longest: Micros,
+}
+
+pub fn zone_number(zones: &mut Vec<String>, name: &str) -> ZoneId {
+    let at = zones.iter().position(|z| z == name).unwrap_or_else(|| {
+        zones.push(name.to_owned());
+        zones.len() - 1
+    });
+    ZoneId(at as u32)
+}
+
+fn scheme(row: &Value) -> Read<Scheme> {
+    Ok(Scheme {
+        kind: match text(row, "repeat")? {
+            "safe" => Kind::Repeatable,
+            "keyed" => Kind::Referenced,
+            "unsafe" => Kind::OnceOnly,
+            other => return Err(format!("field `repeat`: `{other}` is not known")),
+        },
+        group: match row["group"].as_str().unwrap_or("all") {
+            "all" => Group::All,
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            other => return Err(format!("field `group`: `{other}` is not known")),
+        },
+        window: time(row, "windowMs", Some(0.0))?,
+        sla: time(row, "slaTimeMs", None)?,
+    })
+}
+
+pub fn agreed(facts: &Value) -> Read<Agreed> {
+    if !facts.is_object() {
+        return Err("the settings are no object".into());
+    }
+    let (contract, permissions, costs) = (&facts["contract"], &facts["permissions"], &facts["costs"]);
+    let mut zones = strings(facts, "zones")?;
+    let zone = zone_number(&mut zones, facts["myZone"].as_str().unwrap_or(""));
+    let retry_after = time(permissions, "maxRetryAfterMs", Some(0.0))?;
+    let terms = Terms {
+        agents: number(facts, "balancers", Some(1.0))? as u32,
+        zone,
+        schemes: rows(facts, "schemes")?.iter().map(scheme).collect::<Read<_>>()?,
+        max_postings: number(permissions, "maxPostings", Some(1.0))? as u32,
+        drain_grace: match contract["drainGraceMs"] {
+            Value::Null => None,
+            _ => Some(time(contract, "drainGraceMs", None)?),
+        },
+        ask_within: time(contract, "askWithinMs", Some(10_000.0))?,
+        list_on_request: facts["registryMode"].as_str() == Some("on_request"),
+        cold_from: number(contract, "coldFrom", Some(1.0))?,
+        cold_span: time(contract, "coldMs", Some(0.0))?,
+        fall_multiple: number(contract, "fallMultiple", Some(1.0))?,
+        fall_span: time(contract, "fallMs", Some(1000.0))?,
+        retry_after: flag(permissions, "retryAfter")?.then_some(retry_after),
+        may_cancel: flag(permissions, "cancel")?,
+        may_probe: flag(permissions, "probes")?,
+        report_by_probe: facts["loadReport"]["via"].as_str() == Some("probe"),
+        probe_price: number(costs, "probe", Some(0.0))?,
+        tick: time(facts, "tickMs", Some(1.0))?,
+    };
+    Ok(Agreed {
+        terms,
+        zones,
+        schemes: names(facts, "schemes")?,
+        report_fields: strings(&facts["loadReport"], "fields")?,
+        idle_close: time(permissions, "idleCloseMs", Some(15_000.0))?,
+        connect_within: time(permissions, "connectTimeoutMs", Some(250.0))?,
+        longest: rows(facts, "schemes")?
+            .iter()
+            .map(|row| time(row, "expiryMs", Some(3_000.0)))
+            .try_fold(Micros(0), |most, expiry| expiry.map(|expiry| most.max(expiry)))?,
+    })
+}
+
+/// One reported figure, by its name in the settings or on the sockets.
+pub fn put(report: &mut Report, field: &str, value: f64) {
+    match field {
+        "busy" | "util" => report.utilisation = Some(value),
+        "rif" | "inflight" => report.in_flight = Some(value),
+        _ => {}
+    }
+}
+
+/// A report as it stands on the sockets: `TEXT util=0.61, inflight=7`. What is no finite number is left out.
+pub fn report_line(line: &str) -> Option<Report> {
+    let figures = line.trim().strip_prefix("TEXT")?;
+    let mut report = Report::default();
+    for figure in figures.split(',') {
+        if let Some((name, value)) = figure.split_once('=')
+            && let Some(value) = value.trim().parse().ok().filter(|v: &f64| v.is_finite())
+        {
+            put(&mut report, name.trim(), value);
+        }
+    }
+    Some(report)
+}
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -3,6 +3,8 @@
 
 use notchspool::logic::Balancer;
 use notchspool::units::*;
+use notchspool_terms::read::*;
+use notchspool_terms::{Agreed, agreed, put, zone_number};
 use serde_json::Value;
 
 use crate::actions::{Names, Wire};
@@ -23,48 +25,6 @@
     ledgers: BTreeMap<u64, Vec<Value>>,
 }
 
-type Read<T> = Result<T, String>;
-
-fn text<'a>(of: &'a Value, field: &str) -> Read<&'a str> {
-    of[field].as_str().ok_or_else(|| format!("field `{field}` is no text"))
-}
-fn number(of: &Value, field: &str, default: Option<f64>) -> Read<f64> {
-    match (&of[field], default) {
-        (Value::Null, Some(value)) => Ok(value),
-        (value, _) => {
-            value.as_f64().filter(|n| n.is_finite()).ok_or_else(|| format!("field `{field}` is no number"))
-        }
-    }
-}
-fn whole(of: &Value, field: &str) -> Read<u64> {
-    of[field].as_u64().ok_or_else(|| format!("field `{field}` is no whole number"))
-}
-fn flag(of: &Value, field: &str) -> Read<bool> {
-    match &of[field] {
-        Value::Null => Ok(false),
-        value => value.as_bool().ok_or_else(|| format!("field `{field}` is neither true nor false")),
-    }
-}
-/// Fractional milliseconds as whole microseconds, to the nearest: the wire itself counts microseconds.
-fn time(of: &Value, field: &str, default: Option<f64>) -> Read<Micros> {
-    number(of, field, default).map(|ms| Micros((ms * 1000.0).round() as i64))
-}
-fn rows<'a>(of: &'a Value, field: &str) -> Read<&'a [Value]> {
-    match &of[field] {
-        Value::Null => Ok(&[]),
-        Value::Array(rows) => Ok(rows),
-        _ => Err(format!("field `{field}` is no list")),
-    }
-}
-fn strings(of: &Value, field: &str) -> Read<Vec<String>> {
-    rows(of, field)?
-        .iter()
-        .map(|v| v.as_str().map(str::to_owned).ok_or_else(|| format!("field `{field}` holds no text")))
-        .collect()
-}
-fn names(of: &Value, field: &str) -> Read<Vec<String>> {
-    rows(of, field)?.iter().map(|v| text(v, "name").map(str::to_owned)).collect()
-}
 fn fate(event: &Value) -> Read<Fate> {
     Ok(match text(event, "disposition")? {
         "GOOD" => Fate::Settled,
@@ -78,33 +38,6 @@
         other => return Err(format!("field `disposition`: `{other}` is not known")),
     })
 }
-fn zone_number(zones: &mut Vec<String>, name: &str) -> ZoneId {
-    let at = zones.iter().position(|z| z == name).unwrap_or_else(|| {
-        zones.push(name.to_owned());
-        zones.len() - 1
-    });
-    ZoneId(at as u32)
-}
-
-fn scheme(row: &Value) -> Read<Scheme> {
-    Ok(Scheme {
-        kind: match text(row, "repeat")? {
-            "safe" => Kind::Repeatable,
-            "keyed" => Kind::Referenced,
-            "unsafe" => Kind::OnceOnly,
-            other => return Err(format!("field `repeat`: `{other}` is not known")),
-        },
-        group: match row["group"].as_str().unwrap_or("all") {
-            "all" => Group::All,
-            "zone" => Group::Zone,
-            "cell" => Group::Cell,
-            other => return Err(format!("field `group`: `{other}` is not known")),
-        },
-        window: time(row, "windowMs", Some(0.0))?,
-        sla: time(row, "slaTimeMs", None)?,
-    })
-}
-
 impl Host {
     /// Plays one batch. Only what makes the line unreadable is an error; a bad event is told of and skipped.
     pub fn batch(&mut self, line: &[u8]) -> Read<String> {
@@ -164,43 +97,14 @@
 
 impl Instance {
     fn start(now: Micros, id: &str, event: &Value) -> Read<Instance> {
-        let facts = &event["facts"];
-        if !facts.is_object() {
-            return Err("field `facts` is no object".into());
-        }
-        let (contract, permissions, costs) = (&facts["contract"], &facts["permissions"], &facts["costs"]);
-        let mut zones = strings(facts, "zones")?;
-        let zone = zone_number(&mut zones, facts["myZone"].as_str().unwrap_or(""));
-        let retry_after = time(permissions, "maxRetryAfterMs", Some(0.0))?;
-        let terms = Terms {
-            agents: number(facts, "balancers", Some(1.0))? as u32,
-            zone,
-            schemes: rows(facts, "schemes")?.iter().map(scheme).collect::<Read<_>>()?,
-            max_postings: number(permissions, "maxPostings", Some(1.0))? as u32,
-            drain_grace: match contract["drainGraceMs"] {
-                Value::Null => None,
-                _ => Some(time(contract, "drainGraceMs", None)?),
-            },
-            ask_within: time(contract, "askWithinMs", Some(10_000.0))?,
-            list_on_request: facts["registryMode"].as_str() == Some("on_request"),
-            cold_from: number(contract, "coldFrom", Some(1.0))?,
-            cold_span: time(contract, "coldMs", Some(0.0))?,
-            fall_multiple: number(contract, "fallMultiple", Some(1.0))?,
-            fall_span: time(contract, "fallMs", Some(1000.0))?,
-            retry_after: flag(permissions, "retryAfter")?.then_some(retry_after),
-            may_cancel: flag(permissions, "cancel")?,
-            may_probe: flag(permissions, "probes")?,
-            report_by_probe: facts["loadReport"]["via"].as_str() == Some("probe"),
-            probe_price: number(costs, "probe", Some(0.0))?,
-            tick: time(facts, "tickMs", Some(1.0))?,
-        };
+        let Agreed { terms, zones, schemes, report_fields, .. } = agreed(&event["facts"])?;
         Ok(Instance {
             quoted: Value::from(id).to_string(),
             balancer: Balancer::open(terms, whole(event, "entropy")?, now),
             names: Names::default(),
             zones,
-            schemes: names(facts, "schemes")?,
-            report_fields: strings(&facts["loadReport"], "fields")?,
+            schemes,
+            report_fields,
         })
     }
 
@@ -265,11 +169,7 @@
         let mut report = Report::default();
         for (field, value) in self.report_fields.iter().zip(rows(event, "report")?) {
             let Some(value) = value.as_f64() else { continue };
-            match field.as_str() {
-                "busy" => report.utilisation = Some(value),
-                "rif" => report.in_flight = Some(value),
-                _ => {}
-            }
+            put(&mut report, field, value);
         }
         Ok(Some(report))
     }
