A failed watch is told after its lines: before, the module could stop asking for good

Seen: with bad peers on loopback (watch_breaks, watch_silent) a watch that ended right after a line was never resumed. Log: 'watch ended' came before 'list 50'. Cause: Registry told Desk of the failure directly, while the line still waited in List's mailbox (wire/registry.rs, memory/list.rs); heard after the failure, Listed cleared the module's watch_at. Ruled out: the module's backoff (its call list_failed set watch_at). Now the failure goes by List.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+.PHONY: build test lint run
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --locked --workspace
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
+
+# Needs ROUTER_CONFIG; see the README.
+run: build
+	exec target/release/notchspool-agent
--- a/crates/agent/src/life/bounds.rs
+++ b/crates/agent/src/life/bounds.rs
@@ -1,5 +1,6 @@
 //! What the agent may hold at once, from the limits it is told. Each bound is stated where it acts.
 pub const BODY: usize = 64 * 1024; // bytes of one body, either way
+pub const SEND_BUFFER: u32 = 16 * 1024; // bytes of a posting that the system may hold unsent
 pub const LINE: usize = 1024 * 1024; // bytes of one line of the list
 pub const BACKENDS: usize = 4096; // ids ever seen
 
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -7,7 +7,7 @@
 use actix::Actor;
 use actix_http::HttpService;
 use actix_service::{Service, ServiceFactory, fn_service};
-use notchspool::units::Micros;
+use notchspool::units::Terms;
 use tokio::net::TcpListener;
 
 use super::clock::{Clock, span};
@@ -48,13 +48,15 @@
         links: bounds.links,
         connect_within: span(agreed.connect_within),
         // Not near the time at which the backend closes: a posting written then may have run.
-        idle: span(agreed.idle_close.times(0.8).min(agreed.idle_close - Micros::ms(1_000))),
+        idle: span(agreed.idle_close.times(0.8)),
     });
-    let desk = Desk::open(agreed.terms, seed, clock, counters.clone()).start();
+    // On sockets the list always has to be asked for, whatever the simulator does at this site.
+    let terms = Terms { list_on_request: true, ..agreed.terms };
+    let desk = Desk::open(terms, seed, clock, counters.clone()).start();
     let list = List::open(desk.clone(), ground.clone(), counters.clone(), agreed.zones).start();
     // The mailboxes keep the order: the known list is with the module before the first txn is.
     list.send(Restore(known)).await.map_err(io::Error::other)?;
-    let registry = Registry::new(discovery, ground.client(), list, desk.clone()).start();
+    let registry = Registry::new(discovery, ground.client(), list).start();
     desk.send(Ask(registry.recipient())).await.map_err(io::Error::other)?;
 
     let front = Rc::new(Front {
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -11,7 +11,7 @@
 use super::hand::Hand;
 use super::txn::{Answer, Carried, InHand, Made};
 use crate::life::clock::{Clock, span};
-use crate::wire::backend::Peer;
+use crate::wire::backend::{Peer, Trim};
 use crate::wire::registry::Watch;
 
 pub struct Desk {
@@ -88,6 +88,7 @@
     type Result = ();
     fn handle(&mut self, listed: Listed, ctx: &mut Context<Desk>) {
         self.hand.counters.add("lists");
+        log::debug!("list {} {:?}: {} entries", listed.version.0, listed.how, listed.entries.len());
         self.call(ctx, |balancer, hand| balancer.listed(listed.how, listed.version, &listed.entries, hand));
     }
 }
@@ -161,6 +162,7 @@
     fn handle(&mut self, back: Returned, ctx: &mut Context<Desk>) {
         let Returned { txn, posting, backend, fate, took, report, made } = back;
         self.hand.counters.posting(fate);
+        report.iter().for_each(|_| self.hand.counters.add("reports"));
         let held = self.hand.txns.get_mut(&txn);
         let closed = held.as_ref().is_none_or(|held| held.caller.is_none());
         if let Some(held) = held {
@@ -179,6 +181,17 @@
     }
 }
 
+/// The bound on connections was met: those that stand idle are given back.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct NoRoom;
+impl Handler<NoRoom> for Desk {
+    type Result = ();
+    fn handle(&mut self, _: NoRoom, _: &mut Context<Desk>) {
+        self.hand.peers.values().for_each(|peer| peer.do_send(Trim));
+    }
+}
+
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Probed {
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -9,7 +9,7 @@
 use notchspool_terms::zone_number;
 
 use super::counters::Counters;
-use super::desk::{Desk, Listed, Meet};
+use super::desk::{Desk, ListFailed, Listed, Meet};
 use crate::life::bounds::BACKENDS;
 use crate::wire::backend::{Ground, Move, Peer};
 use crate::wire::listing;
@@ -21,7 +21,9 @@
     zones: Vec<String>,
     ids: BTreeMap<String, BackendId>,
     peers: Vec<(SocketAddr, Addr<Peer>)>,
+    /// Where the next watch goes on from.
     version: Option<Generation>,
+    garbled: bool,
     staged: Vec<Entry>,
 }
 
@@ -35,6 +37,7 @@
             ids: BTreeMap::new(),
             peers: Vec::new(),
             version: None,
+            garbled: false,
             staged: Vec::new(),
         }
     }
@@ -66,7 +69,10 @@
 
     /// The list was read to its end.
     pub fn read(&mut self, how: Refresh, version: Generation) {
-        self.version = self.version.max(Some(version));
+        self.garbled &= how == Refresh::Delta;
+        if !self.garbled {
+            self.version = self.version.max(Some(version));
+        }
         self.desk.do_send(Listed { how, version, entries: std::mem::take(&mut self.staged) });
     }
 }
@@ -100,12 +106,26 @@
                 self.desk.do_send(Listed { how: Refresh::Delta, version, entries: Vec::new() });
             }
         } else if let Err(why) = listing::line(&line.0, self) {
+            // It may have hidden a change: the next watch goes on from before it.
+            self.garbled = true;
             self.counters.add("lists_garbled");
             log::warn!("list: a line changes nothing: {why}");
         }
     }
 }
 
+/// The watch failed. It comes by here to keep its place behind the lines of that watch: heard before them, the
+/// module would take them for signs of a living one and not ask again.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Ended;
+impl Handler<Ended> for List {
+    type Result = ();
+    fn handle(&mut self, _: Ended, _: &mut Context<List>) {
+        self.desk.do_send(ListFailed);
+    }
+}
+
 /// The version last heard, to go on from.
 #[derive(Message)]
 #[rtype(result = "Option<u64>")]
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -6,7 +6,7 @@
 
 use actix::Addr;
 use actix_http::body::BoxBody;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{Method, Request, Response, StatusCode};
 use awc::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -76,13 +76,17 @@
     async fn txn(&self, mut request: Request) -> Result<Answer, (StatusCode, &'static str)> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let head = request.head();
+        if head.method != Method::GET && head.method != Method::POST {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "neither GET nor POST"));
+        }
         let scheme = request.path().split('/').nth(1).unwrap_or("");
         let scheme = self.schemes.iter().position(|s| s == scheme);
         let scheme = SchemeId(scheme.ok_or((StatusCode::NOT_FOUND, "no scheme of that name"))?);
         let expires =
             head.headers().get("x-expires-in-ms").and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
         let expires = Micros::ms(expires.ok_or(bad("X-Expires-In-Ms is no whole number"))?.into());
-        let trace = head.headers().get("x-trace-id").cloned().ok_or(bad("no X-Trace-Id"))?;
+        let trace = head.headers().get("x-trace-id").filter(|id| !id.is_empty()).cloned();
+        let trace = trace.ok_or(bad("no X-Trace-Id"))?;
         let path = head.uri.path_and_query().cloned().ok_or(bad("no path"))?;
         let mut carried = Carried {
             method: head.method.clone(),
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -10,11 +10,14 @@
 use notchspool::units::*;
 
 use super::posting::{self, Outcome};
-use crate::life::clock::Clock;
+use crate::life::clock::{Clock, micros};
 use crate::memory::counters::Counters;
-use crate::memory::desk::{Desk, Probed, Returned};
+use crate::memory::desk::{Desk, NoRoom, Probed, Returned};
 use crate::memory::txn::Carried;
 
+/// A probe is waited for this long.
+const PROBE: Duration = Duration::from_millis(500);
+
 /// What all backends' actors share.
 pub struct Ground {
     pub clock: Clock,
@@ -38,18 +41,25 @@
     desk: Addr<Desk>,
     ground: Rc<Ground>,
     out: BTreeMap<(TxnRef, u32), (SpawnHandle, Micros)>,
+    used: Micros,
 }
 
 impl Peer {
     pub fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
-        Peer { id, at, client: ground.client(), desk, ground, out: BTreeMap::new() }.start()
+        let (client, used) = (ground.client(), ground.clock.now());
+        Peer { id, at, client, desk, ground, out: BTreeMap::new(), used }.start()
+    }
+    /// Lets idle connections go. What is out stays out, and its connections go with it.
+    fn renew(&mut self) {
+        self.client = self.ground.client();
     }
     fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome) {
         let Some((_, sent)) = self.out.remove(&(txn, posting)) else { return };
         let Outcome { fate, report, made, no_room } = outcome;
         if no_room {
             self.ground.counters.add("no_room_for_links");
-            log::warn!("backend {}: all {} connections are in use", self.at, self.ground.links);
+            log::warn!("backend {}: no connection left of {}", self.at, self.ground.links);
+            self.desk.do_send(NoRoom);
         }
         let (backend, took) = (self.id, self.ground.clock.now() - sent);
         self.desk.do_send(Returned { txn, posting, backend, fate, took, report, made });
@@ -58,6 +68,28 @@
 
 impl Actor for Peer {
     type Context = Context<Peer>;
+    fn started(&mut self, ctx: &mut Context<Peer>) {
+        // What was not used for so long is not used again: its descriptors are freed.
+        let idle = self.ground.idle.max(Duration::from_secs(1));
+        ctx.run_interval(idle, move |peer, _| {
+            if peer.out.is_empty() && peer.ground.clock.until(peer.used + micros(idle)).is_zero() {
+                peer.renew();
+            }
+        });
+    }
+}
+
+/// Room is short: a backend that nothing is out to lets its connections go.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Trim;
+impl Handler<Trim> for Peer {
+    type Result = ();
+    fn handle(&mut self, _: Trim, _: &mut Context<Peer>) {
+        if self.out.is_empty() {
+            self.renew();
+        }
+    }
 }
 
 #[derive(Message)]
@@ -73,10 +105,11 @@
     fn handle(&mut self, post: Post, ctx: &mut Context<Peer>) {
         let Post { txn, posting, until, carried } = post;
         let within = self.ground.clock.until(until);
+        self.used = self.ground.clock.now();
         let sent = posting::post(self.client.clone(), self.at, carried, within)
             .into_actor(self)
             .map(move |outcome, peer, _| peer.returned(txn, posting, outcome));
-        self.out.insert((txn, posting), (ctx.spawn(sent), self.ground.clock.now()));
+        self.out.insert((txn, posting), (ctx.spawn(sent), self.used));
     }
 }
 
@@ -104,11 +137,11 @@
 impl Handler<Probe> for Peer {
     type Result = ();
     fn handle(&mut self, _: Probe, ctx: &mut Context<Peer>) {
-        let asked = posting::probe(self.client.clone(), self.at, Duration::from_millis(500))
-            .into_actor(self)
-            .map(|(fate, report), peer: &mut Peer, _| {
+        let asked = posting::probe(self.client.clone(), self.at, PROBE).into_actor(self).map(
+            |(fate, report), peer: &mut Peer, _| {
                 peer.desk.do_send(Probed { backend: peer.id, fate, report });
-            });
+            },
+        );
         ctx.spawn(asked);
     }
 }
@@ -122,6 +155,6 @@
     fn handle(&mut self, to: Move, _: &mut Context<Peer>) {
         log::info!("backend {} is now at {}", self.at, to.0);
         self.at = to.0;
-        self.client = self.ground.client();
+        self.renew();
     }
 }
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -4,8 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix::{Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
-use actix::{StreamHandler, System};
+use actix::{Actor, ActorContext, AsyncContext, Context, Handler, Message, StreamHandler, System};
 use actix_http::error::DispatchError;
 use actix_rt::net::TcpStream;
 use futures_util::future::LocalBoxFuture;
@@ -71,24 +70,25 @@
 }
 
 impl StreamHandler<io::Result<(TcpStream, SocketAddr)>> for Gate {
-    fn handle(&mut self, came: io::Result<(TcpStream, SocketAddr)>, ctx: &mut Context<Gate>) {
+    fn handle(&mut self, came: io::Result<(TcpStream, SocketAddr)>, _: &mut Context<Gate>) {
         let (io, from) = match came {
             Ok(came) => came,
             Err(why) => return log::warn!("accept: {why}"),
         };
         let caller = Caller::new(io, self.calls.clone(), self.front.counters.clone());
-        let served = (self.serve)(caller).into_actor(self).map(move |end, gate, _| {
-            let code = match &end {
+        let (served, counters) = ((self.serve)(caller), self.front.counters.clone());
+        // A task of its own: an actor polls all its futures whenever one of them wakes it.
+        actix_rt::spawn(async move {
+            let code = match served.await {
                 Ok(()) => "CALL_CLOSED",
                 Err(DispatchError::Io(_)) => "CALL_RESET",
                 Err(DispatchError::Parse(_)) => "CALL_BROKEN_HTTP",
                 Err(DispatchError::SlowRequestTimeout) => "CALL_SLOW",
                 Err(_) => "CALL_FAILED",
             };
-            gate.front.counters.add("calls_ended");
+            counters.add("calls_ended");
             log::info!("connection from {from} ended: {code}");
         });
-        ctx.spawn(served);
     }
 }
 
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -1,10 +1,12 @@
 //! One posting, from its first byte to what became of it.
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::{Method, StatusCode};
+use actix_rt::net::{TcpSocket, TcpStream};
 use actix_tls::connect::{ConnectError as NoAddress, ConnectInfo, Connection};
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::Uri;
@@ -14,7 +16,7 @@
 use notchspool_terms::report_line;
 
 use super::link::{Link, MARK, Mark};
-use crate::life::bounds::BODY;
+use crate::life::bounds::{BODY, SEND_BUFFER};
 use crate::memory::counters::Counters;
 use crate::memory::txn::{Carried, Made};
 
@@ -33,13 +35,21 @@
             if counters.links.get() >= most {
                 return Err(NoAddress::Io(std::io::Error::other(NO_ROOM)));
             }
-            let io = actix_rt::net::TcpStream::connect(at).await.map_err(NoAddress::Io)?;
-            Ok(Connection::new(uri, Link::up(io, at, counters)))
+            let up = actix_rt::time::timeout(connect_within, connect(at)).await;
+            match up.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
+                Ok(io) => Ok(Connection::new(uri, Link::up(io, at, counters))),
+                Err(why) => {
+                    let late = why.kind() == ErrorKind::TimedOut;
+                    let code = if late { "LINK_NEVER_UP" } else { "LINK_REFUSED" };
+                    log::info!("link to {at} ended: {code} ({why})");
+                    Err(NoAddress::Io(why))
+                }
+            }
         }
     });
     let connector = Connector::new()
         .connector(connect)
-        .timeout(connect_within)
+        .timeout(connect_within + Duration::from_secs(1)) // ours comes first
         .limit(0)
         .conn_keep_alive(idle)
         .conn_lifetime(Duration::from_secs(24 * 3600))
@@ -47,6 +57,14 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
+/// Little waits in the system's buffer: it counts as memory, and what is still here when a connection breaks is
+/// known not to have been written.
+async fn connect(at: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    socket.connect(at).await
+}
+
 pub struct Outcome {
     pub fate: Fate,
     pub report: Option<Report>,
--- a/crates/agent/src/wire/registry.rs
+++ b/crates/agent/src/wire/registry.rs
@@ -9,8 +9,7 @@
 use futures_util::StreamExt;
 
 use crate::life::bounds::LINE;
-use crate::memory::desk::{Desk, ListFailed};
-use crate::memory::list::{Line, List, Since};
+use crate::memory::list::{Ended, Line, List, Since};
 
 /// A watch without a sign of life for this long has failed: two of its empty lines are missing.
 const SILENCE: Duration = Duration::from_millis(4_500);
@@ -19,13 +18,12 @@
     at: SocketAddr,
     client: Client,
     list: Addr<List>,
-    desk: Addr<Desk>,
     watch: Option<SpawnHandle>,
 }
 
 impl Registry {
-    pub fn new(at: SocketAddr, client: Client, list: Addr<List>, desk: Addr<Desk>) -> Registry {
-        Registry { at, client, list, desk, watch: None }
+    pub fn new(at: SocketAddr, client: Client, list: Addr<List>) -> Registry {
+        Registry { at, client, list, watch: None }
     }
 }
 
@@ -47,7 +45,7 @@
             |code, registry: &mut Registry, _| {
                 log::info!("watch at {} ended: {code}", registry.at);
                 registry.watch = None;
-                registry.desk.do_send(ListFailed);
+                registry.list.do_send(Ended);
             },
         );
         self.watch = Some(ctx.spawn(ended));
--- /dev/null
+++ b/crates/agent/tests/peers.rs
@@ -0,0 +1,334 @@
+//! Plays text scenarios against the built agent, with peers on loopback. A line is a command, `#` a remark.
+//! `settings NAME VALUE`: before the start. `peer A STEP; STEP...| STEP...`: what a backend (or `discovery`) does on
+//! its first connection, its second...; the last stands for all further ones. Steps: `read` a whole request, `head` only
+//! its head, `part` its first bytes; `say TEXT` raw; `ok TEXT`, `status LINE`, `list JSON`: an answer; `line JSON`: a chunk of a
+//! watch, `piece TEXT` any chunk; `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there. `start`, `fails TEXT`: it must not start.
+//! `ask N LINE [body SIZE]`: on connection N; `raw N TEXT`; `hear N STATUS TEXT`: the next answer there; `gone N`: closed
+//! by the agent; `leave N`. `count NAME VALUE`: a counter comes to it; `got A TEXT`: A has read this, whatever came around it;
+//! `reads A N`: whole requests it read; `opens A N`: connections; `log TEXT`; `term`; `ends`: with exit code 0.
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use socket2::SockRef;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a peer has seen: connections, whole requests, all bytes.
+#[derive(Default)]
+struct Seen {
+    opened: usize,
+    read: usize,
+    bytes: String,
+}
+
+struct Peer {
+    at: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+}
+
+fn raw(text: &str) -> String {
+    text.replace("\\r", "\r").replace("\\n", "\n")
+}
+
+/// Reads a message from a connection: its first line, its headers, its body. None at the end.
+fn message(from: &mut impl BufRead) -> Option<(String, String, String)> {
+    let (mut first, mut headers, mut length) = (String::new(), String::new(), 0);
+    if from.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().expect("a length");
+        }
+        headers += &line.to_ascii_lowercase();
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((first, headers, String::from_utf8_lossy(&body).into_owned()))
+}
+
+fn serve(io: TcpStream, steps: &str, seen: &Mutex<Seen>) -> std::io::Result<()> {
+    let mut reader = BufReader::new(io.try_clone()?);
+    let mut io = io;
+    for step in steps.split("; ") {
+        let (what, rest) = step.trim().split_once(' ').unwrap_or((step.trim(), ""));
+        match what {
+            "read" => {
+                let Some((first, headers, body)) = message(&mut reader) else { return Ok(()) };
+                let mut seen = seen.lock().expect("seen");
+                seen.read += 1;
+                seen.bytes += &format!("{first}{headers}\r\n{body}");
+            }
+            "head" => {
+                let mut line = String::from(" ");
+                while line != "\r\n" {
+                    line.clear();
+                    if reader.read_line(&mut line)? == 0 {
+                        return Ok(());
+                    }
+                }
+            }
+            "part" => drop(reader.read(&mut [0; 16])?),
+            "say" => io.write_all(raw(rest).as_bytes())?,
+            "ok" => write!(io, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{rest}", rest.len())?,
+            "list" => write!(io, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?,
+            "line" | "piece" => {
+                let line = if what == "line" { rest.to_owned() + "\n" } else { raw(rest) };
+                write!(io, "{:x}\r\n{line}\r\n", line.len())?;
+            }
+            "status" => write!(io, "HTTP/1.1 {}\r\nContent-Length: 0\r\n\r\n", raw(rest))?,
+            "wait" => std::thread::sleep(Duration::from_millis(rest.parse().expect("milliseconds"))),
+            "close" => return io.shutdown(Shutdown::Both),
+            "reset" => return SockRef::from(&io).set_linger(Some(Duration::ZERO)),
+            "stall" => loop {
+                std::thread::sleep(PATIENCE);
+            },
+            other => panic!("no such step: {other}"),
+        }
+    }
+    Ok(())
+}
+
+impl Peer {
+    fn listen(script: &str) -> Peer {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        if script.starts_with("part") {
+            SockRef::from(&listener).set_recv_buffer_size(1024).expect("a small buffer");
+        }
+        let (at, seen) = (listener.local_addr().expect("its address"), Arc::new(Mutex::new(Seen::default())));
+        let (script, watched) = (script.to_owned(), seen.clone());
+        std::thread::spawn(move || {
+            for (n, io) in listener.incoming().enumerate() {
+                let Ok(io) = io else { continue };
+                let parts: Vec<&str> = script.split('|').collect();
+                let steps = parts[n.min(parts.len() - 1)].trim().to_owned();
+                let seen = watched.clone();
+                seen.lock().expect("seen").opened += 1;
+                std::thread::spawn(move || serve(io, &steps, &seen));
+            }
+        });
+        Peer { at, seen }
+    }
+    fn refuse() -> Peer {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Peer { at: listener.local_addr().expect("its address"), seen: Default::default() }
+    }
+}
+
+struct Play {
+    folder: PathBuf,
+    settings: Value,
+    peers: BTreeMap<String, Peer>,
+    agent: Option<Child>,
+    log: Arc<Mutex<String>>,
+    at: SocketAddr,
+    calls: BTreeMap<String, BufReader<TcpStream>>,
+}
+
+impl Drop for Play {
+    fn drop(&mut self) {
+        if let Some(agent) = &mut self.agent {
+            let _ = agent.kill();
+            let _ = agent.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn settings() -> Value {
+    let scheme = |name: &str, repeat: &str| {
+        json!({"name": name, "repeat": repeat, "group": "zone", "windowMs": 3000.0, "slaTimeMs": 600.0,
+               "expiryMs": 2000.0, "value": 1.0, "overdueValue": 0.3, "stream": false})
+    };
+    json!({"balancers": 1, "myZone": "a", "zones": ["a", "b"], "tickMs": 5.0, "registryMode": "on_request",
+           "contract": {"askWithinMs": 1000.0, "drainGraceMs": 2000.0},
+           "permissions": {"cancel": true, "probes": true, "retryAfter": true, "maxRetryAfterMs": 1500.0,
+                           "maxPostings": 1, "connectTimeoutMs": 250.0, "idleCloseMs": 60000.0},
+           "loadReport": {"via": "answers", "fields": ["busy"]}, "costs": {},
+           "schemes": [scheme("look", "safe"), scheme("move", "keyed"), scheme("pay", "unsafe")]})
+}
+
+impl Play {
+    fn start(&mut self) {
+        let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        self.at = free.local_addr().expect("its address");
+        drop(free);
+        let members: Vec<Value> = self
+            .peers
+            .iter()
+            .filter(|(name, _)| *name != "discovery")
+            .map(|(name, peer)| {
+                json!({"id": name, "host_port": peer.at.to_string(), "locality": "a", "cell": 1,
+                       "phase": "in_service", "size": 1.0, "up_since_ms": 0})
+            })
+            .collect();
+        let discovery = self.peers.entry("discovery".into()).or_insert_with(Peer::refuse).at;
+        let config = json!({"name": "n0", "listen": self.at.to_string(), "discovery": discovery.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"revision": 41, "complete": true, "members": members}, "settings": self.settings});
+        let path = self.folder.join("config.json");
+        std::fs::write(&path, config.to_string()).expect("the configuration");
+        let mut agent = Command::new(env!("CARGO_BIN_EXE_notchspool-agent"))
+            .env("ROUTER_CONFIG", path)
+            .env("NOTCHSPOOL_LOG", "debug")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the agent");
+        let (mut told, log) = (BufReader::new(agent.stderr.take().expect("its log")), self.log.clone());
+        std::thread::spawn(move || {
+            let mut line = String::new();
+            while told.read_line(&mut line).is_ok_and(|n| n > 0) {
+                *log.lock().expect("the log") += &std::mem::take(&mut line);
+            }
+        });
+        self.agent = Some(agent);
+    }
+
+    fn wait(&self, what: &str, mut holds: impl FnMut() -> bool) {
+        let began = Instant::now();
+        while !holds() {
+            if began.elapsed() > PATIENCE {
+                let log = self.log.lock().expect("the log").clone();
+                panic!("{what}\n{log}");
+            }
+            std::thread::sleep(Duration::from_millis(25));
+        }
+    }
+
+    fn call(&mut self, name: &str) -> &mut BufReader<TcpStream> {
+        let at = self.at;
+        self.calls.entry(name.to_owned()).or_insert_with(|| {
+            let io = TcpStream::connect(at).expect("the agent listens");
+            io.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            BufReader::new(io)
+        })
+    }
+
+    fn fetch(&self, path: &str) -> Option<String> {
+        let mut io = TcpStream::connect(self.at).ok()?;
+        io.set_read_timeout(Some(PATIENCE)).ok()?;
+        write!(io, "GET {path} HTTP/1.1\r\nHost: a\r\n\r\n").ok()?;
+        message(&mut BufReader::new(io)).map(|(_, _, body)| body)
+    }
+
+    fn play(&mut self, line: &str) {
+        let (what, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let (name, more) = rest.split_once(' ').unwrap_or((rest, ""));
+        match what {
+            "settings" => {
+                let place = self.settings.pointer_mut(name).expect("such a setting");
+                *place = serde_json::from_str(more).expect("a value");
+            }
+            "peer" => drop(self.peers.insert(name.to_owned(), Peer::listen(more))),
+            "refuse" => drop(self.peers.insert(name.to_owned(), Peer::refuse())),
+            "start" => {
+                self.start();
+                self.wait("it is never ready", || self.fetch("/healthz").is_some());
+            }
+            "fails" => {
+                self.start();
+                let code = self.agent.as_mut().expect("started").wait().expect("an end").code();
+                assert_eq!(code, Some(2), "the start ends with an error");
+                self.play(&format!("log {rest}"));
+            }
+            "ask" => {
+                let (more, size) = more.split_once(" body ").unwrap_or((more, ""));
+                let (method, path) = more.split_once(' ').expect("METHOD PATH");
+                let (path, headers) = path.split_once(' ').unwrap_or((path, ""));
+                let mut asked = format!("{method} {path} HTTP/1.1\r\nHost: a\r\n{}", raw(headers));
+                if !headers.contains("X-Expires") {
+                    asked += "X-Expires-In-Ms: 1500\r\n";
+                }
+                if !headers.contains("X-Trace-Id") {
+                    asked += "X-Trace-Id: 9b1f03aa5c7e2d41\r\n";
+                }
+                if let Ok(size) = size.parse() {
+                    asked += &format!("Content-Length: {size}\r\n\r\n{}", "b".repeat(size));
+                } else {
+                    asked += "\r\n";
+                }
+                // A bad request may be answered, and its connection ended, before all of it is written.
+                let _ = self.call(name).get_mut().write_all(asked.as_bytes());
+            }
+            "raw" => self.call(name).get_mut().write_all(raw(more).as_bytes()).expect("written"),
+            "hear" => {
+                let (first, headers, body) = message(self.call(name)).expect("an answer");
+                let (status, text) = more.split_once(' ').unwrap_or((more, ""));
+                assert!(
+                    first.contains(&format!(" {status} ")),
+                    "{more} wanted, heard {first}{headers}{body}"
+                );
+                assert!((headers + &body).contains(&raw(text)), "{more} wanted, heard {body}");
+            }
+            "gone" => {
+                let ended = self.call(name).read(&mut [0; 1]);
+                let reset = |e: &std::io::Error| e.kind() == ErrorKind::ConnectionReset;
+                assert!(matches!(&ended, Ok(0)) || ended.as_ref().is_err_and(reset), "{ended:?}");
+            }
+            "leave" => drop(self.calls.remove(name)),
+            "count" => {
+                let wanted = format!("{name} {more}");
+                let has = |page: String| page.lines().any(|line| line == wanted);
+                self.wait(line, || self.fetch("/-/counters").is_some_and(has));
+            }
+            "got" => {
+                let seen = self.peers[name].seen.clone();
+                self.wait(line, || seen.lock().expect("seen").bytes.contains(&raw(more)));
+            }
+            "reads" | "opens" => {
+                let seen = self.peers[name].seen.lock().expect("seen");
+                let n = if what == "reads" { seen.read } else { seen.opened };
+                assert_eq!(n.to_string(), more, "{line}");
+            }
+            "log" => self.wait(line, || self.log.lock().expect("the log").contains(rest)),
+            "pause" => std::thread::sleep(Duration::from_millis(name.parse().expect("milliseconds"))),
+            "term" => {
+                let id = self.agent.as_ref().expect("started").id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+            }
+            "ends" => {
+                let mut agent = self.agent.take().expect("started");
+                self.wait("it does not end", || agent.try_wait().is_ok_and(|end| end.is_some()));
+                assert!(agent.wait().expect("an end").success());
+            }
+            other => panic!("no such command: {other}"),
+        }
+    }
+}
+
+#[rstest]
+fn scenario(#[files("tests/peers/*.txt")] path: PathBuf) {
+    let folder = std::env::temp_dir().join(format!(
+        "notchspool-{}-{}",
+        std::process::id(),
+        path.file_stem().expect("a name").to_string_lossy()
+    ));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let mut play = Play {
+        folder,
+        settings: settings(),
+        peers: BTreeMap::new(),
+        agent: None,
+        log: Default::default(),
+        at: SocketAddr::from(([127, 0, 0, 1], 0)),
+        calls: BTreeMap::new(),
+    };
+    let text = std::fs::read_to_string(&path).expect("a scenario");
+    for line in text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#')) {
+        play.play(line);
+    }
+}
