Bounds follow small limits; letting idle links go after a time-out tried, not kept

Guess: after a zone cut the idle connections of a silent backend cost further time-outs, so drop them at the first. The time-outs are those already out when the cut begins, not later ones on stale connections: no gain, reverted. Bounds: 96 descriptors kept back left nothing of a limit under 104; now a quarter of the limit, 16 to 96.

--- a/crates/agent/src/life/bounds.rs
+++ b/crates/agent/src/life/bounds.rs
@@ -4,12 +4,11 @@
 pub const LINE: usize = 1024 * 1024; // bytes of one line of the list
 pub const BACKENDS: usize = 4096; // ids ever seen
 
-const KEPT_BACK: usize = 96; // descriptors for the listener, discovery, timers, the log, and answers at the bound
 const TXN_BYTES: usize = 256 * 1024; // a txn in hand at its largest: two bodies, and the buffers of two connections
 
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Connections of the application that may hold a txn; up to `KEPT_BACK` / 2 more are told to come back.
+    /// Connections of the application that may hold a txn; up to `most_callers` are told to come back.
     pub callers: usize,
     pub most_callers: usize,
     /// Connections to all backends together, idle ones too.
@@ -20,12 +19,14 @@
 
 impl Bounds {
     pub fn within(sockets: usize, memory_mb: usize) -> Bounds {
-        let half = sockets.saturating_sub(KEPT_BACK) / 2;
+        // Kept back for the listener, discovery, timers, the log, and, the half of it, for answers at the bound.
+        let kept_back = (sockets / 4).clamp(16, 96);
+        let half = sockets.saturating_sub(kept_back) / 2;
         let by_memory = memory_mb * 1024 * 1024 / 2 / TXN_BYTES;
         let callers = half.max(4);
         Bounds {
             callers,
-            most_callers: callers + KEPT_BACK / 2,
+            most_callers: callers + kept_back / 2,
             links: half.max(4),
             txns: by_memory.clamp(4, callers),
         }
