Bounds that lose nothing: idle connections make way for the next, discovery keeps its own

Seen in a test at 24 descriptors: a connection over the bound made all others decline, idle ones included (wire/application.rs looked at connections, not txns). Now txns in hand alone are bounded, below connections, and at the bound of connections idle ones are closed so that the next is accepted. The watch no longer shares the backends' bound.

--- a/crates/agent/src/life/bounds.rs
+++ b/crates/agent/src/life/bounds.rs
@@ -8,12 +8,11 @@
 
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Connections of the application that may hold a txn; up to `most_callers` are told to come back.
+    /// Connections of the application. Beyond it the idle are closed to make room for the next.
     pub callers: usize,
-    pub most_callers: usize,
     /// Connections to all backends together, idle ones too.
     pub links: usize,
-    /// Txns in hand.
+    /// Txns in hand, fewer than connections: there is always one left to decline on.
     pub txns: usize,
 }
 
@@ -23,12 +22,7 @@
         let kept_back = (sockets / 4).clamp(16, 96);
         let half = sockets.saturating_sub(kept_back) / 2;
         let by_memory = memory_mb * 1024 * 1024 / 2 / TXN_BYTES;
-        let callers = half.max(4);
-        Bounds {
-            callers,
-            most_callers: callers + kept_back / 2,
-            links: half.max(4),
-            txns: by_memory.clamp(4, callers),
-        }
+        let half = half.max(4);
+        Bounds { callers: half + kept_back / 2, links: half, txns: by_memory.clamp(4, half) }
     }
 }
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -56,7 +56,7 @@
     let list = List::open(desk.clone(), ground.clone(), counters.clone(), agreed.zones).start();
     // The mailboxes keep the order: the known list is with the module before the first txn is.
     list.send(Restore(known)).await.map_err(io::Error::other)?;
-    let registry = Registry::new(discovery, ground.client(), list).start();
+    let registry = Registry::new(discovery, ground.client(usize::MAX), list).start();
     desk.send(Ask(registry.recipient())).await.map_err(io::Error::other)?;
 
     let front = Rc::new(Front {
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -97,9 +97,7 @@
             body: Bytes::new(),
         };
         carried.body = body(&mut request).await?;
-        if self.counters.in_hand.get() >= self.bounds.txns
-            || self.counters.callers.get() > self.bounds.callers
-        {
+        if self.counters.in_hand.get() >= self.bounds.txns {
             // At the bound nothing is begun: a decline, as true as any.
             self.counters.add("declined_at_bound");
             log::warn!("all room for txns is taken: declined");
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -29,8 +29,9 @@
 }
 
 impl Ground {
-    pub fn client(&self) -> Client {
-        posting::client(self.links, self.connect_within, self.idle, self.counters.clone())
+    /// A client that opens connections while there are fewer than so many in all.
+    pub fn client(&self, most: usize) -> Client {
+        posting::client(most, self.connect_within, self.idle, self.counters.clone())
     }
 }
 
@@ -46,12 +47,12 @@
 
 impl Peer {
     pub fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
-        let (client, used) = (ground.client(), ground.clock.now());
+        let (client, used) = (ground.client(ground.links), ground.clock.now());
         Peer { id, at, client, desk, ground, out: BTreeMap::new(), used }.start()
     }
     /// Lets idle connections go. What is out stays out, and its connections go with it.
     fn renew(&mut self) {
-        self.client = self.ground.client();
+        self.client = self.ground.client(self.ground.links);
     }
     fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome) {
         let Some((_, sent)) = self.out.remove(&(txn, posting)) else { return };
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -44,9 +44,9 @@
     pub fn busy(&self) -> usize {
         self.all.borrow().values().filter(|call| call.busy.get() || call.fresh()).count()
     }
-    /// Ends what stands idle.
-    pub fn close_idle(&self) {
-        self.closing.set(true);
+    /// Ends what stands idle, and what comes to stand idle until this is called off.
+    pub fn close_idle(&self, closing: bool) {
+        self.closing.set(closing);
         for call in self.all.borrow().values().filter(|call| !call.busy.get()) {
             call.waker.take().into_iter().for_each(Waker::wake);
         }
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -34,18 +34,19 @@
     /// Listens from now on; what was accepted waits in the mailbox until it is served.
     pub fn listen(self, listener: TcpListener) -> actix::Addr<Gate> {
         Gate::create(|ctx| {
-            let (counters, most) = (self.front.counters.clone(), self.front.bounds.most_callers);
-            let accepted =
-                futures_util::stream::unfold((listener, counters), move |(listener, counters)| async move {
-                    while counters.callers.get() >= most {
-                        actix_rt::time::sleep(LOOK).await; // the rest waits outside, not yet taken
-                    }
-                    let came = listener.accept().await;
-                    if came.is_err() {
-                        actix_rt::time::sleep(LOOK).await; // out of descriptors: the rest waits outside
-                    }
-                    Some((came, (listener, counters)))
-                });
+            let held = (listener, self.front.clone(), self.calls.clone());
+            let accepted = futures_util::stream::unfold(held, |(listener, front, calls)| async {
+                while front.counters.callers.get() >= front.bounds.callers {
+                    calls.close_idle(true);
+                    actix_rt::time::sleep(LOOK).await; // the next waits outside
+                    calls.close_idle(front.leaving.get());
+                }
+                let came = listener.accept().await;
+                if came.is_err() {
+                    actix_rt::time::sleep(LOOK).await; // out of descriptors: the rest waits outside
+                }
+                Some((came, (listener, front, calls)))
+            });
             ctx.add_stream(accepted);
             self
         })
@@ -59,7 +60,7 @@
             ctx.stop();
             System::current().stop();
         } else {
-            self.calls.close_idle();
+            self.calls.close_idle(true);
             ctx.run_later(LOOK, Gate::look);
         }
     }
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -1,5 +1,6 @@
 //! Plays text scenarios against the built agent, with peers on loopback. A line is a command, `#` a remark.
-//! `settings NAME VALUE`: before the start. `peer A STEP; STEP...| STEP...`: what a backend (or `discovery`) does on
+//! `settings NAME VALUE`, `sockets N`: before the start. A peer is on the known list unless its name begins with `new`; `@A`
+//! in a later script is its address. `peer A STEP; STEP...| STEP...`: what a backend (or `discovery`) does on
 //! its first connection, its second...; the last stands for all further ones. Steps: `read` a whole request, `head` only
 //! its head, `part` its first bytes; `say TEXT` raw; `ok TEXT`, `status LINE`, `list JSON`: an answer; `line JSON`: a chunk of a
 //! watch, `piece TEXT` any chunk; `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there. `start`, `fails TEXT`: it must not start.
@@ -132,6 +133,7 @@
 struct Play {
     folder: PathBuf,
     settings: Value,
+    sockets: usize,
     peers: BTreeMap<String, Peer>,
     agent: Option<Child>,
     log: Arc<Mutex<String>>,
@@ -170,7 +172,7 @@
         let members: Vec<Value> = self
             .peers
             .iter()
-            .filter(|(name, _)| *name != "discovery")
+            .filter(|(name, _)| *name != "discovery" && !name.starts_with("new"))
             .map(|(name, peer)| {
                 json!({"id": name, "host_port": peer.at.to_string(), "locality": "a", "cell": 1,
                        "phase": "in_service", "size": 1.0, "up_since_ms": 0})
@@ -178,7 +180,7 @@
             .collect();
         let discovery = self.peers.entry("discovery".into()).or_insert_with(Peer::refuse).at;
         let config = json!({"name": "n0", "listen": self.at.to_string(), "discovery": discovery.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": {"revision": 41, "complete": true, "members": members}, "settings": self.settings});
         let path = self.folder.join("config.json");
         std::fs::write(&path, config.to_string()).expect("the configuration");
@@ -229,11 +231,18 @@
         let (what, rest) = line.split_once(' ').unwrap_or((line, ""));
         let (name, more) = rest.split_once(' ').unwrap_or((rest, ""));
         match what {
+            "sockets" => self.sockets = name.parse().expect("a number"),
             "settings" => {
                 let place = self.settings.pointer_mut(name).expect("such a setting");
                 *place = serde_json::from_str(more).expect("a value");
             }
-            "peer" => drop(self.peers.insert(name.to_owned(), Peer::listen(more))),
+            "peer" => {
+                let place = |script: String, (name, peer): (&String, &Peer)| {
+                    script.replace(&format!("@{name}"), &peer.at.to_string())
+                };
+                let script = self.peers.iter().fold(more.to_owned(), place);
+                self.peers.insert(name.to_owned(), Peer::listen(&script));
+            }
             "refuse" => drop(self.peers.insert(name.to_owned(), Peer::refuse())),
             "start" => {
                 self.start();
@@ -321,6 +330,7 @@
     let mut play = Play {
         folder,
         settings: settings(),
+        sockets: 1024,
         peers: BTreeMap::new(),
         agent: None,
         log: Default::default(),
