--- a/crates/agent/src/life/bounds.rs
+++ b/crates/agent/src/life/bounds.rs
@@ -4,7 +4,8 @@
 pub const LINE: usize = 1024 * 1024; // bytes of one line of the list
 pub const BACKENDS: usize = 4096; // ids ever seen
 
-const TXN_BYTES: usize = 256 * 1024; // a txn in hand at its largest: two bodies, and the buffers of two connections
+/// A txn in hand at its largest: two bodies, and the buffers of two connections.
+const TXN_BYTES: usize = 256 * 1024;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -18,7 +19,7 @@
 
 impl Bounds {
     pub fn within(sockets: usize, memory_mb: usize) -> Bounds {
-        // Kept back for the listener, discovery, timers, the log, and, the half of it, for answers at the bound.
+        // Kept back for the listener, discovery, timers, the log; half of it for declines at the bound.
         let kept_back = (sockets / 4).clamp(16, 96);
         let half = sockets.saturating_sub(kept_back) / 2;
         let by_memory = memory_mb * 1024 * 1024 / 2 / TXN_BYTES;
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -202,6 +202,7 @@
 impl Handler<Probed> for Desk {
     type Result = ();
     fn handle(&mut self, probed: Probed, ctx: &mut Context<Desk>) {
+        probed.report.iter().for_each(|_| self.hand.counters.add("reports"));
         self.call(ctx, |balancer, _| {
             balancer.reported(probed.backend, probed.report);
             balancer.probed(probed.backend, probed.fate);
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -114,8 +114,8 @@
     }
 }
 
-/// The watch failed. It comes by here to keep its place behind the lines of that watch: heard before them, the
-/// module would take them for signs of a living one and not ask again.
+/// The watch failed. It comes by here to keep its place behind the lines of that watch: heard before them,
+/// the module would take them for signs of a living one and not ask again.
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Ended;
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -57,8 +57,8 @@
     Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
-/// Little waits in the system's buffer: it counts as memory, and what is still here when a connection breaks is
-/// known not to have been written.
+/// Little waits in the system's buffer: it counts as memory, and what is still here when a connection
+/// breaks is known not to have been written.
 async fn connect(at: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_send_buffer_size(SEND_BUFFER)?;
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -1,12 +1,14 @@
 //! Plays text scenarios against the built agent, with peers on loopback. A line is a command, `#` a remark.
-//! `settings NAME VALUE`, `sockets N`: before the start. A peer is on the known list unless its name begins with `new`; `@A`
-//! in a later script is its address. `peer A STEP; STEP...| STEP...`: what a backend (or `discovery`) does on
-//! its first connection, its second...; the last stands for all further ones. Steps: `read` a whole request, `head` only
-//! its head, `part` its first bytes; `say TEXT` raw; `ok TEXT`, `status LINE`, `list JSON`: an answer; `line JSON`: a chunk of a
-//! watch, `piece TEXT` any chunk; `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there. `start`, `fails TEXT`: it must not start.
-//! `ask N LINE [body SIZE]`: on connection N; `raw N TEXT`; `hear N STATUS TEXT`: the next answer there; `gone N`: closed
-//! by the agent; `leave N`. `count NAME VALUE`: a counter comes to it; `got A TEXT`: A has read this, whatever came around it;
-//! `reads A N`: whole requests it read; `opens A N`: connections; `log TEXT`; `term`; `ends`: with exit code 0.
+//! `settings NAME VALUE`, `sockets N`: before the start. A peer is on the known list unless its name begins
+//! with `new`; `@A` in a later script is its address. `peer A STEP; STEP...| STEP...`: what a backend (or
+//! `discovery`) does on its first connection, its second...; the last stands for all further ones. Steps:
+//! `read` a whole request, `head` only its head, `part` its first bytes; `say TEXT` raw; `ok TEXT`, `fill
+//! SIZE`, `status LINE`, `list JSON`: an answer; `line JSON`: a chunk of a watch, `piece TEXT` any chunk;
+//! `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there. `start`, `fails TEXT`: it must
+//! not start. `ask N LINE [body SIZE]`: on connection N; `raw N TEXT`; `hear N STATUS TEXT`: the next answer
+//! there; `gone N`: closed by the agent; `leave N`. `count NAME VALUE`: a counter comes to it; `got A TEXT`:
+//! A has read this, whatever came around it; `reads A N`: whole requests it read; `opens A N`: connections;
+//! `log TEXT`; `term`; `ends`: with exit code 0.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -91,6 +93,10 @@
                 let line = if what == "line" { rest.to_owned() + "\n" } else { raw(rest) };
                 write!(io, "{:x}\r\n{line}\r\n", line.len())?;
             }
+            "fill" => {
+                let body = "f".repeat(rest.parse().expect("a size"));
+                write!(io, "HTTP/1.1 200 OK\r\nContent-Length: {rest}\r\n\r\n{body}")?;
+            }
             "status" => write!(io, "HTTP/1.1 {}\r\nContent-Length: 0\r\n\r\n", raw(rest))?,
             "wait" => std::thread::sleep(Duration::from_millis(rest.parse().expect("milliseconds"))),
             "close" => return io.shutdown(Shutdown::Both),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -409,8 +409,8 @@
     }
 
     /// The habit: an agent sends to few members, and adds one, drawn like all else, whenever they are all
-    /// busy: hold a posting of ours or are ejected. One that drains, goes or is far slower than its peers makes
-    /// room: few good ones are sooner known than all the bad ones.
+    /// busy: hold a posting of ours or are ejected. One that drains, goes or is far slower than its peers
+    /// makes room: few good ones are sooner known than all the bad ones.
     fn enlist(&mut self, txn: TxnRef) {
         let Some((scheme, last)) = self.txns.get(&txn).map(|s| (s.scheme, s.last)) else { return };
         let stays = |b: &Backend| !b.dropped && (b.told.is_none() || b.frozen.is_some());
