--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -14,6 +14,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,14 @@
     bytes: String,
 }
 
+/// A free port at an address that nothing else here uses, so that no one takes it meanwhile.
+fn unused() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let (run, n) = (std::process::id() % 200 + 20, NEXT.fetch_add(1, Ordering::Relaxed));
+    let free = TcpListener::bind(format!("127.{run}.{n}.1:0")).expect("a free port");
+    free.local_addr().expect("its address")
+}
+
 struct Peer {
     at: SocketAddr,
     seen: Arc<Mutex<Seen>>,
@@ -131,8 +140,7 @@
         Peer { at, seen }
     }
     fn refuse() -> Peer {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        Peer { at: listener.local_addr().expect("its address"), seen: Default::default() }
+        Peer { at: unused(), seen: Default::default() }
     }
 }
 
@@ -172,9 +180,7 @@
 
 impl Play {
     fn start(&mut self) {
-        let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        self.at = free.local_addr().expect("its address");
-        drop(free);
+        self.at = unused();
         let members: Vec<Value> = self
             .peers
             .iter()
