--- a/crates/agent/src/life/bounds.rs
+++ b/crates/agent/src/life/bounds.rs
@@ -11,7 +11,7 @@
 pub struct Bounds {
     /// Connections of the application. Beyond it the idle are closed to make room for the next.
     pub callers: usize,
-    /// Connections to all backends together, idle ones too.
+    /// Connections to all backends together, idle ones too, and the one of the watch.
     pub links: usize,
     /// Txns in hand, fewer than connections: there is always one left to decline on.
     pub txns: usize,
@@ -24,6 +24,6 @@
         let half = sockets.saturating_sub(kept_back) / 2;
         let by_memory = memory_mb * 1024 * 1024 / 2 / TXN_BYTES;
         let half = half.max(4);
-        Bounds { callers: half + kept_back / 2, links: half, txns: by_memory.clamp(4, half) }
+        Bounds { callers: half + kept_back / 2, links: half + 1, txns: by_memory.clamp(4, half) }
     }
 }
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -56,8 +56,8 @@
     }
     fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome) {
         let Some((_, sent)) = self.out.remove(&(txn, posting)) else { return };
-        let Outcome { fate, report, made, no_room } = outcome;
-        if no_room {
+        let Outcome { fate, report, made } = outcome;
+        if fate == Fate::NeverSent {
             self.ground.counters.add("no_room_for_links");
             log::warn!("backend {}: no connection left of {}", self.at, self.ground.links);
             self.desk.do_send(NoRoom);
@@ -126,8 +126,7 @@
     fn handle(&mut self, cancel: Cancel, ctx: &mut Context<Peer>) {
         if let Some((handle, _)) = self.out.get(&(cancel.txn, cancel.posting)) {
             ctx.cancel_future(*handle);
-            let outcome = Outcome { fate: Fate::Withdrawn, report: None, made: None, no_room: false };
-            self.returned(cancel.txn, cancel.posting, outcome);
+            self.returned(cancel.txn, cancel.posting, Outcome::only(Fate::Withdrawn));
         }
     }
 }
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -69,13 +69,11 @@
     pub fate: Fate,
     pub report: Option<Report>,
     pub made: Option<Made>,
-    /// It failed for want of room, not by the peer's doing.
-    pub no_room: bool,
 }
 
 impl Outcome {
-    fn only(fate: Fate) -> Outcome {
-        Outcome { fate, report: None, made: None, no_room: false }
+    pub fn only(fate: Fate) -> Outcome {
+        Outcome { fate, report: None, made: None }
     }
 }
 
@@ -126,9 +124,7 @@
     let whole = |n: usize| length.is_none_or(|length| length == n) && !(chunked && mark.ended.get());
     let body = body.ok().filter(|body| whole(body.len()));
     match (fate, body) {
-        (Fate::Settled, Some(body)) => {
-            Outcome { fate, report, made: Some(Made { body, form }), no_room: false }
-        }
+        (Fate::Settled, Some(body)) => Outcome { fate, report, made: Some(Made { body, form }) },
         (Fate::Settled, None) => Outcome { report, ..Outcome::only(Fate::Broken) },
         (fate, _) => Outcome { report, ..Outcome::only(fate) },
     }
@@ -149,11 +145,11 @@
 
 /// A break before the last byte was written never ran; after it, it may have.
 fn broke(why: &SendRequestError, whole: bool) -> Outcome {
-    let no_room = matches!(why, SendRequestError::Connect(ConnectError::Io(e)) if e.to_string() == NO_ROOM);
-    if no_room {
-        return Outcome { no_room, ..Outcome::only(Fate::NeverSent) };
-    }
-    Outcome::only(if whole { Fate::Broken } else { Fate::NoLink })
+    Outcome::only(match why {
+        SendRequestError::Connect(ConnectError::Io(e)) if e.to_string() == NO_ROOM => Fate::NeverSent,
+        _ if whole => Fate::Broken,
+        _ => Fate::NoLink,
+    })
 }
 
 /// Asks a backend for its health and load.
