The end of an idle connection no longer spoils a chunked answer on the next one

Found by reading: awc looks at a kept connection by reading from it, inside the posting's own mark. If the backend had closed it, the mark counted as ended (wire/link.rs, poll_read), and a chunked answer on the fresh connection passed for cut short: settled work was reversed. An end now counts only once the posting is written whole. CALL_SLOW taken out: the server never says it.

--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -84,7 +84,6 @@
                 Ok(()) => "CALL_CLOSED",
                 Err(DispatchError::Io(_)) => "CALL_RESET",
                 Err(DispatchError::Parse(_)) => "CALL_BROKEN_HTTP",
-                Err(DispatchError::SlowRequestTimeout) => "CALL_SLOW",
                 Err(_) => "CALL_FAILED",
             };
             counters.add("calls_ended");
--- a/crates/agent/src/wire/link.rs
+++ b/crates/agent/src/wire/link.rs
@@ -103,7 +103,8 @@
             Poll::Ready(Ok(())) => {
                 if buf.filled().len() == before && buf.remaining() > 0 {
                     self.end = Some(End::Closed);
-                    let _ = MARK.try_with(|mark| mark.ended.set(true));
+                    // Not where an idle connection is looked at before the posting takes another one.
+                    let _ = MARK.try_with(|mark| mark.ended.set(mark.whole()));
                 } else {
                     self.waiting = false;
                 }
