--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -3,12 +3,13 @@
 //! with `new`; `@A` in a later script is its address. `peer A STEP; STEP...| STEP...`: what a backend (or
 //! `discovery`) does on its first connection, its second...; the last stands for all further ones. Steps:
 //! `read` a whole request, `head` only its head, `part` its first bytes; `say TEXT` raw; `ok TEXT`, `fill
-//! SIZE`, `status LINE`, `list JSON`: an answer; `line JSON`: a chunk of a watch, `piece TEXT` any chunk;
-//! `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there. `start`, `fails TEXT`: it must
-//! not start. `ask N LINE [body SIZE]`: on connection N; `raw N TEXT`; `hear N STATUS TEXT`: the next answer
-//! there; `gone N`: closed by the agent; `leave N`. `count NAME VALUE`: a counter comes to it; `got A TEXT`:
-//! A has read this, whatever came around it; `reads A N`: whole requests it read; `opens A N`: connections;
-//! `log TEXT`; `term`; `ends`: with exit code 0.
+//! SIZE`, `status LINE`, `list JSON`: an answer; `line JSON`: a chunk of a watch, `piece TEXT` any chunk,
+//! `flood SIZE` a large one; `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there;
+//! `silent A`: no connection there comes up. `start`, `fails TEXT`: it must not start. `ask N LINE [body
+//! SIZE]`: on connection N; `raw N TEXT`; `hear N STATUS TEXT`: the next answer there; `gone N`: closed by
+//! the agent; `leave N`. `count NAME VALUE`: a counter comes to it; `got A TEXT`: A has read this, whatever
+//! came around it; `reads A N`: whole requests it read; `opens A N`: connections; `log TEXT`; `term`;
+//! `ends`: with exit code 0.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -20,7 +21,7 @@
 
 use rstest::rstest;
 use serde_json::{Value, json};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -102,6 +103,10 @@
                 let line = if what == "line" { rest.to_owned() + "\n" } else { raw(rest) };
                 write!(io, "{:x}\r\n{line}\r\n", line.len())?;
             }
+            "flood" => {
+                let size = rest.parse().expect("a size");
+                write!(io, "{size:x}\r\n{}\r\n", "x".repeat(size))?;
+            }
             "fill" => {
                 let body = "f".repeat(rest.parse().expect("a size"));
                 write!(io, "HTTP/1.1 200 OK\r\nContent-Length: {rest}\r\n\r\n{body}")?;
@@ -139,6 +144,21 @@
         });
         Peer { at, seen }
     }
+    /// Takes in no connection, and says so to no one: the system holds all that it may for a listener.
+    fn silent() -> Peer {
+        let held = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        held.bind(&unused().into()).expect("a free port");
+        held.listen(0).expect("a listener");
+        let at = held.local_addr().expect("its address");
+        for _ in 0..4 {
+            let waiting = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            waiting.set_nonblocking(true).expect("not blocking");
+            let _ = waiting.connect(&at);
+            std::mem::forget(waiting);
+        }
+        std::mem::forget(held);
+        Peer { at: at.as_socket().expect("an address and port"), seen: Default::default() }
+    }
     fn refuse() -> Peer {
         Peer { at: unused(), seen: Default::default() }
     }
@@ -255,6 +275,7 @@
                 let script = self.peers.iter().fold(more.to_owned(), place);
                 self.peers.insert(name.to_owned(), Peer::listen(&script));
             }
+            "silent" => drop(self.peers.insert(name.to_owned(), Peer::silent())),
             "refuse" => drop(self.peers.insert(name.to_owned(), Peer::refuse())),
             "start" => {
                 self.start();
