Numbers of long gone backends are used again; the bounds say when they act

A sidecar that runs for months met 4,096 ids in the end and then left every new backend out (memory/list.rs). Now a number is free ten minutes after its backend left a list that counts; the module resets it as it does any dropped one that is listed again.

--- a/crates/agent/src/life/bounds.rs
+++ b/crates/agent/src/life/bounds.rs
@@ -2,7 +2,7 @@
 pub const BODY: usize = 64 * 1024; // bytes of one body, either way
 pub const SEND_BUFFER: u32 = 16 * 1024; // bytes of a posting that the system may hold unsent
 pub const LINE: usize = 1024 * 1024; // bytes of one line of the list
-pub const BACKENDS: usize = 4096; // ids ever seen
+pub const BACKENDS: usize = 4096; // known at once; who is long gone makes room
 
 /// A txn in hand at its largest: two bodies, and the buffers of two connections.
 const TXN_BYTES: usize = 256 * 1024;
--- /dev/null
+++ b/crates/agent/src/memory/ids.rs
@@ -0,0 +1,81 @@
+//! Numbers for backends, by the names that discovery gives them. A number whose backend has been gone for long
+//! goes to the next new name, so that neither this table nor the module's grows with every backend ever seen.
+use std::collections::BTreeMap;
+
+use notchspool::units::{BackendId, Micros};
+
+/// Long enough that no freeze, no posting and no window still has to do with the one that is gone.
+const LONG_GONE: Micros = Micros::ms(10 * 60_000);
+
+#[derive(Default)]
+pub struct Ids {
+    by_name: BTreeMap<String, BackendId>,
+    gone: BTreeMap<BackendId, Micros>,
+    next: u32,
+}
+
+impl Ids {
+    /// The number of a name: its own, one that is free again, or a new one while there are fewer than `most`.
+    pub fn number(&mut self, name: &str, now: Micros, most: usize) -> Option<BackendId> {
+        if let Some(id) = self.by_name.get(name) {
+            return Some(*id);
+        }
+        let free = self.gone.iter().find(|&(_, &since)| now - since > LONG_GONE).map(|(id, _)| *id);
+        let id = match free {
+            Some(id) => {
+                self.gone.remove(&id);
+                self.by_name.retain(|_, held| *held != id);
+                id
+            }
+            None if (self.next as usize) < most => {
+                self.next += 1;
+                BackendId(self.next - 1)
+            }
+            None => return None,
+        };
+        self.by_name.insert(name.to_owned(), id);
+        Some(id)
+    }
+    pub fn here(&mut self, id: BackendId) {
+        self.gone.remove(&id);
+    }
+    pub fn gone(&mut self, id: BackendId, now: Micros) {
+        self.gone.entry(id).or_insert(now);
+    }
+    /// A whole list names all that are here.
+    pub fn only(&mut self, here: impl Fn(BackendId) -> bool, now: Micros) {
+        for id in (0..self.next).map(BackendId).filter(|id| !here(*id)) {
+            self.gone.entry(id).or_insert(now);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_number_is_used_again_once_its_backend_is_long_gone() {
+        let (mut ids, start) = (Ids::default(), Micros::ms(5));
+        let [a, b] = ["a", "b"].map(|name| ids.number(name, start, 2).expect("room"));
+        assert_ne!(a, b);
+        ids.gone(a, start);
+        assert_eq!(ids.number("c", start + LONG_GONE, 2), None, "not yet, and there is no room for more");
+        let later = start + LONG_GONE + Micros(1);
+        assert_eq!(ids.number("c", later, 2), Some(a));
+        assert_eq!(ids.number("b", later, 2), Some(b));
+        assert_eq!(ids.number("a", later, 2), None, "the old name has lost it");
+    }
+
+    #[test]
+    fn what_comes_back_or_stands_on_a_whole_list_keeps_its_number() {
+        let (mut ids, start) = (Ids::default(), Micros::ms(5));
+        let [a, b] = ["a", "b"].map(|name| ids.number(name, start, 2).expect("room"));
+        ids.gone(a, start);
+        ids.here(a);
+        ids.only(|id| id == a, start);
+        let later = start + LONG_GONE + Micros(1);
+        assert_eq!(ids.number("c", later, 2), Some(b));
+        assert_eq!(ids.number("a", later, 2), Some(a));
+    }
+}
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -1,5 +1,5 @@
 //! The actor that owns the server list: ids and addresses of backends, and the version last heard.
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,6 +10,7 @@
 
 use super::counters::Counters;
 use super::desk::{Desk, ListFailed, Listed, Meet};
+use super::ids::Ids;
 use crate::life::bounds::BACKENDS;
 use crate::wire::backend::{Ground, Move, Peer};
 use crate::wire::listing;
@@ -19,7 +20,7 @@
     ground: Rc<Ground>,
     counters: Rc<Counters>,
     zones: Vec<String>,
-    ids: BTreeMap<String, BackendId>,
+    ids: Ids,
     peers: Vec<(SocketAddr, Addr<Peer>)>,
     /// Where the next watch goes on from.
     version: Option<Generation>,
@@ -34,7 +35,7 @@
             ground,
             counters,
             zones,
-            ids: BTreeMap::new(),
+            ids: Ids::default(),
             peers: Vec::new(),
             version: None,
             garbled: false,
@@ -42,19 +43,17 @@
         }
     }
 
-    /// One entry of a list that is being read. Its address may be new; a new id gets an actor of its own.
+    /// One entry of a list that is being read. Its address may be new; a new number gets an actor of its own.
     pub fn entry(&mut self, name: &str, at: SocketAddr, zone: &str, mut entry: Entry) {
-        let known = self.ids.get(name).copied();
-        if known.is_none() && self.peers.len() >= BACKENDS {
-            log::warn!("list: over {BACKENDS} ids seen, {name} is left out");
-            return;
-        }
+        let now = self.ground.clock.now();
+        let Some(id) = self.ids.number(name, now, BACKENDS) else {
+            return log::warn!("list: over {BACKENDS} backends, {name} is left out");
+        };
         entry.zone = zone_number(&mut self.zones, zone);
-        entry.backend = known.unwrap_or(BackendId(self.peers.len() as u32));
+        entry.backend = id;
         match self.peers.get_mut(entry.backend.0 as usize) {
             None => {
                 let peer = Peer::meet(entry.backend, at, self.desk.clone(), self.ground.clone());
-                self.ids.insert(name.to_owned(), entry.backend);
                 self.desk.do_send(Meet(entry.backend, peer.clone()));
                 self.peers.push((at, peer));
             }
@@ -67,8 +66,27 @@
         self.staged.push(entry);
     }
 
+    /// Who is gone, by the list just read.
+    fn count(&mut self, whole: bool) {
+        let now = self.ground.clock.now();
+        for entry in &self.staged {
+            match entry.standing {
+                Standing::Gone => self.ids.gone(entry.backend, now),
+                Standing::Ready | Standing::Draining => self.ids.here(entry.backend),
+            }
+        }
+        if whole {
+            let here: BTreeSet<BackendId> = self.staged.iter().map(|entry| entry.backend).collect();
+            self.ids.only(|id| here.contains(&id), now);
+        }
+    }
+
     /// The list was read to its end.
     pub fn read(&mut self, how: Refresh, version: Generation) {
+        // Only what the module does not pass over: no older version, no whole list without entries.
+        if Some(version) >= self.version && !(how != Refresh::Delta && self.staged.is_empty()) {
+            self.count(how != Refresh::Delta);
+        }
         self.garbled &= how == Refresh::Delta;
         if !self.garbled {
             self.version = self.version.max(Some(version));
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -2,5 +2,6 @@
 pub mod counters;
 pub mod desk;
 pub mod hand;
+mod ids;
 pub mod list;
 pub mod txn;
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -36,6 +36,9 @@
         Gate::create(|ctx| {
             let held = (listener, self.front.clone(), self.calls.clone());
             let accepted = futures_util::stream::unfold(held, |(listener, front, calls)| async {
+                if front.counters.callers.get() >= front.bounds.callers {
+                    log::warn!("all {} connections are taken: the idle make way", front.bounds.callers);
+                }
                 while front.counters.callers.get() >= front.bounds.callers {
                     calls.close_idle(true);
                     actix_rt::time::sleep(LOOK).await; // the next waits outside
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -125,7 +125,10 @@
     let body = body.ok().filter(|body| whole(body.len()));
     match (fate, body) {
         (Fate::Settled, Some(body)) => Outcome { fate, report, made: Some(Made { body, form }) },
-        (Fate::Settled, None) => Outcome { report, ..Outcome::only(Fate::Broken) },
+        (Fate::Settled, None) => {
+            log::warn!("backend {at}: an answer that stops short or is over 64 KiB");
+            Outcome { report, ..Outcome::only(Fate::Broken) }
+        }
         (fate, _) => Outcome { report, ..Outcome::only(fate) },
     }
 }
