--- a/crates/agent/src/life/bounds.rs
+++ b/crates/agent/src/life/bounds.rs
@@ -13,6 +13,8 @@
     pub callers: usize,
     /// Connections to all backends together, idle ones too, and the one of the watch.
     pub links: usize,
+    /// Postings out to one backend, and so its connections: one that is silent must not hold them all.
+    pub links_each: usize,
     /// Txns in hand, fewer than connections: there is always one left to decline on.
     pub txns: usize,
 }
@@ -24,6 +26,11 @@
         let half = sockets.saturating_sub(kept_back) / 2;
         let by_memory = memory_mb * 1024 * 1024 / 2 / TXN_BYTES;
         let half = half.max(4);
-        Bounds { callers: half + kept_back / 2, links: half + 1, txns: by_memory.clamp(4, half) }
+        Bounds {
+            callers: half + kept_back / 2,
+            links: half + 1,
+            links_each: (half / 4).max(4),
+            txns: by_memory.clamp(4, half),
+        }
     }
 }
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -46,6 +46,7 @@
         clock,
         counters: counters.clone(),
         links: bounds.links,
+        links_each: bounds.links_each,
         connect_within: span(agreed.connect_within),
         // Not near the time at which the backend closes: a posting written then may have run.
         idle: span(agreed.idle_close.times(0.8)),
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -23,6 +23,7 @@
     pub clock: Clock,
     pub counters: Rc<Counters>,
     pub links: usize,
+    pub links_each: usize,
     pub connect_within: Duration,
     /// How long a connection is kept idle: short of when the backend may close it.
     pub idle: Duration,
@@ -105,6 +106,13 @@
     type Result = ();
     fn handle(&mut self, post: Post, ctx: &mut Context<Peer>) {
         let Post { txn, posting, until, carried } = post;
+        if self.out.len() >= self.ground.links_each {
+            self.ground.counters.add("no_room_at_backend");
+            log::warn!("backend {}: {} postings are out, no more", self.at, self.out.len());
+            let (backend, fate) = (self.id, Fate::NeverSent);
+            let (took, report, made) = (Micros(0), None, None);
+            return self.desk.do_send(Returned { txn, posting, backend, fate, took, report, made });
+        }
         let within = self.ground.clock.until(until);
         self.used = self.ground.clock.now();
         let sent = posting::post(self.client.clone(), self.at, carried, within)
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -207,7 +207,7 @@
             .filter(|(name, _)| *name != "discovery" && !name.starts_with("new"))
             .map(|(name, peer)| {
                 json!({"id": name, "host_port": peer.at.to_string(), "locality": "a", "cell": 1,
-                       "phase": "in_service", "size": 1.0, "up_since_ms": 0})
+                       "phase": "in_service", "size": 4.0, "up_since_ms": 0})
             })
             .collect();
         let discovery = self.peers.entry("discovery".into()).or_insert_with(Peer::refuse).at;
