Read-through of the agent: one place builds a returned posting, copied state and dead code out

Behaviour is meant to be the same. Returned was built twice in wire/backend.rs; reports were counted apart from where the module hears them; Gate kept a second clock and Ground copies of the bounds; the limits had a reader beside terms::read::number; the link's end was an enum only to be turned into its code; Ids::only repeated gone; the test step `head` was used by no scenario; a blank line was lost in wirehost. One text differs: a limit that is no number is now told of in the words of the other fields.

--- a/crates/agent/src/life/clock.rs
+++ b/crates/agent/src/life/clock.rs
@@ -23,10 +23,6 @@
     }
 }
 
-pub fn micros(span: Duration) -> Micros {
-    Micros(i64::try_from(span.as_micros()).unwrap_or(i64::MAX))
-}
-
 pub fn span(micros: Micros) -> Duration {
     Duration::from_micros(micros.0.max(0) as u64)
 }
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -18,7 +18,7 @@
 use crate::memory::list::{List, Restore};
 use crate::wire::application::Front;
 use crate::wire::backend::Ground;
-use crate::wire::caller::{Caller, Calls};
+use crate::wire::caller::Caller;
 use crate::wire::gate::{Gate, Serve};
 use crate::wire::registry::Registry;
 
@@ -45,8 +45,7 @@
     let ground = Rc::new(Ground {
         clock,
         counters: counters.clone(),
-        links: bounds.links,
-        links_each: bounds.links_each,
+        bounds,
         connect_within: span(agreed.connect_within),
         // Not near the time at which the backend closes: a posting written then may have run.
         idle: span(agreed.idle_close.times(0.8)),
@@ -71,8 +70,7 @@
     });
     let serve = serve(front.clone()).await?;
     let listener = TcpListener::bind(listen).await?;
-    let gate =
-        Gate { front, calls: Rc::new(Calls::default()), serve, clock, longest: agreed.longest, asked: None };
+    let gate = Gate { front, calls: Rc::default(), serve, longest: agreed.longest, asked: None };
     log::info!("{name}: ready at {listen}");
     stop::listen(gate.listen(listener))
 }
--- a/crates/agent/src/life/start.rs
+++ b/crates/agent/src/life/start.rs
@@ -1,7 +1,7 @@
 //! What an agent is told: the environment and the configuration file. Anything senseless ends the start.
 use std::net::SocketAddr;
 
-use notchspool_terms::read::{Read, text};
+use notchspool_terms::read::{Read, number, text};
 use notchspool_terms::{Agreed, agreed};
 use serde_json::Value;
 
@@ -35,13 +35,9 @@
         value.parse::<SocketAddr>().map_err(|_| format!("field `{field}`: `{value}` is no address and port"))
     };
     let seed = text(&all, "seed")?;
-    let limit = |field: &str, default: usize| match &all["limits"][field] {
-        Value::Null => Ok(default),
-        value => value
-            .as_f64()
-            .filter(|n| *n >= 1.0)
-            .map(|n| n as usize)
-            .ok_or_else(|| format!("field `limits.{field}` is no number above 0")),
+    let limit = |field: &str, default: f64| match number(&all["limits"], field, Some(default))? {
+        limit if limit >= 1.0 => Ok(limit as usize),
+        _ => Err(format!("field `{field}` is below 1")),
     };
     Ok(Told {
         name: either("ROUTER_NAME", "name")?,
@@ -49,7 +45,7 @@
         discovery: address("ROUTER_DISCOVERY", "discovery")?,
         seed: u64::from_str_radix(seed, 16)
             .map_err(|_| format!("field `seed`: `{seed}` is not hexadecimal"))?,
-        bounds: Bounds::within(limit("sockets", 1024)?, limit("memory_mb", 192)?),
+        bounds: Bounds::within(limit("sockets", 1024.0)?, limit("memory_mb", 192.0)?),
         agreed: agreed(&all["settings"])?,
         known: all["known"].take(),
     })
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -41,6 +41,14 @@
     }
 }
 
+/// What a backend told of its load, with a posting or a probe.
+fn heard(balancer: &mut Balancer, hand: &Hand, backend: BackendId, report: Option<Report>) {
+    if report.is_some() {
+        hand.counters.add("reports");
+    }
+    balancer.reported(backend, report);
+}
+
 impl Actor for Desk {
     type Context = Context<Desk>;
 }
@@ -162,7 +170,6 @@
     fn handle(&mut self, back: Returned, ctx: &mut Context<Desk>) {
         let Returned { txn, posting, backend, fate, took, report, made } = back;
         self.hand.counters.posting(fate);
-        report.iter().for_each(|_| self.hand.counters.add("reports"));
         let held = self.hand.txns.get_mut(&txn);
         let closed = held.as_ref().is_none_or(|held| held.caller.is_none());
         if let Some(held) = held {
@@ -172,7 +179,7 @@
             self.hand.answer(txn, Answer::Settled(made), "settled");
         }
         self.call(ctx, |balancer, hand| {
-            balancer.reported(backend, report);
+            heard(balancer, hand, backend, report);
             if let Some(handle) = balancer.txn(txn) {
                 handle.returned(posting, fate, took, closed, hand);
             }
@@ -202,9 +209,8 @@
 impl Handler<Probed> for Desk {
     type Result = ();
     fn handle(&mut self, probed: Probed, ctx: &mut Context<Desk>) {
-        probed.report.iter().for_each(|_| self.hand.counters.add("reports"));
-        self.call(ctx, |balancer, _| {
-            balancer.reported(probed.backend, probed.report);
+        self.call(ctx, |balancer, hand| {
+            heard(balancer, hand, probed.backend, probed.report);
             balancer.probed(probed.backend, probed.fate);
         });
     }
--- a/crates/agent/src/memory/ids.rs
+++ b/crates/agent/src/memory/ids.rs
@@ -45,7 +45,7 @@
     /// A whole list names all that are here.
     pub fn only(&mut self, here: impl Fn(BackendId) -> bool, now: Micros) {
         for id in (0..self.next).map(BackendId).filter(|id| !here(*id)) {
-            self.gone.entry(id).or_insert(now);
+            self.gone(id, now);
         }
     }
 }
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -10,7 +10,8 @@
 use notchspool::units::*;
 
 use super::posting::{self, Outcome};
-use crate::life::clock::{Clock, micros};
+use crate::life::bounds::Bounds;
+use crate::life::clock::{Clock, span};
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Desk, NoRoom, Probed, Returned};
 use crate::memory::txn::Carried;
@@ -22,8 +23,7 @@
 pub struct Ground {
     pub clock: Clock,
     pub counters: Rc<Counters>,
-    pub links: usize,
-    pub links_each: usize,
+    pub bounds: Bounds,
     pub connect_within: Duration,
     /// How long a connection is kept idle: short of when the backend may close it.
     pub idle: Duration,
@@ -48,22 +48,24 @@
 
 impl Peer {
     pub fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
-        let (client, used) = (ground.client(ground.links), ground.clock.now());
+        let (client, used) = (ground.client(ground.bounds.links), ground.clock.now());
         Peer { id, at, client, desk, ground, out: BTreeMap::new(), used }.start()
     }
     /// Lets idle connections go. What is out stays out, and its connections go with it.
     fn renew(&mut self) {
-        self.client = self.ground.client(self.ground.links);
+        self.client = self.ground.client(self.ground.bounds.links);
     }
     fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome) {
         let Some((_, sent)) = self.out.remove(&(txn, posting)) else { return };
-        let Outcome { fate, report, made } = outcome;
-        if fate == Fate::NeverSent {
+        if outcome.fate == Fate::NeverSent {
             self.ground.counters.add("no_room_for_links");
-            log::warn!("backend {}: no connection left of {}", self.at, self.ground.links);
+            log::warn!("backend {}: no connection left of {}", self.at, self.ground.bounds.links);
             self.desk.do_send(NoRoom);
         }
-        let (backend, took) = (self.id, self.ground.clock.now() - sent);
+        self.tell(txn, posting, self.ground.clock.now() - sent, outcome);
+    }
+    fn tell(&self, txn: TxnRef, posting: u32, took: Micros, outcome: Outcome) {
+        let (backend, Outcome { fate, report, made }) = (self.id, outcome);
         self.desk.do_send(Returned { txn, posting, backend, fate, took, report, made });
     }
 }
@@ -74,7 +76,7 @@
         // What was not used for so long is not used again: its descriptors are freed.
         let idle = self.ground.idle.max(Duration::from_secs(1));
         ctx.run_interval(idle, move |peer, _| {
-            if peer.out.is_empty() && peer.ground.clock.until(peer.used + micros(idle)).is_zero() {
+            if peer.out.is_empty() && span(peer.ground.clock.now() - peer.used) >= idle {
                 peer.renew();
             }
         });
@@ -106,12 +108,10 @@
     type Result = ();
     fn handle(&mut self, post: Post, ctx: &mut Context<Peer>) {
         let Post { txn, posting, until, carried } = post;
-        if self.out.len() >= self.ground.links_each {
+        if self.out.len() >= self.ground.bounds.links_each {
             self.ground.counters.add("no_room_at_backend");
             log::warn!("backend {}: {} postings are out, no more", self.at, self.out.len());
-            let (backend, fate) = (self.id, Fate::NeverSent);
-            let (took, report, made) = (Micros(0), None, None);
-            return self.desk.do_send(Returned { txn, posting, backend, fate, took, report, made });
+            return self.tell(txn, posting, Micros(0), Outcome::only(Fate::NeverSent));
         }
         let within = self.ground.clock.until(until);
         self.used = self.ground.clock.now();
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -13,7 +13,6 @@
 
 use super::application::Front;
 use super::caller::{Caller, Calls};
-use crate::life::clock::Clock;
 
 /// New connections may still come for a good part of this after the agent was asked to end.
 const STILL_COMING: Micros = Micros::ms(900);
@@ -25,7 +24,6 @@
     pub front: Rc<Front>,
     pub calls: Rc<Calls>,
     pub serve: Serve,
-    pub clock: Clock,
     pub longest: Micros,
     pub asked: Option<Micros>,
 }
@@ -56,7 +54,7 @@
     }
     fn look(&mut self, ctx: &mut Context<Gate>) {
         let Some(asked) = self.asked else { return };
-        let since = self.clock.now() - asked;
+        let since = self.front.clock.now() - asked;
         let quiet = since > STILL_COMING && self.calls.busy() == 0;
         if quiet || since > self.longest + STILL_COMING {
             log::info!("all answered, the end");
@@ -104,7 +102,7 @@
     fn handle(&mut self, _: Leave, ctx: &mut Context<Gate>) {
         if self.asked.is_none() {
             log::info!("asked to end: {} txns in hand", self.front.counters.in_hand.get());
-            self.asked = Some(self.clock.now());
+            self.asked = Some(self.front.clock.now());
             self.front.leaving.set(true);
             self.look(ctx);
         }
--- a/crates/agent/src/wire/link.rs
+++ b/crates/agent/src/wire/link.rs
@@ -46,20 +46,12 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-enum End {
-    Idle,    // let go unused
-    GivenUp, // while we waited for an answer
-    Closed,  // the peer closed
-    Reset,   // the peer or the network broke it
-}
-
 pub struct Link {
     io: TcpStream,
     to: SocketAddr,
     counters: Rc<Counters>,
-    waiting: bool, // written to, nothing read since
-    end: Option<End>,
+    waiting: bool,             // written to, nothing read since
+    end: Option<&'static str>, // the code, where it was not we who ended it
 }
 
 impl Link {
@@ -70,7 +62,7 @@
         Link { io, to, counters, waiting: false, end: None }
     }
     fn broke<T>(&mut self, why: io::Error) -> Poll<io::Result<T>> {
-        self.end = Some(End::Reset);
+        self.end = Some("LINK_RESET");
         Poll::Ready(Err(why))
     }
 }
@@ -78,13 +70,7 @@
 impl Drop for Link {
     fn drop(&mut self) {
         self.counters.links.set(self.counters.links.get().saturating_sub(1));
-        let end = self.end.unwrap_or(if self.waiting { End::GivenUp } else { End::Idle });
-        let code = match end {
-            End::Idle => "LINK_IDLE",
-            End::GivenUp => "LINK_GIVEN_UP",
-            End::Closed => "LINK_CLOSED",
-            End::Reset => "LINK_RESET",
-        };
+        let code = self.end.unwrap_or(if self.waiting { "LINK_GIVEN_UP" } else { "LINK_IDLE" });
         self.counters.add("links_ended");
         log::info!("link to {} ended: {code}", self.to);
     }
@@ -102,7 +88,7 @@
         match Pin::new(&mut self.io).poll_read(cx, buf) {
             Poll::Ready(Ok(())) => {
                 if buf.filled().len() == before && buf.remaining() > 0 {
-                    self.end = Some(End::Closed);
+                    self.end = Some("LINK_CLOSED");
                     // Not where an idle connection is looked at before the posting takes another one.
                     let _ = MARK.try_with(|mark| mark.ended.set(mark.whole()));
                 } else {
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -2,14 +2,13 @@
 //! `settings NAME VALUE`, `sockets N`: before the start. A peer is on the known list unless its name begins
 //! with `new`; `@A` in a later script is its address. `peer A STEP; STEP...| STEP...`: what a backend (or
 //! `discovery`) does on its first connection, its second...; the last stands for all further ones. Steps:
-//! `read` a whole request, `head` only its head, `part` its first bytes; `say TEXT` raw; `ok TEXT`, `fill
-//! SIZE`, `status LINE`, `list JSON`: an answer; `line JSON`: a chunk of a watch, `piece TEXT` any chunk,
-//! `flood SIZE` a large one; `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there;
-//! `silent A`: no connection there comes up. `start`, `fails TEXT`: it must not start. `ask N LINE [body
-//! SIZE]`: on connection N; `raw N TEXT`; `hear N STATUS TEXT`: the next answer there; `gone N`: closed by
-//! the agent; `leave N`. `count NAME VALUE`: a counter comes to it; `got A TEXT`: A has read this, whatever
-//! came around it; `reads A N`: whole requests it read; `opens A N`: connections; `log TEXT`; `term`;
-//! `ends`: with exit code 0.
+//! `read` a whole request, `part` its first bytes; `say TEXT` raw; `ok TEXT`, `fill SIZE`, `status LINE`,
+//! `list JSON`: an answer; `line JSON`: a chunk of a watch, `piece TEXT` any chunk, `flood SIZE` a large
+//! one; `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there; `silent A`: no connection
+//! there comes up. `start`, `fails TEXT`: it must not start. `ask N LINE [body SIZE]`: on connection N; `raw
+//! N TEXT`; `hear N STATUS TEXT`: the next answer there; `gone N`: closed by the agent; `leave N`. `count
+//! NAME VALUE`: a counter comes to it; `got A TEXT`: A has read this, whatever came around it; `reads A N`:
+//! whole requests it read; `opens A N`: connections; `log TEXT`; `term`; `ends`: with exit code 0.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -86,15 +85,6 @@
                 seen.read += 1;
                 seen.bytes += &format!("{first}{headers}\r\n{body}");
             }
-            "head" => {
-                let mut line = String::from(" ");
-                while line != "\r\n" {
-                    line.clear();
-                    if reader.read_line(&mut line)? == 0 {
-                        return Ok(());
-                    }
-                }
-            }
             "part" => drop(reader.read(&mut [0; 16])?),
             "say" => io.write_all(raw(rest).as_bytes())?,
             "ok" => write!(io, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{rest}", rest.len())?,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -47,25 +47,26 @@
     })
 }
 
-pub fn agreed(facts: &Value) -> Read<Agreed> {
-    if !facts.is_object() {
+pub fn agreed(settings: &Value) -> Read<Agreed> {
+    if !settings.is_object() {
         return Err("the settings are no object".into());
     }
-    let (contract, permissions, costs) = (&facts["contract"], &facts["permissions"], &facts["costs"]);
-    let mut zones = strings(facts, "zones")?;
-    let zone = zone_number(&mut zones, facts["myZone"].as_str().unwrap_or(""));
+    let (contract, permissions, costs) =
+        (&settings["contract"], &settings["permissions"], &settings["costs"]);
+    let mut zones = strings(settings, "zones")?;
+    let zone = zone_number(&mut zones, settings["myZone"].as_str().unwrap_or(""));
     let retry_after = time(permissions, "maxRetryAfterMs", Some(0.0))?;
     let terms = Terms {
-        agents: number(facts, "balancers", Some(1.0))? as u32,
+        agents: number(settings, "balancers", Some(1.0))? as u32,
         zone,
-        schemes: rows(facts, "schemes")?.iter().map(scheme).collect::<Read<_>>()?,
+        schemes: rows(settings, "schemes")?.iter().map(scheme).collect::<Read<_>>()?,
         max_postings: number(permissions, "maxPostings", Some(1.0))? as u32,
         drain_grace: match contract["drainGraceMs"] {
             Value::Null => None,
             _ => Some(time(contract, "drainGraceMs", None)?),
         },
         ask_within: time(contract, "askWithinMs", Some(10_000.0))?,
-        list_on_request: facts["registryMode"].as_str() == Some("on_request"),
+        list_on_request: settings["registryMode"].as_str() == Some("on_request"),
         cold_from: number(contract, "coldFrom", Some(1.0))?,
         cold_span: time(contract, "coldMs", Some(0.0))?,
         fall_multiple: number(contract, "fallMultiple", Some(1.0))?,
@@ -73,18 +74,18 @@
         retry_after: flag(permissions, "retryAfter")?.then_some(retry_after),
         may_cancel: flag(permissions, "cancel")?,
         may_probe: flag(permissions, "probes")?,
-        report_by_probe: facts["loadReport"]["via"].as_str() == Some("probe"),
+        report_by_probe: settings["loadReport"]["via"].as_str() == Some("probe"),
         probe_price: number(costs, "probe", Some(0.0))?,
-        tick: time(facts, "tickMs", Some(1.0))?,
+        tick: time(settings, "tickMs", Some(1.0))?,
     };
     Ok(Agreed {
         terms,
         zones,
-        schemes: names(facts, "schemes")?,
-        report_fields: strings(&facts["loadReport"], "fields")?,
+        schemes: names(settings, "schemes")?,
+        report_fields: strings(&settings["loadReport"], "fields")?,
         idle_close: time(permissions, "idleCloseMs", Some(15_000.0))?,
         connect_within: time(permissions, "connectTimeoutMs", Some(250.0))?,
-        longest: rows(facts, "schemes")?
+        longest: rows(settings, "schemes")?
             .iter()
             .map(|row| time(row, "expiryMs", Some(3_000.0)))
             .try_fold(Micros(0), |most, expiry| expiry.map(|expiry| most.max(expiry)))?,
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -38,6 +38,7 @@
         other => return Err(format!("field `disposition`: `{other}` is not known")),
     })
 }
+
 impl Host {
     /// Plays one batch. Only what makes the line unreadable is an error; a bad event is told of and skipped.
     pub fn batch(&mut self, line: &[u8]) -> Read<String> {
