SIGHUP moves the watch to the file's new discovery; before, it ended the agent

At fault: life/stop.rs, which heard only SIGTERM and SIGINT.

The file is read anew and all of it must make sense; only discovery counts then. Registry ends its watch and the module asks anew with its own jitter, its failures forgotten: with six failures at the old place the backoff alone is up to 0.7 of the ask limit, over the 4 s.

--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -57,7 +57,7 @@
     // The mailboxes keep the order: the known list is with the module before the first txn is.
     list.send(Restore(known)).await.map_err(io::Error::other)?;
     let registry = Registry::new(discovery, ground.client(usize::MAX), list).start();
-    desk.send(Ask(registry.recipient())).await.map_err(io::Error::other)?;
+    desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
     let front = Rc::new(Front {
         desk,
@@ -72,7 +72,7 @@
     let listener = TcpListener::bind(listen).await?;
     let gate = Gate { front, calls: Rc::default(), serve, longest: agreed.longest, asked: None };
     log::info!("{name}: ready at {listen}");
-    stop::listen(gate.listen(listener))
+    stop::listen(gate.listen(listener), registry)
 }
 
 /// One HTTP service for all connections of the application.
--- a/crates/agent/src/life/start.rs
+++ b/crates/agent/src/life/start.rs
@@ -18,9 +18,19 @@
 }
 
 pub fn told() -> Read<Told> {
+    within(|file| read(file, |name| std::env::var(name).ok()))
+}
+
+/// Where the file, as it is now, places discovery. All of it must make sense, or none of it counts.
+pub fn discovery() -> Read<SocketAddr> {
+    within(|file| read(file, |_| None)).map(|told| told.discovery)
+}
+
+/// What `read` makes of the configuration file. An error names the file.
+fn within<T>(read: impl Fn(&[u8]) -> Read<T>) -> Read<T> {
     let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_owned())?;
     let file = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    read(&file, |name| std::env::var(name).ok()).map_err(|why| format!("{path}: {why}"))
+    read(&file).map_err(|why| format!("{path}: {why}"))
 }
 
 /// The environment outranks the file where both name a thing.
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -112,6 +112,17 @@
     }
 }
 
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct ListMoved;
+impl Handler<ListMoved> for Desk {
+    type Result = ();
+    fn handle(&mut self, _: ListMoved, ctx: &mut Context<Desk>) {
+        self.hand.counters.add("lists_moved");
+        self.call(ctx, |balancer, _| balancer.list_moved());
+    }
+}
+
 /// A txn came in whole.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -9,7 +9,7 @@
 use notchspool_terms::zone_number;
 
 use super::counters::Counters;
-use super::desk::{Desk, ListFailed, Listed, Meet};
+use super::desk::{Desk, ListFailed, ListMoved, Listed, Meet};
 use super::ids::Ids;
 use crate::life::bounds::BACKENDS;
 use crate::wire::backend::{Ground, Move, Peer};
@@ -144,6 +144,17 @@
     }
 }
 
+/// Discovery is elsewhere now. It comes by here for the same reason.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Moved;
+impl Handler<Moved> for List {
+    type Result = ();
+    fn handle(&mut self, _: Moved, _: &mut Context<List>) {
+        self.desk.do_send(ListMoved);
+    }
+}
+
 /// The version last heard, to go on from.
 #[derive(Message)]
 #[rtype(result = "Option<u64>")]
--- a/crates/agent/src/wire/registry.rs
+++ b/crates/agent/src/wire/registry.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 
 use crate::life::bounds::LINE;
-use crate::memory::list::{Ended, Line, List, Since};
+use crate::memory::list::{Ended, Line, List, Moved, Since};
 
 /// A watch without a sign of life for this long has failed: two of its empty lines are missing.
 const SILENCE: Duration = Duration::from_millis(4_500);
@@ -52,6 +52,26 @@
     }
 }
 
+/// Discovery is at an address of the new configuration. The watch of the old one ends; the module asks anew.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Turn(pub SocketAddr);
+impl Handler<Turn> for Registry {
+    type Result = ();
+    fn handle(&mut self, to: Turn, ctx: &mut Context<Registry>) {
+        if self.at == to.0 {
+            return log::info!("configuration taken: discovery stays at {}", self.at);
+        }
+        log::info!("configuration taken: discovery moves from {} to {}", self.at, to.0);
+        self.at = to.0;
+        if let Some(before) = self.watch.take() {
+            ctx.cancel_future(before);
+            log::info!("watch ended: WATCH_MOVED");
+        }
+        self.list.do_send(Moved);
+    }
+}
+
 /// Follows one watch to its end and tells the reason code.
 async fn follow(at: SocketAddr, client: Client, list: Addr<List>) -> &'static str {
     let since = list.send(Since).await.ok().flatten().map(|v| format!("&since={v}")).unwrap_or_default();
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -8,7 +8,8 @@
 //! there comes up. `start`, `fails TEXT`: it must not start. `ask N LINE [body SIZE]`: on connection N; `raw
 //! N TEXT`; `hear N STATUS TEXT`: the next answer there; `gone N`: closed by the agent; `leave N`. `count
 //! NAME VALUE`: a counter comes to it; `got A TEXT`: A has read this, whatever came around it; `reads A N`:
-//! whole requests it read; `opens A N`: connections; `log TEXT`; `term`; `ends`: with exit code 0.
+//! whole requests it read; `opens A N`: connections; `log TEXT`; `config NAME VALUE`: changes the file; `term`,
+//! `hup`: the signal; `ends`: with exit code 0.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -208,6 +209,7 @@
         std::fs::write(&path, config.to_string()).expect("the configuration");
         let mut agent = Command::new(env!("CARGO_BIN_EXE_notchspool-agent"))
             .env("ROUTER_CONFIG", path)
+            .env("ROUTER_DISCOVERY", discovery.to_string())
             .env("NOTCHSPOOL_LOG", "debug")
             .stderr(Stdio::piped())
             .spawn()
@@ -328,9 +330,18 @@
             }
             "log" => self.wait(line, || self.log.lock().expect("the log").contains(rest)),
             "pause" => std::thread::sleep(Duration::from_millis(name.parse().expect("milliseconds"))),
-            "term" => {
+            "config" => {
+                let path = self.folder.join("config.json");
+                let value = self.peers.get(more).map_or(more.to_owned(), |peer| peer.at.to_string());
+                let file = std::fs::read(&path).expect("the configuration");
+                let mut file: Value = serde_json::from_slice(&file).expect("JSON");
+                file[name] = value.into();
+                std::fs::write(&path, file.to_string()).expect("the configuration");
+            }
+            "term" | "hup" => {
                 let id = self.agent.as_ref().expect("started").id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+                let signal = format!("-{}", what.to_uppercase());
+                assert!(Command::new("kill").args([&signal, &id]).status().expect("kill").success());
             }
             "ends" => {
                 let mut agent = self.agent.take().expect("started");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,5 @@
 //! All decisions of one balancer. A front opens a `Balancer` with its `Terms` (units.rs) and a seed, sets its
-//! `clock`, and calls it: `listed`/`list_failed` for the server list, `reported`/`probed` for load, `wake`
+//! `clock`, and calls it: `listed`/`list_failed`/`list_moved` for the server list, `reported`/`probed` for load, `wake`
 //! when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned` and `left`
 //! are all that can happen to it. What the balancer does goes out through the front's `Outlet` (units.rs).
 //! Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
@@ -173,6 +173,12 @@
         self.failures += 1;
     }
 
+    /// The list is now asked for elsewhere: what failed before says nothing of the new place.
+    pub fn list_moved(&mut self) {
+        self.failures = 0;
+        self.list_failed();
+    }
+
     // ---- Load and health --------------------------------------------------------------------------------
 
     fn at(&mut self, id: BackendId) -> Option<&mut Backend> {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,9 +1,9 @@
 //! Plays the text scenarios, commands on a line apart by `;`. `list N full|delta|restored
-//! A:ZONE[:draining|:gone|:start=MS]...`; `lost`: the list call failed; `at MS` moves the clock; `take REF
-//! SCHEME EXPIRY_MS`, `back REF FATE TOOK`, `left REF`; `report A UTIL|- HELD|-`: probes tell the same at
-//! once. `flow N SCHEME`: N txns in turn, answered as `answers A FATE TOOK` says; `burst`: N at once, left
-//! out till `backs TOOK`. `share A LEAST MOST`: percent of them that went to A, or was `declined`; `spread`:
-//! to how many; `expect ACTION`: the next; `seen`: how many.
+//! A:ZONE[:draining|:gone|:start=MS]...`; `lost`: the list call failed, `moved`: it goes elsewhere; `at MS`
+//! moves the clock; `take REF SCHEME EXPIRY_MS`, `back REF FATE TOOK`, `left REF`; `report A UTIL|- HELD|-`:
+//! probes tell the same at once. `flow N SCHEME`: N txns in turn, answered as `answers A FATE TOOK` says;
+//! `burst`: N at once, left out till `backs TOOK`. `share A LEAST MOST`: percent of them that went to A, or
+//! was `declined`; `spread`: to how many; `expect ACTION`: the next; `seen`: how many.
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 
@@ -189,6 +189,7 @@
                 self.desk.listed(how, Generation(number(words[1]) as u64), &entries, &mut self.stage);
             }
             "lost" => self.desk.list_failed(),
+            "moved" => self.desk.list_moved(),
             "at" => self.to(number(words[1])),
             "take" => self.take(number(words[1]) as u64, words[2], number(words[3])),
             "back" => self.back(number(words[1]) as u64, fate(words[2]), number(words[3])),
