Spoilt, interim, surplus and unusable answers are told apart

A probe that logged the bytes on each connection showed what passed: - 61 good answers with 103 and 102 ahead. awc takes the first head for the answer, so each counted as an error that may have run. link.rs now takes 1xx heads out before awc sees them. - 359 answers 400 to 74 requests of bad clients: each went round up to six backends and spoke against each of them (logic.rs, judge). Such an answer is now a fate of its own: answered at once, no word against the backend. - 47 load reports that can't be read; 'TEXT ?' wiped the one heard before (report_line gave an empty report). - answers one byte short of their length, which then stand still: waited for until the expiry. Now a posting whose answer has begun and then stands still for the connect time-out is broken. - surplus behind a good answer: what was read with it was dropped, the rest is seen by awc's pool. No wrong answer was seen; still the connection is now let go at once, and after any answer in chunks. Ruled out: endless heads and 3 GB answers end within a millisecond as they were.

--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -23,6 +23,7 @@
             Fate::Settled => "posting_settled",
             Fate::Errored => "posting_errored",
             Fate::TurnedAway => "posting_turned_away",
+            Fate::Unusable => "posting_unusable",
             Fate::TimedOut => "posting_timed_out",
             Fate::NoLink => "posting_no_link",
             Fate::Broken => "posting_broken",
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -115,7 +115,7 @@
         }
         let within = self.ground.clock.until(until);
         self.used = self.ground.clock.now();
-        let sent = posting::post(self.client.clone(), self.at, carried, within)
+        let sent = posting::post(self.client.clone(), self.at, carried, within, self.ground.connect_within)
             .into_actor(self)
             .map(move |outcome, peer, _| peer.returned(txn, posting, outcome));
         self.out.insert((txn, posting), (ctx.spawn(sent), self.used));
--- a/crates/agent/src/wire/link.rs
+++ b/crates/agent/src/wire/link.rs
@@ -1,5 +1,5 @@
-//! A connection to a peer. It knows how much of the posting that writes to it was written, and says in one
-//! log line why it ended.
+//! A connection to a peer. It knows how much of the posting that writes to it was written and how much came
+//! back, takes interim answers out, and says in one log line why it ended.
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -8,18 +8,45 @@
 use std::task::{Context, Poll};
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
+use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::memory::counters::Counters;
 
+/// Interim heads ahead of an answer, all together, hold no more than this.
+const INTERIM: usize = 16 * 1024;
+
+/// A message that passes: where its head ends, and how much comes after it.
+#[derive(Default)]
+struct Passing {
+    seen: Cell<u32>, // the last four bytes of the head
+    headed: Cell<bool>,
+    after: Cell<usize>,
+    all: Cell<usize>,
+}
+
+impl Passing {
+    fn passed(&self, bytes: &[u8]) {
+        self.all.set(self.all.get() + bytes.len());
+        for (i, &byte) in bytes.iter().enumerate() {
+            if self.headed.get() {
+                return self.after.set(self.after.get() + bytes.len() - i);
+            }
+            self.seen.set(self.seen.get() << 8 | u32::from(byte));
+            self.headed.set(self.seen.get() == u32::from_be_bytes(*b"\r\n\r\n"));
+        }
+    }
+}
+
 /// How far one posting got on its connection.
 #[derive(Default)]
 pub struct Mark {
-    seen: Cell<u32>, // the last four bytes written of the head
-    headed: Cell<bool>,
+    written: Passing,
+    heard: Passing,
     body: usize,
-    after: Cell<usize>,
     pub ended: Cell<bool>, // the peer ended its sending while we read
+    /// The connection is not to be used again: more came than belongs to the answer, or that can't be told.
+    pub spent: Cell<bool>,
 }
 
 tokio::task_local! {
@@ -31,18 +58,17 @@
     pub fn new(body: usize) -> Rc<Mark> {
         Rc::new(Mark { body, ..Mark::default() })
     }
-    fn wrote(&self, bytes: &[u8]) {
-        for (i, &byte) in bytes.iter().enumerate() {
-            if self.headed.get() {
-                return self.after.set(self.after.get() + bytes.len() - i);
-            }
-            self.seen.set(self.seen.get() << 8 | u32::from(byte));
-            self.headed.set(self.seen.get() == u32::from_be_bytes(*b"\r\n\r\n"));
-        }
-    }
     /// Whether the last byte was written. Before that the posting never ran.
     pub fn whole(&self) -> bool {
-        self.headed.get() && self.after.get() >= self.body
+        self.written.headed.get() && self.written.after.get() >= self.body
+    }
+    /// Bytes of the answer that came, interim heads left out.
+    pub fn heard(&self) -> usize {
+        self.heard.all.get()
+    }
+    /// More came than a head and so many bytes.
+    pub fn surplus(&self, length: usize) -> bool {
+        self.heard.after.get() > length
     }
 }
 
@@ -51,6 +77,9 @@
     to: SocketAddr,
     counters: Rc<Counters>,
     waiting: bool,             // written to, nothing read since
+    mark: Option<Rc<Mark>>,    // of the posting that wrote last
+    ahead: BytesMut, // read, not yet handed on: an answer's beginning, till it is told from an interim
+    opening: bool,   // no byte of the answer itself was handed on yet
     end: Option<&'static str>, // the code, where it was not we who ended it
 }
 
@@ -59,7 +88,16 @@
         let _ = io.set_nodelay(true);
         counters.links.set(counters.links.get() + 1);
         counters.add("links_opened");
-        Link { io, to, counters, waiting: false, end: None }
+        Link {
+            io,
+            to,
+            counters,
+            waiting: false,
+            mark: None,
+            ahead: BytesMut::new(),
+            opening: false,
+            end: None,
+        }
     }
     fn broke<T>(&mut self, why: io::Error) -> Poll<io::Result<T>> {
         self.end = Some("LINK_RESET");
@@ -82,22 +120,63 @@
     }
 }
 
+/// Where an interim answer (1xx, but for 101, that nobody asks for) ends at the start of what came, if it is
+/// one; none as long as that can't be told. The HTTP client takes the first head that it sees for the answer.
+fn interim(came: &[u8]) -> Option<usize> {
+    let sample = b"HTTP/1.x 1xx";
+    let told = came.iter().zip(sample).all(|(byte, want)| *want == b'x' || byte == want);
+    if !told || came.starts_with(b"HTTP/1.1 101") || came.len() > INTERIM {
+        return Some(0);
+    }
+    came.windows(4).position(|end| end == b"\r\n\r\n").map(|at| at + 4)
+}
+
+impl Link {
+    /// Hands on what was read ahead. Nothing where that is still an interim answer.
+    fn hand_on(&mut self, buf: &mut ReadBuf) {
+        while self.opening {
+            match interim(&self.ahead) {
+                Some(0) if !self.ahead.is_empty() => self.opening = false,
+                Some(end) if end > 0 => self.ahead.advance(end),
+                _ => return,
+            }
+        }
+        let some = self.ahead.split_to(buf.remaining().min(self.ahead.len()));
+        buf.put_slice(&some);
+        if let Some(mark) = &self.mark {
+            mark.heard.passed(&some);
+        }
+    }
+}
+
 impl AsyncRead for Link {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        match Pin::new(&mut self.io).poll_read(cx, buf) {
-            Poll::Ready(Ok(())) => {
-                if buf.filled().len() == before && buf.remaining() > 0 {
+        if !self.waiting && self.mark.as_ref().is_some_and(|mark| mark.spent.get()) {
+            self.end = Some("LINK_SPENT");
+            return Poll::Ready(Ok(())); // as if the peer had closed
+        }
+        loop {
+            self.hand_on(buf);
+            if buf.filled().len() > before || buf.remaining() == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            let mut room = [0; 8 * 1024];
+            let mut room = ReadBuf::new(&mut room);
+            match Pin::new(&mut self.io).poll_read(cx, &mut room) {
+                Poll::Ready(Ok(())) if room.filled().is_empty() => {
                     self.end = Some("LINK_CLOSED");
                     // Not where an idle connection is looked at before the posting takes another one.
                     let _ = MARK.try_with(|mark| mark.ended.set(mark.whole()));
-                } else {
+                    return Poll::Ready(Ok(()));
+                }
+                Poll::Ready(Ok(())) => {
                     self.waiting = false;
+                    self.ahead.extend_from_slice(room.filled());
                 }
-                Poll::Ready(Ok(()))
+                Poll::Ready(Err(why)) => return self.broke(why),
+                Poll::Pending => return Poll::Pending,
             }
-            Poll::Ready(Err(why)) => self.broke(why),
-            Poll::Pending => Poll::Pending,
         }
     }
 }
@@ -106,7 +185,11 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         match Pin::new(&mut self.io).poll_write(cx, buf) {
             Poll::Ready(Ok(n)) => {
-                let _ = MARK.try_with(|mark| mark.wrote(&buf[..n]));
+                if let Ok(mark) = MARK.try_with(Rc::clone) {
+                    mark.written.passed(&buf[..n]);
+                    self.opening |= !self.mark.as_ref().is_some_and(|old| Rc::ptr_eq(old, &mark));
+                    self.mark = Some(mark);
+                }
                 self.waiting = true;
                 Poll::Ready(Ok(n))
             }
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -1,9 +1,10 @@
 //! One posting, from its first byte to what became of it.
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::{Method, StatusCode};
 use actix_rt::net::{TcpSocket, TcpStream};
@@ -77,14 +78,29 @@
     }
 }
 
-/// Sends the txn to a backend and waits for its answer till the posting's time is up.
-pub async fn post(client: Client, at: SocketAddr, carried: Arc<Carried>, within: Duration) -> Outcome {
-    let mark = Mark::new(carried.body.len());
-    let sent = MARK.scope(mark.clone(), send(client, at, carried, within, mark.clone()));
-    match actix_rt::time::timeout(within, sent).await {
-        Ok(outcome) => outcome,
-        Err(_) if mark.whole() => Outcome::only(Fate::TimedOut),
-        Err(_) => Outcome::only(Fate::NoLink),
+/// Sends the txn to a backend and waits for its answer till the posting's time is up. An answer that has begun
+/// and then stands still for `stall` never comes whole.
+pub async fn post(
+    client: Client,
+    at: SocketAddr,
+    carried: Arc<Carried>,
+    within: Duration,
+    stall: Duration,
+) -> Outcome {
+    let (mark, end) = (Mark::new(carried.body.len()), Instant::now() + within);
+    let mut sent = pin!(MARK.scope(mark.clone(), send(client, at, carried, within, mark.clone())));
+    loop {
+        let (before, left) = (mark.heard(), end.saturating_duration_since(Instant::now()));
+        match actix_rt::time::timeout(left.min(stall), &mut sent).await {
+            Ok(outcome) => return outcome,
+            Err(_) if before > 0 && before == mark.heard() && left > stall => {
+                log::warn!("backend {at}: an answer that stands still after {before} bytes");
+                return Outcome::only(Fate::Broken);
+            }
+            Err(_) if Instant::now() < end => {}
+            Err(_) if mark.whole() => return Outcome::only(Fate::TimedOut),
+            Err(_) => return Outcome::only(Fate::NoLink),
+        }
     }
 }
 
@@ -117,9 +133,10 @@
     let report = report(answer.headers());
     let fate = fate(answer.status(), answer.headers());
     let form = answer.headers().get(CONTENT_TYPE).cloned();
-    let length = answer.headers().get("content-length").and_then(|n| n.to_str().ok()?.parse::<usize>().ok());
+    let length = length(answer.headers());
     let chunked = answer.headers().contains_key("transfer-encoding");
     let body = answer.body().limit(BODY).await;
+    mark.spent.set(chunked || length.is_none_or(|length| mark.surplus(length)));
     // An answer that stops short of its length, or between chunks, is no answer.
     let whole = |n: usize| length.is_none_or(|length| length == n) && !(chunked && mark.ended.get());
     let body = body.ok().filter(|body| whole(body.len()));
@@ -133,11 +150,17 @@
     }
 }
 
+fn length(headers: &HeaderMap) -> Option<usize> {
+    headers.get("content-length").and_then(|n| n.to_str().ok()?.parse().ok())
+}
+
 fn fate(status: StatusCode, headers: &HeaderMap) -> Fate {
     let never_ran = headers.get("x-never-ran").is_some_and(|v| v.as_bytes() == b"1");
     match status.as_u16() {
         200 => Fate::Settled,
         503 | 504 if never_ran => Fate::TurnedAway,
+        408 | 429 => Fate::Errored,
+        400..=499 => Fate::Unusable,
         _ => Fate::Errored,
     }
 }
@@ -164,8 +187,10 @@
             Err(why) => return (broke(&why, mark.whole()).fate, None),
         };
         let fate = if answer.status() == StatusCode::OK { Fate::Settled } else { Fate::Errored };
-        let by_header = report(answer.headers());
-        match answer.body().limit(BODY).await {
+        let (by_header, length) = (report(answer.headers()), length(answer.headers()));
+        let body = answer.body().limit(BODY).await;
+        mark.spent.set(length.is_none_or(|length| mark.surplus(length)));
+        match body {
             Ok(body) => {
                 let line = std::str::from_utf8(&body).ok();
                 (fate, line.and_then(report_line).or(by_header))
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -92,16 +92,18 @@
     })
 }
 
-/// One reported figure, by its name in the settings or on the sockets.
+/// One reported figure, by its name in the settings or on the sockets. None is below nothing.
 pub fn put(report: &mut Report, field: &str, value: f64) {
     match field {
+        _ if value < 0.0 => {}
         "busy" | "util" => report.utilisation = Some(value),
         "rif" | "inflight" => report.in_flight = Some(value),
         _ => {}
     }
 }
 
-/// A report as it stands on the sockets: `TEXT util=0.61, inflight=7`. What is no finite number is left out.
+/// A report as it stands on the sockets: `TEXT util=0.61, inflight=7`. What is no finite number is left out;
+/// a report with nothing left is none, and the one before it stands.
 pub fn report_line(line: &str) -> Option<Report> {
     let figures = line.trim().strip_prefix("TEXT")?;
     let mut report = Report::default();
@@ -112,5 +114,5 @@
             put(&mut report, name.trim(), value);
         }
     }
-    Some(report)
+    (report.utilisation.is_some() || report.in_flight.is_some()).then_some(report)
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -592,7 +592,8 @@
         };
         if over {
             desk.txns.remove(&txn);
-        } else if desk.gauge.spare < price {
+        } else if fate == Fate::Unusable || desk.gauge.spare < price {
+            // What one backend can't use none can: such a txn must not go round and cost them all.
             desk.answer(txn, out);
         } else {
             desk.gauge.spare -= price;
--- a/src/units.rs
+++ b/src/units.rs
@@ -136,6 +136,8 @@
     Settled,
     Errored,
     TurnedAway,
+    /// The backend could not use the txn itself: that says nothing of the backend's health.
+    Unusable,
     TimedOut,
     NoLink,
     Broken,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -83,8 +83,8 @@
 
 fn fate(word: &str) -> Fate {
     use Fate::*;
-    let all = [Settled, Errored, TurnedAway, TimedOut, NoLink, Broken, Withdrawn];
-    let names = ["settled", "errored", "full", "late", "nolink", "broken", "withdrawn"];
+    let all = [Settled, Errored, TurnedAway, Unusable, TimedOut, NoLink, Broken, Withdrawn];
+    let names = ["settled", "errored", "full", "unusable", "late", "nolink", "broken", "withdrawn"];
     all[names.iter().position(|n| *n == word).expect("a fate")]
 }
 
