Bad clients get one error and a close; silent and stuck connections end in time

A silent connection had 30 s, a request that stops in the middle had no bound at all after the first (actix's head timer). Now: a 4xx closes its connection and nothing else that came with it is looked at; an id in hand gets 409; the method must be the scheme's, a referenced txn must carry its reference; what is silent or stuck for 2 s is closed, with no word, as one could pass for the next answer; at the bound those longest without movement make way, a few at once. Bodies announced over 64 KiB are refused before they come. One log line a connection, with the reason.

--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -1,11 +1,11 @@
 //! Puts the actors together and lets them run to the end.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix::Actor;
-use actix_http::HttpService;
+use actix_http::{HttpService, KeepAlive};
 use actix_service::{Service, ServiceFactory, fn_service};
 use notchspool::units::Terms;
 use tokio::net::TcpListener;
@@ -22,11 +22,6 @@
 use crate::wire::gate::{Gate, Serve};
 use crate::wire::registry::Registry;
 
-/// A connection of the application may stand idle this long.
-const CALL_IDLE: Duration = Duration::from_secs(300);
-/// The head of its first request must be here by then.
-const FIRST_HEAD: Duration = Duration::from_secs(30);
-
 pub fn run(told: Told) -> io::Result<()> {
     let counters = Rc::new(Counters::default());
     let system = actix::System::new();
@@ -50,6 +45,7 @@
         // Not near the time at which the backend closes: a posting written then may have run.
         idle: span(agreed.idle_close.times(0.8)),
     });
+    let schemes = agreed.schemes.into_iter().zip(agreed.terms.schemes.iter().map(|row| row.kind)).collect();
     // On sockets the list always has to be asked for, whatever the simulator does at this site.
     let terms = Terms { list_on_request: true, ..agreed.terms };
     let desk = Desk::open(terms, seed, clock, counters.clone()).start();
@@ -64,9 +60,10 @@
         clock,
         counters,
         bounds,
-        schemes: agreed.schemes,
+        schemes,
         leaving: Cell::new(false),
         next: Cell::new(0),
+        traces: RefCell::default(),
     });
     let serve = serve(front.clone()).await?;
     let listener = TcpListener::bind(listen).await?;
@@ -78,8 +75,9 @@
 /// One HTTP service for all connections of the application.
 async fn serve(front: Rc<Front>) -> io::Result<Serve> {
     let service = HttpService::<Caller, _, _, _, _>::build()
-        .keep_alive(CALL_IDLE)
-        .client_request_timeout(FIRST_HEAD)
+        // The calls themselves keep the time: an answer sent to who has not asked could pass for the next one.
+        .keep_alive(KeepAlive::Os)
+        .client_request_timeout(Duration::ZERO)
         .h1_allow_half_closed(false)
         .on_connect_ext(|caller: &Caller, data| {
             data.insert(caller.call.clone());
--- a/crates/agent/src/memory/ids.rs
+++ b/crates/agent/src/memory/ids.rs
@@ -5,7 +5,7 @@
 use notchspool::units::{BackendId, Micros};
 
 /// Long enough that no freeze, no posting and no window still has to do with the one that is gone.
-const LONG_GONE: Micros = Micros::ms(10 * 60_000);
+const LONG_GONE: Micros = Micros::ms(60_000);
 
 #[derive(Default)]
 pub struct Ids {
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -1,5 +1,6 @@
 //! What the application says and hears: HTTP in, a txn to the desk, its answer out.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -7,10 +8,10 @@
 use actix::Addr;
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
-use awc::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use notchspool::units::{Micros, SchemeId, TxnRef};
+use notchspool::units::{Kind, Micros, SchemeId, TxnRef};
 use tokio::sync::oneshot;
 
 use super::caller::{Asked, Call};
@@ -30,10 +31,12 @@
     pub clock: Clock,
     pub counters: Rc<Counters>,
     pub bounds: Bounds,
-    pub schemes: Vec<String>,
+    pub schemes: Vec<(String, Kind)>,
     /// Set once the agent is asked to end: every answer then closes its connection.
     pub leaving: Cell<bool>,
     pub next: Cell<u64>,
+    /// Ids of the txns in hand.
+    pub traces: RefCell<BTreeSet<HeaderValue>>,
 }
 
 type Reply = Response<BoxBody>;
@@ -42,10 +45,12 @@
 struct Waiting<'a> {
     front: &'a Front,
     txn: TxnRef,
+    trace: HeaderValue,
     answered: bool,
 }
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
+        self.front.traces.borrow_mut().remove(&self.trace);
         if !self.answered {
             self.front.desk.do_send(Left(self.txn));
         }
@@ -54,34 +59,45 @@
 
 impl Front {
     pub async fn answer(self: Rc<Front>, request: Request) -> Result<Reply, Infallible> {
-        let _asked = Asked::on(request.conn_data::<Rc<Call>>().cloned());
+        let call = request.conn_data::<Rc<Call>>().cloned();
+        let refused = call.as_ref().and_then(|call| call.refused());
         let mut reply = match request.path() {
+            _ if refused.is_some() => plain(StatusCode::BAD_REQUEST, "refused before\n"),
             "/healthz" => plain(StatusCode::OK, "ready\n"),
             "/-/counters" => plain(StatusCode::OK, self.counters.print()),
-            _ => match self.txn(request).await {
+            _ => match self.txn(request, call.clone()).await {
                 Ok(answer) => reply(answer),
                 Err((status, why)) => {
                     self.counters.add("bad_requests");
-                    log::warn!("bad request: {why}");
+                    // Who sent this would send more of it: nothing else that came with it is looked at.
+                    call.iter().for_each(|call| call.refuse(why));
                     plain(status, format!("{why}\n"))
                 }
             },
         };
-        if self.leaving.get() {
+        if self.leaving.get() || call.is_some_and(|call| call.refused().is_some()) {
             reply.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
         Ok(reply)
     }
 
-    async fn txn(&self, mut request: Request) -> Result<Answer, (StatusCode, &'static str)> {
+    async fn txn(
+        &self,
+        mut request: Request,
+        call: Option<Rc<Call>>,
+    ) -> Result<Answer, (StatusCode, &'static str)> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let head = request.head();
         if head.method != Method::GET && head.method != Method::POST {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "neither GET nor POST"));
         }
         let scheme = request.path().split('/').nth(1).unwrap_or("");
-        let scheme = self.schemes.iter().position(|s| s == scheme);
+        let scheme = self.schemes.iter().position(|s| s.0 == scheme);
         let scheme = SchemeId(scheme.ok_or((StatusCode::NOT_FOUND, "no scheme of that name"))?);
+        let kind = self.schemes[scheme.0].1;
+        if (head.method == Method::GET) != (kind == Kind::Repeatable) {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of that scheme"));
+        }
         let expires =
             head.headers().get("x-expires-in-ms").and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
         let expires = Micros::ms(expires.ok_or(bad("X-Expires-In-Ms is no whole number"))?.into());
@@ -96,18 +112,26 @@
             form: head.headers().get(CONTENT_TYPE).cloned(),
             body: Bytes::new(),
         };
+        if kind == Kind::Referenced && carried.reference.as_ref().is_none_or(HeaderValue::is_empty) {
+            return Err(bad("no Idempotency-Key"));
+        }
         carried.body = body(&mut request).await?;
+        let _asked = Asked::on(call);
         if self.counters.in_hand.get() >= self.bounds.txns {
             // At the bound nothing is begun: a decline, as true as any.
             self.counters.add("declined_at_bound");
-            log::warn!("all room for txns is taken: declined");
+            log::debug!("all room for txns is taken: declined");
             return Ok(Answer::Declined(None));
         }
+        let trace = carried.trace.clone();
+        if !self.traces.borrow_mut().insert(trace.clone()) {
+            return Err((StatusCode::CONFLICT, "a txn of that X-Trace-Id is in hand"));
+        }
         let expiry = self.clock.now() + expires.min(LONGEST) - WAY;
         let txn = TxnRef(self.next.get());
         self.next.set(txn.0 + 1);
         let (caller, answer) = oneshot::channel();
-        let mut waiting = Waiting { front: self, txn, answered: false };
+        let mut waiting = Waiting { front: self, txn, trace, answered: false };
         self.desk.do_send(Take { txn, scheme, expiry, carried: Arc::new(carried), caller });
         let answer = answer.await.unwrap_or(Answer::Reversed);
         waiting.answered = true;
@@ -116,6 +140,11 @@
 }
 
 async fn body(request: &mut Request) -> Result<Bytes, (StatusCode, &'static str)> {
+    let told =
+        request.head().headers().get(CONTENT_LENGTH).and_then(|n| n.to_str().ok()?.parse::<u64>().ok());
+    if told.is_some_and(|told| told > BODY as u64) {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+    }
     let mut whole = BytesMut::new();
     let mut payload = request.take_payload();
     while let Some(chunk) = payload.next().await {
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -14,27 +14,50 @@
 
 /// One that has just come, and said nothing yet, is about to.
 const FRESH: Duration = Duration::from_millis(1_000);
+/// A first word, and a request once begun, must be here within this.
+const WHOLE: Duration = Duration::from_millis(2_000);
+/// Where room is short, one on which nothing moved for this long makes way.
+const PRESSED: Duration = Duration::from_millis(200);
+/// One may stand idle for this long where there is room.
+const IDLE: Duration = Duration::from_secs(60);
 
 /// What is known of one connection.
 pub struct Call {
-    came: Instant,
+    /// When it came, when the first byte of a request came, or when the last answer went.
+    since: Cell<Instant>,
     spoke: Cell<bool>,
     /// Bytes were read since the last answer was written: a request is on its way or in hand.
     busy: Cell<bool>,
     in_hand: Cell<usize>,
+    /// It sent what can't be a txn, and why: it gets its answer, and no more is read.
+    refused: Cell<Option<&'static str>>,
+    /// Ended from here, with this reason code.
+    ended: Cell<Option<&'static str>>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Call {
     fn fresh(&self) -> bool {
-        !self.spoke.get() && self.came.elapsed() < FRESH
+        !self.spoke.get() && self.since.get().elapsed() < FRESH
+    }
+    pub fn refuse(&self, why: &'static str) {
+        self.refused.set(Some(why));
+    }
+    pub fn refused(&self) -> Option<&'static str> {
+        self.refused.get()
+    }
+    pub fn ended(&self) -> Option<&'static str> {
+        self.ended.get()
+    }
+    fn end(&self, code: &'static str) {
+        self.ended.set(Some(code));
+        self.waker.take().into_iter().for_each(Waker::wake);
     }
 }
 
 /// All connections of the application.
 #[derive(Default)]
 pub struct Calls {
-    closing: Cell<bool>,
     next: Cell<u64>,
     all: RefCell<BTreeMap<u64, Rc<Call>>>,
 }
@@ -44,13 +67,32 @@
     pub fn busy(&self) -> usize {
         self.all.borrow().values().filter(|call| call.busy.get() || call.fresh()).count()
     }
-    /// Ends what stands idle, and what comes to stand idle until this is called off.
-    pub fn close_idle(&self, closing: bool) {
-        self.closing.set(closing);
-        for call in self.all.borrow().values().filter(|call| !call.busy.get()) {
-            call.waker.take().into_iter().for_each(Waker::wake);
+    /// Ends what is not worth keeping: silent from the start, a request that does not come whole or an answer
+    /// that is not read, long idle; while the agent ends, all that stand idle.
+    pub fn sweep(&self, leaving: bool) {
+        for call in
+            self.all.borrow().values().filter(|call| call.in_hand.get() == 0 && call.ended().is_none())
+        {
+            let stood = call.since.get().elapsed();
+            match (call.busy.get(), call.spoke.get()) {
+                (true, _) if stood > WHOLE => call.end("CALL_STUCK"),
+                (false, false) if stood > WHOLE => call.end("CALL_SILENT"),
+                (false, _) if stood > IDLE || (leaving && !call.fresh()) => call.end("CALL_IDLE"),
+                _ => {}
+            }
         }
     }
+    /// Ends those that stood longest with no txn in hand, a few at once. None where all have moved just now.
+    pub fn make_room(&self) -> bool {
+        let all = self.all.borrow();
+        let open = |call: &&Rc<Call>| call.in_hand.get() == 0 && call.ended().is_none();
+        let mut open: Vec<&Rc<Call>> = all.values().filter(open).collect();
+        open.retain(|call| call.since.get().elapsed() > PRESSED);
+        open.sort_by_key(|call| call.since.get());
+        let few = (all.len() / 16).max(1);
+        open.iter().take(few).for_each(|call| call.end("CALL_MADE_WAY"));
+        !open.is_empty()
+    }
 }
 
 pub struct Caller {
@@ -67,10 +109,12 @@
         let id = calls.next.get();
         calls.next.set(id + 1);
         let call = Rc::new(Call {
-            came: Instant::now(),
+            since: Cell::new(Instant::now()),
             spoke: Cell::new(false),
             busy: Cell::new(false),
             in_hand: Cell::new(0),
+            refused: Cell::new(None),
+            ended: Cell::new(None),
             waker: RefCell::new(None),
         });
         calls.all.borrow_mut().insert(id, call.clone());
@@ -87,7 +131,7 @@
     }
 }
 
-/// A request of this connection in hand, while this lives.
+/// A txn of this connection in hand, while this lives.
 pub struct Asked(Option<Rc<Call>>);
 impl Asked {
     pub fn on(call: Option<Rc<Call>>) -> Asked {
@@ -97,22 +141,27 @@
 }
 impl Drop for Asked {
     fn drop(&mut self) {
-        self.0.iter().for_each(|call| call.in_hand.set(call.in_hand.get().saturating_sub(1)));
+        if let Some(call) = &self.0 {
+            call.in_hand.set(call.in_hand.get().saturating_sub(1));
+            call.since.set(Instant::now());
+        }
     }
 }
 
 impl AsyncRead for Caller {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        if self.call.ended().is_some() || self.call.refused().is_some() {
+            return Poll::Ready(Ok(())); // as if the application had closed
+        }
         let before = buf.filled().len();
         let read = Pin::new(&mut self.io).poll_read(cx, buf);
         let call = &self.call;
         if buf.filled().len() > before {
             call.spoke.set(true);
-            call.busy.set(true);
-        } else if read.is_pending() {
-            if self.calls.closing.get() && !call.busy.get() && !call.fresh() {
-                return Poll::Ready(Ok(())); // as if the application had closed
+            if !call.busy.replace(true) {
+                call.since.set(Instant::now());
             }
+        } else if read.is_pending() {
             call.waker.replace(Some(cx.waker().clone()));
         }
         read
@@ -121,10 +170,14 @@
 
 impl AsyncWrite for Caller {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.call.ended().is_some() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let written = Pin::new(&mut self.io).poll_write(cx, buf);
         // The server flushes after all that it has; what is written with nothing in hand is an answer's end.
         if self.call.in_hand.get() == 0 && matches!(written, Poll::Ready(Ok(n)) if n == buf.len()) {
             self.call.busy.set(false);
+            self.call.since.set(Instant::now());
         }
         written
     }
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -17,6 +17,8 @@
 /// New connections may still come for a good part of this after the agent was asked to end.
 const STILL_COMING: Micros = Micros::ms(900);
 const LOOK: Duration = Duration::from_millis(20);
+const SOON: Duration = Duration::from_millis(1);
+const SWEEP: Duration = Duration::from_millis(250);
 
 pub type Serve = Rc<dyn Fn(Caller) -> LocalBoxFuture<'static, Result<(), DispatchError>>>;
 
@@ -35,12 +37,15 @@
             let held = (listener, self.front.clone(), self.calls.clone());
             let accepted = futures_util::stream::unfold(held, |(listener, front, calls)| async {
                 if front.counters.callers.get() >= front.bounds.callers {
-                    log::warn!("all {} connections are taken: the idle make way", front.bounds.callers);
+                    front.counters.add("calls_full");
+                    log::debug!(
+                        "all {} connections are taken: those longest idle make way",
+                        front.bounds.callers
+                    );
                 }
                 while front.counters.callers.get() >= front.bounds.callers {
-                    calls.close_idle(true);
-                    actix_rt::time::sleep(LOOK).await; // the next waits outside
-                    calls.close_idle(front.leaving.get());
+                    let soon = calls.make_room();
+                    actix_rt::time::sleep(if soon { SOON } else { LOOK }).await; // the next waits outside
                 }
                 let came = listener.accept().await;
                 if came.is_err() {
@@ -61,7 +66,7 @@
             ctx.stop();
             System::current().stop();
         } else {
-            self.calls.close_idle(true);
+            self.calls.sweep(true);
             ctx.run_later(LOOK, Gate::look);
         }
     }
@@ -69,6 +74,9 @@
 
 impl Actor for Gate {
     type Context = Context<Gate>;
+    fn started(&mut self, ctx: &mut Context<Gate>) {
+        ctx.run_interval(SWEEP, |gate, _| gate.calls.sweep(gate.front.leaving.get()));
+    }
 }
 
 impl StreamHandler<io::Result<(TcpStream, SocketAddr)>> for Gate {
@@ -78,17 +86,22 @@
             Err(why) => return log::warn!("accept: {why}"),
         };
         let caller = Caller::new(io, self.calls.clone(), self.front.counters.clone());
+        let call = caller.call.clone();
         let (served, counters) = ((self.serve)(caller), self.front.counters.clone());
         // A task of its own: an actor polls all its futures whenever one of them wakes it.
         actix_rt::spawn(async move {
-            let code = match served.await {
+            let ended = served.await;
+            let code = match ended {
+                _ if call.ended().is_some() => call.ended().unwrap_or_default(),
+                _ if call.refused().is_some() => "CALL_BAD_REQUEST",
                 Ok(()) => "CALL_CLOSED",
                 Err(DispatchError::Io(_)) => "CALL_RESET",
                 Err(DispatchError::Parse(_)) => "CALL_BROKEN_HTTP",
                 Err(_) => "CALL_FAILED",
             };
             counters.add("calls_ended");
-            log::info!("connection from {from} ended: {code}");
+            let why = call.refused().map(|why| format!(" ({why})")).unwrap_or_default();
+            log::info!("connection from {from} ended: {code}{why}");
         });
     }
 }
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -288,7 +288,7 @@
                     asked += "X-Expires-In-Ms: 1500\r\n";
                 }
                 if !headers.contains("X-Trace-Id") {
-                    asked += "X-Trace-Id: 9b1f03aa5c7e2d41\r\n";
+                    asked += &format!("X-Trace-Id: 9b1f03aa5c7e{name}\r\n");
                 }
                 if let Ok(size) = size.parse() {
                     asked += &format!("Content-Length: {size}\r\n\r\n{}", "b".repeat(size));
