--- a/crates/agent/src/memory/ids.rs
+++ b/crates/agent/src/memory/ids.rs
@@ -15,10 +15,11 @@
 }
 
 impl Ids {
-    /// The number of a name: its own, one that is free again, or a new one while there are fewer than `most`.
-    pub fn number(&mut self, name: &str, now: Micros, most: usize) -> Option<BackendId> {
+    /// The number of a name: its own, one that is free again, or a new one while there are fewer than `most`;
+    /// and whether the name is new to it.
+    pub fn number(&mut self, name: &str, now: Micros, most: usize) -> Option<(BackendId, bool)> {
         if let Some(id) = self.by_name.get(name) {
-            return Some(*id);
+            return Some((*id, false));
         }
         let free = self.gone.iter().find(|&(_, &since)| now - since > LONG_GONE).map(|(id, _)| *id);
         let id = match free {
@@ -34,7 +35,7 @@
             None => return None,
         };
         self.by_name.insert(name.to_owned(), id);
-        Some(id)
+        Some((id, true))
     }
     pub fn here(&mut self, id: BackendId) {
         self.gone.remove(&id);
@@ -48,6 +49,9 @@
             self.gone(id, now);
         }
     }
+    pub fn is_gone(&self, id: BackendId) -> bool {
+        self.gone.contains_key(&id)
+    }
 }
 
 #[cfg(test)]
@@ -57,25 +61,25 @@
     #[test]
     fn a_number_is_used_again_once_its_backend_is_long_gone() {
         let (mut ids, start) = (Ids::default(), Micros::ms(5));
-        let [a, b] = ["a", "b"].map(|name| ids.number(name, start, 2).expect("room"));
+        let [a, b] = ["a", "b"].map(|name| ids.number(name, start, 2).expect("room").0);
         assert_ne!(a, b);
         ids.gone(a, start);
         assert_eq!(ids.number("c", start + LONG_GONE, 2), None, "not yet, and there is no room for more");
         let later = start + LONG_GONE + Micros(1);
-        assert_eq!(ids.number("c", later, 2), Some(a));
-        assert_eq!(ids.number("b", later, 2), Some(b));
+        assert_eq!(ids.number("c", later, 2), Some((a, true)));
+        assert_eq!(ids.number("b", later, 2), Some((b, false)));
         assert_eq!(ids.number("a", later, 2), None, "the old name has lost it");
     }
 
     #[test]
     fn what_comes_back_or_stands_on_a_whole_list_keeps_its_number() {
         let (mut ids, start) = (Ids::default(), Micros::ms(5));
-        let [a, b] = ["a", "b"].map(|name| ids.number(name, start, 2).expect("room"));
+        let [a, b] = ["a", "b"].map(|name| ids.number(name, start, 2).expect("room").0);
         ids.gone(a, start);
         ids.here(a);
         ids.only(|id| id == a, start);
         let later = start + LONG_GONE + Micros(1);
-        assert_eq!(ids.number("c", later, 2), Some(b));
-        assert_eq!(ids.number("a", later, 2), Some(a));
+        assert_eq!(ids.number("c", later, 2), Some((b, true)));
+        assert_eq!(ids.number("a", later, 2), Some((a, false)));
     }
 }
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -12,7 +12,7 @@
 use super::desk::{Desk, ListFailed, ListMoved, Listed, Meet};
 use super::ids::Ids;
 use crate::life::bounds::BACKENDS;
-use crate::wire::backend::{Ground, Move, Peer};
+use crate::wire::backend::{Gone, Ground, Move, Peer, Retire};
 use crate::wire::listing;
 
 pub struct List {
@@ -46,22 +46,23 @@
     /// One entry of a list that is being read. Its address may be new; a new number gets an actor of its own.
     pub fn entry(&mut self, name: &str, at: SocketAddr, zone: &str, mut entry: Entry) {
         let now = self.ground.clock.now();
-        let Some(id) = self.ids.number(name, now, BACKENDS) else {
+        let Some((id, new)) = self.ids.number(name, now, BACKENDS) else {
             return log::warn!("list: over {BACKENDS} backends, {name} is left out");
         };
         entry.zone = zone_number(&mut self.zones, zone);
         entry.backend = id;
-        match self.peers.get_mut(entry.backend.0 as usize) {
-            None => {
-                let peer = Peer::meet(entry.backend, at, self.desk.clone(), self.ground.clone());
-                self.desk.do_send(Meet(entry.backend, peer.clone()));
-                self.peers.push((at, peer));
+        let at_number = id.0 as usize;
+        if new {
+            let peer = Peer::meet(id, at, self.desk.clone(), self.ground.clone());
+            self.desk.do_send(Meet(id, peer.clone()));
+            match self.peers.get_mut(at_number) {
+                // A number used again: nothing of who had it is left, not even at the same address.
+                Some(old) => std::mem::replace(old, (at, peer)).1.do_send(Retire),
+                None => self.peers.push((at, peer)),
             }
-            Some((old, peer)) if *old != at => {
-                *old = at;
-                peer.do_send(Move(at));
-            }
-            Some(_) => {}
+        } else if let Some((old, peer)) = self.peers.get_mut(at_number).filter(|peer| peer.0 != at) {
+            *old = at;
+            peer.do_send(Move(at));
         }
         self.staged.push(entry);
     }
@@ -69,6 +70,7 @@
     /// Who is gone, by the list just read.
     fn count(&mut self, whole: bool) {
         let now = self.ground.clock.now();
+        let mut named: BTreeSet<BackendId> = self.staged.iter().map(|entry| entry.backend).collect();
         for entry in &self.staged {
             match entry.standing {
                 Standing::Gone => self.ids.gone(entry.backend, now),
@@ -76,8 +78,11 @@
             }
         }
         if whole {
-            let here: BTreeSet<BackendId> = self.staged.iter().map(|entry| entry.backend).collect();
-            self.ids.only(|id| here.contains(&id), now);
+            self.ids.only(|id| named.contains(&id), now);
+            named = (0..self.peers.len() as u32).map(BackendId).collect();
+        }
+        for id in named {
+            self.peers[id.0 as usize].1.do_send(Gone(self.ids.is_gone(id)));
         }
     }
 
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle, WrapFuture};
+use actix::{
+    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle,
+    WrapFuture,
+};
 use awc::Client;
 use notchspool::units::*;
 
@@ -16,6 +19,8 @@
 use crate::memory::desk::{Desk, NoRoom, Probed, Returned};
 use crate::memory::txn::Carried;
 
+/// How often a peer looks whether its connections are still of use.
+const LOOK: Duration = Duration::from_secs(1);
 /// A probe is waited for this long.
 const PROBE: Duration = Duration::from_millis(500);
 
@@ -44,15 +49,19 @@
     ground: Rc<Ground>,
     out: BTreeMap<(TxnRef, u32), (SpawnHandle, Micros)>,
     used: Micros,
+    /// There may be idle connections.
+    held: bool,
+    gone: bool,
 }
 
 impl Peer {
     pub fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
         let (client, used) = (ground.client(ground.bounds.links), ground.clock.now());
-        Peer { id, at, client, desk, ground, out: BTreeMap::new(), used }.start()
+        Peer { id, at, client, desk, ground, out: BTreeMap::new(), used, held: false, gone: false }.start()
     }
     /// Lets idle connections go. What is out stays out, and its connections go with it.
     fn renew(&mut self) {
+        self.held = false;
         self.client = self.ground.client(self.ground.bounds.links);
     }
     fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome) {
@@ -74,9 +83,11 @@
     type Context = Context<Peer>;
     fn started(&mut self, ctx: &mut Context<Peer>) {
         // What was not used for so long is not used again: its descriptors are freed.
-        let idle = self.ground.idle.max(Duration::from_secs(1));
-        ctx.run_interval(idle, move |peer, _| {
-            if peer.out.is_empty() && span(peer.ground.clock.now() - peer.used) >= idle {
+        let idle = self.ground.idle.max(LOOK);
+        ctx.run_interval(LOOK, move |peer, _| {
+            let idle = if peer.gone { LOOK } else { idle };
+            let unused = span(peer.ground.clock.now() - peer.used) >= idle;
+            if unused && peer.held && peer.out.is_empty() {
                 peer.renew();
             }
         });
@@ -114,7 +125,7 @@
             return self.tell(txn, posting, Micros(0), Outcome::only(Fate::NeverSent));
         }
         let within = self.ground.clock.until(until);
-        self.used = self.ground.clock.now();
+        (self.used, self.held) = (self.ground.clock.now(), true);
         let sent = posting::post(self.client.clone(), self.at, carried, within, self.ground.connect_within)
             .into_actor(self)
             .map(move |outcome, peer, _| peer.returned(txn, posting, outcome));
@@ -145,6 +156,7 @@
 impl Handler<Probe> for Peer {
     type Result = ();
     fn handle(&mut self, _: Probe, ctx: &mut Context<Peer>) {
+        self.held = true;
         let asked = posting::probe(self.client.clone(), self.at, PROBE).into_actor(self).map(
             |(fate, report), peer: &mut Peer, _| {
                 peer.desk.do_send(Probed { backend: peer.id, fate, report });
@@ -154,6 +166,28 @@
     }
 }
 
+/// Whether the list has it no more. What is idle then ends soon, as the process at the other end has.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Gone(pub bool);
+impl Handler<Gone> for Peer {
+    type Result = ();
+    fn handle(&mut self, gone: Gone, _: &mut Context<Peer>) {
+        self.gone = gone.0;
+    }
+}
+
+/// Its number is another backend's now.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Retire;
+impl Handler<Retire> for Peer {
+    type Result = ();
+    fn handle(&mut self, _: Retire, ctx: &mut Context<Peer>) {
+        ctx.stop();
+    }
+}
+
 /// The backend is now at another address. What is out stays out; idle connections are let go.
 #[derive(Message)]
 #[rtype(result = "()")]
