An error says less against a backend the more usual errors are

A probe in the module showed 4 to 7 of 12 backends ejected at any moment, up to 20 ejections a second and agent, while connections broke on 7% of postings at all backends alike. Two in a row eject (judge, came_back), which chance alone then brings every few seconds; the rest of the fleet ran hot and the window closed. Ruled out: connections (64 of 97), room for txns, the price of further postings (spare 2 to 10 throughout). Now an error's weight falls as the part of postings that fail at backends in no doubt rises above 5%.

--- a/src/book.rs
+++ b/src/book.rs
@@ -66,6 +66,7 @@
     pub rest: f64,      // the same of the quicker quarter
     pub spare: f64,     // further postings still allowed after a failure
     pub probes: f64,    // probes still allowed
+    pub fails: f64,     // part of postings that fail at backends in no doubt, smoothed
     pub held: f64,      // txns in hand that backends report for their size, smoothed
     pub ejecting: bool, // not while more than half looks ill
     pub least: f64,     // the window's floor: this agent's part of what surely overloads nobody
@@ -82,6 +83,7 @@
             rest: 0.0,
             spare: 3.0,
             probes: 0.0,
+            fails: 0.0,
             held: 0.0,
             ejecting: false,
             least: 1.0,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,7 @@
 const BEAT: Micros = Micros::ms(50); // how often the balancer looks after itself
 const FIRST_SHUT: Micros = Micros::ms(2_000); // how long a backend is ejected; doubled up to
 const LAST_SHUT: Micros = Micros::ms(16_000); // this while it goes on failing
+const USUAL: f64 = 0.05; // failures among postings up to which two in a row point at their backend
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
 const EASE: f64 = 0.12; // square of response time over SLA time aimed at when the window is full
 const PACE_FADE: Micros = Micros::ms(4_000); // a pace not measured for this long counts half
@@ -225,7 +226,7 @@
     }
 
     fn came_back(&mut self, id: BackendId, scheme: SchemeId, sent: Micros, fate: Fate, took: Micros) {
-        let mean = self.took[scheme.0].mean();
+        let (mean, mut usual) = (self.took[scheme.0].mean(), self.gauge.fails);
         let now = self.now;
         let Some(b) = self.at(id) else { return };
         if fate == Fate::Settled || fate == Fate::TimedOut {
@@ -236,6 +237,10 @@
         if sent < b.entry.started {
             return; // what an earlier process did says nothing of this one
         }
+        if matches!(fate, Fate::Settled | Fate::Errored | Fate::Broken) {
+            let failed = f64::from(u8::from(fate != Fate::Settled));
+            usual += 0.02 * (1.0 - b.doubt) * (failed - usual);
+        }
         match fate {
             Fate::Settled => {
                 b.flow += 1.0;
@@ -244,10 +249,13 @@
                 self.took[scheme.0].add(took.0);
             }
             // Two in a row eject: a silent backend must not shut small windows for long (incident i4e8cc2).
-            Fate::Errored | Fate::Broken | Fate::NoLink | Fate::TimedOut => self.judge(id, 0.45),
+            Fate::NoLink | Fate::TimedOut => self.judge(id, 0.45),
+            // Unless failures are usual: what strikes all alike must not leave out one after the other.
+            Fate::Errored | Fate::Broken => self.judge(id, 0.45 * (USUAL / usual).clamp(0.1, 1.0)),
             Fate::TurnedAway => self.judge(id, 0.2),
             _ => {}
         }
+        self.gauge.fails = usual;
     }
 
     /// Own postings out, but for those long past their SLA time or at an ejected backend: what is stuck
