A crowd of idle connections makes way before clients run out of theirs

At fault: gate.rs and caller.rs kept connections as long as the agent itself had room; the clients' share is smaller and ran out first. Now a fifth of the descriptors' worth is kept; beyond it the silent and then the longest idle make way for each that comes.

--- a/crates/agent/src/life/bounds.rs
+++ b/crates/agent/src/life/bounds.rs
@@ -9,8 +9,10 @@
 
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Connections of the application. Beyond it the idle are closed to make room for the next.
+    /// Connections of the application. Beyond it the next waits outside.
     pub callers: usize,
+    /// Beyond this many the idle are closed for each that comes: also those who call have a bound on theirs.
+    pub kept: usize,
     /// Connections to all backends together, idle ones too, and the one of the watch.
     pub links: usize,
     /// Postings out to one backend, and so its connections: one that is silent must not hold them all.
@@ -28,6 +30,7 @@
         let half = half.max(4);
         Bounds {
             callers: half + kept_back / 2,
+            kept: (sockets / 5).max(4),
             links: half + 1,
             links_each: (half / 4).max(4),
             txns: by_memory.clamp(4, half),
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -16,8 +16,8 @@
 const FRESH: Duration = Duration::from_millis(1_000);
 /// A first word, and a request once begun, must be here within this.
 const WHOLE: Duration = Duration::from_millis(2_000);
-/// Where room is short, one on which nothing moved for this long makes way.
-const PRESSED: Duration = Duration::from_millis(200);
+/// Where room is short, one that has yet to say something, or all of it, makes way after this.
+const PRESSED: Duration = Duration::from_millis(100);
 /// One may stand idle for this long where there is room.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -82,16 +82,17 @@
             }
         }
     }
-    /// Ends those that stood longest with no txn in hand, a few at once. None where all have moved just now.
-    pub fn make_room(&self) -> bool {
+    /// Ends what is over `most` and has no txn in hand: first those with something to say that do not say it, then
+    /// those that stand idle, the longest first. False where on all a request is in hand or just coming.
+    pub fn make_room(&self, most: usize) -> bool {
         let all = self.all.borrow();
-        let open = |call: &&Rc<Call>| call.in_hand.get() == 0 && call.ended().is_none();
-        let mut open: Vec<&Rc<Call>> = all.values().filter(open).collect();
-        open.retain(|call| call.since.get().elapsed() > PRESSED);
-        open.sort_by_key(|call| call.since.get());
-        let few = (all.len() / 16).max(1);
-        open.iter().take(few).for_each(|call| call.end("CALL_MADE_WAY"));
-        !open.is_empty()
+        let mut open: Vec<&Rc<Call>> = all.values().filter(|call| call.ended().is_none()).collect();
+        let over = open.len().saturating_sub(most);
+        let idle = |call: &Rc<Call>| call.spoke.get() && !call.busy.get();
+        open.retain(|call| call.in_hand.get() == 0 && (idle(call) || call.since.get().elapsed() > PRESSED));
+        open.sort_by_key(|call| (idle(call), call.since.get()));
+        open.iter().take(over).for_each(|call| call.end("CALL_MADE_WAY"));
+        over == 0 || !open.is_empty()
     }
 }
 
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -38,15 +38,13 @@
             let accepted = futures_util::stream::unfold(held, |(listener, front, calls)| async {
                 if front.counters.callers.get() >= front.bounds.callers {
                     front.counters.add("calls_full");
-                    log::debug!(
-                        "all {} connections are taken: those longest idle make way",
-                        front.bounds.callers
-                    );
+                    log::debug!("all {} connections are taken: some make way", front.bounds.callers);
                 }
                 while front.counters.callers.get() >= front.bounds.callers {
-                    let soon = calls.make_room();
+                    let soon = calls.make_room(front.bounds.callers - 1);
                     actix_rt::time::sleep(if soon { SOON } else { LOOK }).await; // the next waits outside
                 }
+                calls.make_room(front.bounds.kept);
                 let came = listener.accept().await;
                 if came.is_err() {
                     actix_rt::time::sleep(LOOK).await; // out of descriptors: the rest waits outside
