--- a/src/logic.rs
+++ b/src/logic.rs
@@ -595,7 +595,7 @@
         }
         // Another posting is paid for from what the traffic saved up, so that failures feed no overload.
         let price = match fate {
-            Fate::TimedOut | Fate::TurnedAway => 1.0,
+            Fate::TimedOut => 1.0,
             _ => 0.3,
         };
         if over {
