--- a/src/book.rs
+++ b/src/book.rs
@@ -12,7 +12,8 @@
     pub report: Option<(Report, Micros)>,
     pub pace: f64, // own response times against those of all backends, smoothed
     pub paced: Micros,
-    pub doubt: f64, // 0 sound, 1 nothing works
+    pub answered: Micros, // when the latest sent of those that it settled was sent
+    pub doubt: f64,       // 0 sound, 1 nothing works
     pub shut_until: Micros,
     pub shut_for: Micros,
     pub used: Micros, // when we last posted to it
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -225,37 +225,45 @@
         }
     }
 
-    fn came_back(&mut self, id: BackendId, scheme: SchemeId, sent: Micros, fate: Fate, took: Micros) {
+    /// True where the posting was lost alone: the backend answered what was sent there later. That is one more
+    /// failure, but speaks of no queue (incident rf678eb).
+    fn came_back(&mut self, id: BackendId, scheme: SchemeId, sent: Micros, fate: Fate, took: Micros) -> bool {
         let (mean, mut usual) = (self.took[scheme.0].mean(), self.gauge.fails);
         let now = self.now;
-        let Some(b) = self.at(id) else { return };
-        if fate == Fate::Settled || fate == Fate::TimedOut {
+        let Some(b) = self.at(id) else { return false };
+        let lost = fate == Fate::TimedOut && b.answered > sent;
+        if fate == Fate::Settled || (fate == Fate::TimedOut && !lost) {
             let ratio = (took.0 as f64 / mean.unwrap_or(took.0 as f64).max(1.0)).min(8.0);
             b.pace += 0.2 * (ratio - b.pace);
             b.paced = now;
         }
         if sent < b.entry.started {
-            return; // what an earlier process did says nothing of this one
+            return lost; // what an earlier process did says nothing of this one
         }
-        if matches!(fate, Fate::Settled | Fate::Errored | Fate::Broken) {
+        if lost || matches!(fate, Fate::Settled | Fate::Errored | Fate::Broken) {
             let failed = f64::from(u8::from(fate != Fate::Settled));
             usual += 0.02 * (1.0 - b.doubt) * (failed - usual);
         }
         match fate {
             Fate::Settled => {
                 b.flow += 1.0;
+                b.answered = b.answered.max(sent);
                 b.doubt *= 0.6;
                 (b.shut_until, b.shut_for) = (now, Micros(0));
                 self.took[scheme.0].add(took.0);
             }
             // Two in a row eject: a silent backend must not shut small windows for long (incident i4e8cc2).
-            Fate::NoLink | Fate::TimedOut => self.judge(id, 0.45),
+            Fate::NoLink => self.judge(id, 0.45),
+            Fate::TimedOut if !lost => self.judge(id, 0.45),
             // Unless failures are usual: what strikes all alike must not leave out one after the other.
-            Fate::Errored | Fate::Broken => self.judge(id, 0.45 * (USUAL / usual).clamp(0.1, 1.0)),
+            Fate::Errored | Fate::Broken | Fate::TimedOut => {
+                self.judge(id, 0.45 * (USUAL / usual).clamp(0.1, 1.0))
+            }
             Fate::TurnedAway => self.judge(id, 0.2),
             _ => {}
         }
         self.gauge.fails = usual;
+        lost
     }
 
     /// Own postings out, but for those long past their SLA time or at an ejected backend: what is stuck
@@ -409,7 +417,8 @@
         let expected = self.took[scheme.0].mean().unwrap_or(f64::MAX);
         let weigh = |(b, idle): (&&Backend, &Option<(f64, f64)>)| {
             let left = idle.map_or(mean, |(idle, trust)| mean + (idle - mean) * trust).max(FLOOR);
-            let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
+            let behind = b.out.iter().map(|o| (self.now - o.1).0).max();
+            let waiting = behind.unwrap_or(0) as f64 / expected;
             let faded = 1.0 + (b.pace - 1.0) / (1.0 + (self.now - b.paced).over(PACE_FADE));
             let near = if b.entry.zone == self.terms.zone { 1.0 } else { AFAR };
             let pace = faded.max(waiting / 3.0).clamp(0.6, 20.0);
@@ -589,8 +598,8 @@
         let over = s.closed;
         let now = desk.now;
         let ejected = desk.gauge.ejecting && desk.backend(id).is_some_and(|b| b.shut(now));
-        desk.came_back(id, scheme, sent, fate, took);
-        if !ejected {
+        let lost = desk.came_back(id, scheme, sent, fate, took);
+        if !ejected && !lost {
             desk.ease(scheme, fate, took);
         }
         // Another posting is paid for from what the traffic saved up, so that failures feed no overload.
