--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -75,7 +75,7 @@
 /// One HTTP service for all connections of the application.
 async fn serve(front: Rc<Front>) -> io::Result<Serve> {
     let service = HttpService::<Caller, _, _, _, _>::build()
-        // The calls themselves keep the time: an answer sent to who has not asked could pass for the next one.
+        // The calls keep the time: an answer sent to who has not asked could pass for the next one.
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
         .h1_allow_half_closed(false)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,6 @@
 //! All decisions of one balancer. A front opens a `Balancer` with its `Terms` (units.rs) and a seed, sets its
-//! `clock`, and calls it: `listed`/`list_failed`/`list_moved` for the server list, `reported`/`probed` for load, `wake`
-//! when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned` and `left`
+//! `clock`, and calls it: `listed`/`list_failed`/`list_moved` for the server list, `reported`/`probed` for
+//! load, `wake` when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned` and `left`
 //! are all that can happen to it. What the balancer does goes out through the front's `Outlet` (units.rs).
 //! Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
 use std::collections::{BTreeMap, BTreeSet};
@@ -225,8 +225,8 @@
         }
     }
 
-    /// True where the posting was lost alone: the backend answered what was sent there in the second half of its
-    /// wait. That is one more failure, but speaks of no queue (incident rf678eb).
+    /// True where the posting was lost alone: the backend answered what was sent there in the second half of
+    /// its wait. That is one more failure, but speaks of no queue (incident rf678eb).
     fn came_back(&mut self, id: BackendId, scheme: SchemeId, sent: Micros, fate: Fate, took: Micros) -> bool {
         let (mean, mut usual) = (self.took[scheme.0].mean(), self.gauge.fails);
         let now = self.now;
