--- a/crates/agent/src/life/stop.rs
+++ b/crates/agent/src/life/stop.rs
@@ -1,5 +1,5 @@
-//! Signals. On SIGTERM the gate goes on accepting and answering, then the system stops by itself. On SIGHUP the
-//! configuration's `discovery` is read anew; a file that makes no sense changes nothing.
+//! Signals. On SIGTERM the gate goes on accepting and answering, then the system stops by itself. On SIGHUP
+//! the configuration's `discovery` is read anew; a file that makes no sense changes nothing.
 use actix::Addr;
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -82,8 +82,8 @@
             }
         }
     }
-    /// Ends what is over `most` and has no txn in hand: first those with something to say that do not say it, then
-    /// those that stand idle, the longest first. False where on all a request is in hand or just coming.
+    /// Ends what is over `most` and has no txn in hand: first those with something to say that do not say it,
+    /// then those that stand idle, the longest first. False where on all a request is in hand or just coming.
     pub fn make_room(&self, most: usize) -> bool {
         let all = self.all.borrow();
         let mut open: Vec<&Rc<Call>> = all.values().filter(|call| call.ended().is_none()).collect();
--- a/crates/agent/src/wire/link.rs
+++ b/crates/agent/src/wire/link.rs
@@ -46,7 +46,7 @@
     body: usize,
     pub ended: Cell<bool>, // the peer ended its sending while we read
     /// The connection is not to be used again: more came than belongs to the answer, or that can't be told.
-    pub spent: Cell<bool>,
+    spent: Cell<bool>,
 }
 
 tokio::task_local! {
@@ -66,9 +66,9 @@
     pub fn heard(&self) -> usize {
         self.heard.all.get()
     }
-    /// More came than a head and so many bytes.
-    pub fn surplus(&self, length: usize) -> bool {
-        self.heard.after.get() > length
+    /// The answer is over, with a body of so many bytes, or nobody knows how many.
+    pub fn over(&self, length: Option<usize>) {
+        self.spent.set(length.is_none_or(|length| self.heard.after.get() > length));
     }
 }
 
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -136,7 +136,7 @@
     let length = length(answer.headers());
     let chunked = answer.headers().contains_key("transfer-encoding");
     let body = answer.body().limit(BODY).await;
-    mark.spent.set(chunked || length.is_none_or(|length| mark.surplus(length)));
+    mark.over(length.filter(|_| !chunked));
     // An answer that stops short of its length, or between chunks, is no answer.
     let whole = |n: usize| length.is_none_or(|length| length == n) && !(chunked && mark.ended.get());
     let body = body.ok().filter(|body| whole(body.len()));
@@ -150,7 +150,8 @@
     }
 }
 
-fn length(headers: &HeaderMap) -> Option<usize> {
+/// How long a body is to be, by its head.
+pub fn length(headers: &HeaderMap) -> Option<usize> {
     headers.get("content-length").and_then(|n| n.to_str().ok()?.parse().ok())
 }
 
@@ -189,7 +190,7 @@
         let fate = if answer.status() == StatusCode::OK { Fate::Settled } else { Fate::Errored };
         let (by_header, length) = (report(answer.headers()), length(answer.headers()));
         let body = answer.body().limit(BODY).await;
-        mark.spent.set(length.is_none_or(|length| mark.surplus(length)));
+        mark.over(length);
         match body {
             Ok(body) => {
                 let line = std::str::from_utf8(&body).ok();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! All decisions of one balancer. A front opens a `Balancer` with its `Terms` (units.rs) and a seed, sets its
 //! `clock`, and calls it: `listed`/`list_failed`/`list_moved` for the server list, `reported`/`probed` for
-//! load, `wake` when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned` and `left`
-//! are all that can happen to it. What the balancer does goes out through the front's `Outlet` (units.rs).
+//! load, `wake` when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned`
+//! and `left` are all that can happen to it. What the balancer does goes out through the front's `Outlet`.
 //! Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -232,7 +232,7 @@
         let now = self.now;
         let Some(b) = self.at(id) else { return false };
         let lost = fate == Fate::TimedOut && b.answered > sent + took.times(0.5);
-        if fate == Fate::Settled || (fate == Fate::TimedOut && !lost) {
+        if !lost && matches!(fate, Fate::Settled | Fate::TimedOut) {
             let ratio = (took.0 as f64 / mean.unwrap_or(took.0 as f64).max(1.0)).min(8.0);
             b.pace += 0.2 * (ratio - b.pace);
             b.paced = now;
@@ -253,8 +253,7 @@
                 self.took[scheme.0].add(took.0);
             }
             // Two in a row eject: a silent backend must not shut small windows for long (incident i4e8cc2).
-            Fate::NoLink => self.judge(id, 0.45),
-            Fate::TimedOut if !lost => self.judge(id, 0.45),
+            Fate::NoLink | Fate::TimedOut if !lost => self.judge(id, 0.45),
             // Unless failures are usual: what strikes all alike must not leave out one after the other.
             Fate::Errored | Fate::Broken | Fate::TimedOut => {
                 self.judge(id, 0.45 * (USUAL / usual).clamp(0.1, 1.0))
@@ -417,8 +416,7 @@
         let expected = self.took[scheme.0].mean().unwrap_or(f64::MAX);
         let weigh = |(b, idle): (&&Backend, &Option<(f64, f64)>)| {
             let left = idle.map_or(mean, |(idle, trust)| mean + (idle - mean) * trust).max(FLOOR);
-            let behind = b.out.iter().map(|o| (self.now - o.1).0).max();
-            let waiting = behind.unwrap_or(0) as f64 / expected;
+            let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
             let faded = 1.0 + (b.pace - 1.0) / (1.0 + (self.now - b.paced).over(PACE_FADE));
             let near = if b.entry.zone == self.terms.zone { 1.0 } else { AFAR };
             let pace = faded.max(waiting / 3.0).clamp(0.6, 20.0);
