Read-through: one reading of a stated length, reason codes without a detour, long lines folded

application.rs reads Content-Length as posting.rs does; gate.rs asks a connection for its code once.

--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -8,13 +8,14 @@
 use actix::Addr;
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
-use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use awc::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use notchspool::units::{Kind, Micros, SchemeId, TxnRef};
 use tokio::sync::oneshot;
 
 use super::caller::{Asked, Call};
+use super::posting::length;
 use crate::life::bounds::{BODY, Bounds};
 use crate::life::clock::Clock;
 use crate::memory::counters::Counters;
@@ -140,9 +141,7 @@
 }
 
 async fn body(request: &mut Request) -> Result<Bytes, (StatusCode, &'static str)> {
-    let told =
-        request.head().headers().get(CONTENT_LENGTH).and_then(|n| n.to_str().ok()?.parse::<u64>().ok());
-    if told.is_some_and(|told| told > BODY as u64) {
+    if length(request.head().headers()).is_some_and(|told| told > BODY) {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
     }
     let mut whole = BytesMut::new();
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -89,14 +89,13 @@
         // A task of its own: an actor polls all its futures whenever one of them wakes it.
         actix_rt::spawn(async move {
             let ended = served.await;
-            let code = match ended {
-                _ if call.ended().is_some() => call.ended().unwrap_or_default(),
-                _ if call.refused().is_some() => "CALL_BAD_REQUEST",
+            let known = call.ended().or(call.refused().map(|_| "CALL_BAD_REQUEST"));
+            let code = known.unwrap_or(match ended {
                 Ok(()) => "CALL_CLOSED",
                 Err(DispatchError::Io(_)) => "CALL_RESET",
                 Err(DispatchError::Parse(_)) => "CALL_BROKEN_HTTP",
                 Err(_) => "CALL_FAILED",
-            };
+            });
             counters.add("calls_ended");
             let why = call.refused().map(|why| format!(" ({why})")).unwrap_or_default();
             log::info!("connection from {from} ended: {code}{why}");
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -78,8 +78,8 @@
     }
 }
 
-/// Sends the txn to a backend and waits for its answer till the posting's time is up. An answer that has begun
-/// and then stands still for `stall` never comes whole.
+/// Sends the txn to a backend and waits for its answer till the posting's time is up. An answer that has
+/// begun and then stands still for `stall` never comes whole.
 pub async fn post(
     client: Client,
     at: SocketAddr,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,7 @@
 //! All decisions of one balancer. A front opens a `Balancer` with its `Terms` (units.rs) and a seed, sets its
 //! `clock`, and calls it: `listed`/`list_failed`/`list_moved` for the server list, `reported`/`probed` for
-//! load, `wake` when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`, `returned`
-//! and `left` are all that can happen to it. What the balancer does goes out through the front's `Outlet`.
+//! load, `wake` when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`,
+//! `returned` and `left` are all that can happen to it. What the balancer does goes out through the front's `Outlet`.
 //! Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
 use std::collections::{BTreeMap, BTreeSet};
 
