The lab's core: backends, register, crowd, faults, and an auditor of the four rules

All that comes next has to be shown under failure, and nothing in the repository plays a fleet or finds a txn that ran twice. This is the part of the lab that knows no socket and no clock: backends that queue, choke, warm up and fall over, the memory of references, a versioned register with a compacted history, open-loop clients whose orders follow from the seed alone, a timetable of faults, and the auditor, which judges from the books of clients and backends only.

--- /dev/null
+++ b/crates/lab/src/core/mod.rs
@@ -0,0 +1,12 @@
+//! What the lab knows of the world: no socket, no clock; time and chance are handed in.
+pub mod auditor;
+pub mod backend;
+pub mod crowd;
+pub mod fleet;
+pub mod kit;
+pub mod ledger;
+pub mod memory;
+pub mod register;
+pub mod service;
+pub mod timetable;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,5 @@
+//! The lab: fleets on sockets, load, faults, an auditor of the four rules, and reports.
+//!
+//! `core` knows no socket and no clock; `plan` reads experiments; `sockets` plays them on loopback against real
+//! agents; `plain` are agents with plain policies, as baselines; `report` tells what came of it.
+pub mod core;
