The lab on sockets: real agents in a fleet under load and faults, audited; notchspool begins

The core alone shows nothing of an agent. This plays it on loopback: a listener for each backend and zone that looks at it, a register that notes what it wrote to whom, open-loop clients that count from when an order was due, agents as processes that are killed and started anew, plain agents of four policies as baselines behind the same protocol, experiments as TOML files whose mistakes are named by file, line and word, sheets, tables and a page.

--- /dev/null
+++ b/crates/cli/src/lab.rs
@@ -0,0 +1,224 @@
+//! `notchspool lab ...`
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Args, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use notchspool_lab::core::kit::Micros;
+use notchspool_lab::plain::agent;
+use notchspool_lab::plain::policy::Policy;
+use notchspool_lab::plan::{Arm, Plan, read, ship};
+use notchspool_lab::report::{Sheet, page, table};
+use notchspool_lab::sockets::agents::Programs;
+use notchspool_lab::sockets::drive;
+
+#[derive(Subcommand)]
+pub enum Lab {
+    /// Plays an experiment; ends with 0, or with 1 and what was broken.
+    Run(Run),
+    /// Lists the experiments that ship.
+    Ls,
+    /// Prints an experiment that ships, to begin one's own with.
+    Show { name: String },
+    /// Writes one page, with plots, of the runs that were kept.
+    Report(Report),
+    /// A plain agent: a baseline, told what any agent is told. The lab starts it by itself.
+    #[command(hide = true)]
+    Plain { policy: String },
+}
+
+#[derive(Args)]
+pub struct Run {
+    /// A file, or the name of one that ships.
+    experiment: String,
+    /// Another seed than the file's; may be given again, for a run each.
+    #[arg(long)]
+    seed: Vec<u64>,
+    /// The agent's binary; else the one beside this program.
+    #[arg(long)]
+    agent: Option<PathBuf>,
+    /// Plays every arm of the file and the four plain policies, in turn.
+    #[arg(long)]
+    compare: bool,
+    /// Plays only the arms of these names, or plain policies.
+    #[arg(long)]
+    arm: Vec<String>,
+    /// Where sheets and logs go.
+    #[arg(long, default_value = "found/lab")]
+    out: PathBuf,
+}
+
+#[derive(Args)]
+pub struct Report {
+    /// Sheets, or folders that hold some.
+    #[arg(default_value = "found/lab")]
+    from: Vec<PathBuf>,
+    /// The page; its plots go beside it.
+    #[arg(long, default_value = "found/lab/report.md")]
+    out: PathBuf,
+}
+
+pub fn run(lab: Lab) -> Result<ExitCode, String> {
+    match lab {
+        Lab::Run(asked) => play(&asked),
+        Lab::Ls => list(),
+        Lab::Show { name } => {
+            print!("{}", ship::shipped(&name).ok_or_else(|| no_such(&name))?);
+            Ok(ExitCode::SUCCESS)
+        }
+        Lab::Report(asked) => report(&asked),
+        Lab::Plain { policy } => {
+            let policy = Policy::named(&policy).ok_or_else(|| format!("no policy `{policy}`"))?;
+            agent::run(policy).map(|()| ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn no_such(name: &str) -> String {
+    format!("no experiment `{name}`: neither a file nor one that ships; `notchspool lab ls` names those")
+}
+
+fn list() -> Result<ExitCode, String> {
+    for (name, text) in ship::SHIPPED {
+        let plan = read::read(name, text, None).map_err(told)?;
+        let seconds = plan.span.0 as f64 / 1e6;
+        println!("{name:<18} {:<58} {seconds:>4.0} s", plan.title);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn told(mistakes: Vec<notchspool_lab::plan::place::Mistake>) -> String {
+    mistakes.iter().map(ToString::to_string).collect::<Vec<_>>().join("\nnotchspool: ")
+}
+
+fn text_of(experiment: &str) -> Result<String, String> {
+    if Path::new(experiment).is_file() {
+        return std::fs::read_to_string(experiment).map_err(|e| format!("{experiment}: {e}"));
+    }
+    ship::shipped(experiment).map(str::to_owned).ok_or_else(|| no_such(experiment))
+}
+
+fn programs(agent: Option<&PathBuf>) -> Result<Programs, String> {
+    let own = std::env::current_exe().map_err(|e| format!("where this program is: {e}"))?;
+    let beside = own.with_file_name("notchspool-agent");
+    Ok(Programs { agent: agent.cloned().unwrap_or(beside), own })
+}
+
+fn arms(plan: &Plan, asked: &Run) -> Result<Vec<Arm>, String> {
+    let agent = Arm { name: "notchspool".into(), ..Arm::default() };
+    let plain = |policy: Policy| Arm { name: policy.name().into(), plain: Some(policy), ..Arm::default() };
+    let mut all = vec![agent];
+    all.extend(plan.arms.iter().cloned());
+    all.extend(Policy::ALL.map(plain));
+    if !asked.arm.is_empty() {
+        let find = |name: &String| {
+            let names = || all.iter().map(|a| a.name.as_str()).collect::<Vec<_>>().join(", ");
+            all.iter()
+                .find(|a| a.name == *name)
+                .cloned()
+                .ok_or_else(|| format!("no arm `{name}`; there are {}", names()))
+        };
+        return asked.arm.iter().map(find).collect();
+    }
+    if !asked.compare {
+        all.truncate(1);
+    }
+    Ok(all)
+}
+
+fn play(asked: &Run) -> Result<ExitCode, String> {
+    let text = text_of(&asked.experiment)?;
+    let programs = programs(asked.agent.as_ref())?;
+    let seeds: Vec<Option<u64>> =
+        if asked.seed.is_empty() { vec![None] } else { asked.seed.iter().copied().map(Some).collect() };
+    let mut sheets = Vec::new();
+    for seed in seeds {
+        let plan = read::read(&asked.experiment, &text, seed).map_err(told)?;
+        for arm in arms(&plan, asked)? {
+            let folder = asked.out.join(format!("{}-{}-{}", plan.name, plan.seed, arm.name));
+            let bar = bar(&plan, &arm);
+            let look = |now: Micros, ended: usize, open: usize| {
+                bar.set_position((now.0 / 1000).max(0) as u64);
+                bar.set_message(format!("{ended} orders, {open} in hand"));
+            };
+            let outcome = drive::run(&plan, &arm, &programs, &folder, &look);
+            bar.finish_and_clear();
+            let sheet = Sheet::of(&plan, &outcome?);
+            keep(&folder, &sheet)?;
+            print!("{}", table::whole(&sheet));
+            sheets.push(sheet);
+        }
+    }
+    if sheets.len() > 1 {
+        print!("\n{}", table::side_by_side(&sheets));
+    }
+    // Baselines are compared with, not judged.
+    let own = sheets.iter().filter(|s| Policy::named(&s.arm).is_none());
+    Ok(if own.clone().all(Sheet::sound) { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+fn bar(plan: &Plan, arm: &Arm) -> ProgressBar {
+    if !std::io::stderr().is_terminal() {
+        return ProgressBar::hidden();
+    }
+    let bar = ProgressBar::new((plan.span.0 / 1000) as u64);
+    if let Ok(style) = ProgressStyle::with_template("{prefix} [{bar:40}] {msg}") {
+        bar.set_style(style);
+    }
+    bar.set_prefix(format!("{} ({})", plan.name, arm.name));
+    bar
+}
+
+fn keep(folder: &Path, sheet: &Sheet) -> Result<(), String> {
+    let text = serde_json::to_string_pretty(sheet).map_err(|e| e.to_string())?;
+    let file = folder.join("sheet.json");
+    std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+fn sheets(from: &Path, found: &mut Vec<PathBuf>) -> Result<(), String> {
+    let failed = |e: std::io::Error| format!("{}: {e}", from.display());
+    if from.is_dir() {
+        let mut inside: Vec<PathBuf> = Vec::new();
+        for entry in std::fs::read_dir(from).map_err(failed)? {
+            inside.push(entry.map_err(failed)?.path());
+        }
+        inside.sort();
+        for path in inside {
+            if path.is_dir() || path.file_name().is_some_and(|name| name == "sheet.json") {
+                sheets(&path, found)?;
+            }
+        }
+        return Ok(());
+    }
+    found.push(from.to_owned());
+    Ok(())
+}
+
+fn report(asked: &Report) -> Result<ExitCode, String> {
+    let mut files = Vec::new();
+    for from in &asked.from {
+        sheets(from, &mut files)?;
+    }
+    let read = |file: &PathBuf| -> Result<Sheet, String> {
+        let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        serde_json::from_slice(&text).map_err(|e| format!("{}: no sheet: {e}", file.display()))
+    };
+    let mut read: Vec<Sheet> = files.iter().map(read).collect::<Result<_, _>>()?;
+    if read.is_empty() {
+        return Err("no sheets there; `notchspool lab run` leaves them".into());
+    }
+    read.sort_by_key(|s| {
+        (s.experiment.clone(), Policy::named(&s.arm).is_some(), s.arm != "notchspool", s.arm.clone(), s.seed)
+    });
+    let page = page::page(&read)?;
+    let folder = asked.out.parent().unwrap_or(Path::new("."));
+    let write =
+        |path: &Path, text: &str| std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()));
+    write(&asked.out, &page.text)?;
+    for (name, plot) in &page.plots {
+        write(&folder.join(name), plot)?;
+    }
+    println!("{}: {} runs, {} plots beside it", asked.out.display(), read.len(), page.plots.len());
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/lab/src/core/fleet.rs
+++ b/crates/lab/src/core/fleet.rs
@@ -13,6 +13,8 @@
 pub struct Site {
     pub zone: ZoneId,
     pub cell: u64,
+    /// As the register tells it.
+    pub size: f64,
     pub build: Build,
 }
 
@@ -103,6 +105,8 @@
     next: u64,
     seed: u64,
     fell: Vec<BackId>,
+    /// Replies that no one has fetched yet.
+    due: Vec<(Micros, PostingId, Reply)>,
 }
 
 impl Fleet {
@@ -121,6 +125,7 @@
             next: 0,
             seed,
             fell: Vec::new(),
+            due: Vec::new(),
         }
     }
 
@@ -136,6 +141,7 @@
     }
     pub fn ail(&mut self, now: Micros, back: BackId, ailing: Ailing) {
         if self.ailing[back.0] != ailing {
+            self.live(now, back);
             self.backs[back.0].slow(now, ailing.slow);
             self.backs[back.0].hang(now, ailing.hang);
             self.ailing[back.0] = ailing;
@@ -145,6 +151,7 @@
         self.ailing[back.0].hang
     }
     pub fn linked(&mut self, now: Micros, back: BackId) {
+        self.live(now, back);
         self.backs[back.0].linked(now);
     }
 
@@ -172,6 +179,7 @@
         let held = self.held.get_mut(&posting)?;
         held.came = true;
         let (back, wanted) = (held.back, held.wanted);
+        self.live(now, back);
         self.ledger.write(now, Entry::Came { posting });
         let lot = |n: u64| lot(self.seed, &[43, back.0 as u64, wanted.txn.0, n]);
         let ailing = &self.ailing[back.0];
@@ -218,37 +226,41 @@
     }
 
     pub fn next(&self) -> Option<Micros> {
-        self.backs.iter().filter_map(Backend::next).min()
+        let due = self.due.first().map(|due| due.0);
+        due.into_iter().chain(self.backs.iter().filter_map(Backend::next)).min()
     }
 
     /// Lives on until `now`: replies that are due.
     pub fn advance(&mut self, now: Micros) -> Vec<(PostingId, Reply)> {
-        let mut replies = Vec::new();
-        for at in 0..self.backs.len() {
-            if self.backs[at].next().is_none_or(|next| next > now) {
-                continue;
-            }
-            for event in self.backs[at].advance(now) {
-                match event {
-                    Event::Ran(posting, at) => self.ran(at, posting),
-                    Event::Done(posting, _) => {
-                        let Some(held) = self.held.get(&posting) else { continue };
-                        if held.over {
-                            self.held.remove(&posting);
-                            continue;
-                        }
-                        let lot = |n: u64| lot(self.seed, &[44, at as u64, held.wanted.txn.0, n]);
-                        let reply = match &self.ailing[at] {
-                            ailing if lot(1) < ailing.cut_off => Reply::CutOff,
-                            ailing if lot(2) < ailing.spoilt => Reply::Spoilt,
-                            _ => Reply::Settled,
-                        };
-                        replies.push((posting, reply));
+        (0..self.backs.len()).for_each(|back| self.live(now, BackId(back)));
+        std::mem::take(&mut self.due).into_iter().map(|(_, posting, reply)| (posting, reply)).collect()
+    }
+
+    /// One backend lives on until `now`, before anything is done to it. Its replies wait for `advance`.
+    fn live(&mut self, now: Micros, back: BackId) {
+        let at = back.0;
+        if self.backs[at].next().is_none_or(|next| next > now) {
+            return;
+        }
+        for event in self.backs[at].advance(now) {
+            match event {
+                Event::Ran(posting, at) => self.ran(at, posting),
+                Event::Done(posting, done) => {
+                    let Some(held) = self.held.get(&posting) else { continue };
+                    if held.over {
+                        self.held.remove(&posting);
+                        continue;
                     }
+                    let lot = |n: u64| lot(self.seed, &[44, at as u64, held.wanted.txn.0, n]);
+                    let reply = match &self.ailing[at] {
+                        ailing if lot(1) < ailing.cut_off => Reply::CutOff,
+                        ailing if lot(2) < ailing.spoilt => Reply::Spoilt,
+                        _ => Reply::Settled,
+                    };
+                    self.due.push((done, posting, reply));
                 }
             }
         }
-        replies
     }
 
     /// The connection of a posting ended, or its answer is written. What still runs may go on running.
@@ -256,6 +268,7 @@
         let Some(held) = self.held.get_mut(&posting).filter(|held| !held.over) else { return };
         held.over = true;
         let (back, came) = (held.back, held.came);
+        self.live(now, back);
         self.ledger.write(now, Entry::Over { posting, end });
         let dropped = came && end == End::GivenUp && self.backs[back.0].withdrawn(now, posting);
         if dropped || !came || matches!(end, End::Settled | End::Errored | End::NeverRan) {
@@ -264,6 +277,7 @@
     }
 
     pub fn crash(&mut self, now: Micros, back: BackId) {
+        self.live(now, back);
         self.backs[back.0].crash(now);
         self.held.retain(|_, held| held.back != back || !held.over);
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,3 +3,8 @@
 //! `core` knows no socket and no clock; `plan` reads experiments; `sockets` plays them on loopback against real
 //! agents; `plain` are agents with plain policies, as baselines; `report` tells what came of it.
 pub mod core;
+pub mod http;
+pub mod plain;
+pub mod plan;
+pub mod report;
+pub mod sockets;
--- /dev/null
+++ b/crates/lab/src/sockets/mod.rs
@@ -0,0 +1,9 @@
+//! The world on sockets: backends, register and clients on loopback in one process, agents as processes of their
+//! own. One thread; everything is bounded by what the experiment names, and ends by itself.
+pub mod agents;
+pub mod backends;
+pub mod clients;
+pub mod drive;
+pub mod ground;
+pub mod registry;
+pub mod stage;
