--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -6,6 +6,7 @@
 use clap::{Args, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use notchspool_lab::core::kit::Micros;
+use notchspool_lab::core::ledger::Ledger;
 use notchspool_lab::plain::agent;
 use notchspool_lab::plain::policy::Policy;
 use notchspool_lab::plan::{Arm, Plan, read, ship};
@@ -44,6 +45,9 @@
     /// Plays only the arms of these names, or plain policies.
     #[arg(long)]
     arm: Vec<String>,
+    /// Keeps the books too: every line that clients, backends and the register wrote.
+    #[arg(long)]
+    books: bool,
     /// Where sheets and logs go.
     #[arg(long, default_value = "found/lab")]
     out: PathBuf,
@@ -117,6 +121,7 @@
             all.iter()
                 .find(|a| a.name == *name)
                 .cloned()
+                .or_else(|| Policy::named(name).map(plain))
                 .ok_or_else(|| format!("no arm `{name}`; there are {}", names()))
         };
         return asked.arm.iter().map(find).collect();
@@ -144,8 +149,12 @@
             };
             let outcome = drive::run(&plan, &arm, &programs, &folder, &look);
             bar.finish_and_clear();
-            let sheet = Sheet::of(&plan, &outcome?);
+            let outcome = outcome?;
+            let sheet = Sheet::of(&plan, &outcome);
             keep(&folder, &sheet)?;
+            if asked.books {
+                books(&folder, &outcome.ledger)?;
+            }
             print!("{}", table::whole(&sheet));
             sheets.push(sheet);
         }
@@ -153,8 +162,8 @@
     if sheets.len() > 1 {
         print!("\n{}", table::side_by_side(&sheets));
     }
-    // Baselines are compared with, not judged.
-    let own = sheets.iter().filter(|s| Policy::named(&s.arm).is_none());
+    // Baselines beside the agent are compared with, not judged.
+    let own = sheets.iter().filter(|s| !asked.compare || Policy::named(&s.arm).is_none());
     Ok(if own.clone().all(Sheet::sound) { ExitCode::SUCCESS } else { ExitCode::from(1) })
 }
 
@@ -176,6 +185,13 @@
     std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))
 }
 
+fn books(folder: &Path, ledger: &Ledger) -> Result<(), String> {
+    let line = |(at, entry): &(Micros, _)| format!("{:>12.3} ms  {entry:?}\n", at.0 as f64 / 1000.0);
+    let text: String = ledger.lines.iter().map(line).collect();
+    let file = folder.join("books.txt");
+    std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
 fn sheets(from: &Path, found: &mut Vec<PathBuf>) -> Result<(), String> {
     let failed = |e: std::io::Error| format!("{}: {e}", from.display());
     if from.is_dir() {
--- a/crates/lab/src/core/auditor.rs
+++ b/crates/lab/src/core/auditor.rs
@@ -148,8 +148,8 @@
             Entry::Fell { back: _ } => verdict.breach(Rule::Cold, "a cold backend was pushed over", None, at),
             Entry::Killed { agent } => {
                 killed.push((at, agent));
-                told.retain(|(held, _), _| *held != agent);
             }
+            Entry::Launched { agent } => told.retain(|(held, _), _| *held != agent),
         }
     }
     for (&txn, book) in &books {
--- a/crates/lab/src/core/ledger.rs
+++ b/crates/lab/src/core/ledger.rs
@@ -62,6 +62,8 @@
     Fell { back: BackId },
     /// An agent was killed, or its restart has begun: what it holds is its clients' to try again.
     Killed { agent: AgentId },
+    /// A new process of an agent, which was told nothing yet.
+    Launched { agent: AgentId },
 }
 
 /// All lines, in the order they were written.
--- a/crates/lab/src/core/world.rs
+++ b/crates/lab/src/core/world.rs
@@ -161,6 +161,10 @@
         }
     }
 
+    pub fn launched(&mut self, now: Micros, agent: AgentId) {
+        self.fleet.ledger.write(now, Entry::Launched { agent });
+    }
+
     pub fn killed(&mut self, now: Micros, agent: AgentId) {
         self.fleet.ledger.write(now, Entry::Killed { agent });
     }
--- a/crates/lab/src/plain/agent.rs
+++ b/crates/lab/src/plain/agent.rs
@@ -28,6 +28,7 @@
 }
 
 struct Plain {
+    careless: bool,
     chooser: RefCell<Chooser>,
     members: RefCell<BTreeMap<String, Member>>,
     version: RefCell<Option<u64>>,
@@ -63,6 +64,7 @@
     let span =
         |field: &str, default| Duration::from_secs_f64(permits[field].as_f64().unwrap_or(default) / 1e3);
     let plain = Rc::new(Plain {
+        careless: policy == Policy::Careless,
         chooser: RefCell::new(Chooser::new(policy, seed)),
         members: RefCell::default(),
         version: RefCell::new(None),
@@ -169,7 +171,7 @@
         let safe = self.safe.iter().any(|s| s == scheme);
         let mut ran = false;
         let mut tried: Vec<String> = Vec::new();
-        while tried.len() < POSTINGS && Instant::now() < end && (safe || !ran) {
+        while tried.len() < POSTINGS && Instant::now() < end && (safe || !ran || self.careless) {
             let Some(name) = self.choose(&tried) else { break };
             let began = Instant::now();
             self.chooser.borrow_mut().sent(&name);
@@ -187,7 +189,7 @@
             }
             tried.push(name);
         }
-        match ran && !safe {
+        match ran && !safe && !self.careless {
             true => answer("502 Bad Gateway", "", "reversed\n"),
             false => answer("503 Service Unavailable", "Retry-After: 0.05\r\n", "declined\n"),
         }
@@ -195,7 +197,8 @@
 
     fn choose(&self, tried: &[String]) -> Option<String> {
         let members = self.members.borrow();
-        let mut open: Vec<&str> = members.iter().filter(|m| m.1.open).map(|m| m.0.as_str()).collect();
+        let mut open: Vec<&str> =
+            members.iter().filter(|m| m.1.open || self.careless).map(|m| m.0.as_str()).collect();
         if open.len() > tried.len() {
             open.retain(|name| !tried.iter().any(|t| t == name));
         }
--- a/crates/lab/src/plain/policy.rs
+++ b/crates/lab/src/plain/policy.rs
@@ -11,6 +11,8 @@
     LeastOut,
     /// The better of two drawn, by smoothed response time times postings out.
     PeakEwma,
+    /// Breaks the rules: sends all again, on drains too. To try the auditor with; never a baseline.
+    Careless,
 }
 
 impl Policy {
@@ -18,10 +20,13 @@
     pub const ALL: [Policy; 4] = [Policy::Random, Policy::RoundRobin, Policy::LeastOut, Policy::PeakEwma];
 
     pub fn named(name: &str) -> Option<Policy> {
+        if name == "careless" {
+            return Some(Policy::Careless);
+        }
         Policy::NAMES.iter().position(|n| *n == name).map(|at| Policy::ALL[at])
     }
     pub fn name(self) -> &'static str {
-        Policy::NAMES[self as usize]
+        Policy::NAMES.get(self as usize).copied().unwrap_or("careless")
     }
 }
 
@@ -65,7 +70,7 @@
             return None;
         }
         let at = match self.policy {
-            Policy::Random => self.any(open.len()),
+            Policy::Random | Policy::Careless => self.any(open.len()),
             Policy::RoundRobin => {
                 self.turn = self.turn.wrapping_add(1);
                 self.turn % open.len()
--- a/crates/lab/src/sockets/agents.rs
+++ b/crates/lab/src/sockets/agents.rs
@@ -116,6 +116,8 @@
             ));
         }
         create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        // Of this run alone, over all of its starts.
+        let _ = std::fs::remove_file(folder.join(format!("{name}.log")));
         Ok(Agent {
             config: folder.join(format!("{name}.json")),
             log: folder.join(format!("{name}.log")),
--- a/crates/lab/src/sockets/drive.rs
+++ b/crates/lab/src/sockets/drive.rs
@@ -18,6 +18,7 @@
 use crate::core::crowd::{digest, orders};
 use crate::core::fleet::Fleet;
 use crate::core::kit::*;
+use crate::core::ledger::Ledger;
 use crate::core::register::Register;
 use crate::core::service::{Recovery, Service};
 use crate::core::world::{Effect, World};
@@ -45,6 +46,8 @@
     /// Why this run does not count, where it does not.
     pub void: Option<String>,
     pub agent_counters: Vec<String>,
+    /// All that was written down.
+    pub ledger: Ledger,
 }
 
 /// Later than this in one of a hundred moments, the lab was no fair measure.
@@ -201,6 +204,7 @@
                     }
                     agents[agent.0].gone().await;
                     crowd.forget(agent);
+                    stage.world.borrow_mut().launched(stage.now(), agent);
                     agents[agent.0].launch(plan.seed)?;
                     down[agent.0] = false;
                 }
@@ -308,6 +312,7 @@
         span: plan.span,
         void: void.or(late),
         agent_counters,
+        ledger: ledger.clone(),
     }
 }
 
--- a/crates/lab/src/sockets/ground.rs
+++ b/crates/lab/src/sockets/ground.rs
@@ -82,3 +82,28 @@
     }
     setrlimit(Resource::RLIMIT_NOFILE, wanted, hard).map_err(|e| format!("{wanted} descriptors: {e}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_port_in_use_is_named() {
+        let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = held.local_addr().expect("its address");
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
+        let _in = runtime.enter();
+        let wrong = listen(at).expect_err("it is taken");
+        assert!(wrong.contains(&at.to_string()) && wrong.contains("in use"), "{wrong}");
+    }
+
+    #[test]
+    fn descriptors_that_can_not_be_had_are_told() {
+        let (_, hard) = getrlimit(Resource::RLIMIT_NOFILE).expect("a limit");
+        if hard < u64::MAX - 1 {
+            let wrong = descriptors(hard + 1).expect_err("there are not so many");
+            assert!(wrong.contains(&hard.to_string()), "{wrong}");
+        }
+        assert_eq!(descriptors(16), Ok(()));
+    }
+}
--- a/crates/lab/tests/auditor.rs
+++ b/crates/lab/tests/auditor.rs
@@ -1,7 +1,7 @@
 //! Tries the auditor with ledgers that break one rule each. A case is `== NAME: BREACH` (or `== NAME: sound`),
 //! then a line an entry: `MS take T AGENT SCHEME EXPIRY`, `MS heard T settled|declined|reversed`, `MS left T`,
 //! `MS unanswered T`, `MS began P T BACK`, `MS came P`, `MS ran P`, `MS repeat P`, `MS over P END`, `MS told AGENT BACK
-//! STANDING`, `MS started BACK`, `MS fell BACK`, `MS killed AGENT`. Schemes: 0 repeatable, 1 referenced (zone, 1000 ms),
+//! STANDING`, `MS started BACK`, `MS fell BACK`, `MS killed|launched AGENT`. Schemes: 0 repeatable, 1 referenced (zone, 1000 ms),
 //! 2 once-only. Backends: 0 and 1 in zone 0, 2 in zone 1. Grace 500 ms, slack 50 ms, 3 postings. `held N`: held back.
 use std::path::PathBuf;
 
@@ -76,6 +76,7 @@
         },
         "started" => Entry::Started { back: back(1) },
         "fell" => Entry::Fell { back: back(1) },
+        "launched" => Entry::Launched { agent: agent(1) },
         "killed" => Entry::Killed { agent: agent(1) },
         other => panic!("no such entry: {other}"),
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,7 @@
 const REPORT_FADE: Micros = Micros::ms(1_000); // a report this old counts half
 const EASE: f64 = 0.12; // square of response time over SLA time aimed at when the window is full
 const PACE_FADE: Micros = Micros::ms(4_000); // a pace not measured for this long counts half
+const AT_ONCE: f64 = 0.02; // an answer within this part of the SLA time shows no work worth a window
 const AFAR: f64 = 0.2; // weight of a backend in another zone
 const QUICK: f64 = 4.0; // the aim is this many times the square of the quicker quarter, where that is more
 const SPEND: f64 = 0.002; // part of a txn's value that probes may cost
@@ -315,8 +316,14 @@
         if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * (self.gauge.window + self.gauge.saved) {
             self.gauge.opening &= pull > 0.0;
             // A small window moves by smaller steps: its agent hears little, and most of that is chance.
-            let step =
-                if self.gauge.opening { 0.5 } else { 0.2 } * self.gauge.window / (1.0 + self.gauge.window);
+            // While it opens, an answer that comes at once doubles it: waiting is then far off, and clients
+            // that ask again without a pause would be declined by the thousand.
+            let slow = self.gauge.window / (1.0 + self.gauge.window);
+            let step = match self.gauge.opening {
+                true if part < AT_ONCE => self.gauge.window,
+                true => 0.5 * slow,
+                false => 0.2 * slow,
+            };
             self.gauge.window = (self.gauge.window + step * pull).max(self.gauge.least);
         }
     }
