--- a/crates/agent/src/life/mod.rs
+++ b/crates/agent/src/life/mod.rs
@@ -1,7 +1,4 @@
-//! Start, clock, bounds, stop and the logger.
-pub mod bounds;
-pub mod clock;
-pub mod logger;
+//! Start, what is told, and the orderly end.
 pub mod run;
 pub mod start;
 pub mod stop;
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -10,16 +10,17 @@
 use notchspool::units::Terms;
 use tokio::net::TcpListener;
 
-use super::clock::{Clock, span};
 use super::start::Told;
 use super::stop;
+use crate::base::clock::{Clock, span};
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Desk};
 use crate::memory::list::{List, Restore};
 use crate::wire::application::Front;
-use crate::wire::backend::Ground;
+use crate::wire::backend::{self, Ground};
 use crate::wire::caller::Caller;
 use crate::wire::gate::{Gate, Serve};
+use crate::wire::listing;
 use crate::wire::registry::Registry;
 
 pub fn run(told: Told) -> io::Result<()> {
@@ -49,9 +50,19 @@
     // On sockets the list always has to be asked for, whatever the simulator does at this site.
     let terms = Terms { list_on_request: true, ..agreed.terms };
     let desk = Desk::open(terms, seed, clock, counters.clone()).start();
-    let list = List::open(desk.clone(), ground.clone(), counters.clone(), agreed.zones).start();
+    let list = List::open(
+        desk.clone(),
+        clock,
+        counters.clone(),
+        agreed.zones,
+        backend::maker(desk.clone(), ground.clone()),
+    );
+    let list = list.start();
     // The mailboxes keep the order: the known list is with the module before the first txn is.
-    list.send(Restore(known)).await.map_err(io::Error::other)?;
+    match listing::read(&known) {
+        Ok(known) => list.send(Restore(known)).await.map_err(io::Error::other)?,
+        Err(why) => log::warn!("list: the known list can't be used: {why}"),
+    }
     let registry = Registry::new(discovery, ground.client(usize::MAX), list).start();
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
--- a/crates/agent/src/life/start.rs
+++ b/crates/agent/src/life/start.rs
@@ -5,7 +5,7 @@
 use notchspool_terms::{Agreed, agreed};
 use serde_json::Value;
 
-use super::bounds::Bounds;
+use crate::base::bounds::Bounds;
 
 pub struct Told {
     pub name: String,
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -2,17 +2,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, Recipient};
+use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient};
 use notchspool::logic::Balancer;
 use notchspool::units::*;
 use tokio::sync::oneshot;
 
 use super::counters::Counters;
 use super::hand::Hand;
+use super::mail::{Peer, ToPeer, Watch};
 use super::txn::{Answer, Carried, InHand, Made};
-use crate::life::clock::{Clock, span};
-use crate::wire::backend::{Peer, Trim};
-use crate::wire::registry::Watch;
+use crate::base::clock::{Clock, span};
 
 pub struct Desk {
     balancer: Balancer,
@@ -77,7 +76,7 @@
 /// A backend that the list names for the first time.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Meet(pub BackendId, pub Addr<Peer>);
+pub struct Meet(pub BackendId, pub Peer);
 impl Handler<Meet> for Desk {
     type Result = ();
     fn handle(&mut self, meet: Meet, _: &mut Context<Desk>) {
@@ -206,7 +205,7 @@
 impl Handler<NoRoom> for Desk {
     type Result = ();
     fn handle(&mut self, _: NoRoom, _: &mut Context<Desk>) {
-        self.hand.peers.values().for_each(|peer| peer.do_send(Trim));
+        self.hand.peers.values().for_each(|peer| peer.do_send(ToPeer::Trim));
     }
 }
 
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -2,17 +2,16 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use actix::{Addr, Recipient};
+use actix::Recipient;
 use notchspool::units::{BackendId, Micros, Outlet, TxnRef};
 
 use super::counters::Counters;
+use super::mail::{Peer, ToPeer, Watch};
 use super::txn::{Answer, InHand};
-use crate::wire::backend::{Cancel, Peer, Post, Probe};
-use crate::wire::registry::Watch;
 
 pub struct Hand {
     pub txns: BTreeMap<TxnRef, InHand>,
-    pub peers: BTreeMap<BackendId, Addr<Peer>>,
+    pub peers: BTreeMap<BackendId, Peer>,
     pub registry: Option<Recipient<Watch>>,
     pub counters: Rc<Counters>,
     /// When the module wants to be woken, if it said so in the call just made.
@@ -45,12 +44,12 @@
         held.postings += 1;
         held.out = Some(to);
         self.counters.add("postings");
-        peer.do_send(Post { txn, posting, until, carried: held.carried.clone() });
+        peer.do_send(ToPeer::Post { txn, posting, until, carried: held.carried.clone() });
     }
     fn cancel(&mut self, txn: TxnRef, posting: u32) {
         let to = self.txns.get(&txn).and_then(|held| held.out);
         if let Some(peer) = to.and_then(|to| self.peers.get(&to)) {
-            peer.do_send(Cancel { txn, posting });
+            peer.do_send(ToPeer::Cancel { txn, posting });
         }
     }
     fn decline(&mut self, txn: TxnRef, away: Option<Micros>) {
@@ -62,7 +61,7 @@
     fn probe(&mut self, backend: BackendId) {
         if let Some(peer) = self.peers.get(&backend) {
             self.counters.add("probes");
-            peer.do_send(Probe);
+            peer.do_send(ToPeer::Probe);
         }
     }
     fn watch(&mut self) {
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -4,24 +4,24 @@
 use std::rc::Rc;
 
 use actix::{Actor, Addr, Context, Handler, Message};
-use bytes::Bytes;
 use notchspool::units::*;
 use notchspool_terms::zone_number;
 
 use super::counters::Counters;
 use super::desk::{Desk, ListFailed, ListMoved, Listed, Meet};
 use super::ids::Ids;
-use crate::life::bounds::BACKENDS;
-use crate::wire::backend::{Gone, Ground, Move, Peer, Retire};
-use crate::wire::listing;
+use super::mail::{Maker, Peer, ToPeer};
+use crate::base::bounds::BACKENDS;
+use crate::base::clock::Clock;
 
 pub struct List {
     desk: Addr<Desk>,
-    ground: Rc<Ground>,
+    clock: Clock,
+    maker: Maker,
     counters: Rc<Counters>,
     zones: Vec<String>,
     ids: Ids,
-    peers: Vec<(SocketAddr, Addr<Peer>)>,
+    peers: Vec<(SocketAddr, Peer)>,
     /// Where the next watch goes on from.
     version: Option<Generation>,
     garbled: bool,
@@ -29,10 +29,17 @@
 }
 
 impl List {
-    pub fn open(desk: Addr<Desk>, ground: Rc<Ground>, counters: Rc<Counters>, zones: Vec<String>) -> List {
+    pub fn open(
+        desk: Addr<Desk>,
+        clock: Clock,
+        counters: Rc<Counters>,
+        zones: Vec<String>,
+        maker: Maker,
+    ) -> List {
         List {
             desk,
-            ground,
+            clock,
+            maker,
             counters,
             zones,
             ids: Ids::default(),
@@ -43,33 +50,34 @@
         }
     }
 
-    /// One entry of a list that is being read. Its address may be new; a new number gets an actor of its own.
-    pub fn entry(&mut self, name: &str, at: SocketAddr, zone: &str, mut entry: Entry) {
-        let now = self.ground.clock.now();
-        let Some((id, new)) = self.ids.number(name, now, BACKENDS) else {
+    /// One entry of a list. Its address may be new; a new number gets an actor of its own.
+    fn entry(&mut self, row: Row) {
+        let Row { name, at, zone, mut entry } = row;
+        let now = self.clock.now();
+        let Some((id, new)) = self.ids.number(&name, now, BACKENDS) else {
             return log::warn!("list: over {BACKENDS} backends, {name} is left out");
         };
-        entry.zone = zone_number(&mut self.zones, zone);
+        entry.zone = zone_number(&mut self.zones, &zone);
         entry.backend = id;
         let at_number = id.0 as usize;
         if new {
-            let peer = Peer::meet(id, at, self.desk.clone(), self.ground.clone());
+            let peer = (self.maker)(id, at);
             self.desk.do_send(Meet(id, peer.clone()));
             match self.peers.get_mut(at_number) {
                 // A number used again: nothing of who had it is left, not even at the same address.
-                Some(old) => std::mem::replace(old, (at, peer)).1.do_send(Retire),
+                Some(old) => std::mem::replace(old, (at, peer)).1.do_send(ToPeer::Retire),
                 None => self.peers.push((at, peer)),
             }
         } else if let Some((old, peer)) = self.peers.get_mut(at_number).filter(|peer| peer.0 != at) {
             *old = at;
-            peer.do_send(Move(at));
+            peer.do_send(ToPeer::Move(at));
         }
         self.staged.push(entry);
     }
 
     /// Who is gone, by the list just read.
     fn count(&mut self, whole: bool) {
-        let now = self.ground.clock.now();
+        let now = self.clock.now();
         let mut named: BTreeSet<BackendId> = self.staged.iter().map(|entry| entry.backend).collect();
         for entry in &self.staged {
             match entry.standing {
@@ -82,12 +90,14 @@
             named = (0..self.peers.len() as u32).map(BackendId).collect();
         }
         for id in named {
-            self.peers[id.0 as usize].1.do_send(Gone(self.ids.is_gone(id)));
+            self.peers[id.0 as usize].1.do_send(ToPeer::Gone(self.ids.is_gone(id)));
         }
     }
 
-    /// The list was read to its end.
-    pub fn read(&mut self, how: Refresh, version: Generation) {
+    /// A list was read to its end: now it counts.
+    fn read(&mut self, heard: Heard, how: Refresh) {
+        let version = heard.version;
+        heard.rows.into_iter().for_each(|row| self.entry(row));
         // Only what the module does not pass over: no older version, no whole list without entries.
         if Some(version) >= self.version && !(how != Refresh::Delta && self.staged.is_empty()) {
             self.count(how != Refresh::Delta);
@@ -104,35 +114,61 @@
     type Context = Context<List>;
 }
 
+/// One row of a list as it was told: a backend by name.
+pub struct Row {
+    pub name: String,
+    pub at: SocketAddr,
+    pub zone: String,
+    pub entry: Entry,
+}
+
+/// A list, or what changed of one, read whole.
+pub struct Heard {
+    pub how: Refresh,
+    pub version: Generation,
+    pub rows: Vec<Row>,
+}
+
 /// The list as it was known before this start.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Restore(pub serde_json::Value);
+pub struct Restore(pub Heard);
 impl Handler<Restore> for List {
     type Result = ();
     fn handle(&mut self, known: Restore, _: &mut Context<List>) {
-        if let Err(why) = listing::entries(&known.0, Some(Refresh::Restored), self) {
-            log::warn!("list: the known list can't be used: {why}");
-        }
+        self.read(known.0, Refresh::Restored);
     }
 }
 
-/// A line of the watch; an empty one only says that the watch lives.
+/// A line of the watch.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Line(pub Bytes);
+pub enum Line {
+    /// It only says that the watch lives.
+    Alive,
+    Heard(Heard),
+    /// It can't be read, and why.
+    Garbled(String),
+}
 impl Handler<Line> for List {
     type Result = ();
     fn handle(&mut self, line: Line, _: &mut Context<List>) {
-        if line.0.iter().all(u8::is_ascii_whitespace) {
-            if let Some(version) = self.version {
-                self.desk.do_send(Listed { how: Refresh::Delta, version, entries: Vec::new() });
+        match line {
+            Line::Alive => {
+                if let Some(version) = self.version {
+                    self.desk.do_send(Listed { how: Refresh::Delta, version, entries: Vec::new() });
+                }
+            }
+            Line::Heard(heard) => {
+                let how = heard.how;
+                self.read(heard, how);
+            }
+            Line::Garbled(why) => {
+                // It may have hidden a change: the next watch goes on from before it.
+                self.garbled = true;
+                self.counters.add("lists_garbled");
+                log::warn!("list: a line changes nothing: {why}");
             }
-        } else if let Err(why) = listing::line(&line.0, self) {
-            // It may have hidden a change: the next watch goes on from before it.
-            self.garbled = true;
-            self.counters.add("lists_garbled");
-            log::warn!("list: a line changes nothing: {why}");
         }
     }
 }
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -4,4 +4,5 @@
 pub mod hand;
 mod ids;
 pub mod list;
+pub mod mail;
 pub mod txn;
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -16,8 +16,8 @@
 
 use super::caller::{Asked, Call};
 use super::posting::length;
-use crate::life::bounds::{BODY, Bounds};
-use crate::life::clock::Clock;
+use crate::base::bounds::{BODY, Bounds};
+use crate::base::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Desk, Left, Take};
 use crate::memory::txn::{Answer, Carried};
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -6,17 +6,17 @@
 use std::time::Duration;
 
 use actix::{
-    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle,
-    WrapFuture,
+    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, SpawnHandle, WrapFuture,
 };
 use awc::Client;
 use notchspool::units::*;
 
 use super::posting::{self, Outcome};
-use crate::life::bounds::Bounds;
-use crate::life::clock::{Clock, span};
+use crate::base::bounds::Bounds;
+use crate::base::clock::{Clock, span};
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Desk, NoRoom, Probed, Returned};
+use crate::memory::mail::{Maker, ToPeer};
 use crate::memory::txn::Carried;
 
 /// How often a peer looks whether its connections are still of use.
@@ -55,7 +55,7 @@
 }
 
 impl Peer {
-    pub fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
+    fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
         let (client, used) = (ground.client(ground.bounds.links), ground.clock.now());
         Peer { id, at, client, desk, ground, out: BTreeMap::new(), used, held: false, gone: false }.start()
     }
@@ -94,31 +94,45 @@
     }
 }
 
-/// Room is short: a backend that nothing is out to lets its connections go.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Trim;
-impl Handler<Trim> for Peer {
+/// Makes peers that speak HTTP.
+pub fn maker(desk: Addr<Desk>, ground: Rc<Ground>) -> Maker {
+    Box::new(move |id, at| Peer::meet(id, at, desk.clone(), ground.clone()).recipient())
+}
+
+impl Handler<ToPeer> for Peer {
     type Result = ();
-    fn handle(&mut self, _: Trim, _: &mut Context<Peer>) {
-        if self.out.is_empty() {
-            self.renew();
+    fn handle(&mut self, told: ToPeer, ctx: &mut Context<Peer>) {
+        match told {
+            ToPeer::Post { txn, posting, until, carried } => self.post(txn, posting, until, carried, ctx),
+            ToPeer::Cancel { txn, posting } => {
+                if let Some((handle, _)) = self.out.get(&(txn, posting)) {
+                    ctx.cancel_future(*handle);
+                    self.returned(txn, posting, Outcome::only(Fate::Withdrawn));
+                }
+            }
+            ToPeer::Probe => self.probe(ctx),
+            ToPeer::Trim if self.out.is_empty() => self.renew(),
+            ToPeer::Trim => {}
+            ToPeer::Gone(gone) => self.gone = gone,
+            ToPeer::Retire => ctx.stop(),
+            ToPeer::Move(to) => {
+                log::info!("backend {} is now at {to}", self.at);
+                self.at = to;
+                self.renew();
+            }
         }
     }
 }
 
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Post {
-    pub txn: TxnRef,
-    pub posting: u32,
-    pub until: Micros,
-    pub carried: Arc<Carried>,
-}
-impl Handler<Post> for Peer {
-    type Result = ();
-    fn handle(&mut self, post: Post, ctx: &mut Context<Peer>) {
-        let Post { txn, posting, until, carried } = post;
+impl Peer {
+    fn post(
+        &mut self,
+        txn: TxnRef,
+        posting: u32,
+        until: Micros,
+        carried: Arc<Carried>,
+        ctx: &mut Context<Peer>,
+    ) {
         if self.out.len() >= self.ground.bounds.links_each {
             self.ground.counters.add("no_room_at_backend");
             log::warn!("backend {}: {} postings are out, no more", self.at, self.out.len());
@@ -131,31 +145,8 @@
             .map(move |outcome, peer, _| peer.returned(txn, posting, outcome));
         self.out.insert((txn, posting), (ctx.spawn(sent), self.used));
     }
-}
-
-/// Gives a posting up: its connection closes.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Cancel {
-    pub txn: TxnRef,
-    pub posting: u32,
-}
-impl Handler<Cancel> for Peer {
-    type Result = ();
-    fn handle(&mut self, cancel: Cancel, ctx: &mut Context<Peer>) {
-        if let Some((handle, _)) = self.out.get(&(cancel.txn, cancel.posting)) {
-            ctx.cancel_future(*handle);
-            self.returned(cancel.txn, cancel.posting, Outcome::only(Fate::Withdrawn));
-        }
-    }
-}
 
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Probe;
-impl Handler<Probe> for Peer {
-    type Result = ();
-    fn handle(&mut self, _: Probe, ctx: &mut Context<Peer>) {
+    fn probe(&mut self, ctx: &mut Context<Peer>) {
         self.held = true;
         let asked = posting::probe(self.client.clone(), self.at, PROBE).into_actor(self).map(
             |(fate, report), peer: &mut Peer, _| {
@@ -165,38 +156,3 @@
         ctx.spawn(asked);
     }
 }
-
-/// Whether the list has it no more. What is idle then ends soon, as the process at the other end has.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Gone(pub bool);
-impl Handler<Gone> for Peer {
-    type Result = ();
-    fn handle(&mut self, gone: Gone, _: &mut Context<Peer>) {
-        self.gone = gone.0;
-    }
-}
-
-/// Its number is another backend's now.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Retire;
-impl Handler<Retire> for Peer {
-    type Result = ();
-    fn handle(&mut self, _: Retire, ctx: &mut Context<Peer>) {
-        ctx.stop();
-    }
-}
-
-/// The backend is now at another address. What is out stays out; idle connections are let go.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Move(pub SocketAddr);
-impl Handler<Move> for Peer {
-    type Result = ();
-    fn handle(&mut self, to: Move, _: &mut Context<Peer>) {
-        log::info!("backend {} is now at {}", self.at, to.0);
-        self.at = to.0;
-        self.renew();
-    }
-}
--- a/crates/agent/src/wire/listing.rs
+++ b/crates/agent/src/wire/listing.rs
@@ -5,16 +5,23 @@
 use notchspool_terms::read::*;
 use serde_json::Value;
 
-use crate::memory::list::List;
+use crate::memory::list::{Heard, Line, Row};
 
-pub fn line(line: &[u8], list: &mut List) -> Read<()> {
-    let told: Value = serde_json::from_slice(line).map_err(|e| format!("not JSON: {e}"))?;
-    entries(&told, None, list)
+/// A line of the watch; an empty one only says that the watch lives.
+pub fn line(line: &[u8]) -> Line {
+    if line.iter().all(u8::is_ascii_whitespace) {
+        return Line::Alive;
+    }
+    let told = serde_json::from_slice(line).map_err(|e| format!("not JSON: {e}"));
+    match told.and_then(|told| read(&told)) {
+        Ok(heard) => Line::Heard(heard),
+        Err(why) => Line::Garbled(why),
+    }
 }
 
-pub fn entries(told: &Value, how: Option<Refresh>, list: &mut List) -> Read<()> {
+pub fn read(told: &Value) -> Read<Heard> {
     let version = Generation(whole(told, "revision")?);
-    let how = how.unwrap_or(if flag(told, "complete")? { Refresh::Full } else { Refresh::Delta });
+    let how = if flag(told, "complete")? { Refresh::Full } else { Refresh::Delta };
     let mut read = Vec::new();
     for row in rows(told, "members")? {
         let name = text(row, "id")?;
@@ -33,11 +40,8 @@
             size: number(row, "size", Some(1.0))?,
             ..Entry::default()
         };
-        read.push((name, at, row["locality"].as_str().unwrap_or(""), entry));
-    }
-    for (name, at, zone, entry) in read {
-        list.entry(name, at, zone, entry);
+        let zone = row["locality"].as_str().unwrap_or("").to_owned();
+        read.push(Row { name: name.to_owned(), at, zone, entry });
     }
-    list.read(how, version);
-    Ok(())
+    Ok(Heard { how, version, rows: read })
 }
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -17,7 +17,7 @@
 use notchspool_terms::report_line;
 
 use super::link::{Link, MARK, Mark};
-use crate::life::bounds::{BODY, SEND_BUFFER};
+use crate::base::bounds::{BODY, SEND_BUFFER};
 use crate::memory::counters::Counters;
 use crate::memory::txn::{Carried, Made};
 
--- a/crates/agent/src/wire/registry.rs
+++ b/crates/agent/src/wire/registry.rs
@@ -8,8 +8,10 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 
-use crate::life::bounds::LINE;
-use crate::memory::list::{Ended, Line, List, Moved, Since};
+use super::listing;
+use crate::base::bounds::LINE;
+use crate::memory::list::{Ended, List, Moved, Since};
+use crate::memory::mail::Watch;
 
 /// A watch without a sign of life for this long has failed: two of its empty lines are missing.
 const SILENCE: Duration = Duration::from_millis(4_500);
@@ -31,10 +33,6 @@
     type Context = Context<Registry>;
 }
 
-/// Asks for the watch, anew if there is one.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Watch;
 impl Handler<Watch> for Registry {
     type Result = ();
     fn handle(&mut self, _: Watch, ctx: &mut Context<Registry>) {
@@ -92,7 +90,7 @@
             Ok(Some(Ok(chunk))) => rest.extend_from_slice(&chunk),
         }
         while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
-            list.do_send(Line(rest.split_to(end + 1).freeze()));
+            list.do_send(listing::line(&rest.split_to(end + 1)));
         }
         if rest.len() > LINE {
             return "WATCH_LINE_TOO_LONG";
