Decisions for routes and limits: table, shares, backup, budget, and a division of room

One agent is to serve many services. What decides there has no I/O and stands in packages of its own. routes: a compiled table that finds the first route of the file that matches, names covered ones and explains the others; shares between pools by a weighted rendezvous hash of a key; a budget of postings over all pools of a route; a backup pool that steps in when the primary has nothing sound, never for what may have run, and a way back that doubles each second and waits longer for one that flaps. limits: a whole divided into guaranteed parts and a rest that is lent by dynamic thresholds.

Tests: the table against a linear search (1500 random tables), the division against its invariants (1000 random histories, changes of parts among them), the rest by cases.

--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,2 @@
+//! Limits, decided without I/O.
+pub mod division;
