The operator's file: listeners, pools, schemes, routes, with every mistake named at once

Only the platform's JSON could tell the agent what to do. deploy/agent.toml shows every field of a file for all others. It is read by serde, unknown fields are refused, and all mistakes come together with file, line, column and word; a name that is not there proposes the nearest. Beyond form it refuses routes that can't be reached, a once-only scheme on methods that others repeat, a reference spread over pools that do not remember it, backup rings, guaranteed parts above the whole, and one backend in two pools: two modules would each keep the cold rule for it and together break it.

Tests: the example, and files of mistakes with the lines they must give.

--- a/crates/lab/src/plan/mod.rs
+++ b/crates/lab/src/plan/mod.rs
@@ -1,6 +1,5 @@
 //! An experiment as a text file, and what it comes to.
 pub mod file;
-pub mod place;
 pub mod read;
 pub mod ship;
 
--- a/crates/lab/src/plan/read.rs
+++ b/crates/lab/src/plan/read.rs
@@ -6,13 +6,13 @@
 use toml::Spanned;
 
 use super::file::{self, File, IllName};
-use super::place::Mistake;
 use crate::core::backend::{Build, Choke, Cold};
 use crate::core::crowd::{Again, Burst, Habits, Scheme};
 use crate::core::fleet::Site;
 use crate::core::kit::*;
 use crate::core::timetable::{Fault, Ill, Place, Who};
 use crate::plain::policy::Policy;
+use notchspool_terms::place::Mistake;
 
 #[derive(Clone, Debug)]
 pub struct Plan {
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -203,12 +203,12 @@
     fn put(&mut self, nth: usize, path: &Path) {
         match path {
             Path::Any => self.below.push(nth),
-            Path::Exact(path) => self.walk(&mut segments(path)).ends.push(nth),
+            Path::Exact(path) => self.walk(segments(path)).ends.push(nth),
             Path::Below(path) => {
                 let path = path.trim_end_matches('/');
                 match path.is_empty() {
                     true => self.below.push(nth),
-                    false => self.walk(&mut segments(path)).below.push(nth),
+                    false => self.walk(segments(path)).below.push(nth),
                 }
             }
             Path::Segments(own) => {
@@ -223,7 +223,7 @@
             }
         }
     }
-    fn walk<'a>(&mut self, path: &mut dyn Iterator<Item = &'a str>) -> &mut Tree {
+    fn walk<'a>(&mut self, path: impl Iterator<Item = &'a str>) -> &mut Tree {
         let mut at = self;
         for segment in path {
             at = at.here.entry(segment.to_owned()).or_default();
--- /dev/null
+++ b/crates/terms/src/file/form.rs
@@ -0,0 +1,200 @@
+//! How the operator's file is written. Every field has a stated default; unknown ones are refused.
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use toml::Spanned;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct File {
+    #[serde(default = "name")]
+    pub name: String,
+    /// The zone that the agent stands in.
+    #[serde(default)]
+    pub zone: String,
+    pub seed: Option<u64>,
+    #[serde(default)]
+    pub limits: Limits,
+    #[serde(default)]
+    pub listen: Vec<Spanned<Listen>>,
+    #[serde(default)]
+    pub pool: Vec<Spanned<Pool>>,
+    #[serde(default)]
+    pub scheme: Vec<Spanned<Scheme>>,
+    #[serde(default)]
+    pub route: Vec<Spanned<Route>>,
+    pub tenants: Option<Tenants>,
+}
+fn name() -> String {
+    "notchspool".into()
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    pub memory_mb: Spanned<usize>,
+    pub descriptors: Spanned<usize>,
+}
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { memory_mb: Spanned::new(0..0, 64), descriptors: Spanned::new(0..0, 1024) }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    pub name: Spanned<String>,
+    pub at: Option<Spanned<String>>,
+    pub unix: Option<Spanned<String>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    pub name: Spanned<String>,
+    #[serde(default)]
+    pub members: Vec<Spanned<Member>>,
+    pub register: Option<Spanned<String>>,
+    /// Agents that share its backends.
+    #[serde(default = "one")]
+    pub agents: u32,
+    #[serde(default = "two_seconds")]
+    pub drain_grace_ms: f64,
+    #[serde(default = "ten_seconds")]
+    pub ask_within_ms: f64,
+    #[serde(default = "three")]
+    pub max_postings: u32,
+    #[serde(default = "quarter")]
+    pub connect_ms: f64,
+    #[serde(default = "fifteen_seconds")]
+    pub idle_close_ms: f64,
+    #[serde(default)]
+    pub probes: bool,
+    /// What a client is told at the most, to come back; 0: it is not told.
+    #[serde(default = "two_seconds")]
+    pub retry_after_ms: f64,
+    #[serde(default)]
+    pub cold: Cold,
+    #[serde(default)]
+    pub part: Option<Spanned<f64>>,
+    #[serde(default = "unit")]
+    pub weight: f64,
+    pub backup: Option<Spanned<String>>,
+}
+fn one() -> u32 {
+    1
+}
+fn three() -> u32 {
+    3
+}
+fn unit() -> f64 {
+    1.0
+}
+fn quarter() -> f64 {
+    250.0
+}
+fn two_seconds() -> f64 {
+    2_000.0
+}
+fn ten_seconds() -> f64 {
+    10_000.0
+}
+fn fifteen_seconds() -> f64 {
+    15_000.0
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Cold {
+    pub from: f64,
+    pub warm_ms: f64,
+    pub multiple: f64,
+    pub within_ms: f64,
+}
+impl Default for Cold {
+    fn default() -> Cold {
+        Cold { from: 0.3, warm_ms: 8000.0, multiple: 3.0, within_ms: 1500.0 }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    pub at: Spanned<String>,
+    pub name: Option<String>,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub cell: i64,
+    #[serde(default = "unit")]
+    pub size: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    Repeatable,
+    Referenced,
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scheme {
+    pub name: Spanned<String>,
+    pub kind: Kind,
+    pub sla_ms: Spanned<f64>,
+    pub expiry_ms: Spanned<f64>,
+    pub group: Option<Group>,
+    pub window_ms: Option<Spanned<f64>>,
+    pub reference: Option<Spanned<String>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    pub name: Spanned<String>,
+    #[serde(default)]
+    pub listen: Vec<Spanned<String>>,
+    pub host: Option<Spanned<String>>,
+    /// Exact, by segments where one is in braces.
+    pub path: Option<Spanned<String>>,
+    pub prefix: Option<Spanned<String>>,
+    #[serde(default)]
+    pub method: Vec<Spanned<String>>,
+    #[serde(default)]
+    pub header: BTreeMap<String, String>,
+    pub scheme: Spanned<String>,
+    pub pool: Option<Spanned<String>>,
+    #[serde(default)]
+    pub pools: BTreeMap<Spanned<String>, f64>,
+    /// `header:NAME`, `path` or `client`.
+    pub sticky: Option<Spanned<String>>,
+    pub expiry_header: Option<String>,
+    pub expiry_ms: Option<Spanned<f64>>,
+    #[serde(default)]
+    pub add: BTreeMap<String, String>,
+    #[serde(default)]
+    pub remove: Vec<String>,
+    #[serde(default = "fifth")]
+    pub multiple: f64,
+}
+fn fifth() -> f64 {
+    1.2
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenants {
+    pub header: String,
+    pub shares: BTreeMap<String, f64>,
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,4 +1,6 @@
 //! What both hosts read alike: the settings object into [`Terms`], load reports into [`Report`].
+pub mod file;
+pub mod place;
 pub mod read;
 
 use notchspool::units::*;
--- /dev/null
+++ b/crates/terms/tests/file.rs
@@ -0,0 +1,30 @@
+//! The operator's file: the example is sound, and each mistake is named with its place. The first lines of each file of
+//! mistakes say, behind `#= `, what is wanted.
+use std::path::PathBuf;
+
+use notchspool::units::{Kind, Micros};
+use notchspool_terms::file::{Place, Sticky, read};
+use rstest::rstest;
+
+#[rstest]
+fn is_named(#[files("tests/mistakes/*.toml")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).expect("a file");
+    let wanted: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("#= ")).collect();
+    let wrong = read("it.toml", &text).expect_err("a mistake is found");
+    let found: Vec<String> = wrong.iter().map(ToString::to_string).collect();
+    assert_eq!(found, wanted);
+}
+
+#[test]
+fn the_example_says_what_it_says() {
+    let text = include_str!("../../../deploy/agent.toml");
+    let house = read("agent.toml", text).unwrap_or_else(|wrong| panic!("{}", wrong[0]));
+    assert_eq!(house.doors[1].at, Place::Unix("notchspool.sock".into()));
+    assert_eq!(house.pools[0].backup, Some(1));
+    assert_eq!((house.pools[0].members.len(), house.pools[0].terms.max_postings), (2, 3));
+    assert!(house.pools[2].register.is_some() && house.pools[2].terms.list_on_request);
+    assert_eq!(house.schemes[2].scheme.kind, Kind::OnceOnly);
+    let route = &house.routes[2];
+    assert_eq!(route.sticky, Sticky::Header("x-customer".into()));
+    assert_eq!((route.pools.clone(), route.expiry), (vec![(0, 0.1), (2, 0.9)], Micros::ms(1500)));
+}
