Routes and pools on sockets: run, check, explain; backup, budgets, rooms, reload

The agent knew one list, one scheme table and one listener. `notchspool run FILE` now opens listeners (TCP and Unix), routes, and a pool with a decision module of its own for each service. house/ builds all of it from the file and builds it anew on SIGHUP: pools that stay keep what is known of their backends, those that go end what they hold, a file with a mistake changes nothing. Txns in hand are divided between pools and tenants; the budget of a route is asked where every posting passes; a backup pool steps in as crates/routes decides. check names every mistake, explain says which route and why not the others. The module tells how many backends are sound (one query, no decision).

--- /dev/null
+++ b/crates/agent/src/house/pool.rs
@@ -0,0 +1,130 @@
+//! One pool as it runs: its module behind a desk, its list, its register if it follows one.
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix::{Actor, Addr};
+use notchspool::units::*;
+use notchspool_routes::backup::Backup;
+use notchspool_terms::file;
+
+use crate::base::bounds::Bounds;
+use crate::base::clock::{Clock, span};
+use crate::memory::counters::Counters;
+use crate::memory::desk::{Ask, Close, Desk};
+use crate::memory::list::{self, Heard, List, Restore, Row};
+use crate::memory::txn::Budgets;
+use crate::wire::backend::{self, Ground};
+use crate::wire::registry::{self, Registry, Turn};
+
+/// What all pools stand on.
+#[derive(Clone)]
+pub struct Footing {
+    pub clock: Clock,
+    pub counters: Rc<Counters>,
+    pub bounds: Bounds,
+    pub budgets: Budgets,
+}
+
+pub struct Pool {
+    pub name: String,
+    pub desk: Addr<Desk>,
+    list: Addr<List>,
+    registry: Option<(SocketAddr, Addr<Registry>)>,
+    /// What it was opened with; another of these is another pool.
+    opened_with: String,
+    members: RefCell<Vec<file::Member>>,
+    version: Cell<u64>,
+    pub backup: RefCell<Backup>,
+    /// The pool that steps in for it.
+    pub next: Cell<Option<usize>>,
+}
+
+/// All that can't change while it runs.
+fn fixed(pool: &file::Pool) -> String {
+    format!("{:?} {:?} {:?} {}", pool.terms, pool.connect_within, pool.idle_close, pool.register.is_some())
+}
+
+impl Pool {
+    pub fn open(pool: &file::Pool, zones: Vec<String>, seed: u64, on: &Footing) -> Pool {
+        let ground = Rc::new(Ground {
+            clock: on.clock,
+            counters: on.counters.clone(),
+            bounds: on.bounds,
+            connect_within: span(pool.connect_within),
+            idle: span(pool.idle_close.times(0.8)),
+        });
+        let desk =
+            Desk::open(pool.terms.clone(), seed, on.clock, on.counters.clone(), on.budgets.clone()).start();
+        let maker = backend::maker(desk.clone(), ground.clone());
+        let list = List::open(desk.clone(), on.clock, on.counters.clone(), zones, maker).start();
+        let registry = pool.register.map(|at| {
+            let registry = Registry::new(at, ground.client(usize::MAX), list.clone()).start();
+            desk.do_send(Ask(registry.clone().recipient()));
+            (at, registry)
+        });
+        let opened = Pool {
+            name: pool.name.clone(),
+            desk,
+            list,
+            registry,
+            opened_with: fixed(pool),
+            members: RefCell::default(),
+            version: Cell::new(0),
+            backup: RefCell::new(Backup::new(seed)),
+            next: Cell::new(None),
+        };
+        opened.list_members(pool, Refresh::Restored);
+        opened
+    }
+
+    /// Whether this one goes on as that pool of a new file: what is known of its backends stays then.
+    pub fn goes_on_as(&self, pool: &file::Pool) -> bool {
+        self.name == pool.name && self.opened_with == fixed(pool)
+    }
+
+    /// Takes what may change while it runs.
+    pub fn change(&self, pool: &file::Pool) {
+        if let (Some((old, registry)), Some(new)) = (&self.registry, pool.register)
+            && *old != new
+        {
+            registry.do_send(Turn(new));
+        }
+        if pool.register.is_none() && *self.members.borrow() != pool.members {
+            self.list_members(pool, Refresh::Full);
+        }
+    }
+
+    fn list_members(&self, pool: &file::Pool, how: Refresh) {
+        self.version.set(self.version.get() + 1);
+        let row = |m: &file::Member| Row {
+            name: m.name.clone(),
+            at: m.at,
+            zone: m.zone.clone(),
+            entry: Entry {
+                cell: CellId(m.cell),
+                standing: Standing::Ready,
+                started: Micros(0),
+                size: m.size,
+                ..Entry::default()
+            },
+        };
+        let rows = pool.members.iter().map(row).collect();
+        let heard = Heard { how, version: Generation(self.version.get()), rows };
+        match how {
+            Refresh::Restored => self.list.do_send(Restore(heard)),
+            _ => self.list.do_send(list::Line::Heard(heard)),
+        }
+        *self.members.borrow_mut() = pool.members.clone();
+    }
+
+    /// Nothing new comes; what is in hand ends by itself.
+    pub fn close(&self) {
+        log::info!("pool {}: closing", self.name);
+        if let Some((_, registry)) = &self.registry {
+            registry.do_send(registry::Shut);
+        }
+        self.list.do_send(list::Shut);
+        self.desk.do_send(Close);
+    }
+}
--- a/crates/agent/src/life/mod.rs
+++ b/crates/agent/src/life/mod.rs
@@ -1,4 +1,5 @@
 //! Start, what is told, and the orderly end.
+pub mod open;
 pub mod run;
 pub mod start;
 pub mod stop;
--- /dev/null
+++ b/crates/agent/src/life/open.rs
@@ -0,0 +1,116 @@
+//! An agent with routes, as an operator's file says; reads it again on SIGHUP, all of it or nothing.
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use notchspool::units::Micros;
+use notchspool_terms::file::{self, Place};
+use tokio::net::{TcpListener, UnixListener};
+
+use super::{run, stop};
+use crate::base::bounds::Bounds;
+use crate::base::clock::Clock;
+use crate::house::build::{Numbers, build};
+use crate::house::pool::Footing;
+use crate::memory::counters::Counters;
+use crate::memory::txn::Budgets;
+use crate::wire::application::Porch;
+use crate::wire::door::Door;
+use crate::wire::gate::{Accept, Gate};
+
+/// What the file says. Mistakes come as lines.
+pub fn told(path: &Path) -> Result<file::House, String> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    file::read(&name, &text)
+        .map_err(|wrong| wrong.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
+}
+
+/// The agent until its end.
+pub fn open(path: PathBuf) -> ExitCode {
+    crate::base::logger::start();
+    let house = match told(&path) {
+        Ok(house) => house,
+        Err(why) => {
+            log::error!("cannot start: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    let counters = Rc::new(Counters::default());
+    let system = actix::System::new();
+    let begun = system.block_on(begin(path, house, counters.clone()));
+    let ran = begun.and_then(|()| system.run());
+    for line in counters.print().lines() {
+        log::info!("counter {line}");
+    }
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            log::error!("cannot run: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn begin(path: PathBuf, told: file::House, counters: Rc<Counters>) -> io::Result<()> {
+    let clock = Clock::start();
+    let bounds = Bounds::within(told.descriptors, told.memory_mb);
+    log::info!("{}: {bounds:?}", told.name);
+    let budgets = Budgets::default();
+    let footing = Footing { clock, counters: counters.clone(), bounds, budgets: budgets.clone() };
+    let seed = told.seed.unwrap_or_else(|| {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64)
+    });
+    let mut numbers = Numbers::default();
+    let house = build(&told, None, &mut numbers, seed, &footing).map_err(io::Error::other)?;
+    let porch = Rc::new(Porch { clock, counters, bounds, leaving: Cell::new(false) });
+    let house = RefCell::new(Rc::new(house));
+    let chance = RefCell::new(oorandom::Rand64::new(seed.into()));
+    let door = Rc::new(Door { porch: porch.clone(), house, budgets, next: Cell::new(0), chance });
+    let calls = Rc::default();
+    let longest = told.routes.iter().map(|r| r.expiry).max().unwrap_or(Micros::ms(0));
+    let mut gates = Vec::new();
+    for (nth, place) in told.doors.iter().enumerate() {
+        let door = door.clone();
+        let serve = run::serve(move |request| door.clone().answer(nth, request)).await?;
+        let gate = Gate { porch: porch.clone(), calls: Rc::clone(&calls), serve, longest, asked: None };
+        gates.push(gate.listen(listen(&place.at).await?));
+        log::info!("{}: ready at {:?}", told.name, place.at);
+    }
+    let (doors, numbers) = (told.doors, RefCell::new(numbers));
+    let again = move || {
+        let told = self::told(&path)?;
+        if told.doors != doors {
+            return Err("listeners can't change while the agent runs; start a new one".into());
+        }
+        let old = door.house.borrow().clone();
+        let house = build(&told, Some(&old), &mut numbers.borrow_mut(), seed, &footing)?;
+        let (routes, pools) = (house.routes.len(), house.pools.len());
+        *door.house.borrow_mut() = Rc::new(house);
+        log::info!("configuration taken: {routes} routes, {pools} pools");
+        Ok(())
+    };
+    stop::listen(gates, move || {
+        let taken = again();
+        porch.counters.add(if taken.is_ok() { "files_taken" } else { "files_refused" });
+        taken
+    })
+}
+
+async fn listen(at: &Place) -> io::Result<Accept> {
+    let named = |what: String| move |e: io::Error| io::Error::new(e.kind(), format!("{what}: {e}"));
+    match at {
+        Place::Tcp(at) => TcpListener::bind(at).await.map(Accept::Tcp).map_err(named(at.to_string())),
+        Place::Unix(path) => {
+            let shown = path.display().to_string();
+            // One that nobody listens on any more is left over from an earlier agent.
+            if path.exists() && tokio::net::UnixStream::connect(path).await.is_err() {
+                std::fs::remove_file(path).map_err(named(shown.clone()))?;
+            }
+            UnixListener::bind(path).map(Accept::Unix).map_err(named(shown))
+        }
+    }
+}
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -1,27 +1,30 @@
 //! Puts the actors together and lets them run to the end.
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix::Actor;
-use actix_http::{HttpService, KeepAlive};
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use notchspool::units::Terms;
 use tokio::net::TcpListener;
 
-use super::start::Told;
+use super::start::{self, Told};
 use super::stop;
 use crate::base::clock::{Clock, span};
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Desk};
 use crate::memory::list::{List, Restore};
-use crate::wire::application::Front;
+use crate::memory::txn::Budgets;
+use crate::wire::application::{Front, Porch};
 use crate::wire::backend::{self, Ground};
 use crate::wire::caller::Caller;
-use crate::wire::gate::{Gate, Serve};
+use crate::wire::gate::{Accept, Gate, Serve};
 use crate::wire::listing;
-use crate::wire::registry::Registry;
+use crate::wire::registry::{Registry, Turn};
 
 pub fn run(told: Told) -> io::Result<()> {
     let counters = Rc::new(Counters::default());
@@ -49,7 +52,7 @@
     let schemes = agreed.schemes.into_iter().zip(agreed.terms.schemes.iter().map(|row| row.kind)).collect();
     // On sockets the list always has to be asked for, whatever the simulator does at this site.
     let terms = Terms { list_on_request: true, ..agreed.terms };
-    let desk = Desk::open(terms, seed, clock, counters.clone()).start();
+    let desk = Desk::open(terms, seed, clock, counters.clone(), Budgets::default()).start();
     let list = List::open(
         desk.clone(),
         clock,
@@ -66,25 +69,30 @@
     let registry = Registry::new(discovery, ground.client(usize::MAX), list).start();
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
+    let porch = Rc::new(Porch { clock, counters, bounds, leaving: Cell::new(false) });
     let front = Rc::new(Front {
+        porch: porch.clone(),
         desk,
-        clock,
-        counters,
-        bounds,
         schemes,
-        leaving: Cell::new(false),
         next: Cell::new(0),
         traces: RefCell::default(),
     });
-    let serve = serve(front.clone()).await?;
-    let listener = TcpListener::bind(listen).await?;
-    let gate = Gate { front, calls: Rc::default(), serve, longest: agreed.longest, asked: None };
+    let serve = serve(move |request| front.clone().answer(request)).await?;
+    let listener = Accept::Tcp(TcpListener::bind(listen).await?);
+    let gate = Gate { porch, calls: Rc::default(), serve, longest: agreed.longest, asked: None };
     log::info!("{name}: ready at {listen}");
-    stop::listen(gate.listen(listener), registry)
+    stop::listen(vec![gate.listen(listener)], move || {
+        registry.do_send(Turn(start::discovery()?));
+        Ok(())
+    })
 }
 
 /// One HTTP service for all connections of the application.
-async fn serve(front: Rc<Front>) -> io::Result<Serve> {
+pub async fn serve<F>(answer: impl Fn(Request) -> F + 'static) -> io::Result<Serve>
+where
+    F: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
+{
+    let answer = Rc::new(answer);
     let service = HttpService::<Caller, _, _, _, _>::build()
         // The calls keep the time: an answer sent to who has not asked could pass for the next one.
         .keep_alive(KeepAlive::Os)
@@ -93,7 +101,7 @@
         .on_connect_ext(|caller: &Caller, data| {
             data.insert(caller.call.clone());
         })
-        .h1(fn_service(move |request| front.clone().answer(request)));
+        .h1(fn_service(move |request| answer(request)));
     let handler =
         service.new_service(()).await.map_err(|()| io::Error::other("the service does not start"))?;
     let handler = Rc::new(handler);
--- a/crates/agent/src/life/stop.rs
+++ b/crates/agent/src/life/stop.rs
@@ -1,28 +1,29 @@
-//! Signals. On SIGTERM the gate goes on accepting and answering, then the system stops by itself. On SIGHUP
-//! the configuration's `discovery` is read anew; a file that makes no sense changes nothing.
+//! Signals. On SIGTERM the gates go on accepting and answering, then the system stops by itself. On SIGHUP what the
+//! agent was told is read anew; a file that makes no sense changes nothing.
 use actix::Addr;
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::start;
 use crate::wire::gate::{Gate, Leave};
-use crate::wire::registry::{Registry, Turn};
 
-/// Listens for the signals that ask for an orderly end, and for the one that asks to read the file again.
-pub fn listen(gate: Addr<Gate>, registry: Addr<Registry>) -> std::io::Result<()> {
+/// Listens for the signals that ask for an orderly end, and for the one that asks to read the file again, all of it
+/// or, with an error, nothing.
+pub fn listen(
+    gates: Vec<Addr<Gate>>,
+    again: impl Fn() -> Result<(), String> + 'static,
+) -> std::io::Result<()> {
     let mut asked = signal(SignalKind::hangup())?;
     actix_rt::spawn(async move {
         while asked.recv().await.is_some() {
-            match start::discovery() {
-                Ok(at) => registry.do_send(Turn(at)),
-                Err(why) => log::warn!("configuration not taken, nothing changes: {why}"),
+            if let Err(why) = again() {
+                log::warn!("configuration not taken, nothing changes: {why}");
             }
         }
     });
     for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
-        let (mut asked, gate) = (signal(kind)?, gate.clone());
+        let (mut asked, gates) = (signal(kind)?, gates.clone());
         actix_rt::spawn(async move {
             while asked.recv().await.is_some() {
-                gate.do_send(Leave);
+                gates.iter().for_each(|gate| gate.do_send(Leave));
             }
         });
     }
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient};
+use actix::{Actor, ActorContext, AsyncContext, Context, Handler, Message, Recipient};
 use notchspool::logic::Balancer;
 use notchspool::units::*;
 use tokio::sync::oneshot;
@@ -10,30 +10,42 @@
 use super::counters::Counters;
 use super::hand::Hand;
 use super::mail::{Peer, ToPeer, Watch};
-use super::txn::{Answer, Carried, InHand, Made};
+use super::txn::{Answer, Budgets, Carried, InHand, Made, RouteId};
 use crate::base::clock::{Clock, span};
 
 pub struct Desk {
     balancer: Balancer,
     hand: Hand,
     clock: Clock,
+    /// Nothing new comes; the end follows the last txn.
+    closing: bool,
 }
 
 impl Desk {
-    pub fn open(terms: Terms, seed: u64, clock: Clock, counters: Rc<Counters>) -> Desk {
+    pub fn open(terms: Terms, seed: u64, clock: Clock, counters: Rc<Counters>, budgets: Budgets) -> Desk {
         let hand = Hand {
             txns: Default::default(),
             peers: Default::default(),
             registry: None,
             counters,
+            budgets,
             wake: None,
+            unserved: Vec::new(),
+            unpaid: Vec::new(),
         };
-        Desk { balancer: Balancer::open(terms, seed, clock.now()), hand, clock }
+        Desk { balancer: Balancer::open(terms, seed, clock.now()), hand, clock, closing: false }
     }
     /// Every call on the module passes here: its clock is set before, a wake it asks for is arranged after.
     fn call(&mut self, ctx: &mut Context<Desk>, call: impl FnOnce(&mut Balancer, &mut Hand)) {
         self.balancer.clock(self.clock.now());
         call(&mut self.balancer, &mut self.hand);
+        if !self.hand.unserved.is_empty() {
+            self.hand.settle_accounts(self.balancer.sound());
+        }
+        for (txn, posting, backend) in std::mem::take(&mut self.hand.unpaid) {
+            let (fate, took) = (Fate::NeverSent, Micros(0));
+            ctx.notify(Returned { txn, posting, backend, fate, took, report: None, made: None });
+        }
         if let Some(wake) = self.hand.wake.take() {
             ctx.notify_later(Wake, span(wake));
         }
@@ -58,6 +70,10 @@
 impl Handler<Wake> for Desk {
     type Result = ();
     fn handle(&mut self, _: Wake, ctx: &mut Context<Desk>) {
+        if self.closing && self.hand.txns.is_empty() {
+            self.hand.peers.values().for_each(|peer| peer.do_send(ToPeer::Retire));
+            return ctx.stop();
+        }
         self.call(ctx, |balancer, hand| balancer.wake(hand));
     }
 }
@@ -131,18 +147,42 @@
     pub expiry: Micros,
     pub carried: Arc<Carried>,
     pub caller: oneshot::Sender<Answer>,
+    /// Postings of it elsewhere, and whose budget pays for all but the first.
+    pub earlier: u32,
+    pub payer: Option<RouteId>,
 }
 impl Handler<Take> for Desk {
     type Result = ();
     fn handle(&mut self, take: Take, ctx: &mut Context<Desk>) {
-        let Take { txn, scheme, expiry, carried, caller } = take;
+        let Take { txn, scheme, expiry, carried, caller, earlier, payer } = take;
         self.hand.counters.add("taken");
-        self.hand.txns.insert(txn, InHand { carried, caller: Some(caller), postings: 0, out: None });
-        self.hand.counters.in_hand.set(self.hand.txns.len());
+        let held = InHand {
+            carried,
+            caller: Some(caller),
+            postings: 0,
+            out: None,
+            may_have_run: false,
+            last: None,
+            earlier,
+            payer,
+        };
+        self.hand.txns.insert(txn, held);
+        self.hand.counters.in_hand.set(self.hand.counters.in_hand.get() + 1);
         self.call(ctx, |balancer, hand| balancer.take(txn, scheme, expiry).route(hand));
     }
 }
 
+/// Its pool is gone from the file: what is in hand ends, nothing new comes.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Close;
+impl Handler<Close> for Desk {
+    type Result = ();
+    fn handle(&mut self, _: Close, _: &mut Context<Desk>) {
+        self.closing = true;
+    }
+}
+
 /// The application no longer waits.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -180,12 +220,17 @@
     fn handle(&mut self, back: Returned, ctx: &mut Context<Desk>) {
         let Returned { txn, posting, backend, fate, took, report, made } = back;
         self.hand.counters.posting(fate);
-        let held = self.hand.txns.get_mut(&txn);
+        let mut held = self.hand.txns.get_mut(&txn);
         let closed = held.as_ref().is_none_or(|held| held.caller.is_none());
-        if let Some(held) = held {
+        if let Some(held) = &mut held {
             held.out = None;
+            held.may_have_run |= !fate.never_ran();
         }
-        if let Some(made) = made {
+        if fate != Fate::Settled {
+            if let Some(held) = held {
+                held.last = made;
+            }
+        } else if let Some(made) = made {
             self.hand.answer(txn, Answer::Settled(made), "settled");
         }
         self.call(ctx, |balancer, hand| {
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -4,18 +4,24 @@
 
 use actix::Recipient;
 use notchspool::units::{BackendId, Micros, Outlet, TxnRef};
+use notchspool_routes::budget::Budget;
 
 use super::counters::Counters;
 use super::mail::{Peer, ToPeer, Watch};
-use super::txn::{Answer, InHand};
+use super::txn::{Answer, Budgets, InHand, Unserved};
 
 pub struct Hand {
     pub txns: BTreeMap<TxnRef, InHand>,
     pub peers: BTreeMap<BackendId, Peer>,
     pub registry: Option<Recipient<Watch>>,
     pub counters: Rc<Counters>,
+    pub budgets: Budgets,
     /// When the module wants to be woken, if it said so in the call just made.
     pub wake: Option<Micros>,
+    /// Txns that the call just made left unserved: true, declined, and when to come back.
+    pub unserved: Vec<(TxnRef, bool, Option<Micros>)>,
+    /// Postings that no budget paid for, to come back as never sent.
+    pub unpaid: Vec<(TxnRef, u32, BackendId)>,
 }
 
 impl Hand {
@@ -29,10 +35,25 @@
         }
         self.let_go(txn);
     }
+    /// Answers what the call just made left unserved. `sound`: backends that could take a txn now.
+    pub fn settle_accounts(&mut self, sound: usize) {
+        for (txn, declined, away) in std::mem::take(&mut self.unserved) {
+            let Some(held) = self.txns.get_mut(&txn) else { continue };
+            let facts = Unserved { postings: held.postings, may_have_run: held.may_have_run, sound };
+            match declined {
+                true => self.answer(txn, Answer::Declined(away, facts), "declined"),
+                false => {
+                    let last = held.last.take();
+                    self.answer(txn, Answer::Reversed(last, facts), "reversed");
+                }
+            }
+        }
+    }
     pub fn let_go(&mut self, txn: TxnRef) {
         if self.txns.get(&txn).is_some_and(|held| held.caller.is_none() && held.out.is_none()) {
             self.txns.remove(&txn);
-            self.counters.in_hand.set(self.txns.len());
+            // Of all pools together.
+            self.counters.in_hand.set(self.counters.in_hand.get().saturating_sub(1));
         }
     }
 }
@@ -43,6 +64,12 @@
         let posting = held.postings;
         held.postings += 1;
         held.out = Some(to);
+        // The one place that every posting passes: but for a txn's first, somebody has to pay.
+        let paid = |payer| self.budgets.borrow_mut().get_mut(&payer).is_some_and(Budget::repeat);
+        if posting + held.earlier > 0 && held.payer.is_some_and(|payer| !paid(payer)) {
+            self.counters.add("no_budget");
+            return self.unpaid.push((txn, posting, to));
+        }
         self.counters.add("postings");
         peer.do_send(ToPeer::Post { txn, posting, until, carried: held.carried.clone() });
     }
@@ -53,10 +80,10 @@
         }
     }
     fn decline(&mut self, txn: TxnRef, away: Option<Micros>) {
-        self.answer(txn, Answer::Declined(away), "declined");
+        self.unserved.push((txn, true, away));
     }
     fn reverse(&mut self, txn: TxnRef) {
-        self.answer(txn, Answer::Reversed, "reversed");
+        self.unserved.push((txn, false, None));
     }
     fn probe(&mut self, backend: BackendId) {
         if let Some(peer) = self.peers.get(&backend) {
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use actix::{Actor, Addr, Context, Handler, Message};
+use actix::{Actor, ActorContext, Addr, Context, Handler, Message};
 use notchspool::units::*;
 use notchspool_terms::zone_number;
 
@@ -196,6 +196,17 @@
     }
 }
 
+/// Its pool is gone.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Shut;
+impl Handler<Shut> for List {
+    type Result = ();
+    fn handle(&mut self, _: Shut, ctx: &mut Context<List>) {
+        ctx.stop();
+    }
+}
+
 /// The version last heard, to go on from.
 #[derive(Message)]
 #[rtype(result = "Option<u64>")]
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -8,7 +8,7 @@
 use actix::Addr;
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
-use awc::http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use awc::http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use notchspool::units::{Kind, Micros, SchemeId, TxnRef};
@@ -20,21 +20,26 @@
 use crate::base::clock::Clock;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Desk, Left, Take};
-use crate::memory::txn::{Answer, Carried};
+use crate::memory::txn::{Answer, Carried, Reading, Unserved};
 
 /// Kept clear of an expiry for the way back.
 const WAY: Micros = Micros::ms(5);
 /// No txn is waited for longer, whatever it says.
 const LONGEST: Micros = Micros::ms(3_600_000);
 
-pub struct Front {
-    pub desk: Addr<Desk>,
+/// What all fronts and gates of an agent share.
+pub struct Porch {
     pub clock: Clock,
     pub counters: Rc<Counters>,
     pub bounds: Bounds,
-    pub schemes: Vec<(String, Kind)>,
     /// Set once the agent is asked to end: every answer then closes its connection.
     pub leaving: Cell<bool>,
+}
+
+pub struct Front {
+    pub porch: Rc<Porch>,
+    pub desk: Addr<Desk>,
+    pub schemes: Vec<(String, Kind)>,
     pub next: Cell<u64>,
     /// Ids of the txns in hand.
     pub traces: RefCell<BTreeSet<HeaderValue>>,
@@ -65,18 +70,18 @@
         let mut reply = match request.path() {
             _ if refused.is_some() => plain(StatusCode::BAD_REQUEST, "refused before\n"),
             "/healthz" => plain(StatusCode::OK, "ready\n"),
-            "/-/counters" => plain(StatusCode::OK, self.counters.print()),
+            "/-/counters" => plain(StatusCode::OK, self.porch.counters.print()),
             _ => match self.txn(request, call.clone()).await {
                 Ok(answer) => reply(answer),
                 Err((status, why)) => {
-                    self.counters.add("bad_requests");
+                    self.porch.counters.add("bad_requests");
                     // Who sent this would send more of it: nothing else that came with it is looked at.
                     call.iter().for_each(|call| call.refuse(why));
                     plain(status, format!("{why}\n"))
                 }
             },
         };
-        if self.leaving.get() || call.is_some_and(|call| call.refused().is_some()) {
+        if self.porch.leaving.get() || call.is_some_and(|call| call.refused().is_some()) {
             reply.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
         Ok(reply)
@@ -105,42 +110,47 @@
         let trace = head.headers().get("x-trace-id").filter(|id| !id.is_empty()).cloned();
         let trace = trace.ok_or(bad("no X-Trace-Id"))?;
         let path = head.uri.path_and_query().cloned().ok_or(bad("no path"))?;
+        let reference = head.headers().get("idempotency-key").cloned();
+        if kind == Kind::Referenced && reference.as_ref().is_none_or(HeaderValue::is_empty) {
+            return Err(bad("no Idempotency-Key"));
+        }
+        let form = head.headers().get(CONTENT_TYPE).cloned();
+        let name = HeaderName::from_static;
+        let headers = [(name("x-trace-id"), Some(trace.clone())), (name("idempotency-key"), reference)];
+        let headers = headers.into_iter().chain([(CONTENT_TYPE, form)]);
         let mut carried = Carried {
             method: head.method.clone(),
             path,
-            trace,
-            reference: head.headers().get("idempotency-key").cloned(),
-            form: head.headers().get(CONTENT_TYPE).cloned(),
+            headers: headers.filter_map(|(name, value)| Some((name, value?))).collect(),
+            expires: Some(name("x-expires-in-ms")),
             body: Bytes::new(),
+            reading: Reading::Platform,
         };
-        if kind == Kind::Referenced && carried.reference.as_ref().is_none_or(HeaderValue::is_empty) {
-            return Err(bad("no Idempotency-Key"));
-        }
         carried.body = body(&mut request).await?;
         let _asked = Asked::on(call);
-        if self.counters.in_hand.get() >= self.bounds.txns {
+        if self.porch.counters.in_hand.get() >= self.porch.bounds.txns {
             // At the bound nothing is begun: a decline, as true as any.
-            self.counters.add("declined_at_bound");
+            self.porch.counters.add("declined_at_bound");
             log::debug!("all room for txns is taken: declined");
-            return Ok(Answer::Declined(None));
+            return Ok(Answer::Declined(None, Unserved::default()));
         }
-        let trace = carried.trace.clone();
         if !self.traces.borrow_mut().insert(trace.clone()) {
             return Err((StatusCode::CONFLICT, "a txn of that X-Trace-Id is in hand"));
         }
-        let expiry = self.clock.now() + expires.min(LONGEST) - WAY;
+        let expiry = self.porch.clock.now() + expires.min(LONGEST) - WAY;
         let txn = TxnRef(self.next.get());
         self.next.set(txn.0 + 1);
         let (caller, answer) = oneshot::channel();
         let mut waiting = Waiting { front: self, txn, trace, answered: false };
-        self.desk.do_send(Take { txn, scheme, expiry, carried: Arc::new(carried), caller });
-        let answer = answer.await.unwrap_or(Answer::Reversed);
+        let carried = Arc::new(carried);
+        self.desk.do_send(Take { txn, scheme, expiry, carried, caller, earlier: 0, payer: None });
+        let answer = answer.await.unwrap_or(Answer::Reversed(None, Unserved::default()));
         waiting.answered = true;
         Ok(answer)
     }
 }
 
-async fn body(request: &mut Request) -> Result<Bytes, (StatusCode, &'static str)> {
+pub async fn body(request: &mut Request) -> Result<Bytes, (StatusCode, &'static str)> {
     if length(request.head().headers()).is_some_and(|told| told > BODY) {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
     }
@@ -156,20 +166,20 @@
     Ok(whole.freeze())
 }
 
-fn plain(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+pub fn plain(status: StatusCode, body: impl Into<Bytes>) -> Reply {
     Response::with_body(status, BoxBody::new(body.into()))
 }
 
-fn reply(answer: Answer) -> Reply {
+pub fn reply(answer: Answer) -> Reply {
     match answer {
         Answer::Settled(made) => {
-            let mut reply = plain(StatusCode::OK, made.body);
-            if let Some(form) = made.form {
-                reply.headers_mut().insert(CONTENT_TYPE, form);
+            let mut reply = plain(made.status, made.body);
+            for (name, value) in made.headers {
+                reply.headers_mut().append(name, value);
             }
             reply
         }
-        Answer::Declined(away) => {
+        Answer::Declined(away, _) => {
             let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "declined\n");
             let away =
                 away.and_then(|away| HeaderValue::try_from(format!("{:.3}", away.0 as f64 / 1e6)).ok());
@@ -178,6 +188,8 @@
             }
             reply
         }
-        Answer::Reversed => plain(StatusCode::BAD_GATEWAY, "reversed\n"),
+        // A failure of the backend's own words goes back as it came.
+        Answer::Reversed(Some(made), _) => reply(Answer::Settled(made)),
+        Answer::Reversed(None, _) => plain(StatusCode::BAD_GATEWAY, "reversed\n"),
     }
 }
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -7,7 +7,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use actix_rt::net::TcpStream;
+use actix_rt::net::{TcpStream, UnixStream};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::memory::counters::Counters;
@@ -96,8 +96,14 @@
     }
 }
 
+/// A connection, whatever it runs over.
+pub enum Io {
+    Tcp(TcpStream),
+    Unix(UnixStream),
+}
+
 pub struct Caller {
-    io: TcpStream,
+    io: Io,
     id: u64,
     pub call: Rc<Call>,
     calls: Rc<Calls>,
@@ -105,8 +111,10 @@
 }
 
 impl Caller {
-    pub fn new(io: TcpStream, calls: Rc<Calls>, counters: Rc<Counters>) -> Caller {
-        let _ = io.set_nodelay(true);
+    pub fn new(io: Io, calls: Rc<Calls>, counters: Rc<Counters>) -> Caller {
+        if let Io::Tcp(io) = &io {
+            let _ = io.set_nodelay(true);
+        }
         let id = calls.next.get();
         calls.next.set(id + 1);
         let call = Rc::new(Call {
@@ -149,6 +157,36 @@
     }
 }
 
+impl AsyncRead for Io {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Io::Tcp(io) => Pin::new(io).poll_read(cx, buf),
+            Io::Unix(io) => Pin::new(io).poll_read(cx, buf),
+        }
+    }
+}
+
+impl AsyncWrite for Io {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Io::Tcp(io) => Pin::new(io).poll_write(cx, buf),
+            Io::Unix(io) => Pin::new(io).poll_write(cx, buf),
+        }
+    }
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Io::Tcp(io) => Pin::new(io).poll_flush(cx),
+            Io::Unix(io) => Pin::new(io).poll_flush(cx),
+        }
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Io::Tcp(io) => Pin::new(io).poll_shutdown(cx),
+            Io::Unix(io) => Pin::new(io).poll_shutdown(cx),
+        }
+    }
+}
+
 impl AsyncRead for Caller {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         if self.call.ended().is_some() || self.call.refused().is_some() {
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -1,18 +1,16 @@
 //! The actor of the application: accepts its connections, and sees them all out when the agent ends.
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix::{Actor, ActorContext, AsyncContext, Context, Handler, Message, StreamHandler, System};
 use actix_http::error::DispatchError;
-use actix_rt::net::TcpStream;
 use futures_util::future::LocalBoxFuture;
 use notchspool::units::Micros;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UnixListener};
 
-use super::application::Front;
-use super::caller::{Caller, Calls};
+use super::application::Porch;
+use super::caller::{Caller, Calls, Io};
 
 /// New connections may still come for a good part of this after the agent was asked to end.
 const STILL_COMING: Micros = Micros::ms(900);
@@ -22,8 +20,28 @@
 
 pub type Serve = Rc<dyn Fn(Caller) -> LocalBoxFuture<'static, Result<(), DispatchError>>>;
 
+/// Where clients connect.
+pub enum Accept {
+    Tcp(TcpListener),
+    Unix(UnixListener),
+}
+
+impl Accept {
+    /// The next connection, and who it is for the log.
+    async fn accept(&self) -> io::Result<(Io, String)> {
+        match self {
+            Accept::Tcp(listener) => {
+                listener.accept().await.map(|(io, from)| (Io::Tcp(io), from.to_string()))
+            }
+            Accept::Unix(listener) => {
+                listener.accept().await.map(|(io, _)| (Io::Unix(io), "a Unix socket".to_owned()))
+            }
+        }
+    }
+}
+
 pub struct Gate {
-    pub front: Rc<Front>,
+    pub porch: Rc<Porch>,
     pub calls: Rc<Calls>,
     pub serve: Serve,
     pub longest: Micros,
@@ -32,9 +50,9 @@
 
 impl Gate {
     /// Listens from now on; what was accepted waits in the mailbox until it is served.
-    pub fn listen(self, listener: TcpListener) -> actix::Addr<Gate> {
+    pub fn listen(self, listener: Accept) -> actix::Addr<Gate> {
         Gate::create(|ctx| {
-            let held = (listener, self.front.clone(), self.calls.clone());
+            let held = (listener, self.porch.clone(), self.calls.clone());
             let accepted = futures_util::stream::unfold(held, |(listener, front, calls)| async {
                 if front.counters.callers.get() >= front.bounds.callers {
                     front.counters.add("calls_full");
@@ -57,7 +75,7 @@
     }
     fn look(&mut self, ctx: &mut Context<Gate>) {
         let Some(asked) = self.asked else { return };
-        let since = self.front.clock.now() - asked;
+        let since = self.porch.clock.now() - asked;
         let quiet = since > STILL_COMING && self.calls.busy() == 0;
         if quiet || since > self.longest + STILL_COMING {
             log::info!("all answered, the end");
@@ -73,19 +91,19 @@
 impl Actor for Gate {
     type Context = Context<Gate>;
     fn started(&mut self, ctx: &mut Context<Gate>) {
-        ctx.run_interval(SWEEP, |gate, _| gate.calls.sweep(gate.front.leaving.get()));
+        ctx.run_interval(SWEEP, |gate, _| gate.calls.sweep(gate.porch.leaving.get()));
     }
 }
 
-impl StreamHandler<io::Result<(TcpStream, SocketAddr)>> for Gate {
-    fn handle(&mut self, came: io::Result<(TcpStream, SocketAddr)>, _: &mut Context<Gate>) {
+impl StreamHandler<io::Result<(Io, String)>> for Gate {
+    fn handle(&mut self, came: io::Result<(Io, String)>, _: &mut Context<Gate>) {
         let (io, from) = match came {
             Ok(came) => came,
             Err(why) => return log::warn!("accept: {why}"),
         };
-        let caller = Caller::new(io, self.calls.clone(), self.front.counters.clone());
+        let caller = Caller::new(io, self.calls.clone(), self.porch.counters.clone());
         let call = caller.call.clone();
-        let (served, counters) = ((self.serve)(caller), self.front.counters.clone());
+        let (served, counters) = ((self.serve)(caller), self.porch.counters.clone());
         // A task of its own: an actor polls all its futures whenever one of them wakes it.
         actix_rt::spawn(async move {
             let ended = served.await;
@@ -111,9 +129,9 @@
     type Result = ();
     fn handle(&mut self, _: Leave, ctx: &mut Context<Gate>) {
         if self.asked.is_none() {
-            log::info!("asked to end: {} txns in hand", self.front.counters.in_hand.get());
-            self.asked = Some(self.front.clock.now());
-            self.front.leaving.set(true);
+            log::info!("asked to end: {} txns in hand", self.porch.counters.in_hand.get());
+            self.asked = Some(self.porch.clock.now());
+            self.porch.leaving.set(true);
             self.look(ctx);
         }
     }
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -11,7 +11,7 @@
 use actix_tls::connect::{ConnectError as NoAddress, ConnectInfo, Connection};
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::Uri;
-use awc::http::header::{CONTENT_TYPE, HeaderMap};
+use awc::http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use awc::{Client, Connector};
 use notchspool::units::{Fate, Report};
 use notchspool_terms::report_line;
@@ -19,7 +19,7 @@
 use super::link::{Link, MARK, Mark};
 use crate::base::bounds::{BODY, SEND_BUFFER};
 use crate::memory::counters::Counters;
-use crate::memory::txn::{Carried, Made};
+use crate::memory::txn::{Carried, Made, Reading};
 
 /// Error text of a connection that was not even tried, for want of room.
 const NO_ROOM: &str = "no room for another connection";
@@ -113,27 +113,25 @@
 ) -> Outcome {
     let uri = Uri::builder().scheme("http").authority(at.to_string()).path_and_query(carried.path.clone());
     let Ok(uri) = uri.build() else { return Outcome::only(Fate::NeverSent) };
-    let mut request = client
-        .request(carried.method.clone(), uri)
-        .no_decompress()
-        .insert_header(("x-trace-id", carried.trace.clone()))
-        .insert_header(("x-expires-in-ms", within.as_millis().to_string()));
-    if let Some(reference) = &carried.reference {
-        request = request.insert_header(("idempotency-key", reference.clone()));
+    let mut request = client.request(carried.method.clone(), uri).no_decompress();
+    for (name, value) in &carried.headers {
+        request = request.append_header((name.clone(), value.clone()));
     }
-    if let Some(form) = &carried.form {
-        request = request.insert_header((CONTENT_TYPE, form.clone()));
+    if let Some(expires) = &carried.expires {
+        request = request.insert_header((expires.clone(), within.as_millis().to_string()));
     }
-    let bodiless = carried.body.is_empty() && carried.method == Method::GET;
-    let sent = if bodiless { request.send() } else { request.send_body(carried.body.clone()) };
+    let empty =
+        carried.body.is_empty() && !matches!(carried.method, Method::POST | Method::PUT | Method::PATCH);
+    let sent = if empty { request.send() } else { request.send_body(carried.body.clone()) };
     let mut answer = match sent.await {
         Ok(answer) => answer,
         Err(why) => return broke(&why, mark.whole()),
     };
     let report = report(answer.headers());
-    let fate = fate(answer.status(), answer.headers());
-    let form = answer.headers().get(CONTENT_TYPE).cloned();
-    let length = length(answer.headers());
+    let fate = fate(answer.status(), answer.headers(), carried.reading);
+    let (status, headers) = (answer.status(), handed_on(answer.headers(), carried.reading));
+    let bodiless = carried.method == Method::HEAD || status == 204 || status == 304;
+    let length = length(answer.headers()).filter(|_| !bodiless);
     let chunked = answer.headers().contains_key("transfer-encoding");
     let body = answer.body().limit(BODY).await;
     mark.over(length.filter(|_| !chunked));
@@ -141,7 +139,10 @@
     let whole = |n: usize| length.is_none_or(|length| length == n) && !(chunked && mark.ended.get());
     let body = body.ok().filter(|body| whole(body.len()));
     match (fate, body) {
-        (Fate::Settled, Some(body)) => Outcome { fate, report, made: Some(Made { body, form }) },
+        (Fate::Settled, Some(body)) => Outcome { fate, report, made: Some(Made { status, headers, body }) },
+        (fate, Some(body)) if carried.reading == Reading::Plain => {
+            Outcome { fate, report, made: Some(Made { status, headers, body }) }
+        }
         (Fate::Settled, None) => {
             log::warn!("backend {at}: an answer that stops short or is over 64 KiB");
             Outcome { report, ..Outcome::only(Fate::Broken) }
@@ -155,12 +156,43 @@
     headers.get("content-length").and_then(|n| n.to_str().ok()?.parse().ok())
 }
 
-fn fate(status: StatusCode, headers: &HeaderMap) -> Fate {
+/// Headers of an answer that go back to who asked: of the platform's only the form of the body; of others all but
+/// those that belong to the connection.
+fn handed_on(headers: &HeaderMap, reading: Reading) -> Vec<(HeaderName, HeaderValue)> {
+    let keep = |name: &HeaderName| match reading {
+        Reading::Platform => *name == CONTENT_TYPE,
+        Reading::Plain => !own_to_connection(name, headers),
+    };
+    headers.iter().filter(|(name, _)| keep(name)).map(|(n, v)| (n.clone(), v.clone())).collect()
+}
+
+/// Whether a header belongs to one connection and goes no further (RFC 9110, 7.6.1), or is framing.
+pub fn own_to_connection(name: &HeaderName, all: &HeaderMap) -> bool {
+    let named = |v: &HeaderValue| {
+        v.to_str().is_ok_and(|v| v.split(',').any(|n| n.trim().eq_ignore_ascii_case(name.as_str())))
+    };
+    let known = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    ];
+    known.contains(&name.as_str()) || all.get_all("connection").any(named)
+}
+
+fn fate(status: StatusCode, headers: &HeaderMap, reading: Reading) -> Fate {
     let never_ran = headers.get("x-never-ran").is_some_and(|v| v.as_bytes() == b"1");
     match status.as_u16() {
         200 => Fate::Settled,
         503 | 504 if never_ran => Fate::TurnedAway,
         408 | 429 => Fate::Errored,
+        _ if reading == Reading::Plain && status.as_u16() < 500 => Fate::Settled,
         400..=499 => Fate::Unusable,
         _ => Fate::Errored,
     }
--- a/crates/agent/src/wire/registry.rs
+++ b/crates/agent/src/wire/registry.rs
@@ -2,7 +2,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix::{Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle, WrapFuture};
+use actix::{
+    Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle,
+    WrapFuture,
+};
 use awc::Client;
 use awc::error::SendRequestError;
 use bytes::BytesMut;
@@ -50,6 +53,17 @@
     }
 }
 
+/// Its pool is gone.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Shut;
+impl Handler<Shut> for Registry {
+    type Result = ();
+    fn handle(&mut self, _: Shut, ctx: &mut Context<Registry>) {
+        ctx.stop();
+    }
+}
+
 /// Discovery is at an address of the new configuration. The watch of the old one ends; the module asks anew.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,12 +1,18 @@
 //! notchspool: the command line. No logic of its own.
 mod lab;
+mod service;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
 
 #[derive(Parser)]
-#[command(name = "notchspool", version, about = "Client-side load balancing, and a lab to try it in")]
+#[command(
+    name = "notchspool",
+    version,
+    about = "Client-side load balancing through failures, and a lab to try it in"
+)]
 struct Line {
     #[command(subcommand)]
     what: What,
@@ -14,6 +20,12 @@
 
 #[derive(Subcommand)]
 enum What {
+    /// Runs an agent as an operator's file says; SIGHUP reads it again, SIGTERM ends it.
+    Run { file: PathBuf },
+    /// Reads an operator's file and names every mistake in it.
+    Check { file: PathBuf },
+    /// Says which route, pool and scheme a request would take, and why not the earlier ones.
+    Explain(service::Explain),
     /// Fleets on sockets, load, faults, an auditor and reports.
     #[command(subcommand)]
     Lab(lab::Lab),
@@ -22,6 +34,9 @@
 fn main() -> ExitCode {
     let line = Line::parse();
     let ended = match line.what {
+        What::Run { file } => service::run(file),
+        What::Check { file } => service::check(&file),
+        What::Explain(asked) => service::explain(&asked),
         What::Lab(lab) => lab::run(lab),
     };
     match ended {
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -230,6 +230,15 @@
         }
         at
     }
+    /// All that could cover a route of this path, and more. None for a segment: any.
+    fn over(&self, left: &[Option<&str>], found: &mut Vec<usize>) {
+        found.extend(&self.below);
+        let Some((first, rest)) = left.split_first() else {
+            return found.extend(&self.ends);
+        };
+        let next = first.and_then(|first| self.here.get(first));
+        next.into_iter().chain(self.any.as_deref()).for_each(|tree| tree.over(rest, found));
+    }
     /// The first route under `best` that matches here or below.
     fn find(&self, left: &[&str], best: &mut usize, fits: &dyn Fn(usize) -> bool) {
         let mut look = |own: &[usize]| {
@@ -320,7 +329,30 @@
 
     /// Routes that can never be reached, each with the earlier one that takes all of it.
     pub fn covered(&self) -> Vec<(usize, usize)> {
-        let by = |nth: usize| (0..nth).find(|&earlier| self.rules[earlier].covers(&self.rules[nth]));
+        let by = |nth: usize| {
+            let rule = &self.rules[nth];
+            let left: Vec<Option<&str>> = match &rule.path {
+                Path::Any => Vec::new(),
+                Path::Exact(path) => segments(path).map(Some).collect(),
+                Path::Below(path) if path.trim_end_matches('/').is_empty() => Vec::new(),
+                Path::Below(path) => segments(path.trim_end_matches('/')).map(Some).collect(),
+                Path::Segments(own) => {
+                    own.iter().map(|s| if let Segment::Is(s) = s { Some(s.as_str()) } else { None }).collect()
+                }
+            };
+            let mut found = Vec::new();
+            let host = match &rule.host {
+                Host::Any => "",
+                Host::Exact(host) | Host::Below(host) => host,
+            };
+            // Patterns of hosts are few beside routes; which of them cover this one is for `covers` to say.
+            let below = self.below.iter().filter(|(own, _)| host.ends_with(own.as_str())).map(|b| b.1);
+            for tree in below.chain([&self.any]).chain(self.exact.get(host)) {
+                tree.over(&left, &mut found);
+            }
+            found.sort_unstable();
+            found.into_iter().take_while(|e| *e < nth).find(|&e| self.rules[e].covers(rule))
+        };
         (0..self.rules.len()).filter_map(|nth| by(nth).map(|earlier| (nth, earlier))).collect()
     }
 }
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -48,6 +48,8 @@
     ) {
         let table = Table::new(rules.clone());
         let covered = table.covered();
+        let plain = |nth: usize| (0..nth).find(|&e| rules[e].covers(&rules[nth])).map(|e| (nth, e));
+        prop_assert_eq!(&covered, &(0..rules.len()).filter_map(plain).collect::<Vec<_>>());
         for (listen, host, path, method, kind, query) in asks {
             let path = if query { format!("{path}?q=/a/b") } else { path };
             let headers = [("X-Kind", kind)];
--- a/crates/terms/src/file/read.rs
+++ b/crates/terms/src/file/read.rs
@@ -45,11 +45,12 @@
     }
     fn names<'a>(&mut self, what: &str, all: impl Iterator<Item = &'a Spanned<String>>) -> Vec<String> {
         let mut names: Vec<String> = Vec::new();
+        let mut known = std::collections::BTreeSet::new();
         for name in all {
             let own = name.get_ref();
             if own.is_empty() || !own.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c)) {
                 self.wrong(name.span(), format!("the name of a {what} is letters, digits, `-`, `_` and `.`"));
-            } else if names.contains(own) {
+            } else if !known.insert(own.clone()) {
                 self.wrong(name.span(), format!("a second {what} of that name"));
             }
             names.push(own.clone());
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -196,6 +196,11 @@
         self.backends.iter().flatten().filter(|b| !b.dropped)
     }
 
+    /// How many backends are listed, not told as draining or gone, and not ejected.
+    pub fn sound(&self) -> usize {
+        self.kept().filter(|b| b.told.is_none() && !b.shut(self.now)).count()
+    }
+
     pub fn reported(&mut self, id: BackendId, report: Option<Report>) {
         let now = self.now;
         if let (Some(b), Some(report)) = (self.at(id), report) {
