The lab plays agents with routes: arms `routes` and `routes-undivided`, several pools

The new front and its pools had only hand-made stand-ins to fail against. The lab now writes an operator's file for a fleet and plays every experiment against it, audited as before; with several pools their members are written down, and pool-ill makes one of two services hang, slow down and die.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -112,7 +112,8 @@
 fn arms(plan: &Plan, asked: &Run) -> Result<Vec<Arm>, String> {
     let agent = Arm { name: "notchspool".into(), ..Arm::default() };
     let plain = |policy: Policy| Arm { name: policy.name().into(), plain: Some(policy), ..Arm::default() };
-    let mut all = vec![agent];
+    let routes = |name: &str, divided| Arm { name: name.into(), routes: Some(divided), ..Arm::default() };
+    let mut all = vec![agent, routes("routes", true), routes("routes-undivided", false)];
     all.extend(plan.arms.iter().cloned());
     all.extend(Policy::ALL.map(plain));
     if !asked.arm.is_empty() {
@@ -126,8 +127,12 @@
         };
         return asked.arm.iter().map(find).collect();
     }
-    if !asked.compare {
-        all.truncate(1);
+    match (asked.compare, plan.pools) {
+        // More pools than one are known to agents with routes alone.
+        (true, 2..) => all.retain(|arm| arm.routes.is_some()),
+        (true, _) => all.retain(|arm| arm.routes != Some(false)),
+        (false, 2..) => all = vec![all.swap_remove(1)],
+        (false, _) => all.truncate(1),
     }
     Ok(all)
 }
--- a/crates/cli/tests/lab.rs
+++ b/crates/cli/tests/lab.rs
@@ -47,10 +47,10 @@
 }
 
 /// All rules kept, and every order and txn came to exactly one end.
-fn sound(name: &str) -> Value {
-    let out = Folder::new(name);
-    let output = run(name, &out.0, &[]);
-    let sheet = sheet(&out.0, name, "notchspool");
+fn sound(name: &str, arm: &str) -> Value {
+    let out = Folder::new(&format!("{name}-{arm}"));
+    let output = run(name, &out.0, &["--arm", arm]);
+    let sheet = sheet(&out.0, name, arm);
     assert_eq!(sheet["breaches"], Value::Array(Vec::new()), "{}", text(&output));
     let n = |path: &str| sheet.pointer(path).and_then(Value::as_u64).unwrap_or_else(|| panic!("{path}"));
     let ends = n("/settled") + n("/declined") + n("/reversed") + n("/unanswered");
@@ -65,19 +65,25 @@
 
 #[test]
 fn rules_hold_while_backends_fail_in_every_way() {
-    let sheet = sound("backends");
+    let sheet = sound("backends", "notchspool");
     let broken = sheet["reversed"].as_u64().expect("a number");
     assert!(broken > 0, "the faults were felt");
 }
 
 #[test]
 fn rules_hold_while_register_and_agents_fail_and_backends_drain() {
-    let sheet = sound("register");
+    let sheet = sound("register", "notchspool");
     // Of eight that drain some had work: the rule was put to the test.
     let worked = (0..8).filter(|n| sheet["by_backend"][*n].as_u64().is_some_and(|n| n > 0)).count();
     assert!(worked > 0, "{:?}", sheet["by_backend"]);
 }
 
+#[test]
+fn rules_hold_in_an_agent_with_routes_too() {
+    sound("backends", "routes");
+    sound("register", "routes");
+}
+
 #[test]
 fn an_agent_that_breaks_rules_is_caught_and_its_txn_told() {
     let out = Folder::new("careless");
--- a/crates/lab/src/core/crowd.rs
+++ b/crates/lab/src/core/crowd.rs
@@ -19,6 +19,8 @@
     pub share: f64,
     /// Work is drawn between these.
     pub work: (Micros, Micros),
+    /// The pool that serves it.
+    pub pool: usize,
 }
 
 /// More or less traffic than usual, for a while.
--- a/crates/lab/src/plan/file.rs
+++ b/crates/lab/src/plan/file.rs
@@ -52,6 +52,8 @@
     /// Postings that may wait at a backend.
     pub room: Spanned<usize>,
     pub cells: Spanned<usize>,
+    /// Backends belong to pools in turn; only agents with routes know of more than one.
+    pub pools: Spanned<usize>,
     pub choke: Option<Choke>,
     pub cold: Cold,
     pub drops_waiting: bool,
@@ -74,6 +76,7 @@
             size: None,
             room: bare(100),
             cells: bare(4),
+            pools: bare(1),
             choke: None,
             cold: Cold::default(),
             drops_waiting: true,
@@ -186,6 +189,9 @@
     pub overdue: f64,
     pub group: Option<Group>,
     pub window_ms: Option<Spanned<f64>>,
+    /// The pool that serves it, by number.
+    #[serde(default)]
+    pub pool: usize,
 }
 fn unit() -> f64 {
     1.0
@@ -297,6 +303,8 @@
     pub agent: Option<String>,
     /// A plain policy: random, round-robin, least-out or peak-ewma.
     pub plain: Option<Spanned<String>>,
+    /// The agent with routes, from an operator's file: `divided` room between pools, or `undivided`.
+    pub routes: Option<Spanned<String>>,
     /// Settings that differ, by their path: `"contract/drainGraceMs" = 500`.
     #[serde(default)]
     pub settings: BTreeMap<String, toml::Value>,
--- a/crates/lab/src/plan/read.rs
+++ b/crates/lab/src/plan/read.rs
@@ -35,6 +35,8 @@
     pub habits: Habits,
     /// Orders at the most: bounded also where time is not.
     pub most_orders: usize,
+    /// Backends belong to them in turn.
+    pub pools: usize,
     pub faults: Vec<Fault>,
     pub arms: Vec<Arm>,
     pub must: Must,
@@ -58,6 +60,8 @@
     pub name: String,
     pub agent: Option<String>,
     pub plain: Option<Policy>,
+    /// The agent with routes; whether room is divided between its pools.
+    pub routes: Option<bool>,
     pub settings: BTreeMap<String, serde_json::Value>,
 }
 
@@ -128,6 +132,11 @@
     // From the quietest to the busiest by equal factors; their zones in turn.
     let weight = |n: usize| uneven.powf(n as f64 / (agents.max(2) - 1) as f64);
     let schemes = schemes(seen, f.scheme);
+    let pools = seen.count(&f.fleet.pools, 1, 50);
+    if schemes.iter().any(|s| s.pool >= pools) {
+        let what = format!("a scheme names a pool beyond these {pools}; the first is 0");
+        seen.wrong(f.fleet.pools.span(), what);
+    }
     let tenants: Vec<(String, f64)> = f.traffic.get_ref().tenants.clone().into_iter().collect();
     let shares = (tenants.iter().map(|t| t.1).collect(), (0..agents).map(weight).collect());
     let able: f64 = sites.iter().map(|s| s.build.cores as f64 * s.build.speed).sum();
@@ -160,6 +169,7 @@
         tenants: tenants.into_iter().map(|t| t.0).collect(),
         habits,
         most_orders,
+        pools,
         faults,
         arms: f.arm.iter().map(|a| arm(seen, a)).collect(),
         must: f.must,
@@ -249,6 +259,7 @@
             overdue: row.overdue,
             share: seen.within(&row.share, 0.0, 1000.0),
             work: (ms(work.0), ms(work.1)),
+            pool: row.pool,
         });
     }
     if schemes.is_empty() {
@@ -392,12 +403,21 @@
     if a.plain.is_some() && a.agent.is_some() {
         seen.wrong(spanned.span(), "an arm has `agent` or `plain`, not both");
     }
+    let routes = a.routes.as_ref().and_then(|told| match told.get_ref().as_str() {
+        "divided" => Some(true),
+        "undivided" => Some(false),
+        _ => {
+            seen.wrong(told.span(), "`routes` is `divided` or `undivided`");
+            None
+        }
+    });
     let json =
         |(path, value): (&String, &toml::Value)| Some((path.clone(), serde_json::to_value(value).ok()?));
     Arm {
         name: a.name.clone(),
         agent: a.agent.clone(),
         plain,
+        routes,
         settings: a.settings.iter().filter_map(json).collect(),
     }
 }
--- a/crates/lab/src/plan/ship.rs
+++ b/crates/lab/src/plan/ship.rs
@@ -19,6 +19,7 @@
     "idle-forgotten",
     "broken-answers",
     "opening",
+    "pool-ill",
 );
 
 pub fn shipped(name: &str) -> Option<&'static str> {
--- a/crates/lab/src/sockets/agents.rs
+++ b/crates/lab/src/sockets/agents.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use tokio::process::{Child, Command};
 
+use super::house;
 use crate::core::kit::*;
 use crate::http;
 use crate::plan::{Arm, Plan};
@@ -31,6 +32,8 @@
     config: PathBuf,
     log: PathBuf,
     discovery: SocketAddr,
+    /// The operator's file, where it has routes.
+    file: Option<String>,
     told: Value,
     child: Option<Child>,
     starts: u64,
@@ -95,6 +98,7 @@
         at: SocketAddr,
         discovery: SocketAddr,
         known: &Value,
+        places: &[Vec<SocketAddr>],
         folder: &Path,
     ) -> Result<Agent, String> {
         let name = format!("n{nth}");
@@ -103,7 +107,12 @@
             "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.sockets},
             "known": known, "settings": settings(plan, arm, plan.agents[nth])?,
         });
+        let config =
+            folder.join(if arm.routes.is_some() { format!("{name}.toml") } else { format!("{name}.json") });
         let (program, arguments) = match arm.plain {
+            _ if arm.routes.is_some() => {
+                (programs.own.clone(), vec!["run".to_owned(), config.to_string_lossy().into_owned()])
+            }
             Some(policy) => {
                 (programs.own.clone(), ["lab", "plain", policy.name()].map(str::to_owned).to_vec())
             }
@@ -119,7 +128,8 @@
         // Of this run alone, over all of its starts.
         let _ = std::fs::remove_file(folder.join(format!("{name}.log")));
         Ok(Agent {
-            config: folder.join(format!("{name}.json")),
+            config,
+            file: arm.routes.map(|divided| house::file(plan, nth, at, discovery, places, divided)),
             log: folder.join(format!("{name}.log")),
             name,
             at,
@@ -138,7 +148,8 @@
         let seed = mixed(seed, &[61, self.starts, u64::from(self.at.port())]);
         self.told["seed"] = format!("{seed:016x}").into();
         let failed = |e: std::io::Error| format!("{}: {e}", self.program.display());
-        std::fs::write(&self.config, self.told.to_string()).map_err(failed)?;
+        let text = self.file.clone().unwrap_or_else(|| self.told.to_string());
+        std::fs::write(&self.config, text).map_err(failed)?;
         let log = File::options().create(true).append(true).open(&self.log).map_err(failed)?;
         let child = Command::new(&self.program)
             .args(&self.arguments)
@@ -158,8 +169,9 @@
 
     pub async fn ready(&mut self) -> Result<(), String> {
         let began = Instant::now();
+        let page = if self.file.is_some() { "/-/healthz" } else { "/healthz" };
         loop {
-            if matches!(http::get(self.at, "/healthz", Duration::from_secs(1)).await, Ok((200, _))) {
+            if matches!(http::get(self.at, page, Duration::from_secs(1)).await, Ok((200, _))) {
                 return Ok(());
             }
             if let Some(Ok(Some(end))) = self.child.as_mut().map(Child::try_wait) {
--- a/crates/lab/src/sockets/drive.rs
+++ b/crates/lab/src/sockets/drive.rs
@@ -92,7 +92,8 @@
         let known = registry::line(&stage, &stage.world.borrow().register.whole(), zone.0);
         let known: Value = serde_json::from_str(&known).map_err(|e| e.to_string())?;
         let own = free(block.address(Who::Agent(nth)))?;
-        let mut agent = Agent::new(nth, plan, arm, programs, own, at, &known, folder)?;
+        let mut agent =
+            Agent::new(nth, plan, arm, programs, own, at, &known, &stage.places.borrow(), folder)?;
         agent.launch(plan.seed)?;
         agents.push(agent);
     }
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -5,5 +5,6 @@
 pub mod clients;
 pub mod drive;
 pub mod ground;
+pub mod house;
 pub mod registry;
 pub mod stage;
