FastCGI in front of and behind the agent, in all four pairings with HTTP

A listener or a pool with protocol = "fastcgi" speaks it. The front takes several requests at once on a connection, each through the same door as HTTP: same routes, rooms, module, one final answer. An abort withdraws what is out and gives the id its end; overload is said with FCGI_OVERLOADED only where nothing can have run. Behind, connections are kept, and shared by several postings where the server says it can; the bytes written of each posting tell its fate: never ran before the end of its params is written, may have run from there on. Never ran are also the protocol's own words for it; an app status, an end without an end of stdout, a head that can't be read, a flood on stderr, another id: errored or broken, and the connection is not used again.

Also, for all protocols: a failure goes back in the backend's own words only if they tell of failure. An answer of 200 beside an app status, or a 429 or 503 behind a txn that may have run, would have promised too much; a repeatable txn that failed with a 500 of the backend now gets that and not our 503.

--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -15,6 +15,7 @@
 use crate::memory::list::{self, Heard, List, Restore, Row};
 use crate::memory::txn::Budgets;
 use crate::wire::backend::{self, Ground};
+use crate::wire::fcgi::peer;
 use crate::wire::registry::{self, Registry, Turn};
 
 /// What all pools stand on.
@@ -42,7 +43,14 @@
 
 /// All that can't change while it runs.
 fn fixed(pool: &file::Pool) -> String {
-    format!("{:?} {:?} {:?} {}", pool.terms, pool.connect_within, pool.idle_close, pool.register.is_some())
+    format!(
+        "{:?} {:?} {:?} {:?} {}",
+        pool.protocol,
+        pool.terms,
+        pool.connect_within,
+        pool.idle_close,
+        pool.register.is_some()
+    )
 }
 
 impl Pool {
@@ -56,7 +64,10 @@
         });
         let desk =
             Desk::open(pool.terms.clone(), seed, on.clock, on.counters.clone(), on.budgets.clone()).start();
-        let maker = backend::maker(desk.clone(), ground.clone());
+        let maker = match pool.protocol {
+            file::Protocol::Http => backend::maker(desk.clone(), ground.clone()),
+            file::Protocol::Fastcgi => peer::maker(desk.clone(), ground.clone()),
+        };
         let list = List::open(desk.clone(), on.clock, on.counters.clone(), zones, maker).start();
         let registry = pool.register.map(|at| {
             let registry = Registry::new(at, ground.client(usize::MAX), list.clone()).start();
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use actix_http::error::DispatchError;
 use notchspool::units::Micros;
-use notchspool_terms::file::{self, Place};
+use notchspool_terms::file::{self, Place, Protocol};
 use tokio::net::{TcpListener, UnixListener};
 
 use super::{run, stop};
@@ -19,7 +20,8 @@
 use crate::memory::txn::Budgets;
 use crate::wire::application::Porch;
 use crate::wire::door::Door;
-use crate::wire::gate::{Accept, Gate};
+use crate::wire::fcgi::front;
+use crate::wire::gate::{Accept, Gate, Serve};
 
 /// What the file says. Mistakes come as lines.
 pub fn told(path: &Path) -> Result<file::House, String> {
@@ -75,7 +77,13 @@
     let mut gates = Vec::new();
     for (nth, place) in told.doors.iter().enumerate() {
         let door = door.clone();
-        let serve = run::serve(move |request| door.clone().answer(nth, request)).await?;
+        let serve: Serve = match place.protocol {
+            Protocol::Http => run::serve(move |request| door.clone().answer(nth, request)).await?,
+            Protocol::Fastcgi => Rc::new(move |caller| {
+                let served = front::serve(door.clone(), nth, caller);
+                Box::pin(async move { served.await.map_err(DispatchError::Io) })
+            }),
+        };
         let gate = Gate { porch: porch.clone(), calls: Rc::clone(&calls), serve, longest, asked: None };
         gates.push(gate.listen(listen(&place.at).await?));
         log::info!("{}: ready at {:?}", told.name, place.at);
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -8,7 +8,7 @@
 
 use super::counters::Counters;
 use super::mail::{Peer, ToPeer, Watch};
-use super::txn::{Answer, Budgets, InHand, Unserved};
+use super::txn::{Answer, Budgets, InHand, Made, Unserved};
 
 pub struct Hand {
     pub txns: BTreeMap<TxnRef, InHand>,
@@ -40,12 +40,10 @@
         for (txn, declined, away) in std::mem::take(&mut self.unserved) {
             let Some(held) = self.txns.get_mut(&txn) else { continue };
             let facts = Unserved { postings: held.postings, may_have_run: held.may_have_run, sound };
-            match declined {
+            let last = held.last.take().filter(Made::tells_of_failure);
+            match declined && last.is_none() {
                 true => self.answer(txn, Answer::Declined(away, facts), "declined"),
-                false => {
-                    let last = held.last.take();
-                    self.answer(txn, Answer::Reversed(last, facts), "reversed");
-                }
+                false => self.answer(txn, Answer::Reversed(last, facts), "reversed"),
             }
         }
     }
--- a/crates/agent/src/memory/txn.rs
+++ b/crates/agent/src/memory/txn.rs
@@ -39,6 +39,14 @@
     pub body: Bytes,
 }
 
+impl Made {
+    /// Whether a failure may go back in the backend's own words: not where they would say that all is well, or, as 429 and
+    /// 503 do, that asking again is harmless.
+    pub fn tells_of_failure(&self) -> bool {
+        self.status.is_server_error() && self.status != StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
 /// What is known of a txn that was not served.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Unserved {
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use actix_http::{ConnectionType, Request, Response, StatusCode, body::BoxBody};
-use awc::http::header::{HOST, HeaderName, HeaderValue, RETRY_AFTER};
+use actix_http::{ConnectionType, Method, Request, Response, StatusCode, body::BoxBody};
+use awc::http::header::{HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use awc::http::uri::PathAndQuery;
 use bytes::Bytes;
 use notchspool::units::{Kind, Micros, TxnRef};
 use notchspool_routes::backup;
@@ -41,7 +42,18 @@
 type Reply = Response<BoxBody>;
 
 /// A refusal: status, reason code, words.
-struct Refused(StatusCode, &'static str, String);
+pub struct Refused(pub StatusCode, pub &'static str, pub String);
+
+/// A request as any front hands it in.
+pub struct Asking {
+    pub listen: usize,
+    pub method: Method,
+    pub path: PathAndQuery,
+    pub headers: HeaderMap,
+    /// The address of who asks.
+    pub client: String,
+    pub body: Bytes,
+}
 
 /// Tells the pool that the client stopped waiting, if it goes before its answer.
 struct Waiting<'a> {
@@ -65,7 +77,7 @@
             _ if refused.is_some() => plain(StatusCode::BAD_REQUEST, "refused before\n"),
             "/-/healthz" => plain(StatusCode::OK, "ready\n"),
             "/-/counters" => plain(StatusCode::OK, self.page()),
-            _ => match self.txn(listen, request, call.clone()).await {
+            _ => match self.http(listen, request, call.clone()).await {
                 Ok(reply) => reply,
                 Err(Refused(status, code, why)) => {
                     self.porch.counters.add(code);
@@ -97,35 +109,47 @@
         page
     }
 
-    async fn txn(
+    async fn http(
         &self,
         listen: usize,
         mut request: Request,
         call: Option<Rc<Call>>,
     ) -> Result<Reply, Refused> {
+        let body = body(&mut request)
+            .await
+            .map_err(|(status, why)| Refused(status, "BAD_REQUEST", why.to_owned()))?;
+        let head = request.head();
+        let asking = Asking {
+            listen,
+            method: head.method.clone(),
+            path: head.uri.path_and_query().cloned().ok_or_else(|| bad("no path"))?,
+            headers: head.headers().clone(),
+            client: request.peer_addr().map(|at: SocketAddr| at.ip().to_string()).unwrap_or_default(),
+            body,
+        };
+        self.txn(asking, call).await.map(reply)
+    }
+
+    /// A request, whatever it came in, to its final answer.
+    pub async fn txn(&self, asking: Asking, call: Option<Rc<Call>>) -> Result<Answer, Refused> {
         // One house for the whole of this txn, whatever the file says next.
         let house = self.house.borrow().clone();
         let nth = {
-            let head = request.head();
             let headers: Vec<(&str, &str)> =
-                head.headers().iter().filter_map(|(n, v)| Some((n.as_str(), v.to_str().ok()?))).collect();
-            let host = head.headers().get(HOST).and_then(|h| h.to_str().ok()).unwrap_or("");
-            let path = head.uri.path();
-            let asked = Question { listen, host, path, method: head.method.as_str(), headers: &headers };
-            house.table.find(&asked)
+                asking.headers.iter().filter_map(|(n, v)| Some((n.as_str(), v.to_str().ok()?))).collect();
+            let host = asking.headers.get(HOST).and_then(|h| h.to_str().ok()).unwrap_or("");
+            let (path, method) = (asking.path.path(), asking.method.as_str());
+            house.table.find(&Question { listen: asking.listen, host, path, method, headers: &headers })
         };
         let nth = nth.ok_or(Refused(StatusCode::NOT_FOUND, "NO_ROUTE", "no route takes this".into()))?;
         let route = &house.routes[nth];
-        let expiry = self.porch.clock.now() + expires(route, &request)? - WAY;
-        let mut carried = carried(route, &request)?;
+        let expiry = self.porch.clock.now() + expires(route, &asking)? - WAY;
         let tenant = house
             .tenants
             .as_ref()
-            .map(|t| t.take(request.head().headers().get(&t.header).and_then(|v| v.to_str().ok())));
-        let key = key(route, &request).unwrap_or_else(|| self.chance.borrow_mut().rand_u64().to_string());
-        carried.body = body(&mut request)
-            .await
-            .map_err(|(status, why)| Refused(status, "BAD_REQUEST", why.to_owned()))?;
+            .map(|t| t.take(asking.headers.get(&t.header).and_then(|v| v.to_str().ok())));
+        let key = key(route, &asking).unwrap_or_else(|| self.chance.borrow_mut().rand_u64().to_string());
+        let carried = carried(route, asking)?;
         let _asked = Asked::on(call);
         let full = |code, what: &str| Refused(StatusCode::SERVICE_UNAVAILABLE, code, what.to_owned());
         let _tenant = match tenant {
@@ -156,7 +180,7 @@
         first: usize,
         expiry: Micros,
         carried: Arc<Carried>,
-    ) -> Result<Reply, Refused> {
+    ) -> Result<Answer, Refused> {
         let mut at = first;
         let mut earlier = 0;
         loop {
@@ -179,7 +203,7 @@
             let unserved = match &answer {
                 Answer::Settled(_) => {
                     pool.backup.borrow_mut().served(now);
-                    return Ok(reply(answer));
+                    return Ok(answer);
                 }
                 Answer::Declined(_, unserved) | Answer::Reversed(_, unserved) => *unserved,
             };
@@ -191,7 +215,7 @@
                 (at, earlier) = (next, earlier + unserved.postings);
                 continue;
             }
-            return Ok(reply(coming_back(answer)));
+            return Ok(coming_back(answer));
         }
     }
 
@@ -233,13 +257,13 @@
     }
 }
 
-fn bad(why: impl Into<String>) -> Refused {
+pub fn bad(why: impl Into<String>) -> Refused {
     Refused(StatusCode::BAD_REQUEST, "BAD_REQUEST", why.into())
 }
 
 /// How long the client waits: what it says, at most what the route allows.
-fn expires(route: &Route, request: &Request) -> Result<Micros, Refused> {
-    let Some(told) = route.expiry_header.as_ref().and_then(|name| request.head().headers().get(name)) else {
+fn expires(route: &Route, asking: &Asking) -> Result<Micros, Refused> {
+    let Some(told) = route.expiry_header.as_ref().and_then(|name| asking.headers.get(name)) else {
         return Ok(route.expiry);
     };
     let told = told.to_str().ok().and_then(|v| v.trim().parse::<u32>().ok());
@@ -248,29 +272,27 @@
 }
 
 /// What a client's requests are kept together by; none where nothing does.
-fn key(route: &Route, request: &Request) -> Option<String> {
+fn key(route: &Route, asking: &Asking) -> Option<String> {
     Some(match &route.sticky {
         Sticky::Header(name) => {
-            let value = request.head().headers().get(name.as_str()).and_then(|v| v.to_str().ok());
+            let value = asking.headers.get(name.as_str()).and_then(|v| v.to_str().ok());
             value.unwrap_or("").to_owned()
         }
-        Sticky::Path => request.path().to_owned(),
-        Sticky::Client => request.peer_addr().map(|at: SocketAddr| at.ip().to_string()).unwrap_or_default(),
+        Sticky::Path => asking.path.path().to_owned(),
+        Sticky::Client => asking.client.clone(),
         Sticky::Nothing => return None,
     })
 }
 
-fn carried(route: &Route, request: &Request) -> Result<Carried, Refused> {
-    let head = request.head();
+fn carried(route: &Route, asking: Asking) -> Result<Carried, Refused> {
+    let all = &asking.headers;
     if route.kind == Kind::Referenced {
-        let carried = route.reference.as_ref().and_then(|name| head.headers().get(name));
+        let carried = route.reference.as_ref().and_then(|name| all.get(name));
         if carried.is_none_or(HeaderValue::is_empty) {
             let name = route.reference.as_ref().map_or("", |name| name.as_str());
             return Err(bad(format!("no {name}, which carries the reference")));
         }
     }
-    let path = head.uri.path_and_query().cloned().ok_or_else(|| bad("no path"))?;
-    let all = head.headers();
     let own = |name: &HeaderName| {
         own_to_connection(name, all)
             || *name == "expect"
@@ -280,11 +302,11 @@
     };
     let came = all.iter().filter(|(name, _)| !own(name)).map(|(n, v)| (n.clone(), v.clone()));
     Ok(Carried {
-        method: head.method.clone(),
-        path,
         headers: came.chain(route.add.iter().cloned()).collect(),
+        method: asking.method,
+        path: asking.path,
         expires: route.expiry_header.clone(),
-        body: Bytes::new(),
+        body: asking.body,
         reading: Reading::Plain,
     })
 }
--- a/crates/agent/src/wire/mod.rs
+++ b/crates/agent/src/wire/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod caller;
 pub mod door;
+pub mod fcgi;
 pub mod gate;
 pub mod link;
 pub mod listing;
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -60,7 +60,7 @@
 
 /// Little waits in the system's buffer: it counts as memory, and what is still here when a connection
 /// breaks is known not to have been written.
-async fn connect(at: SocketAddr) -> std::io::Result<TcpStream> {
+pub async fn connect(at: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_send_buffer_size(SEND_BUFFER)?;
     socket.connect(at).await
@@ -158,7 +158,7 @@
 
 /// Headers of an answer that go back to who asked: of the platform's only the form of the body; of others all but
 /// those that belong to the connection.
-fn handed_on(headers: &HeaderMap, reading: Reading) -> Vec<(HeaderName, HeaderValue)> {
+pub fn handed_on(headers: &HeaderMap, reading: Reading) -> Vec<(HeaderName, HeaderValue)> {
     let keep = |name: &HeaderName| match reading {
         Reading::Platform => *name == CONTENT_TYPE,
         Reading::Plain => !own_to_connection(name, headers),
@@ -186,7 +186,7 @@
     known.contains(&name.as_str()) || all.get_all("connection").any(named)
 }
 
-fn fate(status: StatusCode, headers: &HeaderMap, reading: Reading) -> Fate {
+pub fn fate(status: StatusCode, headers: &HeaderMap, reading: Reading) -> Fate {
     let never_ran = headers.get("x-never-ran").is_some_and(|v| v.as_bytes() == b"1");
     match status.as_u16() {
         200 => Fate::Settled,
--- /dev/null
+++ b/crates/cli/tests/fastcgi.rs
@@ -0,0 +1,448 @@
+//! FastCGI in front of and behind an agent, against stand-ins that fail at every place of a record.
+mod standins;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use notchspool_fastcgi::ask::{self, Answer, Asker, Event};
+use notchspool_fastcgi::cgi;
+use notchspool_fastcgi::pairs;
+use notchspool_fastcgi::record::*;
+use rstest::rstest;
+use standins::*;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    Ok,
+    /// Says it can take several at once, and waits till so many are there before it answers any.
+    Together(usize),
+    /// As many, then it ends stdout of the first and dies.
+    DieTogether(usize),
+    CloseInParams,
+    /// In the middle of a record of its answer.
+    CloseInAnswer,
+    /// A whole answer as soon as params are there.
+    AnswerEarly,
+    Overloaded,
+    AppStatus,
+    NoHead,
+    NoStatus,
+    EndWithoutStdout,
+    Flood,
+    OtherId,
+    Hang,
+}
+
+/// A FastCGI server. `ran` has the ids of all requests whose input came whole.
+#[derive(Clone)]
+struct Server {
+    at: SocketAddr,
+    way: Arc<Mutex<Way>>,
+    ran: Arc<Mutex<Vec<String>>>,
+    aborted: Arc<AtomicUsize>,
+    links: Arc<AtomicUsize>,
+}
+
+#[derive(Default)]
+struct Half {
+    id: Id,
+    params: BytesMut,
+    body: usize,
+}
+
+fn out(id: Id, text: &str) -> BytesMut {
+    let mut said = BytesMut::new();
+    put_stream(&mut said, Kind::Stdout, id, text.as_bytes());
+    said
+}
+fn whole(id: Id, text: &str, app_status: u32) -> BytesMut {
+    let mut said = out(id, text);
+    end_stream(&mut said, Kind::Stdout, id);
+    put_end(&mut said, id, app_status, Ended::Complete);
+    said
+}
+const FINE: &str = "Status: 200 OK\r\nX-Own: yes\r\n\r\nok\n";
+
+impl Server {
+    fn new(way: Way) -> Server {
+        let listener =
+            TcpListener::bind(format!("127.{}.8.1:0", std::process::id() % 200 + 30)).expect("a port");
+        let server = Server {
+            at: listener.local_addr().expect("its address"),
+            way: Arc::new(Mutex::new(way)),
+            ran: Arc::default(),
+            aborted: Arc::default(),
+            links: Arc::default(),
+        };
+        let own = server.clone();
+        std::thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                own.links.fetch_add(1, Ordering::Relaxed);
+                let own = own.clone();
+                std::thread::spawn(move || own.serve(io));
+            }
+        });
+        server
+    }
+    fn set(&self, way: Way) {
+        *self.way.lock().expect("way") = way;
+    }
+    fn ran(&self) -> Vec<String> {
+        self.ran.lock().expect("ran").clone()
+    }
+    fn member(&self) -> String {
+        format!("members = [{{ at = \"{}\", size = 4.0 }}]\nprotocol = \"fastcgi\"\n", self.at)
+    }
+    /// Plays till the connection is over; None then.
+    fn serve(&self, mut io: TcpStream) -> Option<()> {
+        let (mut came, mut halves, mut waiting) = (BytesMut::new(), Vec::<Half>::new(), Vec::<Id>::new());
+        loop {
+            let mut room = [0; 4096];
+            let n = io.read(&mut room).ok().filter(|n| *n > 0)?;
+            came.extend_from_slice(&room[..n]);
+            while let Some(record) = next(&mut came).expect("the agent speaks FastCGI") {
+                let way = *self.way.lock().expect("way");
+                self.record(&mut io, record, way, &mut halves, &mut waiting)?;
+            }
+        }
+    }
+    fn record(
+        &self,
+        io: &mut TcpStream,
+        record: Record,
+        way: Way,
+        halves: &mut Vec<Half>,
+        waiting: &mut Vec<Id>,
+    ) -> Option<()> {
+        let Record { kind, id, content } = record;
+        let half = halves.iter().position(|h| h.id == id);
+        match kind {
+            Kind::GetValues => {
+                let many = if matches!(way, Way::Together(_) | Way::DieTogether(_)) { "1" } else { "0" };
+                let mut told = BytesMut::new();
+                pairs::put(&mut told, b"FCGI_MPXS_CONNS", many.as_bytes());
+                pairs::put(&mut told, b"FCGI_MAX_REQS", b"16");
+                let mut said = BytesMut::new();
+                put(&mut said, Kind::GetValuesResult, MANAGEMENT, &told);
+                io.write_all(&said).ok()
+            }
+            Kind::Begin => {
+                halves.push(Half { id, ..Half::default() });
+                Some(())
+            }
+            Kind::Abort => {
+                self.aborted.fetch_add(1, Ordering::Relaxed);
+                waiting.retain(|w| *w != id);
+                let mut said = BytesMut::new();
+                put_end(&mut said, id, 0, Ended::Complete);
+                io.write_all(&said).ok()
+            }
+            Kind::Params if way == Way::CloseInParams => None,
+            Kind::Params if content.is_empty() && way == Way::AnswerEarly => {
+                self.noted(&halves[half?]);
+                io.write_all(&whole(id, FINE, 0)).ok()
+            }
+            Kind::Params => {
+                halves[half?].params.extend_from_slice(&content);
+                Some(())
+            }
+            Kind::Stdin if content.is_empty() => {
+                let half = halves.remove(half?);
+                if way != Way::AnswerEarly {
+                    self.noted(&half);
+                    waiting.push(id);
+                    return self.answer(io, way, waiting);
+                }
+                Some(())
+            }
+            Kind::Stdin => {
+                halves[half?].body += content.len();
+                Some(())
+            }
+            other => panic!("{other:?} from an agent"),
+        }
+    }
+    fn noted(&self, half: &Half) {
+        let params = pairs::all(half.params.clone().freeze()).expect("sound params");
+        let told = cgi::told(&params).expect("CGI params");
+        let id =
+            told.headers.iter().find(|h| h.0 == "x-id").map(|h| String::from_utf8_lossy(&h.1).into_owned());
+        self.ran.lock().expect("ran").push(id.unwrap_or_default());
+    }
+    fn answer(&self, io: &mut TcpStream, way: Way, waiting: &mut Vec<Id>) -> Option<()> {
+        let id = *waiting.last()?;
+        let said = match way {
+            Way::Ok | Way::CloseInParams | Way::AnswerEarly => whole(id, FINE, 0),
+            Way::Together(many) | Way::DieTogether(many) if waiting.len() < many => return Some(()),
+            Way::Together(_) => {
+                // The last first, so that only ids tell whose is whose.
+                let all = waiting
+                    .drain(..)
+                    .rev()
+                    .map(|id| whole(id, &FINE.replace("ok", &format!("ok {}", id.0)), 0));
+                return io.write_all(&all.flat_map(|b| b.to_vec()).collect::<Vec<u8>>()).ok();
+            }
+            Way::DieTogether(_) => {
+                let mut said = out(waiting[0], FINE);
+                end_stream(&mut said, Kind::Stdout, waiting[0]);
+                io.write_all(&said).ok()?;
+                return None;
+            }
+            Way::CloseInAnswer => {
+                let said = whole(id, FINE, 0);
+                io.write_all(&said[..said.len() / 2]).ok()?;
+                return None;
+            }
+            Way::Overloaded => {
+                // It never ran, whatever was noted.
+                self.ran.lock().expect("ran").pop();
+                let mut said = BytesMut::new();
+                put_end(&mut said, id, 0, Ended::Overloaded);
+                said
+            }
+            Way::AppStatus => whole(id, FINE, 3),
+            Way::NoHead => whole(id, "what is this", 0),
+            Way::NoStatus => whole(id, "X-Own: yes\r\n\r\nok\n", 0),
+            Way::EndWithoutStdout => {
+                let mut said = out(id, FINE);
+                put_end(&mut said, id, 0, Ended::Complete);
+                said
+            }
+            Way::Flood => {
+                let mut said = BytesMut::new();
+                (0..40).for_each(|_| put(&mut said, Kind::Stderr, id, &[b'e'; 4000]));
+                said.extend_from_slice(&whole(id, FINE, 0));
+                said
+            }
+            Way::OtherId => whole(Id(id.0.wrapping_add(7)), FINE, 0),
+            Way::Hang => return Some(()),
+        };
+        waiting.pop();
+        io.write_all(&said).ok()
+    }
+}
+
+fn routes(pool: &str) -> String {
+    route("pay", "pay", pool) + &route("look", "look", pool)
+}
+
+fn pool_of(server: &Server) -> String {
+    format!("[[pool]]\nname = \"f\"\n{}", server.member())
+}
+
+/// What a once-only txn comes to, by how its server fails: whether it is declined (asking again is harmless) or
+/// reversed, and never run twice.
+#[rstest]
+#[case::ok(Way::Ok, 200)]
+#[case::early(Way::AnswerEarly, 200)]
+#[case::no_status(Way::NoStatus, 200)]
+#[case::in_params(Way::CloseInParams, 502)]
+#[case::in_answer(Way::CloseInAnswer, 502)]
+#[case::overloaded(Way::Overloaded, 503)]
+#[case::app_status(Way::AppStatus, 502)]
+#[case::no_head(Way::NoHead, 502)]
+#[case::no_end(Way::EndWithoutStdout, 502)]
+#[case::flood(Way::Flood, 502)]
+#[case::other_id(Way::OtherId, 502)]
+#[case::hang(Way::Hang, 502)]
+fn a_once_only_txn_runs_once_however_its_server_fails(#[case] way: Way, #[case] status: u16) {
+    let server = Server::new(way);
+    let house =
+        House::start(&format!("fcgi-{status}-{}", server.at.port()), &(pool_of(&server) + &routes("f")));
+    let found = house.status("POST", "/pay", "once");
+    assert_eq!(found, status, "{way:?}");
+    let ran = server.ran();
+    assert!(ran.iter().filter(|id| *id == "once").count() <= 1, "{ran:?}");
+    // And it goes on: nothing of the failure is left on a connection that is used again.
+    server.set(Way::Ok);
+    let mut n = 0;
+    house.wait("it serves again", || {
+        n += 1;
+        house.status("POST", "/pay", &format!("again-{n}")) == 200
+    });
+    let mut ids = server.ran();
+    let all = ids.len();
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), all, "no id twice");
+}
+
+#[test]
+fn several_share_a_connection_where_the_server_can() {
+    let server = Server::new(Way::Together(4));
+    let house = House::start("fcgi-mpx", &(pool_of(&server) + &routes("f")));
+    server.set(Way::Together(1));
+    house.wait("it is known what it can", || house.status("GET", "/look", "first") == 200);
+    server.set(Way::Together(3));
+    let before = server.links.load(Ordering::Relaxed);
+    std::thread::scope(|scope| {
+        let all: Vec<_> = (0..3)
+            .map(|n| {
+                scope.spawn({
+                    let house = &house;
+                    move || house.status("POST", "/pay", &format!("m{n}"))
+                })
+            })
+            .collect();
+        let all: Vec<u16> = all.into_iter().map(|one| one.join().expect("ended")).collect();
+        assert_eq!(all, [200; 3], "answered only once all three were there");
+    });
+    assert_eq!(server.links.load(Ordering::Relaxed), before, "all on the one connection");
+    server.set(Way::DieTogether(3));
+    std::thread::scope(|scope| {
+        let all: Vec<_> = (0..3)
+            .map(|n| {
+                scope.spawn({
+                    let house = &house;
+                    move || house.status("POST", "/pay", &format!("d{n}"))
+                })
+            })
+            .collect();
+        let all: Vec<u16> = all.into_iter().map(|one| one.join().expect("ended")).collect();
+        assert_eq!(
+            all, [502; 3],
+            "a stdout that ended is no answer without its end, and the others may have run"
+        );
+    });
+    let ran = server.ran();
+    for n in 0..3 {
+        assert_eq!(ran.iter().filter(|id| **id == format!("d{n}")).count(), 1);
+    }
+}
+
+/// A FastCGI client of the agent.
+struct Client {
+    io: TcpStream,
+    asker: Asker,
+    heard: Vec<Answer>,
+}
+
+impl Client {
+    fn new(at: SocketAddr) -> Client {
+        let io = TcpStream::connect(at).expect("it listens");
+        io.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+        Client { io, asker: Asker::new(ask::Bounds { body: 100_000, stderr: 1000 }), heard: Vec::new() }
+    }
+    fn bytes(&mut self, id: u16, method: &str, path: &str, x_id: &str) -> Bytes {
+        let headers = [("x-id", x_id.as_bytes())];
+        let body: &[u8] = if method == "POST" { b"hello" } else { b"" };
+        let params = cgi::params(method, path, headers.into_iter(), body.len());
+        self.asker.wait(Id(id));
+        ask::request(Id(id), true, &params, body).bytes
+    }
+    fn say(&mut self, bytes: &[u8]) {
+        self.io.write_all(bytes).expect("written");
+    }
+    /// The answer to this id: status (0: none), how it ended, the body.
+    fn hear(&mut self, id: u16) -> (u16, Ended, String) {
+        loop {
+            if let Some(at) = self.heard.iter().position(|a| a.id == Id(id)) {
+                let answer = self.heard.remove(at);
+                let read = cgi::answer(&answer.stdout);
+                let status = read.as_ref().map_or(0, |r| r.0.status);
+                let body = read.map(|r| String::from_utf8_lossy(&r.1).into_owned()).unwrap_or_default();
+                return (status, answer.ended, body);
+            }
+            let mut room = [0; 4096];
+            let n = self.io.read(&mut room).expect("an answer");
+            assert!(n > 0, "the connection ended");
+            let mut events = Vec::new();
+            self.asker.take(&room[..n], &mut events).expect("the agent speaks FastCGI");
+            self.heard.extend(
+                events.into_iter().filter_map(|e| if let Event::Answered(a) = e { Some(a) } else { None }),
+            );
+        }
+    }
+}
+
+/// A second listener that speaks FastCGI, at a free port.
+fn fast_door() -> (SocketAddr, String) {
+    let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    (free, format!("[[listen]]\nname = \"fast\"\nat = \"{free}\"\nprotocol = \"fastcgi\"\n"))
+}
+
+#[test]
+fn all_four_pairings_serve() {
+    let (server, stand) = (Server::new(Way::Ok), Stand::new(Mode::Ok));
+    let (at, door) = fast_door();
+    let text = pool_of(&server)
+        + &pool("h", std::slice::from_ref(&stand), "")
+        + &door
+        + &route("fast", "pay", "f")
+        + &route("http", "pay", "h");
+    let house = House::start("fcgi-pairs", &text);
+    assert_eq!(house.status("POST", "/fast", "hf"), 200);
+    assert_eq!(house.status("POST", "/http", "hh"), 200);
+    let mut client = Client::new(at);
+    let all: Vec<u8> = [(1, "/fast", "ff"), (2, "/http", "fh"), (3, "/none", "fn")]
+        .into_iter()
+        .flat_map(|(id, path, x)| client.bytes(id, "POST", path, x))
+        .collect();
+    // In pieces that end in the middle of heads and pairs.
+    for piece in all.chunks(7) {
+        client.say(piece);
+    }
+    assert_eq!(client.hear(2), (200, Ended::Complete, "ok\n".into()));
+    assert_eq!(client.hear(1), (200, Ended::Complete, "ok\n".into()));
+    let (status, _, body) = client.hear(3);
+    assert!(status == 404 && body.starts_with("NO_ROUTE"), "{status} {body}");
+    assert_eq!(server.ran(), ["hf", "ff"]);
+    assert_eq!(stand.seen(), ["hh", "fh"]);
+}
+
+#[test]
+fn a_client_that_aborts_gets_its_end_and_may_use_the_id_at_once() {
+    let (server, (at, door)) = (Server::new(Way::Hang), fast_door());
+    let house = House::start("fcgi-abort", &(pool_of(&server) + &door + &routes("f")));
+    let mut client = Client::new(at);
+    let asked = client.bytes(5, "POST", "/pay", "first");
+    client.say(&asked);
+    house.wait("it is out", || server.ran() == ["first"]);
+    server.set(Way::Ok);
+    client.say(&ask::abort(Id(5)));
+    assert_eq!(client.hear(5).1, Ended::Complete);
+    let asked = client.bytes(5, "POST", "/pay", "second");
+    client.say(&asked);
+    assert_eq!(client.hear(5), (200, Ended::Complete, "ok\n".into()));
+    house.wait("the first was let go", || house.counter("now_in_hand") == 0);
+    assert_eq!(server.ran(), ["first", "second"]);
+}
+
+#[test]
+fn overload_is_said_only_where_nothing_can_have_run() {
+    let (server, (at, door)) = (Server::new(Way::Overloaded), fast_door());
+    let house = House::start("fcgi-full", &(pool_of(&server) + &door + &routes("f")));
+    let mut client = Client::new(at);
+    let asked = client.bytes(1, "POST", "/pay", "a");
+    client.say(&asked);
+    assert_eq!(client.hear(1).1, Ended::Overloaded, "turned away by all");
+    server.set(Way::CloseInAnswer);
+    house.wait("it is tried again", || {
+        let asked = client.bytes(1, "POST", "/pay", "b");
+        client.say(&asked);
+        let (status, ended, _) = client.hear(1);
+        assert!(
+            ended == Ended::Overloaded || (status, ended) == (502, Ended::Complete),
+            "{status} {ended:?}"
+        );
+        status == 502
+    });
+}
+
+#[test]
+fn half_params_and_then_silence_end_the_connection() {
+    let (server, (at, door)) = (Server::new(Way::Ok), fast_door());
+    let house = House::start("fcgi-half", &(pool_of(&server) + &door + &routes("f")));
+    let mut client = Client::new(at);
+    let asked = client.bytes(1, "POST", "/pay", "a");
+    client.say(&asked[..40]);
+    assert_eq!(client.io.read(&mut [0; 10]).expect("an end"), 0);
+    let mut client = Client::new(at);
+    client.say(&[9; 20]);
+    assert_eq!(client.io.read(&mut [0; 10]).expect("an end"), 0, "what is no FastCGI ends at once");
+    assert!(house.counter("bad_requests") == 1 && server.ran().is_empty());
+}
--- /dev/null
+++ b/crates/cli/tests/standins/mod.rs
@@ -0,0 +1,248 @@
+//! Stand-ins for the tests of an agent with routes: backends that fail, and the agent itself as a process.
+#![allow(dead_code)] // each test file uses its own part
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    Ok,
+    /// Takes all, answers nothing.
+    Hang,
+    /// Takes it whole, then the connection ends.
+    Break,
+    /// Nobody listens.
+    Down,
+    /// 404 with a header of its own.
+    Missing,
+    /// 500 with words of its own.
+    Fail,
+}
+
+pub struct Message {
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+impl Message {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.iter().find(|h| h.0 == name).map_or("", |h| h.1.as_str())
+    }
+}
+
+pub fn message(from: &mut impl BufRead, bodiless: bool) -> Option<Message> {
+    let mut first = String::new();
+    if from.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
+    let mut headers = Vec::new();
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+    let mut read = Message { first: first.trim_end().to_owned(), headers, body: String::new() };
+    let length = if bodiless { 0 } else { read.header("content-length").parse().unwrap_or(0) };
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    read.body = String::from_utf8_lossy(&body).into_owned();
+    Some(read)
+}
+
+/// A backend. What it has read whole is in `seen`, by id.
+#[derive(Clone)]
+pub struct Stand {
+    pub at: SocketAddr,
+    pub mode: Arc<Mutex<Mode>>,
+    pub seen: Arc<Mutex<Vec<String>>>,
+    pub last: Arc<Mutex<String>>,
+}
+
+impl Stand {
+    pub fn new(mode: Mode) -> Stand {
+        static NEXT: AtomicU8 = AtomicU8::new(1);
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let listener =
+            TcpListener::bind(format!("127.{}.7.{n}:0", std::process::id() % 200 + 30)).expect("a port");
+        let stand = Stand {
+            at: listener.local_addr().expect("its address"),
+            mode: Arc::new(Mutex::new(mode)),
+            seen: Arc::default(),
+            last: Arc::default(),
+        };
+        let own = stand.clone();
+        std::thread::spawn(move || own.listen(listener));
+        stand
+    }
+    pub fn mode(&self) -> Mode {
+        *self.mode.lock().expect("mode")
+    }
+    pub fn set(&self, mode: Mode) {
+        *self.mode.lock().expect("mode") = mode;
+    }
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().expect("seen").clone()
+    }
+    pub fn listen(&self, listener: TcpListener) {
+        let mut open = Some(listener);
+        loop {
+            if self.mode() == Mode::Down {
+                open = None;
+            } else if open.is_none() {
+                open = TcpListener::bind(self.at).ok();
+            }
+            let Some(listener) = &open else {
+                std::thread::sleep(Duration::from_millis(2));
+                continue;
+            };
+            listener.set_nonblocking(true).expect("non-blocking");
+            match listener.accept() {
+                Ok((io, _)) => {
+                    io.set_nonblocking(false).expect("blocking");
+                    let own = self.clone();
+                    std::thread::spawn(move || own.serve(io));
+                }
+                Err(_) => std::thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    }
+    pub fn serve(&self, mut io: TcpStream) {
+        let mut reader = BufReader::new(io.try_clone().expect("a handle"));
+        while let Some(asked) = message(&mut reader, false) {
+            let mode = self.mode();
+            if mode == Mode::Down {
+                return;
+            }
+            self.seen.lock().expect("seen").push(asked.header("x-id").to_owned());
+            *self.last.lock().expect("last") = format!("{} {:?} {}", asked.first, asked.headers, asked.body);
+            let said = match mode {
+                Mode::Ok => "HTTP/1.1 200 OK\r\nX-Own: yes\r\nContent-Length: 3\r\n\r\nok\n",
+                Mode::Missing => "HTTP/1.1 404 Not Found\r\nX-Own: yes\r\nContent-Length: 5\r\n\r\nnone\n",
+                Mode::Fail => "HTTP/1.1 500 Oops\r\nX-Own: yes\r\nContent-Length: 5\r\n\r\noops\n",
+                Mode::Hang => {
+                    std::thread::sleep(PATIENCE);
+                    return;
+                }
+                Mode::Break | Mode::Down => return,
+            };
+            let head = asked.first.starts_with("HEAD");
+            let end = if head { said.find("\r\n\r\n").expect("a head") + 4 } else { said.len() };
+            if io.write_all(&said.as_bytes()[..end]).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+pub struct House {
+    pub child: Child,
+    pub folder: PathBuf,
+    pub at: SocketAddr,
+}
+impl Drop for House {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub const SCHEMES: &str = r#"
+[[scheme]]
+name = "look"
+kind = "repeatable"
+sla_ms = 500.0
+expiry_ms = 1500.0
+[[scheme]]
+name = "pay"
+kind = "once-only"
+sla_ms = 500.0
+expiry_ms = 1500.0
+"#;
+
+pub fn pool(name: &str, stands: &[Stand], more: &str) -> String {
+    let members: Vec<String> =
+        stands.iter().map(|s| format!("{{ at = \"{}\", size = 4.0 }}", s.at)).collect();
+    format!("[[pool]]\nname = \"{name}\"\nmembers = [{}]\n{more}\n", members.join(", "))
+}
+pub fn route(name: &str, scheme: &str, pool: &str) -> String {
+    let method = if scheme == "pay" { "method = [\"POST\"]" } else { "" };
+    format!(
+        "[[route]]\nname = \"{name}\"\nprefix = \"/{name}\"\nscheme = \"{scheme}\"\npool = \"{pool}\"\n{method}\n"
+    )
+}
+
+impl House {
+    pub fn file(at: SocketAddr, rest: &str) -> String {
+        format!("name = \"it\"\n{rest}\n[[listen]]\nname = \"main\"\nat = \"{at}\"\n{SCHEMES}")
+    }
+    pub fn start(name: &str, rest: &str) -> House {
+        let folder = std::env::temp_dir().join(format!("notchspool-house-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let free = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = free.local_addr().expect("its address");
+        drop(free);
+        let file = folder.join("agent.toml");
+        std::fs::write(&file, House::file(at, &rest.replace("@folder", &folder.to_string_lossy())))
+            .expect("the file");
+        let log = std::fs::File::create(folder.join("log")).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_notchspool"))
+            .arg("run")
+            .arg(&file)
+            .stderr(Stdio::from(log))
+            .spawn()
+            .expect("the agent");
+        let house = House { child, folder, at };
+        house.wait("ready", || house.ask("GET", "/-/healthz", "").is_some_and(|m| m.first.contains("200")));
+        house
+    }
+    pub fn change(&self, rest: &str) {
+        // Whole or not at all, as an operator would.
+        let file = self.folder.join("agent.toml");
+        std::fs::write(file.with_extension("new"), House::file(self.at, rest)).expect("the file");
+        std::fs::rename(file.with_extension("new"), &file).expect("the file");
+        let kill = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status().expect("kill");
+        assert!(kill.success());
+    }
+    pub fn wait(&self, what: &str, mut holds: impl FnMut() -> bool) {
+        let began = Instant::now();
+        while !holds() {
+            let log = || std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+            assert!(began.elapsed() < PATIENCE, "{what}\n{}", log());
+            std::thread::sleep(Duration::from_millis(3));
+        }
+    }
+    pub fn ask(&self, method: &str, path: &str, headers: &str) -> Option<Message> {
+        ask(self.at, method, path, headers)
+    }
+    pub fn status(&self, method: &str, path: &str, id: &str) -> u16 {
+        let heard = self.ask(method, path, &format!("X-Id: {id}\r\n"));
+        heard.map_or(0, |m| m.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0))
+    }
+    pub fn counter(&self, name: &str) -> u64 {
+        let page = self.ask("GET", "/-/counters", "").map(|m| m.body).unwrap_or_default();
+        let line = page.lines().find_map(|l| l.strip_prefix(name)?.trim().parse().ok());
+        line.unwrap_or(0)
+    }
+}
+
+pub fn say(method: &str, path: &str, headers: &str) -> String {
+    let body = if method == "POST" { "Content-Length: 5\r\n\r\nhello" } else { "\r\n" };
+    format!("{method} {path} HTTP/1.1\r\nHost: it.example\r\n{headers}{body}")
+}
+
+pub fn ask(at: SocketAddr, method: &str, path: &str, headers: &str) -> Option<Message> {
+    let mut io = TcpStream::connect(at).ok()?;
+    io.set_read_timeout(Some(PATIENCE)).ok()?;
+    io.write_all(say(method, path, headers).as_bytes()).ok()?;
+    message(&mut BufReader::new(io), method == "HEAD")
+}
--- a/crates/terms/src/file/form.rs
+++ b/crates/terms/src/file/form.rs
@@ -47,6 +47,16 @@
     pub name: Spanned<String>,
     pub at: Option<Spanned<String>>,
     pub unix: Option<Spanned<String>>,
+    #[serde(default)]
+    pub protocol: Protocol,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Protocol {
+    #[default]
+    Http,
+    Fastcgi,
 }
 
 #[derive(Debug, Deserialize)]
@@ -56,6 +66,8 @@
     #[serde(default)]
     pub members: Vec<Spanned<Member>>,
     pub register: Option<Spanned<String>>,
+    #[serde(default)]
+    pub protocol: Protocol,
     /// Agents that share its backends.
     #[serde(default = "one")]
     pub agents: u32,
--- a/crates/terms/src/file/mod.rs
+++ b/crates/terms/src/file/mod.rs
@@ -30,8 +30,11 @@
 pub struct Door {
     pub name: String,
     pub at: Place,
+    pub protocol: Protocol,
 }
 
+pub use form::Protocol;
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Place {
     Tcp(SocketAddr),
@@ -43,6 +46,7 @@
     pub name: String,
     pub terms: Terms,
     pub members: Vec<Member>,
+    pub protocol: Protocol,
     /// Followed instead of members that are written down.
     pub register: Option<SocketAddr>,
     pub connect_within: Micros,
--- a/crates/terms/src/file/read.rs
+++ b/crates/terms/src/file/read.rs
@@ -190,7 +190,7 @@
         if doors.iter().any(|d| d.at == at && at != Place::Unix(Default::default())) {
             seen.wrong(row.span(), "a second listener there");
         }
-        doors.push(Door { name, at });
+        doors.push(Door { name, at, protocol: row.get_ref().protocol });
     }
     if doors.is_empty() {
         seen.wrong(0..0, "no [[listen]]: where should clients connect?");
@@ -236,6 +236,7 @@
                 tick: Micros::ms(5),
             },
             members,
+            protocol: row.protocol,
             register: row.register.as_ref().and_then(|at| seen.address(at)),
             connect_within: ms(row.connect_ms),
             idle_close: ms(row.idle_close_ms),
