The lab speaks FastCGI on both sides; an answer that stands still is ended there too

The lab's backends now speak FastCGI by pool, eight requests at once on a connection, and a stated part of its clients does; mixed-protocols plays all four pairings at once with crashes, hangs, breaks at every place and killed agents. The agent ends a FastCGI answer that has begun and then stands still for the connect time-out, as it does over HTTP. The sheet tells the agents' CPU a txn.

Found by it: the lab's clients used kept connections that their agent had closed a second before, and called a txn lost that nobody had taken; they look first now, as pools of real clients do. A decline crosses from one protocol to the other, and a backend that goes ends what its shared connection holds: two more tests.

--- a/crates/agent/src/wire/fcgi/link.rs
+++ b/crates/agent/src/wire/fcgi/link.rs
@@ -142,6 +142,10 @@
         begun
     }
 
+    /// Bytes of its answer that have come.
+    pub fn heard_of(&self, id: Id) -> usize {
+        self.asker.borrow().heard(id)
+    }
     /// Whether the server can have begun this one by now.
     pub fn may_have_begun(&self, id: Id) -> bool {
         self.waiters.borrow().get(&id).is_none_or(|w| w.written >= w.begins)
--- a/crates/agent/src/wire/fcgi/peer.rs
+++ b/crates/agent/src/wire/fcgi/peer.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix::{
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, SpawnHandle, WrapFuture,
@@ -128,12 +128,12 @@
 }
 
 async fn post(links: Rc<Links>, carried: Arc<Carried>, within: Duration) -> Outcome {
-    let end = std::time::Instant::now() + within;
+    let end = Instant::now() + within;
     let link = match links.one().await {
         Ok(link) => link,
         Err(fate) => return Outcome::only(fate),
     };
-    let left = end.saturating_duration_since(std::time::Instant::now());
+    let left = end.saturating_duration_since(Instant::now());
     let millis = left.as_millis().to_string();
     let mut headers: Vec<(&str, &[u8])> =
         carried.headers.iter().map(|(n, v)| (n.as_str(), v.as_bytes())).collect();
@@ -144,17 +144,27 @@
     let params = cgi::params(method, path, headers.into_iter(), carried.body.len());
     let (id, told) = link.ask(|id| request(id, true, &params, &carried.body));
     let mut posted = Posted { link, id, over: false };
-    match actix_rt::time::timeout(left, told).await {
-        Ok(heard) => {
-            posted.over = true;
-            match heard {
-                Ok(Heard::Answer(answer)) => outcome(answer, carried.reading, links.at.get()),
-                Ok(Heard::Gone(fate)) => Outcome::only(fate),
-                Err(_) => Outcome::only(Fate::Broken),
+    let (mut told, stall) = (told, links.ground.connect_within);
+    loop {
+        let (before, left) = (posted.link.heard_of(id), end.saturating_duration_since(Instant::now()));
+        match actix_rt::time::timeout(left.min(stall), &mut told).await {
+            Ok(heard) => {
+                posted.over = true;
+                return match heard {
+                    Ok(Heard::Answer(answer)) => outcome(answer, carried.reading, links.at.get()),
+                    Ok(Heard::Gone(fate)) => Outcome::only(fate),
+                    Err(_) => Outcome::only(Fate::Broken),
+                };
             }
+            // One that has begun and then stands still never comes whole.
+            Err(_) if before > 0 && before == posted.link.heard_of(id) && left > stall => {
+                log::warn!("backend {}: an answer that stands still after {before} bytes", links.at.get());
+                return Outcome::only(Fate::Broken);
+            }
+            Err(_) if Instant::now() < end => {}
+            Err(_) if posted.link.may_have_begun(id) => return Outcome::only(Fate::TimedOut),
+            Err(_) => return Outcome::only(Fate::NoLink),
         }
-        Err(_) if posted.link.may_have_begun(id) => Outcome::only(Fate::TimedOut),
-        Err(_) => Outcome::only(Fate::NoLink),
     }
 }
 
--- a/crates/cli/tests/fastcgi.rs
+++ b/crates/cli/tests/fastcgi.rs
@@ -32,6 +32,8 @@
     NoHead,
     NoStatus,
     EndWithoutStdout,
+    /// Half an answer, and then nothing.
+    StandStill,
     Flood,
     OtherId,
     Hang,
@@ -212,6 +214,10 @@
                 put_end(&mut said, id, 0, Ended::Complete);
                 said
             }
+            Way::StandStill => {
+                waiting.pop();
+                return io.write_all(&out(id, "Status: 200 OK\r\n")).ok();
+            }
             Way::Flood => {
                 let mut said = BytesMut::new();
                 (0..40).for_each(|_| put(&mut said, Kind::Stderr, id, &[b'e'; 4000]));
@@ -249,6 +255,7 @@
 #[case::flood(Way::Flood, 502)]
 #[case::other_id(Way::OtherId, 502)]
 #[case::hang(Way::Hang, 502)]
+#[case::stands_still(Way::StandStill, 502)]
 fn a_once_only_txn_runs_once_however_its_server_fails(#[case] way: Way, #[case] status: u16) {
     let server = Server::new(way);
     let house =
@@ -446,3 +453,60 @@
     assert_eq!(client.io.read(&mut [0; 10]).expect("an end"), 0, "what is no FastCGI ends at once");
     assert!(house.counter("bad_requests") == 1 && server.ran().is_empty());
 }
+
+#[test]
+fn a_decline_crosses_from_one_protocol_to_the_other() {
+    let (server, stand) = (Server::new(Way::Overloaded), Stand::new(Mode::Down));
+    let (at, door) = fast_door();
+    let text = pool_of(&server)
+        + &pool("h", std::slice::from_ref(&stand), "")
+        + &door
+        + &route("fast", "pay", "f")
+        + &route("http", "pay", "h");
+    let house = House::start("fcgi-declines", &text);
+    let mut client = Client::new(at);
+    let asked = client.bytes(1, "POST", "/http", "a");
+    client.say(&asked);
+    assert_eq!(client.hear(1).1, Ended::Overloaded, "an HTTP backend that is not there, told in FastCGI");
+    let heard = house.ask("POST", "/fast", "X-Id: b\r\n").expect("heard");
+    assert!(
+        heard.first.contains("503") && !heard.header("retry-after").is_empty(),
+        "the reverse: {}",
+        heard.first
+    );
+    assert!(server.ran().is_empty() && stand.seen().is_empty());
+}
+
+#[test]
+fn a_backend_that_goes_ends_what_its_shared_connection_holds() {
+    let (server, other) = (Server::new(Way::Together(1)), Stand::new(Mode::Ok));
+    let drain = "drain_grace_ms = 200.0";
+    let both = |members: String| {
+        format!("[[pool]]\nname = \"f\"\n{members}{drain}\n")
+            + &pool("h", std::slice::from_ref(&other), "")
+            + &routes("f")
+            + &route("h", "look", "h")
+    };
+    let house = House::start("fcgi-drain", &both(server.member()));
+    house.wait("it is known what it can", || house.status("GET", "/look", "first") == 200);
+    server.set(Way::Together(2));
+    let next = Server::new(Way::Ok);
+    std::thread::scope(|scope| {
+        let held = scope.spawn(|| house.status("POST", "/pay", "held-1"));
+        house.wait("it is out", || server.ran().len() == 2);
+        house.change(&both(next.member()));
+        house.wait("taken", || house.counter("files_taken") == 1);
+        for n in 0..5 {
+            assert_eq!(house.status("POST", "/pay", &format!("new-{n}")), 200);
+        }
+        // One more on its connection, from the outside of the agent, is not to be had: it answers none till two are there.
+        server.set(Way::Together(1));
+        assert_eq!(
+            held.join().expect("an answer"),
+            502,
+            "it waited for it under the terms it was taken with"
+        );
+    });
+    assert_eq!(server.ran(), ["first", "held-1"], "nothing new went there");
+    assert_eq!(next.ran().len(), 5);
+}
--- a/crates/fastcgi/src/ask.rs
+++ b/crates/fastcgi/src/ask.rs
@@ -108,6 +108,10 @@
     pub fn waits(&self, id: Id) -> bool {
         self.halves.contains_key(&id)
     }
+    /// Bytes of this answer that have come in whole records.
+    pub fn heard(&self, id: Id) -> usize {
+        self.halves.get(&id).map_or(0, |half| half.stdout.len() + half.stderr.len())
+    }
     /// Bytes lie here that are no whole record yet.
     pub fn in_the_middle(&self) -> bool {
         !self.came.is_empty()
--- a/crates/lab/src/plan/file.rs
+++ b/crates/lab/src/plan/file.rs
@@ -54,6 +54,8 @@
     pub cells: Spanned<usize>,
     /// Backends belong to pools in turn; only agents with routes know of more than one.
     pub pools: Spanned<usize>,
+    /// Those whose backends speak FastCGI.
+    pub fastcgi_pools: Vec<usize>,
     pub choke: Option<Choke>,
     pub cold: Cold,
     pub drops_waiting: bool,
@@ -77,6 +79,7 @@
             room: bare(100),
             cells: bare(4),
             pools: bare(1),
+            fastcgi_pools: Vec::new(),
             choke: None,
             cold: Cold::default(),
             drops_waiting: true,
@@ -215,6 +218,9 @@
     pub patience: Spanned<[f64; 2]>,
     #[serde(default)]
     pub leavers: f64,
+    /// Part of the clients that speak FastCGI.
+    #[serde(default)]
+    pub fastcgi: f64,
     pub again: Option<Again>,
     #[serde(default = "tenants")]
     pub tenants: BTreeMap<String, f64>,
--- a/crates/lab/src/plan/read.rs
+++ b/crates/lab/src/plan/read.rs
@@ -37,6 +37,9 @@
     pub most_orders: usize,
     /// Backends belong to them in turn.
     pub pools: usize,
+    /// Those whose backends speak FastCGI, and the part of the clients that do.
+    pub fastcgi_pools: Vec<usize>,
+    pub fastcgi_clients: f64,
     pub faults: Vec<Fault>,
     pub arms: Vec<Arm>,
     pub must: Must,
@@ -170,6 +173,8 @@
         habits,
         most_orders,
         pools,
+        fastcgi_pools: f.fleet.fastcgi_pools.clone(),
+        fastcgi_clients: f.traffic.get_ref().fastcgi,
         faults,
         arms: f.arm.iter().map(|a| arm(seen, a)).collect(),
         must: f.must,
--- a/crates/lab/src/plan/ship.rs
+++ b/crates/lab/src/plan/ship.rs
@@ -20,6 +20,7 @@
     "broken-answers",
     "opening",
     "pool-ill",
+    "mixed-protocols",
 );
 
 pub fn shipped(name: &str) -> Option<&'static str> {
--- a/crates/lab/src/report/sheet.rs
+++ b/crates/lab/src/report/sheet.rs
@@ -31,6 +31,9 @@
     pub recoveries: Vec<Recovered>,
     /// Time in seconds, memory in kB and descriptors of the largest agent.
     pub footprints: Vec<(f64, u64, u64)>,
+    /// CPU seconds of all agents together, by the last quarter; of those that were not started anew.
+    #[serde(default)]
+    pub cpu_s: f64,
     pub by_backend: Vec<usize>,
     pub links: usize,
     /// The lab's own lateness: median, 99% and most, in milliseconds.
@@ -169,6 +172,7 @@
             breaches: broken(outcome),
             recoveries: outcome.recoveries.iter().map(recovered).collect(),
             footprints: outcome.footprints.iter().map(|f| (s(f.at), f.memory_kb, f.descriptors)).collect(),
+            cpu_s: outcome.footprints.last().map_or(0.0, |f| s(f.cpu)),
             by_backend: outcome.by_backend.clone(),
             links: outcome.links,
             late_ms: outcome.late_ms,
--- a/crates/lab/src/report/table.rs
+++ b/crates/lab/src/report/table.rs
@@ -57,7 +57,12 @@
             writeln!(text, "  {:>5.1} to {:>5.1} s  {:<34} {}", r.from_s, r.until_s, r.fault, state(r.state));
     }
     if let Some((_, kb, fds)) = s.footprints.iter().max_by_key(|f| f.1) {
-        let _ = writeln!(text, "  largest agent: {:.1} MB, {fds} descriptors", *kb as f64 / 1024.0);
+        let mb = *kb as f64 / 1024.0;
+        let us = s.cpu_s * 1e6 / s.books.txns.max(1) as f64;
+        let _ = writeln!(
+            text,
+            "  largest agent: {mb:.1} MB, {fds} descriptors; {us:.0} us of CPU a txn, all agents"
+        );
     }
     let _ = writeln!(
         text,
--- a/crates/lab/src/sockets/agents.rs
+++ b/crates/lab/src/sockets/agents.rs
@@ -27,6 +27,8 @@
 pub struct Agent {
     pub name: String,
     pub at: SocketAddr,
+    /// Where it takes FastCGI, if anywhere.
+    pub fast: Option<SocketAddr>,
     program: PathBuf,
     arguments: Vec<String>,
     config: PathBuf,
@@ -45,6 +47,8 @@
     pub at: Micros,
     pub memory_kb: u64,
     pub descriptors: u64,
+    /// CPU time since the start of the process.
+    pub cpu: Micros,
 }
 
 const READY: Duration = Duration::from_secs(10);
@@ -96,6 +100,7 @@
         arm: &Arm,
         programs: &Programs,
         at: SocketAddr,
+        fast: Option<SocketAddr>,
         discovery: SocketAddr,
         known: &Value,
         places: &[Vec<SocketAddr>],
@@ -129,10 +134,11 @@
         let _ = std::fs::remove_file(folder.join(format!("{name}.log")));
         Ok(Agent {
             config,
-            file: arm.routes.map(|divided| house::file(plan, nth, at, discovery, places, divided)),
+            file: arm.routes.map(|divided| house::file(plan, nth, at, fast, discovery, places, divided)),
             log: folder.join(format!("{name}.log")),
             name,
             at,
+            fast,
             program,
             arguments,
             discovery,
@@ -222,6 +228,11 @@
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
         let memory_kb = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?.trim().split(' ').next()?;
         let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count() as u64;
-        Some(Footprint { at, memory_kb: memory_kb.parse().ok()?, descriptors })
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        // Behind the name in brackets: state is field 3; user and system time are 14 and 15, in hundredths.
+        let ticks = stat.rsplit(')').next()?.split_whitespace().skip(11).take(2);
+        let ticks: i64 = ticks.filter_map(|t| t.parse::<i64>().ok()).sum();
+        let cpu = Micros::ms(ticks * 10);
+        Some(Footprint { at, memory_kb: memory_kb.parse().ok()?, descriptors, cpu })
     }
 }
--- a/crates/lab/src/sockets/backends.rs
+++ b/crates/lab/src/sockets/backends.rs
@@ -24,6 +24,7 @@
     at: SocketAddr,
     first: TcpListener,
     idle: Duration,
+    fast: bool,
 ) {
     let mut gate = stage.gates[back.0][view].subscribe();
     let mut open = Some(first);
@@ -46,6 +47,10 @@
                     _ = gate.changed() => break,
                     came = listener.accept() => if let Ok((io, _)) = came {
                         stage.links_opened.set(stage.links_opened.get() + 1);
+                        if fast {
+                            spawn_local(super::fcgi::serve(stage.clone(), back, view, io, idle));
+                            continue;
+                        }
                         let link = Link::new(stage.clone(), back, view, Wire::new(io));
                         spawn_local(link.serve(idle));
                     },
@@ -288,7 +293,7 @@
 pub fn trace_of(txn: TxnId) -> String {
     format!("{:016x}", txn.0)
 }
-fn txn_of(trace: &str) -> Option<TxnId> {
+pub fn txn_of(trace: &str) -> Option<TxnId> {
     u64::from_str_radix(trace, 16).ok().map(TxnId)
 }
 /// What a backend answers to a txn, and no one else could.
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::backends::{body_of, trace_of, write};
+use super::fcgi::Fast;
 use super::stage::Stage;
 use crate::core::crowd::{Habits, Order, Scheme, again};
 use crate::core::fleet::Wanted;
@@ -25,6 +26,10 @@
     pub tenants: Vec<String>,
     pub habits: Habits,
     pub agents: Vec<SocketAddr>,
+    /// Where they take FastCGI, and the part of the clients that speak it.
+    pub fast: Vec<Option<SocketAddr>>,
+    pub fast_part: f64,
+    pub fast_idle: RefCell<Vec<Vec<Fast>>>,
     pub service: RefCell<Service>,
     /// Idle connections to each agent, as of its latest start.
     pub idle: RefCell<Vec<Vec<Wire>>>,
@@ -113,8 +118,14 @@
         self.ended.set(self.ended.get() + 1);
     }
 
+    /// A kept connection that the agent has not closed meanwhile, as far as can be seen.
     fn pooled(&self, agent: AgentId) -> Option<Wire> {
-        self.idle.borrow_mut()[agent.0].pop()
+        let mut idle = self.idle.borrow_mut();
+        std::iter::from_fn(|| idle[agent.0].pop()).find(|wire| still_open(&wire.io))
+    }
+    fn pooled_fast(&self, agent: AgentId) -> Option<Fast> {
+        let mut idle = self.fast_idle.borrow_mut();
+        std::iter::from_fn(|| idle[agent.0].pop()).find(|fast| still_open(&fast.io))
     }
 
     async fn ask(&self, order: &Order, tries: u32) -> Ended {
@@ -127,6 +138,11 @@
         let txn = TxnId(self.tries.get());
         let wanted = Wanted { txn, scheme: order.scheme, work: order.work, reference: order.reference };
         self.stage.wanted.borrow_mut().insert(txn, wanted);
+        if let Some(at) = self.fast[order.agent.0]
+            && lot(order.reference.0, &[71]) < self.fast_part
+        {
+            return self.ask_fast(order, row, txn, left, at).await;
+        }
         let said = self.said(order, row, txn, left, tries);
         let mut taken: Option<Micros> = None;
         // One on a kept connection that ends before a byte of an answer goes once more on a new one.
@@ -177,6 +193,62 @@
         self.unheard(txn, taken)
     }
 
+    /// The same by FastCGI. One on a kept connection that ends before a byte of an answer goes once more on a new one.
+    async fn ask_fast(&self, order: &Order, row: &Scheme, txn: TxnId, left: Micros, at: SocketAddr) -> Ended {
+        let mut headers = vec![
+            ("X-Trace-Id", trace_of(txn)),
+            ("X-Customer", self.tenants[order.tenant].clone()),
+            ("X-Expires-In-Ms", (left.0 / 1000).to_string()),
+            ("Host", "origin.svc".to_owned()),
+        ];
+        if row.kind == Kind::Referenced {
+            headers.push(("Idempotency-Key", format!("{:032x}", order.reference.0)));
+        }
+        let (method, body) = match row.kind {
+            Kind::Repeatable => ("GET", String::new()),
+            _ => ("POST", format!("order {}\n", order.id.0)),
+        };
+        let kept = self.pooled_fast(order.agent);
+        let mut taken: Option<Micros> = None;
+        for kept in [kept, None] {
+            let again = kept.is_some();
+            let fast = match kept {
+                Some(fast) => Some(fast),
+                None => timeout(CONNECT, Fast::connect(at)).await.ok().and_then(Result::ok),
+            };
+            let Some(mut fast) = fast else {
+                self.refused.set(self.refused.get() + 1);
+                return self.unheard(txn, taken);
+            };
+            if fast.say(method, &format!("/{}", row.name), &headers, body.as_bytes()).await.is_err() {
+                continue;
+            }
+            let now = self.stage.now();
+            let began = *taken.get_or_insert_with(|| {
+                let (agent, scheme) = (order.agent, order.scheme);
+                write(&self.stage, Entry::Taken { txn, agent, scheme, expiry: now + left });
+                now
+            });
+            let patience = order.leaves_in.unwrap_or(left + SLACK).min(left + SLACK) - (now - began);
+            let Ok(heard) = timeout(Duration::from_micros(patience.0.max(0) as u64), fast.hear()).await
+            else {
+                write(&self.stage, Entry::Left { txn });
+                return Ended::Left;
+            };
+            match heard {
+                Ok((head, body)) => {
+                    let (answer, told) = read(&head, &body, txn);
+                    write(&self.stage, Entry::Heard { txn, answer });
+                    self.fast_idle.borrow_mut()[order.agent.0].push(fast);
+                    return Ended::Answered(answer, told);
+                }
+                Err(_) if again => {}
+                Err(_) => break,
+            }
+        }
+        self.unheard(txn, taken)
+    }
+
     fn unheard(&self, txn: TxnId, taken: Option<Micros>) -> Ended {
         match taken {
             Some(_) => {
@@ -214,19 +286,29 @@
     async fn hear(&self, wire: &mut Wire, txn: TxnId) -> io::Result<(Final, Option<Micros>, bool)> {
         let head: Head = wire.head(false).await?.ok_or(io::ErrorKind::UnexpectedEof)?;
         let body = wire.body(&head).await?;
-        let told = head.header("retry-after").and_then(|v| v.parse::<f64>().ok());
-        let told = told.map(|s| Micros((s * 1e6) as i64));
-        let answer = match head.status {
-            // Only the body that a backend made for this very txn settles it.
-            200 if body == body_of(txn).as_bytes() => Final::Settled,
-            429 | 503 => Final::Declined,
-            _ => Final::Reversed,
-        };
+        let (answer, told) = read(&head, &body, txn);
         Ok((answer, told, head.closes()))
     }
 
     /// An agent is gone: what was kept open to it is worth nothing.
     pub fn forget(&self, agent: AgentId) {
         self.idle.borrow_mut()[agent.0].clear();
+        self.fast_idle.borrow_mut()[agent.0].clear();
     }
 }
+
+/// What an answer says, and when to come back. Only the body that a backend made for this very txn settles it.
+fn read(head: &Head, body: &[u8], txn: TxnId) -> (Final, Option<Micros>) {
+    let told = head.header("retry-after").and_then(|v| v.parse::<f64>().ok());
+    let answer = match head.status {
+        200 if body == body_of(txn).as_bytes() => Final::Settled,
+        429 | 503 => Final::Declined,
+        _ => Final::Reversed,
+    };
+    (answer, told.map(|s| Micros((s * 1e6) as i64)))
+}
+
+/// Nothing has come on it, and no end.
+fn still_open(io: &TcpStream) -> bool {
+    matches!(io.try_read(&mut [0; 1]), Err(why) if why.kind() == io::ErrorKind::WouldBlock)
+}
--- a/crates/lab/src/sockets/drive.rs
+++ b/crates/lab/src/sockets/drive.rs
@@ -92,8 +92,10 @@
         let known = registry::line(&stage, &stage.world.borrow().register.whole(), zone.0);
         let known: Value = serde_json::from_str(&known).map_err(|e| e.to_string())?;
         let own = free(block.address(Who::Agent(nth)))?;
+        let speaks = arm.routes.is_some() && plan.fastcgi_clients > 0.0;
+        let fast = speaks.then(|| free(block.address(Who::Agent(nth)))).transpose()?;
         let mut agent =
-            Agent::new(nth, plan, arm, programs, own, at, &known, &stage.places.borrow(), folder)?;
+            Agent::new(nth, plan, arm, programs, own, fast, at, &known, &stage.places.borrow(), folder)?;
         agent.launch(plan.seed)?;
         agents.push(agent);
     }
@@ -108,6 +110,9 @@
         tenants: plan.tenants.clone(),
         habits: plan.habits.clone(),
         agents: agents.iter().map(|agent| agent.at).collect(),
+        fast: agents.iter().map(|agent| agent.fast).collect(),
+        fast_part: plan.fastcgi_clients,
+        fast_idle: RefCell::new((0..agents.len()).map(|_| Vec::new()).collect()),
         service: RefCell::new(Service::new(plan.schemes.len(), plan.tenants.len(), plan.span)),
         idle: RefCell::new((0..agents.len()).map(|_| Vec::new()).collect()),
         tries: Cell::new(0),
@@ -143,7 +148,8 @@
             let listener = listen(SocketAddr::new(block.address(Who::Backend { back, zone }), 0))?;
             let at = listener.local_addr().map_err(|e| e.to_string())?;
             places.push(at);
-            spawn_local(backends::stand(stage.clone(), BackId(back), zone, at, listener, idle));
+            let fast = plan.fastcgi_pools.contains(&(back % plan.pools));
+            spawn_local(backends::stand(stage.clone(), BackId(back), zone, at, listener, idle, fast));
         }
         stage.places.borrow_mut().push(places);
     }
@@ -227,6 +233,7 @@
                 let most = all.fold(Footprint { at: now, ..Footprint::default() }, |most, one| Footprint {
                     memory_kb: most.memory_kb.max(one.memory_kb),
                     descriptors: most.descriptors.max(one.descriptors),
+                    cpu: most.cpu + one.cpu,
                     ..most
                 });
                 footprints.push(most);
--- a/crates/lab/src/sockets/house.rs
+++ b/crates/lab/src/sockets/house.rs
@@ -10,6 +10,7 @@
     plan: &Plan,
     nth: usize,
     at: SocketAddr,
+    fast: Option<SocketAddr>,
     register: SocketAddr,
     places: &[Vec<SocketAddr>],
     divided: bool,
@@ -20,12 +21,18 @@
          [[listen]]\nname = \"main\"\nat = \"{at}\"\n",
         plan.memory_mb, plan.sockets
     );
+    if let Some(fast) = fast {
+        text += &format!("[[listen]]\nname = \"fast\"\nat = \"{fast}\"\nprotocol = \"fastcgi\"\n");
+    }
     for pool in 0..plan.pools {
         text += &format!("[[pool]]\nname = \"p{pool}\"\nagents = {}\n", plan.agents.len());
         text += &match plan.pools {
             1 => format!("register = \"{register}\"\n"),
             _ => members(plan, pool, view, places),
         };
+        if plan.fastcgi_pools.contains(&pool) {
+            text += "protocol = \"fastcgi\"\n";
+        }
         limits(&mut text, plan, divided);
     }
     for scheme in &plan.schemes {
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -4,6 +4,7 @@
 pub mod backends;
 pub mod clients;
 pub mod drive;
+pub mod fcgi;
 pub mod ground;
 pub mod house;
 pub mod registry;
