--- a/crates/cli/tests/house.rs
+++ b/crates/cli/tests/house.rs
@@ -131,7 +131,7 @@
 }
 
 #[test]
-fn a_primary_that_flaps_doubles_nothing() {
+fn a_primary_and_a_backup_that_flap_double_nothing() {
     let (primary, backup) = ([Stand::new(Mode::Ok)], [Stand::new(Mode::Ok)]);
     let text = pool("first", &primary, "backup = \"second\"")
         + &pool("second", &backup, "")
@@ -151,10 +151,12 @@
                 }
             });
         }
-        for mode in
-            [Mode::Down, Mode::Ok, Mode::Break, Mode::Ok, Mode::Down, Mode::Ok, Mode::Break, Mode::Down]
-        {
+        let modes =
+            [Mode::Down, Mode::Ok, Mode::Break, Mode::Ok, Mode::Down, Mode::Ok, Mode::Break, Mode::Down];
+        for (n, mode) in modes.into_iter().enumerate() {
             primary[0].set(mode);
+            // The backup flaps too.
+            backup[0].set([Mode::Ok, Mode::Ok, Mode::Break, Mode::Down][n % 4]);
             std::thread::sleep(Duration::from_millis(350));
         }
         over.store(true, Ordering::Relaxed);
@@ -275,3 +277,19 @@
     let said = String::from_utf8_lossy(&explain.stdout);
     assert!(said.contains("not `r2`: another path") && said.contains("route `r3`"), "{}", said.len());
 }
+
+#[test]
+fn who_has_a_key_stays_at_one_pool_and_shares_are_kept() {
+    let (a, b) = (Stand::new(Mode::Ok), Stand::new(Mode::Ok));
+    let text = pool("a", std::slice::from_ref(&a), "")
+        + &pool("b", std::slice::from_ref(&b), "")
+        + "[[route]]\nname = \"both\"\nprefix = \"/both\"\nscheme = \"look\"\npools = { a = 0.5, b = 0.5 }\nsticky = \"header:X-Customer\"\n";
+    let house = House::start("sticky", &text);
+    for n in 0..120 {
+        let heard = house.ask("GET", "/both", &format!("X-Id: {}\r\nX-Customer: c{}\r\n", n % 20, n % 20));
+        assert!(heard.expect("heard").first.contains("200"));
+    }
+    let (at_a, at_b) = (a.seen(), b.seen());
+    assert!(at_a.len() + at_b.len() == 120 && !at_a.is_empty() && !at_b.is_empty());
+    assert!(at_a.iter().all(|id| !at_b.contains(id)), "each customer at one of them");
+}
