--- /dev/null
+++ b/crates/fastcgi/tests/corpus.rs
@@ -0,0 +1,60 @@
+//! Plays the corpus: bytes as hex, cut in pieces of every length from one byte to all; the outcome is the one that the
+//! first line says, whatever the cut.
+use std::path::PathBuf;
+
+use notchspool_fastcgi::ask::{self, Asker};
+use notchspool_fastcgi::record::Id;
+use notchspool_fastcgi::take::{self, Bounds, Event, Taker};
+use rstest::rstest;
+
+fn taken(bytes: &[u8], piece: usize) -> String {
+    let mut taker = Taker::new(Bounds { requests: 4, params: 1000, body: 1000 });
+    let mut events = Vec::new();
+    let ended = bytes.chunks(piece).try_for_each(|p| taker.take(p, &mut events));
+    let word = |event: &Event| match event {
+        take::Event::Asked(r) => {
+            format!("asked {} ({} params, {} bytes)", r.id.0, r.params.len(), r.body.len())
+        }
+        take::Event::Aborted(id) => format!("aborted {}", id.0),
+        take::Event::Say(said) => format!("says {} bytes", said.len()),
+        take::Event::Close => "closes".into(),
+    };
+    told(events.iter().map(word).collect(), ended.err().map(|w| w.to_string()))
+}
+
+fn asked(bytes: &[u8], piece: usize) -> String {
+    let mut asker = Asker::new(ask::Bounds { body: 1000, stderr: 1000 });
+    asker.wait(Id(1));
+    let mut events = Vec::new();
+    let ended = bytes.chunks(piece).try_for_each(|p| asker.take(p, &mut events));
+    let word = |event: &ask::Event| match event {
+        ask::Event::Begun(id) => format!("begun {}", id.0),
+        ask::Event::Answered(a) => {
+            format!("answered {} ({} bytes, whole {}, {:?})", a.id.0, a.stdout.len(), a.whole, a.ended)
+        }
+        ask::Event::Values(v) => format!("{} values", v.len()),
+        ask::Event::Unknown(kind) => format!("unknown {kind}"),
+    };
+    let mut words: Vec<String> = events.iter().map(word).collect();
+    words.dedup();
+    told(words, ended.err().map(|w| w.to_string()))
+}
+
+fn told(mut words: Vec<String>, wrong: Option<String>) -> String {
+    words.extend(wrong.map(|w| format!("wrong: {w}")));
+    if words.is_empty() { "nothing yet".into() } else { words.join("; ") }
+}
+
+#[rstest]
+fn comes_to_the_same_however_it_is_cut(#[files("tests/corpus/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).expect("a file");
+    let (head, hex) = text.split_once('\n').expect("a head");
+    let (side, wanted) = head.trim_start_matches("# ").split_once(": ").expect("SIDE: OUTCOME");
+    let hex: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).expect("hex"), 16).expect("hex");
+    let bytes: Vec<u8> = hex.chunks(2).map(byte).collect();
+    for piece in 1..=bytes.len() {
+        let found = if side == "take" { taken(&bytes, piece) } else { asked(&bytes, piece) };
+        assert_eq!(found, wanted, "in pieces of {piece}");
+    }
+}
--- a/crates/lab/src/plan/file.rs
+++ b/crates/lab/src/plan/file.rs
@@ -56,6 +56,8 @@
     pub pools: Spanned<usize>,
     /// Those whose backends speak FastCGI.
     pub fastcgi_pools: Vec<usize>,
+    /// Requests at once on a connection, as these say.
+    pub fastcgi_at_once: Spanned<usize>,
     pub choke: Option<Choke>,
     pub cold: Cold,
     pub drops_waiting: bool,
@@ -80,6 +82,7 @@
             cells: bare(4),
             pools: bare(1),
             fastcgi_pools: Vec::new(),
+            fastcgi_at_once: bare(8),
             choke: None,
             cold: Cold::default(),
             drops_waiting: true,
--- a/crates/lab/src/plan/read.rs
+++ b/crates/lab/src/plan/read.rs
@@ -39,6 +39,7 @@
     pub pools: usize,
     /// Those whose backends speak FastCGI, and the part of the clients that do.
     pub fastcgi_pools: Vec<usize>,
+    pub fastcgi_at_once: usize,
     pub fastcgi_clients: f64,
     pub faults: Vec<Fault>,
     pub arms: Vec<Arm>,
@@ -174,6 +175,7 @@
         most_orders,
         pools,
         fastcgi_pools: f.fleet.fastcgi_pools.clone(),
+        fastcgi_at_once: seen.count(&f.fleet.fastcgi_at_once, 1, 1000),
         fastcgi_clients: f.traffic.get_ref().fastcgi,
         faults,
         arms: f.arm.iter().map(|a| arm(seen, a)).collect(),
--- a/crates/lab/src/sockets/backends.rs
+++ b/crates/lab/src/sockets/backends.rs
@@ -24,7 +24,7 @@
     at: SocketAddr,
     first: TcpListener,
     idle: Duration,
-    fast: bool,
+    fast: Option<usize>,
 ) {
     let mut gate = stage.gates[back.0][view].subscribe();
     let mut open = Some(first);
@@ -47,8 +47,8 @@
                     _ = gate.changed() => break,
                     came = listener.accept() => if let Ok((io, _)) = came {
                         stage.links_opened.set(stage.links_opened.get() + 1);
-                        if fast {
-                            spawn_local(super::fcgi::serve(stage.clone(), back, view, io, idle));
+                        if let Some(at_once) = fast {
+                            spawn_local(super::fcgi::serve(stage.clone(), back, view, io, idle, at_once));
                             continue;
                         }
                         let link = Link::new(stage.clone(), back, view, Wire::new(io));
--- a/crates/lab/src/sockets/drive.rs
+++ b/crates/lab/src/sockets/drive.rs
@@ -148,7 +148,7 @@
             let listener = listen(SocketAddr::new(block.address(Who::Backend { back, zone }), 0))?;
             let at = listener.local_addr().map_err(|e| e.to_string())?;
             places.push(at);
-            let fast = plan.fastcgi_pools.contains(&(back % plan.pools));
+            let fast = plan.fastcgi_pools.contains(&(back % plan.pools)).then_some(plan.fastcgi_at_once);
             spawn_local(backends::stand(stage.clone(), BackId(back), zone, at, listener, idle, fast));
         }
         stage.places.borrow_mut().push(places);
--- a/crates/lab/src/sockets/fcgi.rs
+++ b/crates/lab/src/sockets/fcgi.rs
@@ -24,9 +24,6 @@
 use crate::core::ledger::End;
 use crate::http::Head;
 
-/// Requests at once on a connection, as these servers say.
-const AT_ONCE: usize = 8;
-
 /// What a connection ends with.
 enum Over {
     Closed,
@@ -45,12 +42,19 @@
 }
 
 /// Serves one connection of a backend till it ends.
-pub async fn serve(stage: Rc<Stage>, back: BackId, view: usize, io: TcpStream, idle: Duration) {
+pub async fn serve(
+    stage: Rc<Stage>,
+    back: BackId,
+    view: usize,
+    io: TcpStream,
+    idle: Duration,
+    at_once: usize,
+) {
     let _ = io.set_nodelay(true);
     let gate = stage.gates[back.0][view].subscribe();
     let now = stage.now();
     stage.world.borrow_mut().fleet.linked(now, back);
-    let taker = Taker::new(Bounds { requests: AT_ONCE, params: 64 * 1024, body: 64 * 1024 });
+    let taker = Taker::new(Bounds { requests: at_once, params: 64 * 1024, body: 64 * 1024 });
     let waits = FuturesUnordered::new();
     let mut link = Link { stage, back, gate, io, taker, out: BTreeMap::new(), waits };
     let over = link.run(idle).await;
