A backup is a place in one house, not in a pool; aborted FastCGI ids are bounded

Found by reading the change again. The place of a pool's backup was kept on the running pool, which goes on through a change of the file: a txn still in hand under the old file could have read a place in the new order of pools and gone to a pool that is not its backup. The places now belong to the house that a txn came to. And ids of requests that were aborted in the middle were remembered without a bound on one connection, up to 65,535; the bound that refused ones had now holds for both.

Tests: 1000 requests begun and aborted end at the 33rd. The first cannot be written any more: a pool knows no places.

--- a/crates/agent/src/house/build.rs
+++ b/crates/agent/src/house/build.rs
@@ -68,6 +68,7 @@
     Ok(House {
         table: Table::new(told.routes.iter().map(|r| r.rule.clone()).collect()),
         routes,
+        backups: told.pools.iter().map(|p| p.backup).collect(),
         pools,
         rooms,
         tenants: told.tenants.as_ref().zip(tenant_header).map(|(t, header)| tenants(t, header, old, on)),
@@ -97,7 +98,6 @@
             }
             None => Rc::new(Pool::open(pool, told.zones.clone(), seed.wrapping_add(nth as u64), on)),
         };
-        pool.next.set(told.pools[nth].backup);
         pools.push(pool);
     }
     let gone = |p: &&Rc<Pool>| !pools.iter().any(|kept| Rc::ptr_eq(kept, p));
--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -37,8 +37,6 @@
     members: RefCell<Vec<file::Member>>,
     version: Cell<u64>,
     pub backup: RefCell<Backup>,
-    /// The pool that steps in for it.
-    pub next: Cell<Option<usize>>,
 }
 
 /// All that can't change while it runs.
@@ -83,7 +81,6 @@
             members: RefCell::default(),
             version: Cell::new(0),
             backup: RefCell::new(Backup::new(seed)),
-            next: Cell::new(None),
         };
         opened.list_members(pool, Refresh::Restored);
         opened
--- a/crates/agent/src/house/state.rs
+++ b/crates/agent/src/house/state.rs
@@ -15,6 +15,9 @@
     pub table: Table,
     pub routes: Vec<Route>,
     pub pools: Vec<Rc<Pool>>,
+    /// The place of the pool that steps in for each, among the pools of this house: a pool outlives its house, a place
+    /// does not.
+    pub backups: Vec<Option<usize>>,
     pub rooms: Rooms,
     pub tenants: Option<Tenants>,
 }
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -185,7 +185,7 @@
         let mut earlier = 0;
         loop {
             let pool = &house.pools[at];
-            let next = pool.next.get().filter(|next| *next < house.pools.len());
+            let next = house.backups[at];
             let now = self.porch.clock.now();
             if let Some(next) = next
                 && !pool.backup.borrow_mut().primary_first(now)
--- a/crates/fastcgi/src/take.rs
+++ b/crates/fastcgi/src/take.rs
@@ -101,9 +101,9 @@
             Kind::Begin => self.begin(id, content, events),
             Kind::Abort => {
                 if self.halves.remove(&id).is_some() {
+                    self.pass(id)?;
                     let mut said = BytesMut::new();
                     put_end(&mut said, id, 0, Ended::Complete);
-                    self.passed.insert(id);
                     events.push(Event::Say(said.freeze()));
                 } else if self.out.contains_key(&id) {
                     events.push(Event::Aborted(id));
@@ -166,12 +166,9 @@
             _ => Some(Ended::UnknownRole),
         };
         if let Some(ended) = ended {
-            if self.passed.len() >= self.bounds.requests.saturating_mul(4).max(16) {
-                return Err(Wrong::TooManyRequests(self.bounds.requests));
-            }
+            self.pass(id)?;
             let mut said = BytesMut::new();
             put_end(&mut said, id, 0, ended);
-            self.passed.insert(id);
             events.push(Event::Say(said.freeze()));
             if !keep {
                 events.push(Event::Close);
@@ -182,6 +179,15 @@
         Ok(())
     }
 
+    /// What still comes of a request is passed over; of so many at once at the most.
+    fn pass(&mut self, id: Id) -> Result<(), Wrong> {
+        if self.passed.len() >= self.bounds.requests.saturating_mul(4).max(16) {
+            return Err(Wrong::TooManyRequests(self.bounds.requests));
+        }
+        self.passed.insert(id);
+        Ok(())
+    }
+
     fn half(&mut self, kind: Kind, id: Id) -> Result<&mut Half, Wrong> {
         let wrong =
             if self.out.contains_key(&id) { Wrong::AfterEnd(kind, id) } else { Wrong::NotOpen(kind, id) };
--- a/crates/fastcgi/tests/both.rs
+++ b/crates/fastcgi/tests/both.rs
@@ -369,3 +369,14 @@
         assert_eq!(read(bad), None, "{bad:?}");
     }
 }
+
+#[test]
+fn who_aborts_one_after_the_other_is_ended_at_a_bound() {
+    let (mut taker, mut events) = (Taker::new(BOUNDS), Vec::new());
+    let ended = (1..1000u16).try_for_each(|id| {
+        taker.take(&rec(1, id, &BEGIN), &mut events)?;
+        taker.take(&rec(2, id, b""), &mut events)
+    });
+    assert_eq!(ended, Err(Wrong::TooManyRequests(8)));
+    assert_eq!(events.len(), 32);
+}
