Agents leave a draining backend one after the other, within the grace

Ruled out: late lists, ejection, refused links. Change: where agents outnumber backends each stays till a moment of its own between 0.35 and 0.7 of the grace, or till it is turned away there; the gate at 0.8 is unchanged. Tried, not kept: resting backends that report far longer answers, size counted once, square root of the reported idleness.

--- a/src/book.rs
+++ b/src/book.rs
@@ -6,6 +6,7 @@
 pub struct Backend {
     pub entry: Entry,
     pub told: Option<Micros>,   // since when it is known to drain or to be gone
+    pub leaves: Micros,         // till when one that drains still takes its part
     pub frozen: Option<Micros>, // gone, but held on the list by the guard since then
     pub dropped: bool,
     pub out: Vec<(TxnRef, Micros)>, // own postings not yet back
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -116,6 +116,7 @@
         }
         self.generation = version;
         let mut turned_gone = Vec::new();
+        let (thin, grace) = (self.gauge.thin, self.terms.drain_grace.unwrap_or_default());
         for entry in entries {
             let at = entry.backend.0 as usize;
             if self.backends.len() <= at {
@@ -131,7 +132,13 @@
             b.entry = entry.clone();
             match entry.standing {
                 Standing::Ready => (b.told, b.frozen, b.dropped) = (None, None, false),
-                Standing::Draining => b.told = b.told.or(Some(now)),
+                Standing::Draining if b.told.is_none() => {
+                    b.told = Some(now);
+                    // All hear of it at once: each goes at a moment of its own, while the grace lasts.
+                    let part = if thin { 0.35 + 0.35 * self.chance.rand_float() } else { 0.0 };
+                    b.leaves = now + grace.times(part);
+                }
+                Standing::Draining => {}
                 Standing::Gone => turned_gone.push(entry.backend),
             }
         }
@@ -272,7 +279,10 @@
             Fate::Errored | Fate::Broken | Fate::TimedOut => {
                 self.judge(id, 0.45 * (USUAL / usual).clamp(0.1, 1.0))
             }
-            Fate::TurnedAway => self.judge(id, 0.2),
+            Fate::TurnedAway => {
+                b.leaves = now;
+                self.judge(id, 0.2)
+            }
             _ => {}
         }
         self.gauge.fails = usual;
@@ -479,7 +489,8 @@
     /// makes room: few good ones are sooner known than all the bad ones.
     fn enlist(&mut self, txn: TxnRef) {
         let Some((scheme, last)) = self.txns.get(&txn).map(|s| (s.scheme, s.last)) else { return };
-        let stays = |b: &Backend| !b.dropped && (b.told.is_none() || b.frozen.is_some());
+        let stays =
+            |b: &Backend| !b.dropped && (b.told.is_none() || b.frozen.is_some() || b.leaves > self.now);
         let mut members = std::mem::take(&mut self.members);
         members.retain(|&id| self.backend(id).is_some_and(|b| stays(b) && b.pace < SLOW));
         let free = |id: &BackendId| {
@@ -538,7 +549,7 @@
         }
         // Another backend than the last, and one that stays, wherever there is one.
         prefer(&mut open, |b| Some(b.entry.backend) != s.last);
-        prefer(&mut open, |b| b.entry.standing != Standing::Draining);
+        prefer(&mut open, |b| b.entry.standing != Standing::Draining || b.leaves > self.now);
         if self.gauge.ejecting {
             prefer(&mut open, |b| !b.shut(self.now));
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -315,6 +315,29 @@
     assert!(most < 61, "{most} postings to one newcomer within a span");
 }
 
+/// Incident join+vast, third part: all agents hear of a drain in the same instant. If they all left then, what drains would
+/// stand idle for its whole grace while the rest takes a third more at once.
+#[test]
+fn agents_leave_a_draining_backend_one_after_the_other() {
+    let mut fleet = Fleet::open(30, Micros::ms(66));
+    fleet.to(5_000);
+    let before = fleet.posts(0..10, 4_400);
+    let leaving = fleet.changed(0..10, Standing::Draining);
+    fleet.tell(Refresh::Delta, 1, &leaving);
+    fleet.to(8_000);
+    // Much as before for the first third of the grace, then less and less; nothing as the grace ends.
+    let (first, later, end) =
+        (fleet.posts(0..10, 5_001), fleet.posts(0..10, 5_650), fleet.posts(0..10, 6_600));
+    assert!(
+        2 * (first - later) > before,
+        "{} postings in 0.65 s, {before} in the 0.6 s before",
+        first - later
+    );
+    let half = fleet.posts(0..10, 6_050);
+    assert!(later - half > half, "{} then {half} postings, as agents leave", later - half);
+    assert_eq!(end, 0, "postings past 0.8 of the grace");
+}
+
 /// Incident join+vast, second part: lots end in the instant in which a newcomer is warm. Who had it by lot alone lets it go
 /// then, all agents together, and the old ones are pressed again.
 #[test]
