Counters to add up over a fleet: declines, ejections, watches, links by reason

Change: the module counts why it gave a txn up, ejections, and postings to cold, frozen, draining and ejected backends; the register calls by outcome; connections by why they were opened.

--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -16,6 +16,7 @@
 use crate::memory::txn::Budgets;
 use crate::wire::backend::{self, Ground};
 use crate::wire::fcgi::peer;
+use crate::wire::link::Past;
 use crate::wire::registry::{self, Registry, Turn};
 
 /// What all pools stand on.
@@ -68,7 +69,13 @@
         };
         let list = List::open(desk.clone(), on.clock, on.counters.clone(), zones, maker).start();
         let registry = pool.register.map(|at| {
-            let registry = Registry::new(at, ground.client(usize::MAX), list.clone()).start();
+            let registry = Registry::new(
+                at,
+                ground.client(usize::MAX, Past::register()),
+                list.clone(),
+                on.counters.clone(),
+            )
+            .start();
             desk.do_send(Ask(registry.clone().recipient()));
             (at, registry)
         });
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -23,6 +23,7 @@
 use crate::wire::backend::{self, Ground};
 use crate::wire::caller::Caller;
 use crate::wire::gate::{Accept, Gate, Serve};
+use crate::wire::link::Past;
 use crate::wire::listing;
 use crate::wire::registry::{Registry, Turn};
 
@@ -66,7 +67,8 @@
         Ok(known) => list.send(Restore(known)).await.map_err(io::Error::other)?,
         Err(why) => log::warn!("list: the known list can't be used: {why}"),
     }
-    let registry = Registry::new(discovery, ground.client(usize::MAX), list).start();
+    let registry =
+        Registry::new(discovery, ground.client(usize::MAX, Past::register()), list, counters.clone()).start();
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
     let porch = Rc::new(Porch { clock, counters, bounds, leaving: Cell::new(false) });
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -98,6 +98,9 @@
     fn wake_in(&mut self, span: Micros) {
         self.wake = Some(span);
     }
+    fn count(&mut self, what: &'static str) {
+        self.counters.add(what);
+    }
     fn note(&mut self, line: &str) {
         log::info!("module: {line}");
     }
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -11,6 +11,7 @@
 use awc::Client;
 use notchspool::units::*;
 
+use super::link::Past;
 use super::posting::{self, Outcome};
 use crate::base::bounds::Bounds;
 use crate::base::clock::{Clock, span};
@@ -36,8 +37,8 @@
 
 impl Ground {
     /// A client that opens connections while there are fewer than so many in all.
-    pub fn client(&self, most: usize) -> Client {
-        posting::client(most, self.connect_within, self.idle, self.counters.clone())
+    pub fn client(&self, most: usize, past: Rc<Past>) -> Client {
+        posting::client(most, self.connect_within, self.idle, self.counters.clone(), past)
     }
 }
 
@@ -45,6 +46,7 @@
     id: BackendId,
     at: SocketAddr,
     client: Client,
+    past: Rc<Past>,
     desk: Addr<Desk>,
     ground: Rc<Ground>,
     out: BTreeMap<(TxnRef, u32), (SpawnHandle, Micros)>,
@@ -56,13 +58,15 @@
 
 impl Peer {
     fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
-        let (client, used) = (ground.client(ground.bounds.links), ground.clock.now());
-        Peer { id, at, client, desk, ground, out: BTreeMap::new(), used, held: false, gone: false }.start()
+        let past = Rc::<Past>::default();
+        let (client, used) = (ground.client(ground.bounds.links, past.clone()), ground.clock.now());
+        Peer { id, at, client, past, desk, ground, out: BTreeMap::new(), used, held: false, gone: false }
+            .start()
     }
     /// Lets idle connections go. What is out stays out, and its connections go with it.
     fn renew(&mut self) {
         self.held = false;
-        self.client = self.ground.client(self.ground.bounds.links);
+        self.client = self.ground.client(self.ground.bounds.links, self.past.clone());
     }
     fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome) {
         let Some((_, sent)) = self.out.remove(&(txn, posting)) else { return };
--- a/crates/agent/src/wire/link.rs
+++ b/crates/agent/src/wire/link.rs
@@ -72,10 +72,58 @@
     }
 }
 
+/// What became of the connections to one peer: it says why another one is opened.
+#[derive(Default)]
+pub struct Past {
+    held: Cell<usize>,
+    last: Cell<Last>,
+}
+
+#[derive(Clone, Copy, Default)]
+enum Last {
+    #[default]
+    None,
+    Register,
+    Idle,
+    GivenUp,
+    Ended,
+}
+
+impl Past {
+    /// Of the register's, not a backend's.
+    pub fn register() -> Rc<Past> {
+        Rc::new(Past { held: Cell::new(0), last: Cell::new(Last::Register) })
+    }
+    fn reason(&self) -> &'static str {
+        match self.last.get() {
+            Last::Register => "links_opened_register",
+            _ if self.held.get() > 0 => "links_opened_beside",
+            Last::None => "links_opened_first",
+            Last::Idle => "links_opened_after_idle",
+            Last::GivenUp => "links_opened_after_given_up",
+            Last::Ended => "links_opened_after_end",
+        }
+    }
+    fn opened(&self) {
+        self.held.set(self.held.get() + 1);
+    }
+    fn ended(&self, code: &str) {
+        self.held.set(self.held.get().saturating_sub(1));
+        if !matches!(self.last.get(), Last::Register) {
+            self.last.set(match code {
+                "LINK_IDLE" => Last::Idle,
+                "LINK_GIVEN_UP" => Last::GivenUp,
+                _ => Last::Ended,
+            });
+        }
+    }
+}
+
 pub struct Link {
     io: TcpStream,
     to: SocketAddr,
     counters: Rc<Counters>,
+    past: Rc<Past>,
     waiting: bool,             // written to, nothing read since
     mark: Option<Rc<Mark>>,    // of the posting that wrote last
     ahead: BytesMut, // read, not yet handed on: an answer's beginning, till it is told from an interim
@@ -84,14 +132,17 @@
 }
 
 impl Link {
-    pub fn up(io: TcpStream, to: SocketAddr, counters: Rc<Counters>) -> Link {
+    pub fn up(io: TcpStream, to: SocketAddr, counters: Rc<Counters>, past: Rc<Past>) -> Link {
         let _ = io.set_nodelay(true);
+        counters.add(past.reason());
+        past.opened();
         counters.links.set(counters.links.get() + 1);
         counters.add("links_opened");
         Link {
             io,
             to,
             counters,
+            past,
             waiting: false,
             mark: None,
             ahead: BytesMut::new(),
@@ -110,6 +161,7 @@
         self.counters.links.set(self.counters.links.get().saturating_sub(1));
         let code = self.end.unwrap_or(if self.waiting { "LINK_GIVEN_UP" } else { "LINK_IDLE" });
         self.counters.add("links_ended");
+        self.past.ended(code);
         log::info!("link to {} ended: {code}", self.to);
     }
 }
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -16,7 +16,7 @@
 use notchspool::units::{Fate, Report};
 use notchspool_terms::report_line;
 
-use super::link::{Link, MARK, Mark};
+use super::link::{Link, MARK, Mark, Past};
 use crate::base::bounds::{BODY, SEND_BUFFER};
 use crate::memory::counters::Counters;
 use crate::memory::txn::{Carried, Made, Reading};
@@ -26,9 +26,15 @@
 
 /// A client for one peer. It adds nothing of its own: no time-out but the connect one, no redirects, no
 /// decompression, no second sending; connections are dropped before the peer may have closed them.
-pub fn client(most: usize, connect_within: Duration, idle: Duration, counters: Rc<Counters>) -> Client {
+pub fn client(
+    most: usize,
+    connect_within: Duration,
+    idle: Duration,
+    counters: Rc<Counters>,
+    past: Rc<Past>,
+) -> Client {
     let connect = actix_service::fn_service(move |info: ConnectInfo<Uri>| {
-        let counters = counters.clone();
+        let (counters, past) = (counters.clone(), past.clone());
         async move {
             let uri = info.request().clone();
             let at = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
@@ -38,10 +44,11 @@
             }
             let up = actix_rt::time::timeout(connect_within, connect(at)).await;
             match up.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
-                Ok(io) => Ok(Connection::new(uri, Link::up(io, at, counters))),
+                Ok(io) => Ok(Connection::new(uri, Link::up(io, at, counters, past))),
                 Err(why) => {
                     let late = why.kind() == ErrorKind::TimedOut;
                     let code = if late { "LINK_NEVER_UP" } else { "LINK_REFUSED" };
+                    counters.add(if late { "links_never_up" } else { "links_refused" });
                     log::info!("link to {at} ended: {code} ({why})");
                     Err(NoAddress::Io(why))
                 }
--- a/crates/agent/src/wire/registry.rs
+++ b/crates/agent/src/wire/registry.rs
@@ -1,5 +1,6 @@
 //! The actor of discovery: holds the watch, hands its lines to the list, and says when it failed.
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix::{
@@ -13,6 +14,7 @@
 
 use super::listing;
 use crate::base::bounds::LINE;
+use crate::memory::counters::Counters;
 use crate::memory::list::{Ended, List, Moved, Since};
 use crate::memory::mail::Watch;
 
@@ -24,11 +26,12 @@
     client: Client,
     list: Addr<List>,
     watch: Option<SpawnHandle>,
+    counters: Rc<Counters>,
 }
 
 impl Registry {
-    pub fn new(at: SocketAddr, client: Client, list: Addr<List>) -> Registry {
-        Registry { at, client, list, watch: None }
+    pub fn new(at: SocketAddr, client: Client, list: Addr<List>, counters: Rc<Counters>) -> Registry {
+        Registry { at, client, list, watch: None, counters }
     }
 }
 
@@ -41,9 +44,12 @@
     fn handle(&mut self, _: Watch, ctx: &mut Context<Registry>) {
         if let Some(before) = self.watch.take() {
             ctx.cancel_future(before);
+            self.counters.add("watches_asked_again");
         }
-        let ended = follow(self.at, self.client.clone(), self.list.clone()).into_actor(self).map(
+        let (list, counters) = (self.list.clone(), self.counters.clone());
+        let ended = follow(self.at, self.client.clone(), list, counters).into_actor(self).map(
             |code, registry: &mut Registry, _| {
+                registry.counters.add(counted(code));
                 log::info!("watch at {} ended: {code}", registry.at);
                 registry.watch = None;
                 registry.list.do_send(Ended);
@@ -84,8 +90,20 @@
     }
 }
 
+/// The counter of a reason code.
+fn counted(code: &str) -> &'static str {
+    match code {
+        "WATCH_SILENT" => "watches_silent",
+        "WATCH_NO_LINK" => "watches_no_link",
+        "WATCH_TURNED_AWAY" => "watches_turned_away",
+        "WATCH_CLOSED" => "watches_closed",
+        "WATCH_RESET" => "watches_reset",
+        _ => "watches_unreadable",
+    }
+}
+
 /// Follows one watch to its end and tells the reason code.
-async fn follow(at: SocketAddr, client: Client, list: Addr<List>) -> &'static str {
+async fn follow(at: SocketAddr, client: Client, list: Addr<List>, counters: Rc<Counters>) -> &'static str {
     let since = list.send(Since).await.ok().flatten().map(|v| format!("&since={v}")).unwrap_or_default();
     let asked = client.get(format!("http://{at}/v1/servers?follow=1{since}")).no_decompress().send();
     let mut answer = match actix_rt::time::timeout(SILENCE, asked).await {
@@ -95,6 +113,7 @@
         Ok(Ok(answer)) if answer.status() != 200 => return "WATCH_TURNED_AWAY",
         Ok(Ok(answer)) => answer,
     };
+    counters.add("watches_answered");
     let mut rest = BytesMut::new();
     loop {
         match actix_rt::time::timeout(SILENCE, answer.next()).await {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,6 +48,7 @@
     took: Vec<Tally>, // by scheme: response times of settled postings
     gauge: Gauge,
     beating: bool,
+    ejections: u32, // since the last beat
 }
 
 /// A txn in hand. All that happens to it is a call on this handle.
@@ -74,6 +75,7 @@
             took: vec![Tally::default(); terms.schemes.len()],
             gauge: Gauge::start(),
             beating: false,
+            ejections: 0,
             terms,
         }
     }
@@ -242,6 +244,7 @@
         if b.doubt > 0.6 && b.shut_until <= now {
             b.shut_for = (b.shut_for + b.shut_for).max(FIRST_SHUT).min(LAST_SHUT);
             b.shut_until = now + b.shut_for;
+            self.ejections += 1;
             self.count();
         }
     }
@@ -433,6 +436,15 @@
             return false;
         };
         s.out = Some((s.postings, id, now));
+        match b.entry.standing {
+            _ if b.frozen.is_some() => out.count("postings_frozen"),
+            Standing::Draining => out.count("postings_draining"),
+            Standing::Ready if cold => out.count("postings_cold"),
+            _ => {}
+        }
+        if b.shut(now) {
+            out.count("postings_ejected");
+        }
         s.postings += 1;
         s.last = Some(id);
         b.used = now;
@@ -595,6 +607,7 @@
     pub fn wake(&mut self, out: &mut dyn Outlet) {
         out.wake_in(BEAT);
         let now = self.now;
+        (0..std::mem::take(&mut self.ejections)).for_each(|_| out.count("ejections"));
         if self.watch_at.is_some_and(|at| at <= now) {
             self.watch_at = Some(now + self.terms.ask_within.times(0.7)); // should no answer come at all
             out.watch();
@@ -652,15 +665,19 @@
     pub fn route(self, out: &mut dyn Outlet) {
         let Txn { desk, txn } = self;
         if desk.in_flight() >= desk.gauge.window + desk.gauge.saved {
+            out.count("unserved_window");
             return desk.answer(txn, out);
         }
         Txn { desk, txn }.send(out);
     }
 
     fn send(self, out: &mut dyn Outlet) {
-        let found = self.desk.pick(self.txn);
-        if !found.is_some_and(|id| self.desk.post(self.txn, id, out)) {
-            self.desk.answer(self.txn, out);
+        let Txn { desk, txn } = self;
+        let found = desk.pick(txn);
+        if !found.is_some_and(|id| desk.post(txn, id, out)) {
+            let over = desk.txns.get(&txn).is_some_and(|s| desk.now + desk.terms.tick >= s.expiry);
+            out.count(if over { "unserved_expired" } else { "unserved_no_backend" });
+            desk.answer(txn, out);
         }
     }
 
@@ -694,6 +711,7 @@
             desk.txns.remove(&txn);
         } else if fate == Fate::Unusable || desk.gauge.spare < price {
             // What one backend can't use none can: such a txn must not go round and cost them all.
+            out.count(if fate == Fate::Unusable { "unserved_unusable" } else { "unserved_no_budget" });
             desk.answer(txn, out);
         } else {
             desk.gauge.spare -= price;
--- a/src/units.rs
+++ b/src/units.rs
@@ -169,4 +169,6 @@
     fn watch(&mut self);
     fn wake_in(&mut self, span: Micros);
     fn note(&mut self, line: &str);
+    /// One more of a kind of decision, for sums over a fleet. Hosts without counters pass it over.
+    fn count(&mut self, _: &'static str) {}
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -17,6 +17,7 @@
     reversed: usize,
     watches: usize,
     wake: Option<Micros>,
+    counts: Vec<&'static str>,
 }
 
 impl Outlet for Out {
@@ -38,6 +39,9 @@
         self.wake = Some(span);
     }
     fn note(&mut self, _: &str) {}
+    fn count(&mut self, what: &'static str) {
+        self.counts.push(what);
+    }
 }
 
 /// Two cores, and a line before them: a posting takes `work` of a core at its turn.
@@ -92,6 +96,7 @@
     coming: BTreeMap<(Micros, u64), Back>,
     postings: BTreeMap<TxnRef, u32>,
     seq: u64,
+    counts: BTreeMap<&'static str, usize>, // the sums of all agents' counters
     uneven: bool,
     each: Micros, // mean time between two txns of an agent
     declined: usize,
@@ -147,6 +152,7 @@
             coming: BTreeMap::new(),
             postings: BTreeMap::new(),
             seq: 0,
+            counts: BTreeMap::new(),
             uneven: false,
             each,
             declined: 0,
@@ -193,6 +199,7 @@
             self.agents[n].wake_at = self.now + span;
         }
         self.declined += out.declined + out.reversed;
+        out.counts.into_iter().for_each(|what| *self.counts.entry(what).or_default() += 1);
         for (txn, to) in out.posts {
             self.post(n, txn, to);
         }
@@ -308,6 +315,9 @@
     let (cold, old) = (fleet.posts(30..48, 6_000), fleet.posts(18..30, 6_000));
     // 18 at nearly half of a warm one's work against 12: a good part of the traffic.
     assert!(cold > old / 4, "{cold} postings to 18 newcomers, {old} to 12 old ones");
+    // The counters of all agents tell the same.
+    assert_eq!(fleet.counts.get("postings_cold"), Some(&fleet.posts(30..48, 0)));
+    assert!(fleet.counts.get("postings_draining").is_some_and(|&n| n > 0), "{:?}", fleet.counts);
     let part = (fleet.settled - settled) as f64 / (fleet.taken - taken) as f64;
     assert!(part > 0.85, "{part:.2} settled");
     // Rule 4 over the whole fleet: 3 x 0.55 x what a warm one can do in 1.5 s, at the most.
