--- a/src/book.rs
+++ b/src/book.rs
@@ -38,6 +38,11 @@
         let age = (now - self.entry.started).over(terms.cold_span);
         (terms.cold_from + (1.0 - terms.cold_from) * age).min(1.0)
     }
+    /// Whether it is warm now and was cold when this was last asked.
+    pub fn turned_warm(&mut self, terms: &Terms, now: Micros) -> bool {
+        let cold = self.warmth(terms, now) < 1.0;
+        std::mem::replace(&mut self.cold, cold) && !cold
+    }
     pub fn shut(&self, now: Micros) -> bool {
         self.shut_until > now
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -135,10 +135,9 @@
             match entry.standing {
                 Standing::Ready => (b.told, b.frozen, b.dropped) = (None, None, false),
                 Standing::Draining if b.told.is_none() => {
-                    b.told = Some(now);
                     // All hear of it at once: each goes at a moment of its own, while the grace lasts.
                     let part = if thin { 0.35 + 0.35 * self.chance.rand_float() } else { 0.0 };
-                    b.leaves = now + grace.times(part);
+                    (b.told, b.leaves) = (Some(now), now + grace.times(part));
                 }
                 Standing::Draining => {}
                 Standing::Gone => turned_gone.push(entry.backend),
@@ -346,12 +345,10 @@
         let quick = Micros(self.took[scheme.0].quantile(0.25).unwrap_or(0));
         let quick = quick.over(self.terms.schemes[scheme.0].sla);
         self.gauge.rest += 0.05 * (quick * quick - self.gauge.rest);
-        let mut aim = (QUICK * self.gauge.rest).clamp(EASE, 1.5 * EASE);
         // A thin agent knows few backends, and the slow among them mark its mean. What they report to have
         // left is told to all alike: as long as that is much, waiting is not why answers are late.
-        if self.gauge.thin {
-            aim *= 1.0 + ROOM * (1.0 - self.gauge.busy / FULL).max(0.0);
-        }
+        let room = if self.gauge.thin { (1.0 - self.gauge.busy / FULL).max(0.0) } else { 0.0 };
+        let aim = (QUICK * self.gauge.rest).clamp(EASE, 1.5 * EASE) * (1.0 + ROOM * room);
         let pull = ((aim - self.gauge.stress) / aim).clamp(-1.0, 1.0);
         if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * (self.gauge.window + self.gauge.saved) {
             self.gauge.opening &= pull > 0.0;
@@ -627,8 +624,7 @@
         let mut fresh = Vec::new();
         for b in self.backends.iter_mut().flatten() {
             b.flow *= fade;
-            let cold = b.warmth(&self.terms, now) < 1.0;
-            if std::mem::replace(&mut b.cold, cold) && !cold {
+            if b.turned_warm(&self.terms, now) {
                 fresh.push(b.entry.backend);
             }
             if b.lot_until == Micros(0) {
