--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -14,18 +14,17 @@
 /// The agent as the platform starts it, told by environment and one file.
 pub fn platform() -> ExitCode {
     base::logger::start();
-    let told = match life::start::told() {
-        Ok(told) => told,
+    let code = match life::start::told().map(life::run::run) {
         Err(why) => {
             log::error!("cannot start: {why}");
-            return ExitCode::from(2);
+            ExitCode::from(2)
         }
-    };
-    match life::run::run(told) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(why)) => {
             log::error!("cannot run: {why}");
             ExitCode::FAILURE
         }
-    }
+    };
+    log::logger().flush();
+    code
 }
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -34,13 +34,19 @@
 /// The agent until its end.
 pub fn open(path: PathBuf) -> ExitCode {
     crate::base::logger::start();
-    let house = match told(&path) {
-        Ok(house) => house,
+    let code = match told(&path) {
+        Ok(house) => lived(path, house),
         Err(why) => {
             log::error!("cannot start: {why}");
-            return ExitCode::from(2);
+            ExitCode::from(2)
         }
     };
+    log::logger().flush();
+    code
+}
+
+/// From the first listener to the last answer.
+fn lived(path: PathBuf, house: file::House) -> ExitCode {
     let counters = Rc::new(Counters::default());
     let system = actix::System::new();
     let begun = system.block_on(begin(path, house, counters.clone()));
--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -5,6 +5,8 @@
 
 use notchspool::units::Fate;
 
+use crate::base::logger;
+
 #[derive(Default)]
 pub struct Counters {
     counts: RefCell<BTreeMap<&'static str, u64>>,
@@ -36,6 +38,7 @@
         for (what, count) in self.counts.borrow().iter() {
             let _ = writeln!(page, "{what} {count}");
         }
+        let _ = writeln!(page, "log_lines_lost {}", logger::lost());
         for (what, now) in
             [("now_in_hand", &self.in_hand), ("now_callers", &self.callers), ("now_links", &self.links)]
         {
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -1,21 +1,22 @@
 //! Plays text scenarios against the built agent, with peers on loopback. A line is a command, `#` a remark.
 //! `settings NAME VALUE`, `sockets N`: before the start. A peer is on the known list unless its name begins
-//! with `new`; `@A` in a later script is its address. `peer A STEP; STEP...| STEP...`: what a backend (or
+//! with `new`; `@A` in a later script is its address, `@self` the agent's. `peer A STEP; STEP...| STEP...`: what a backend (or
 //! `discovery`) does on its first connection, its second...; the last stands for all further ones. Steps:
 //! `read` a whole request, `part` its first bytes; `say TEXT` raw; `ok TEXT`, `fill SIZE`, `status LINE`,
 //! `list JSON`: an answer; `line JSON`: a chunk of a watch, `piece TEXT` any chunk, `flood SIZE` a large
 //! one; `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there; `silent A`: no connection
 //! there comes up. `start`, `fails TEXT`: it must not start. `ask N LINE [body SIZE]`: on connection N; `raw
 //! N TEXT`; `hear N STATUS TEXT`: the next answer there; `gone N`: closed by the agent; `leave N`. `count
-//! NAME VALUE`: a counter comes to it; `got A TEXT`: A has read this, whatever came around it; `reads A N`:
+//! NAME VALUE`: a counter comes to it, `least NAME VALUE`: to that or more; `got A TEXT`: A has read this, whatever came around it; `reads A N`:
 //! whole requests it read; `opens A N`: connections; `log TEXT`; `config NAME VALUE`: changes the file; `term`,
-//! `hup`: the signal; `ends`: with exit code 0.
+//! `hup`, `stop`, `cont`: the signal; `ends`: with exit code 0. `deaf`: nobody reads its log any more; `calls N
+//! PATH`: N connections in turn, each asks this and goes.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -162,6 +163,7 @@
     peers: BTreeMap<String, Peer>,
     agent: Option<Child>,
     log: Arc<Mutex<String>>,
+    deaf: Arc<AtomicBool>,
     at: SocketAddr,
     calls: BTreeMap<String, BufReader<TcpStream>>,
 }
@@ -191,7 +193,6 @@
 
 impl Play {
     fn start(&mut self) {
-        self.at = unused();
         let members: Vec<Value> = self
             .peers
             .iter()
@@ -215,9 +216,13 @@
             .spawn()
             .expect("the agent");
         let (mut told, log) = (BufReader::new(agent.stderr.take().expect("its log")), self.log.clone());
+        let deaf = self.deaf.clone();
         std::thread::spawn(move || {
             let mut line = String::new();
             while told.read_line(&mut line).is_ok_and(|n| n > 0) {
+                while deaf.load(Ordering::Relaxed) {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
                 *log.lock().expect("the log") += &std::mem::take(&mut line);
             }
         });
@@ -265,6 +270,7 @@
                     script.replace(&format!("@{name}"), &peer.at.to_string())
                 };
                 let script = self.peers.iter().fold(more.to_owned(), place);
+                let script = script.replace("@self", &self.at.to_string());
                 self.peers.insert(name.to_owned(), Peer::listen(&script));
             }
             "silent" => drop(self.peers.insert(name.to_owned(), Peer::silent())),
@@ -314,6 +320,12 @@
                 assert!(matches!(&ended, Ok(0)) || ended.as_ref().is_err_and(reset), "{ended:?}");
             }
             "leave" => drop(self.calls.remove(name)),
+            "least" => {
+                let least: u64 = more.parse().expect("a number");
+                let value = |line: &str| line.strip_prefix(name)?.trim().parse::<u64>().ok();
+                let has = |page: String| page.lines().filter_map(value).any(|value| value >= least);
+                self.wait(line, || self.fetch("/-/counters").is_some_and(has));
+            }
             "count" => {
                 let wanted = format!("{name} {more}");
                 let has = |page: String| page.lines().any(|line| line == wanted);
@@ -338,7 +350,14 @@
                 file[name] = value.into();
                 std::fs::write(&path, file.to_string()).expect("the configuration");
             }
-            "term" | "hup" => {
+            "deaf" => self.deaf.store(true, Ordering::Relaxed),
+            "calls" => {
+                let many: usize = name.parse().expect("a number");
+                for _ in 0..many {
+                    assert!(self.fetch(more).is_some(), "{line}: no answer");
+                }
+            }
+            "term" | "hup" | "stop" | "cont" => {
                 let id = self.agent.as_ref().expect("started").id().to_string();
                 let signal = format!("-{}", what.to_uppercase());
                 assert!(Command::new("kill").args([&signal, &id]).status().expect("kill").success());
@@ -368,7 +387,8 @@
         peers: BTreeMap::new(),
         agent: None,
         log: Default::default(),
-        at: SocketAddr::from(([127, 0, 0, 1], 0)),
+        deaf: Default::default(),
+        at: unused(),
         calls: BTreeMap::new(),
     };
     let text = std::fs::read_to_string(&path).expect("a scenario");
