--- a/crates/agent/src/base/logger.rs
+++ b/crates/agent/src/base/logger.rs
@@ -85,7 +85,9 @@
             told = lost();
         }
         let _ = std::io::stderr().write_all(text.as_bytes());
-        flushed.into_iter().for_each(|tell| drop(tell.try_send(())));
+        for tell in flushed {
+            let _ = tell.try_send(());
+        }
     }
 }
 
--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -10,6 +10,7 @@
 
 use crate::base::bounds::Bounds;
 use crate::base::clock::{Clock, span};
+use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Close, Desk};
 use crate::memory::list::{self, Heard, List, Restore, Row};
@@ -23,6 +24,7 @@
 #[derive(Clone)]
 pub struct Footing {
     pub clock: Clock,
+    pub pulse: Rc<Pulse>,
     pub counters: Rc<Counters>,
     pub bounds: Bounds,
     pub budgets: Budgets,
@@ -61,8 +63,15 @@
             connect_within: span(pool.connect_within),
             idle: span(pool.idle_close.times(0.8)),
         });
-        let desk =
-            Desk::open(pool.terms.clone(), seed, on.clock, on.counters.clone(), on.budgets.clone()).start();
+        let desk = Desk::open(
+            pool.terms.clone(),
+            seed,
+            on.clock,
+            on.pulse.clone(),
+            on.counters.clone(),
+            on.budgets.clone(),
+        )
+        .start();
         let maker = match pool.protocol {
             file::Protocol::Http => backend::maker(desk.clone(), ground.clone()),
             file::Protocol::Fastcgi => peer::maker(desk.clone(), ground.clone()),
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -14,6 +14,7 @@
 use super::{run, stop};
 use crate::base::bounds::Bounds;
 use crate::base::clock::Clock;
+use crate::base::pulse::Pulse;
 use crate::house::build::{Numbers, build};
 use crate::house::pool::Footing;
 use crate::memory::counters::Counters;
@@ -68,13 +69,15 @@
     let bounds = Bounds::within(told.descriptors, told.memory_mb);
     log::info!("{}: {bounds:?}", told.name);
     let budgets = Budgets::default();
-    let footing = Footing { clock, counters: counters.clone(), bounds, budgets: budgets.clone() };
+    let pulse = Rc::new(Pulse::new(clock.now()));
+    let footing =
+        Footing { clock, pulse: pulse.clone(), counters: counters.clone(), bounds, budgets: budgets.clone() };
     let seed = told.seed.unwrap_or_else(|| {
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64)
     });
     let mut numbers = Numbers::default();
     let house = build(&told, None, &mut numbers, seed, &footing).map_err(io::Error::other)?;
-    let porch = Rc::new(Porch { clock, counters, bounds, leaving: Cell::new(false) });
+    let porch = Rc::new(Porch { clock, pulse, counters, bounds, leaving: Cell::new(false) });
     let house = RefCell::new(Rc::new(house));
     let chance = RefCell::new(oorandom::Rand64::new(seed.into()));
     let door = Rc::new(Door { porch: porch.clone(), house, budgets, next: Cell::new(0), chance });
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -15,6 +15,7 @@
 use super::start::{self, Told};
 use super::stop;
 use crate::base::clock::{Clock, span};
+use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Desk};
 use crate::memory::list::{List, Restore};
@@ -53,7 +54,8 @@
     let schemes = agreed.schemes.into_iter().zip(agreed.terms.schemes.iter().map(|row| row.kind)).collect();
     // On sockets the list always has to be asked for, whatever the simulator does at this site.
     let terms = Terms { list_on_request: true, ..agreed.terms };
-    let desk = Desk::open(terms, seed, clock, counters.clone(), Budgets::default()).start();
+    let pulse = Rc::new(Pulse::new(clock.now()));
+    let desk = Desk::open(terms, seed, clock, pulse.clone(), counters.clone(), Budgets::default()).start();
     let list = List::open(
         desk.clone(),
         clock,
@@ -71,7 +73,7 @@
         Registry::new(discovery, ground.client(usize::MAX, Past::register()), list, counters.clone()).start();
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
-    let porch = Rc::new(Porch { clock, counters, bounds, leaving: Cell::new(false) });
+    let porch = Rc::new(Porch { clock, pulse, counters, bounds, leaving: Cell::new(false) });
     let front = Rc::new(Front {
         porch: porch.clone(),
         desk,
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -12,17 +12,26 @@
 use super::mail::{Peer, ToPeer, Watch};
 use super::txn::{Answer, Budgets, Carried, InHand, Made, RouteId};
 use crate::base::clock::{Clock, span};
+use crate::base::pulse::Pulse;
 
 pub struct Desk {
     balancer: Balancer,
     hand: Hand,
     clock: Clock,
+    pulse: Rc<Pulse>,
     /// Nothing new comes; the end follows the last txn.
     closing: bool,
 }
 
 impl Desk {
-    pub fn open(terms: Terms, seed: u64, clock: Clock, counters: Rc<Counters>, budgets: Budgets) -> Desk {
+    pub fn open(
+        terms: Terms,
+        seed: u64,
+        clock: Clock,
+        pulse: Rc<Pulse>,
+        counters: Rc<Counters>,
+        budgets: Budgets,
+    ) -> Desk {
         let hand = Hand {
             txns: Default::default(),
             peers: Default::default(),
@@ -33,11 +42,17 @@
             unserved: Vec::new(),
             unpaid: Vec::new(),
         };
-        Desk { balancer: Balancer::open(terms, seed, clock.now()), hand, clock, closing: false }
+        Desk { balancer: Balancer::open(terms, seed, clock.now()), hand, clock, pulse, closing: false }
     }
     /// Every call on the module passes here: its clock is set before, a wake it asks for is arranged after.
     fn call(&mut self, ctx: &mut Context<Desk>, call: impl FnOnce(&mut Balancer, &mut Hand)) {
-        self.balancer.clock(self.clock.now());
+        let now = self.clock.now();
+        self.pulse.beat(now);
+        self.call_at(now, ctx, call);
+    }
+    /// The same at another moment than now.
+    fn call_at(&mut self, now: Micros, ctx: &mut Context<Desk>, call: impl FnOnce(&mut Balancer, &mut Hand)) {
+        self.balancer.clock(now);
         call(&mut self.balancer, &mut self.hand);
         if !self.hand.unserved.is_empty() {
             self.hand.settle_accounts(self.balancer.sound());
@@ -112,7 +127,12 @@
     fn handle(&mut self, listed: Listed, ctx: &mut Context<Desk>) {
         self.hand.counters.add("lists");
         log::debug!("list {} {:?}: {} entries", listed.version.0, listed.how, listed.entries.len());
-        self.call(ctx, |balancer, hand| balancer.listed(listed.how, listed.version, &listed.entries, hand));
+        // What lay unread while the process stood still was told since the pause began: a grace counts from there.
+        let now = self.clock.now();
+        let told = self.pulse.waking(now).unwrap_or(now);
+        self.call_at(told, ctx, |balancer, hand| {
+            balancer.listed(listed.how, listed.version, &listed.entries, hand)
+        });
     }
 }
 
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix::Addr;
 use actix_http::body::BoxBody;
@@ -18,6 +19,7 @@
 use super::posting::length;
 use crate::base::bounds::{BODY, Bounds};
 use crate::base::clock::Clock;
+use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Desk, Left, Take};
 use crate::memory::txn::{Answer, Carried, Reading, Unserved};
@@ -30,12 +32,33 @@
 /// What all fronts and gates of an agent share.
 pub struct Porch {
     pub clock: Clock,
+    pub pulse: Rc<Pulse>,
     pub counters: Rc<Counters>,
     pub bounds: Bounds,
     /// Set once the agent is asked to end: every answer then closes its connection.
     pub leaving: Cell<bool>,
 }
 
+/// What discovery wrote while the process stood still is read within this.
+const LISTS_FIRST: Duration = Duration::from_millis(20);
+
+impl Porch {
+    /// When a request that has just been read can have come. One that lay unread while the process stood still counts from
+    /// when the pause began: its client may have left since, and its time may be over. The lists that lay unread come
+    /// first: it must not go where by now nothing may go.
+    pub async fn came(&self) -> Micros {
+        let now = self.clock.now();
+        let Some(from) = self.pulse.waking(now) else { return now };
+        self.counters.add("came_in_a_pause");
+        actix_rt::time::sleep(LISTS_FIRST).await;
+        from
+    }
+    /// The counters, and how often the process stood still.
+    pub fn page(&self) -> String {
+        self.counters.print() + &format!("pauses {}\n", self.pulse.pauses())
+    }
+}
+
 pub struct Front {
     pub porch: Rc<Porch>,
     pub desk: Addr<Desk>,
@@ -70,7 +93,7 @@
         let mut reply = match request.path() {
             _ if refused.is_some() => plain(StatusCode::BAD_REQUEST, "refused before\n"),
             "/healthz" => plain(StatusCode::OK, "ready\n"),
-            "/-/counters" => plain(StatusCode::OK, self.porch.counters.print()),
+            "/-/counters" => plain(StatusCode::OK, self.porch.page()),
             _ => match self.txn(request, call.clone()).await {
                 Ok(answer) => reply(answer),
                 Err((status, why)) => {
@@ -127,6 +150,7 @@
             reading: Reading::Platform,
         };
         carried.body = body(&mut request).await?;
+        let came = self.porch.came().await;
         let _asked = Asked::on(call);
         if self.porch.counters.in_hand.get() >= self.porch.bounds.txns {
             // At the bound nothing is begun: a decline, as true as any.
@@ -137,7 +161,7 @@
         if !self.traces.borrow_mut().insert(trace.clone()) {
             return Err((StatusCode::CONFLICT, "a txn of that X-Trace-Id is in hand"));
         }
-        let expiry = self.porch.clock.now() + expires.min(LONGEST) - WAY;
+        let expiry = came + expires.min(LONGEST) - WAY;
         let txn = TxnRef(self.next.get());
         self.next.set(txn.0 + 1);
         let (caller, answer) = oneshot::channel();
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -82,6 +82,10 @@
             }
         }
     }
+    /// The process stood still, and could not see what they said meanwhile: their time begins anew.
+    pub fn begin_anew(&self) {
+        self.all.borrow().values().for_each(|call| call.since.set(Instant::now()));
+    }
     /// Ends what is over `most` and has no txn in hand: first those with something to say that do not say it,
     /// then those that stand idle, the longest first. False where on all a request is in hand or just coming.
     pub fn make_room(&self, most: usize) -> bool {
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -100,7 +100,7 @@
     /// The counters, and how pools stand.
     fn page(&self) -> String {
         let house = self.house.borrow().clone();
-        let mut page = self.porch.counters.print();
+        let mut page = self.porch.page();
         for pool in &house.pools {
             let (state, part) = pool.backup.borrow().state();
             let held = house.rooms.held_by(&pool.name);
@@ -132,6 +132,7 @@
 
     /// A request, whatever it came in, to its final answer.
     pub async fn txn(&self, asking: Asking, call: Option<Rc<Call>>) -> Result<Answer, Refused> {
+        let came = self.porch.came().await;
         // One house for the whole of this txn, whatever the file says next.
         let house = self.house.borrow().clone();
         let nth = {
@@ -143,7 +144,7 @@
         };
         let nth = nth.ok_or(Refused(StatusCode::NOT_FOUND, "NO_ROUTE", "no route takes this".into()))?;
         let route = &house.routes[nth];
-        let expiry = self.porch.clock.now() + expires(route, &asking)? - WAY;
+        let expiry = came + expires(route, &asking)? - WAY;
         let tenant = house
             .tenants
             .as_ref()
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -54,6 +54,9 @@
         Gate::create(|ctx| {
             let held = (listener, self.porch.clone(), self.calls.clone());
             let accepted = futures_util::stream::unfold(held, |(listener, front, calls)| async {
+                if front.pulse.waking(front.clock.now()).is_some() {
+                    calls.begin_anew();
+                }
                 if front.counters.callers.get() >= front.bounds.callers {
                     front.counters.add("calls_full");
                     log::debug!("all {} connections are taken: some make way", front.bounds.callers);
@@ -91,7 +94,12 @@
 impl Actor for Gate {
     type Context = Context<Gate>;
     fn started(&mut self, ctx: &mut Context<Gate>) {
-        ctx.run_interval(SWEEP, |gate, _| gate.calls.sweep(gate.porch.leaving.get()));
+        ctx.run_interval(SWEEP, |gate, _| {
+            if gate.porch.pulse.waking(gate.porch.clock.now()).is_some() {
+                gate.calls.begin_anew();
+            }
+            gate.calls.sweep(gate.porch.leaving.get());
+        });
     }
 }
 
