--- a/crates/agent/src/memory/ids.rs
+++ b/crates/agent/src/memory/ids.rs
@@ -37,6 +37,10 @@
         self.by_name.insert(name.to_owned(), id);
         Some((id, true))
     }
+    /// The number of a name that has one.
+    pub fn known(&self, name: &str) -> Option<BackendId> {
+        self.by_name.get(name).copied()
+    }
     pub fn here(&mut self, id: BackendId) {
         self.gone.remove(&id);
     }
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -11,6 +11,7 @@
 use super::desk::{Desk, ListFailed, ListMoved, Listed, Meet};
 use super::ids::Ids;
 use super::mail::{Maker, Peer, ToPeer};
+use super::versions::Versions;
 use crate::base::bounds::BACKENDS;
 use crate::base::clock::Clock;
 
@@ -22,8 +23,7 @@
     zones: Vec<String>,
     ids: Ids,
     peers: Vec<(SocketAddr, Peer)>,
-    /// Where the next watch goes on from.
-    version: Option<Generation>,
+    versions: Versions,
     garbled: bool,
     staged: Vec<Entry>,
 }
@@ -44,7 +44,7 @@
             zones,
             ids: Ids::default(),
             peers: Vec::new(),
-            version: None,
+            versions: Versions::default(),
             garbled: false,
             staged: Vec::new(),
         }
@@ -94,22 +94,63 @@
         }
     }
 
-    /// A list was read to its end: now it counts.
+    /// A list was read to its end: now it counts, if it is not older than what is known.
     fn read(&mut self, heard: Heard, how: Refresh) {
-        let version = heard.version;
-        heard.rows.into_iter().for_each(|row| self.entry(row));
-        // Only what the module does not pass over: no older version, no whole list without entries.
-        if Some(version) >= self.version && !(how != Refresh::Delta && self.staged.is_empty()) {
+        let Heard { version: Generation(revision), rows, .. } = heard;
+        if how == Refresh::Restored && rows.is_empty() {
+            // To know nothing is no version to go on from.
+            return self.desk.do_send(Listed { how, version: self.versions.given(), entries: Vec::new() });
+        }
+        let Some(version) = self.versions.heard(revision, how != Refresh::Delta, self.clock.now()) else {
+            return self.older(revision, rows);
+        };
+        rows.into_iter().for_each(|row| self.entry(row));
+        // Only what the module does not pass over: no whole list without entries.
+        if !(how != Refresh::Delta && self.staged.is_empty()) {
             self.count(how != Refresh::Delta);
         }
         self.garbled &= how == Refresh::Delta;
-        // To know nothing is no version to go on from.
-        let known = how != Refresh::Restored || !self.staged.is_empty();
-        if !self.garbled && known {
-            self.version = self.version.max(Some(version));
+        if !self.garbled {
+            self.versions.go_on();
         }
         self.desk.do_send(Listed { how, version, entries: std::mem::take(&mut self.staged) });
     }
+
+    /// An older line takes nothing away and brings nothing back. But discovery has said it: who drains or is gone by it
+    /// gets nothing new past the grace.
+    fn older(&mut self, revision: u64, rows: Vec<Row>) {
+        self.counters.add("lists_older");
+        log::warn!(
+            "list: revision {revision} is older than what is known, and changes nothing but for drains"
+        );
+        for mut row in rows.into_iter().filter(|row| row.entry.standing != Standing::Ready) {
+            if let Some((at, _)) = self.ids.known(&row.name).and_then(|id| self.peers.get(id.0 as usize)) {
+                row.at = *at;
+                self.entry(row);
+            }
+        }
+        let (version, entries) = (self.versions.given(), std::mem::take(&mut self.staged));
+        let waits = self.versions.waits();
+        if !waits || !entries.is_empty() {
+            self.desk.do_send(Listed { how: Refresh::Delta, version, entries });
+        }
+        if waits {
+            // The module takes a line for a sign of a living watch, and would not ask again.
+            self.desk.do_send(ListFailed);
+        }
+        self.look();
+    }
+
+    /// Whether older lines alone come, and for too long.
+    fn look(&mut self) {
+        if self.versions.begin_anew(self.clock.now()) {
+            self.counters.add("lists_anew");
+            log::warn!("list anew: only older lines came for seconds, it is asked for whole");
+            self.garbled = false;
+            // Asked like after a failure, with jitter: all agents find this out together.
+            self.desk.do_send(ListFailed);
+        }
+    }
 }
 
 impl Actor for List {
@@ -157,9 +198,11 @@
     fn handle(&mut self, line: Line, _: &mut Context<List>) {
         match line {
             Line::Alive => {
-                if let Some(version) = self.version {
+                if self.versions.known() {
+                    let version = self.versions.given();
                     self.desk.do_send(Listed { how: Refresh::Delta, version, entries: Vec::new() });
                 }
+                self.look();
             }
             Line::Heard(heard) => {
                 let how = heard.how;
@@ -216,6 +259,6 @@
 impl Handler<Since> for List {
     type Result = Option<u64>;
     fn handle(&mut self, _: Since, _: &mut Context<List>) -> Option<u64> {
-        self.version.map(|version| version.0)
+        self.versions.resume()
     }
 }
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -6,3 +6,4 @@
 pub mod list;
 pub mod mail;
 pub mod txn;
+mod versions;
