--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -28,6 +28,8 @@
     pub counters: Rc<Counters>,
     pub bounds: Bounds,
     pub budgets: Budgets,
+    /// Where the agent itself listens.
+    pub own: Vec<SocketAddr>,
 }
 
 pub struct Pool {
@@ -76,7 +78,8 @@
             file::Protocol::Http => backend::maker(desk.clone(), ground.clone()),
             file::Protocol::Fastcgi => peer::maker(desk.clone(), ground.clone()),
         };
-        let list = List::open(desk.clone(), on.clock, on.counters.clone(), zones, maker).start();
+        let own = on.own.clone();
+        let list = List::open(desk.clone(), on.clock, on.counters.clone(), zones, own, maker).start();
         let registry = pool.register.map(|at| {
             let registry = Registry::new(
                 at,
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -69,9 +69,20 @@
     let bounds = Bounds::within(told.descriptors, told.memory_mb);
     log::info!("{}: {bounds:?}", told.name);
     let budgets = Budgets::default();
+    let own = told.doors.iter().filter_map(|door| match door.at {
+        Place::Tcp(at) => Some(at),
+        Place::Unix(_) => None,
+    });
+    let own: Vec<_> = own.collect();
     let pulse = Rc::new(Pulse::new(clock.now()));
-    let footing =
-        Footing { clock, pulse: pulse.clone(), counters: counters.clone(), bounds, budgets: budgets.clone() };
+    let footing = Footing {
+        clock,
+        pulse: pulse.clone(),
+        counters: counters.clone(),
+        bounds,
+        budgets: budgets.clone(),
+        own,
+    };
     let seed = told.seed.unwrap_or_else(|| {
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64)
     });
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -61,6 +61,7 @@
         clock,
         counters.clone(),
         agreed.zones,
+        vec![listen],
         backend::maker(desk.clone(), ground.clone()),
     );
     let list = list.start();
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -9,6 +9,7 @@
 
 use super::counters::Counters;
 use super::desk::{Desk, ListFailed, ListMoved, Listed, Meet};
+use super::figures::{self, Figures};
 use super::ids::Ids;
 use super::mail::{Maker, Peer, ToPeer};
 use super::versions::Versions;
@@ -26,14 +27,17 @@
     versions: Versions,
     garbled: bool,
     staged: Vec<Entry>,
+    figures: Figures,
 }
 
 impl List {
+    /// `own`: where the agent itself listens.
     pub fn open(
         desk: Addr<Desk>,
         clock: Clock,
         counters: Rc<Counters>,
         zones: Vec<String>,
+        own: Vec<SocketAddr>,
         maker: Maker,
     ) -> List {
         List {
@@ -47,16 +51,33 @@
             versions: Versions::default(),
             garbled: false,
             staged: Vec::new(),
+            figures: Figures::new(own),
         }
     }
 
+    /// Something of a list can't be true, and why.
+    fn wrong(&mut self, why: &str) {
+        self.counters.add("list_figures_wrong");
+        log::warn!("list: {why}");
+    }
+
     /// One entry of a list. Its address may be new; a new number gets an actor of its own.
-    fn entry(&mut self, row: Row) {
-        let Row { name, at, zone, mut entry } = row;
+    fn entry(&mut self, mut row: Row) {
         let now = self.clock.now();
-        let Some((id, new)) = self.ids.number(&name, now, BACKENDS) else {
-            return log::warn!("list: over {BACKENDS} backends, {name} is left out");
+        if self.figures.is_own(row.at) {
+            // Postings there would come back, each as a txn of its own, until all room is taken.
+            let known = self.ids.known(&row.name).and_then(|id| self.peers.get(id.0 as usize)).map(|p| p.0);
+            self.wrong(&format!("{}: field `host_port`: {} is this agent itself", row.name, row.at));
+            let Some(before) = known else { return };
+            row.at = before;
+        }
+        let Some((id, new)) = self.ids.number(&row.name, now, BACKENDS) else {
+            return log::warn!("list: over {BACKENDS} backends, {} is left out", row.name);
         };
+        for why in self.figures.mend(id, new, &mut row, now) {
+            self.wrong(&why);
+        }
+        let Row { at, zone, mut entry, .. } = row;
         entry.zone = zone_number(&mut self.zones, &zone);
         entry.backend = id;
         let at_number = id.0 as usize;
@@ -104,6 +125,10 @@
         let Some(version) = self.versions.heard(revision, how != Refresh::Delta, self.clock.now()) else {
             return self.older(revision, rows);
         };
+        let (rows, twice) = figures::once(rows);
+        for name in twice {
+            self.wrong(&format!("{name} is named twice: the worst that is said of it counts"));
+        }
         rows.into_iter().for_each(|row| self.entry(row));
         // Only what the module does not pass over: no whole list without entries.
         if !(how != Refresh::Delta && self.staged.is_empty()) {
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -1,6 +1,7 @@
 //! What is kept in memory: the module with the txns in hand, the list, the counters.
 pub mod counters;
 pub mod desk;
+mod figures;
 pub mod hand;
 mod ids;
 pub mod list;
--- a/crates/agent/src/wire/listing.rs
+++ b/crates/agent/src/wire/listing.rs
@@ -25,19 +25,20 @@
     let mut read = Vec::new();
     for row in rows(told, "members")? {
         let name = text(row, "id")?;
+        let of = |why| format!("{name}: {why}");
         let at: SocketAddr = text(row, "host_port")?
             .parse()
             .map_err(|_| format!("{name}: field `host_port` is no address and port"))?;
         let entry = Entry {
             cell: CellId(row["cell"].as_i64().unwrap_or(0)),
-            standing: match text(row, "phase")? {
+            standing: match text(row, "phase").map_err(of)? {
                 "in_service" => Standing::Ready,
                 "terminating" => Standing::Draining,
                 "terminated" => Standing::Gone,
                 other => return Err(format!("{name}: field `phase`: `{other}` is not known")),
             },
-            started: time(row, "up_since_ms", Some(0.0))?,
-            size: number(row, "size", Some(1.0))?,
+            started: time(row, "up_since_ms", Some(0.0)).map_err(of)?,
+            size: number(row, "size", Some(1.0)).map_err(of)?,
             ..Entry::default()
         };
         let zone = row["locality"].as_str().unwrap_or("").to_owned();
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,5 +1,6 @@
 //! What both hosts read alike: the settings object into [`Terms`], load reports into [`Report`].
 pub mod file;
+pub mod own;
 pub mod place;
 pub mod read;
 
