--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -7,7 +7,6 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use actix_http::error::DispatchError;
-use notchspool::units::Micros;
 use notchspool_terms::file::{self, Place, Protocol};
 use tokio::net::{TcpListener, UnixListener};
 
@@ -88,12 +87,14 @@
     });
     let mut numbers = Numbers::default();
     let house = build(&told, None, &mut numbers, seed, &footing).map_err(io::Error::other)?;
-    let porch = Rc::new(Porch { clock, pulse, counters, bounds, leaving: Cell::new(false) });
+    let most = |told: &file::House| told.routes.iter().map(|r| r.expiry).max().unwrap_or_default();
+    let longest = Rc::new(Cell::new(most(&told)));
+    let porch = Porch { clock, pulse, counters, bounds, longest: longest.clone(), leaving: Cell::new(false) };
+    let porch = Rc::new(porch);
     let house = RefCell::new(Rc::new(house));
     let chance = RefCell::new(oorandom::Rand64::new(seed.into()));
     let door = Rc::new(Door { porch: porch.clone(), house, budgets, next: Cell::new(0), chance });
     let calls = Rc::default();
-    let longest = told.routes.iter().map(|r| r.expiry).max().unwrap_or(Micros::ms(0));
     let mut gates = Vec::new();
     for (nth, place) in told.doors.iter().enumerate() {
         let door = door.clone();
@@ -104,7 +105,7 @@
                 Box::pin(async move { served.await.map_err(DispatchError::Io) })
             }),
         };
-        let gate = Gate { porch: porch.clone(), calls: Rc::clone(&calls), serve, longest, asked: None };
+        let gate = Gate { porch: porch.clone(), calls: Rc::clone(&calls), serve, asked: None };
         gates.push(gate.listen(listen(&place.at).await?));
         log::info!("{}: ready at {:?}", told.name, place.at);
     }
@@ -117,6 +118,8 @@
         let old = door.house.borrow().clone();
         let house = build(&told, Some(&old), &mut numbers.borrow_mut(), seed, &footing)?;
         let (routes, pools) = (house.routes.len(), house.pools.len());
+        // Txns of the old house may still wait for as long as that one said.
+        longest.set(longest.get().max(most(&told)));
         *door.house.borrow_mut() = Rc::new(house);
         log::info!("configuration taken: {routes} routes, {pools} pools");
         Ok(())
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -20,7 +20,7 @@
 use crate::memory::desk::{Ask, Desk};
 use crate::memory::list::{List, Restore};
 use crate::memory::txn::Budgets;
-use crate::wire::application::{Front, Porch};
+use crate::wire::application::{Front, Porch, SOON};
 use crate::wire::backend::{self, Ground};
 use crate::wire::caller::Caller;
 use crate::wire::gate::{Accept, Gate, Serve};
@@ -52,6 +52,7 @@
         idle: span(agreed.idle_close.times(0.8)),
     });
     let schemes = agreed.schemes.into_iter().zip(agreed.terms.schemes.iter().map(|row| row.kind)).collect();
+    let away = agreed.terms.retry_after.map(|most| most.min(SOON));
     // On sockets the list always has to be asked for, whatever the simulator does at this site.
     let terms = Terms { list_on_request: true, ..agreed.terms };
     let pulse = Rc::new(Pulse::new(clock.now()));
@@ -74,17 +75,19 @@
         Registry::new(discovery, ground.client(usize::MAX, Past::register()), list, counters.clone()).start();
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
-    let porch = Rc::new(Porch { clock, pulse, counters, bounds, leaving: Cell::new(false) });
+    let longest = Rc::new(Cell::new(agreed.longest));
+    let porch = Rc::new(Porch { clock, pulse, counters, bounds, longest, leaving: Cell::new(false) });
     let front = Rc::new(Front {
         porch: porch.clone(),
         desk,
         schemes,
+        away,
         next: Cell::new(0),
         traces: RefCell::default(),
     });
     let serve = serve(move |request| front.clone().answer(request)).await?;
     let listener = Accept::Tcp(TcpListener::bind(listen).await?);
-    let gate = Gate { porch, calls: Rc::default(), serve, longest: agreed.longest, asked: None };
+    let gate = Gate { porch, calls: Rc::default(), serve, asked: None };
     log::info!("{name}: ready at {listen}");
     stop::listen(vec![gate.listen(listener)], move || {
         registry.do_send(Turn(start::discovery()?));
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -26,8 +26,6 @@
 
 /// Kept clear of an expiry for the way back.
 const WAY: Micros = Micros::ms(5);
-/// No txn is waited for longer, whatever it says.
-const LONGEST: Micros = Micros::ms(3_600_000);
 
 /// What all fronts and gates of an agent share.
 pub struct Porch {
@@ -35,10 +33,14 @@
     pub pulse: Rc<Pulse>,
     pub counters: Rc<Counters>,
     pub bounds: Bounds,
+    /// No txn is waited for longer, whatever it says: it would hold its room as long. An orderly end waits for this.
+    pub longest: Rc<Cell<Micros>>,
     /// Set once the agent is asked to end: every answer then closes its connection.
     pub leaving: Cell<bool>,
 }
 
+/// Told to come back after this where there was no room.
+pub const SOON: Micros = Micros::ms(50);
 /// What discovery wrote while the process stood still is read within this.
 const LISTS_FIRST: Duration = Duration::from_millis(20);
 
@@ -63,6 +65,8 @@
     pub porch: Rc<Porch>,
     pub desk: Addr<Desk>,
     pub schemes: Vec<(String, Kind)>,
+    /// What a decline of this front says; none where clients are not to be told.
+    pub away: Option<Micros>,
     pub next: Cell<u64>,
     /// Ids of the txns in hand.
     pub traces: RefCell<BTreeSet<HeaderValue>>,
@@ -156,12 +160,12 @@
             // At the bound nothing is begun: a decline, as true as any.
             self.porch.counters.add("declined_at_bound");
             log::debug!("all room for txns is taken: declined");
-            return Ok(Answer::Declined(None, Unserved::default()));
+            return Ok(Answer::Declined(self.away, Unserved::default()));
         }
         if !self.traces.borrow_mut().insert(trace.clone()) {
             return Err((StatusCode::CONFLICT, "a txn of that X-Trace-Id is in hand"));
         }
-        let expiry = came + expires.min(LONGEST) - WAY;
+        let expiry = came + expires.min(self.porch.longest.get()) - WAY;
         let txn = TxnRef(self.next.get());
         self.next.set(txn.0 + 1);
         let (caller, answer) = oneshot::channel();
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -18,7 +18,7 @@
 use oorandom::Rand64;
 use tokio::sync::oneshot;
 
-use super::application::{Porch, body, plain, reply};
+use super::application::{Porch, SOON, body, plain, reply};
 use super::caller::{Asked, Call};
 use super::posting::own_to_connection;
 use crate::house::pool::Pool;
@@ -28,8 +28,6 @@
 
 /// Kept clear of an expiry for the way back.
 const WAY: Micros = Micros::ms(5);
-/// Told to come back after this where there was no room.
-const SOON: Micros = Micros::ms(50);
 
 pub struct Door {
     pub porch: Rc<Porch>,
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -44,7 +44,6 @@
     pub porch: Rc<Porch>,
     pub calls: Rc<Calls>,
     pub serve: Serve,
-    pub longest: Micros,
     pub asked: Option<Micros>,
 }
 
@@ -80,7 +79,7 @@
         let Some(asked) = self.asked else { return };
         let since = self.porch.clock.now() - asked;
         let quiet = since > STILL_COMING && self.calls.busy() == 0;
-        if quiet || since > self.longest + STILL_COMING {
+        if quiet || since > self.porch.longest.get() + STILL_COMING {
             log::info!("all answered, the end");
             ctx.stop();
             System::current().stop();
