--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -110,8 +110,8 @@
         log::info!("{}: ready at {:?}", told.name, place.at);
     }
     let (doors, numbers) = (told.doors, RefCell::new(numbers));
-    let again = move || {
-        let told = self::told(&path)?;
+    let again = move |told: Result<file::House, String>| {
+        let told = told?;
         if told.doors != doors {
             return Err("listeners can't change while the agent runs; start a new one".into());
         }
@@ -124,11 +124,15 @@
         log::info!("configuration taken: {routes} routes, {pools} pools");
         Ok(())
     };
-    stop::listen(gates, move || {
-        let taken = again();
-        porch.counters.add(if taken.is_ok() { "files_taken" } else { "files_refused" });
-        taken
-    })
+    stop::listen(
+        gates,
+        move || self::told(&path),
+        move |told| {
+            let taken = again(told);
+            porch.counters.add(if taken.is_ok() { "files_taken" } else { "files_refused" });
+            taken
+        },
+    )
 }
 
 async fn listen(at: &Place) -> io::Result<Accept> {
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -89,8 +89,8 @@
     let listener = Accept::Tcp(TcpListener::bind(listen).await?);
     let gate = Gate { porch, calls: Rc::default(), serve, asked: None };
     log::info!("{name}: ready at {listen}");
-    stop::listen(vec![gate.listen(listener)], move || {
-        registry.do_send(Turn(start::discovery()?));
+    stop::listen(vec![gate.listen(listener)], start::discovery, move |told| {
+        registry.do_send(Turn(told?));
         Ok(())
     })
 }
--- a/crates/agent/src/life/stop.rs
+++ b/crates/agent/src/life/stop.rs
@@ -1,20 +1,49 @@
 //! Signals. On SIGTERM the gates go on accepting and answering, then the system stops by itself. On SIGHUP what the
-//! agent was told is read anew; a file that makes no sense changes nothing.
+//! agent was told is read anew, beside the thread that serves; a file that makes no sense changes nothing.
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
 use actix::Addr;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
 
 use crate::wire::gate::{Gate, Leave};
 
+/// A file that is not read by then is left alone: a pipe, or a disk that does not answer.
+const READ_WITHIN: Duration = Duration::from_secs(2);
+/// Readings that may hang at once.
+const HANGING: usize = 4;
+
 /// Listens for the signals that ask for an orderly end, and for the one that asks to read the file again, all of it
-/// or, with an error, nothing.
-pub fn listen(
+/// or, with an error, nothing. `read` may take its time: it is called on a thread of its own.
+pub fn listen<T: Send + 'static>(
     gates: Vec<Addr<Gate>>,
-    again: impl Fn() -> Result<(), String> + 'static,
+    read: impl Fn() -> Result<T, String> + Clone + Send + 'static,
+    take: impl Fn(Result<T, String>) -> Result<(), String> + 'static,
 ) -> std::io::Result<()> {
     let mut asked = signal(SignalKind::hangup())?;
+    let reading = Arc::new(AtomicUsize::new(0));
     actix_rt::spawn(async move {
         while asked.recv().await.is_some() {
-            if let Err(why) = again() {
+            let (tell, told) = oneshot::channel();
+            let read = read.clone();
+            let came = if reading.load(Ordering::Relaxed) < HANGING {
+                reading.fetch_add(1, Ordering::Relaxed);
+                let reading = reading.clone();
+                // Not of the runtime's: one that is never done would hold up the end.
+                std::thread::spawn(move || {
+                    drop(tell.send(read()));
+                    reading.fetch_sub(1, Ordering::Relaxed);
+                });
+                actix_rt::time::timeout(READ_WITHIN, told).await
+            } else {
+                Ok(Ok(Err("earlier readings of it hang still".to_owned())))
+            };
+            let came = came.map_or(Err("it can't be read in time".to_owned()), |came| {
+                came.unwrap_or_else(|_| Err("it can't be read".to_owned()))
+            });
+            if let Err(why) = take(came) {
                 log::warn!("configuration not taken, nothing changes: {why}");
             }
         }
