--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -34,6 +34,9 @@
     /// Ended from here, with this reason code.
     ended: Cell<Option<&'static str>>,
     waker: RefCell<Option<Waker>>,
+    /// Since when what was to be written is not taken.
+    unread: Cell<Option<Instant>>,
+    writer: RefCell<Option<Waker>>,
 }
 
 impl Call {
@@ -49,9 +52,9 @@
     pub fn ended(&self) -> Option<&'static str> {
         self.ended.get()
     }
-    fn end(&self, code: &'static str) {
+    pub fn end(&self, code: &'static str) {
         self.ended.set(Some(code));
-        self.waker.take().into_iter().for_each(Waker::wake);
+        self.waker.take().into_iter().chain(self.writer.take()).for_each(Waker::wake);
     }
 }
 
@@ -70,6 +73,11 @@
     /// Ends what is not worth keeping: silent from the start, a request that does not come whole or an answer
     /// that is not read, long idle; while the agent ends, all that stand idle.
     pub fn sweep(&self, leaving: bool) {
+        // Whoever asks much at once and reads nothing would hold the room of all that it asked, for as long as it likes.
+        let unread = |call: &&Rc<Call>| call.unread.get().is_some_and(|since| since.elapsed() > WHOLE);
+        for call in self.all.borrow().values().filter(|call| call.ended().is_none()).filter(unread) {
+            call.end("CALL_STUCK");
+        }
         for call in
             self.all.borrow().values().filter(|call| call.in_hand.get() == 0 && call.ended().is_none())
         {
@@ -84,7 +92,10 @@
     }
     /// The process stood still, and could not see what they said meanwhile: their time begins anew.
     pub fn begin_anew(&self) {
-        self.all.borrow().values().for_each(|call| call.since.set(Instant::now()));
+        for call in self.all.borrow().values() {
+            call.since.set(Instant::now());
+            call.unread.set(call.unread.get().map(|_| Instant::now()));
+        }
     }
     /// Ends what is over `most` and has no txn in hand: first those with something to say that do not say it,
     /// then those that stand idle, the longest first. False where on all a request is in hand or just coming.
@@ -129,6 +140,8 @@
             refused: Cell::new(None),
             ended: Cell::new(None),
             waker: RefCell::new(None),
+            unread: Cell::new(None),
+            writer: RefCell::new(None),
         });
         calls.all.borrow_mut().insert(id, call.clone());
         counters.callers.set(counters.callers.get() + 1);
@@ -217,6 +230,13 @@
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         let written = Pin::new(&mut self.io).poll_write(cx, buf);
+        let call = &self.call;
+        if matches!(written, Poll::Ready(Ok(n)) if n == buf.len()) {
+            call.unread.set(None);
+        } else {
+            call.unread.set(call.unread.get().or_else(|| Some(Instant::now())));
+            call.writer.replace(Some(cx.waker().clone()));
+        }
         // The server flushes after all that it has; what is written with nothing in hand is an answer's end.
         if self.call.in_hand.get() == 0 && matches!(written, Poll::Ready(Ok(n)) if n == buf.len()) {
             self.call.busy.set(false);
