--- a/crates/agent/src/base/bounds.rs
+++ b/crates/agent/src/base/bounds.rs
@@ -17,6 +17,8 @@
     pub links: usize,
     /// Postings out to one backend, and so its connections: one that is silent must not hold them all.
     pub links_each: usize,
+    /// Bytes of requests that came in part, over all connections of clients that send several at once.
+    pub halves: usize,
     /// Txns in hand, fewer than connections: there is always one left to decline on.
     pub txns: usize,
 }
@@ -26,13 +28,14 @@
         // Kept back for the listener, discovery, timers, the log; half of it for declines at the bound.
         let kept_back = (sockets / 4).clamp(16, 96);
         let half = sockets.saturating_sub(kept_back) / 2;
-        let by_memory = memory_mb * 1024 * 1024 / 2 / TXN_BYTES;
+        let by_memory = memory_mb.saturating_mul(1024 * 1024) / 2 / TXN_BYTES;
         let half = half.max(4);
         Bounds {
             callers: half + kept_back / 2,
             kept: (sockets / 5).max(4),
             links: half + 1,
             links_each: (half / 4).max(4),
+            halves: memory_mb.saturating_mul(1024 * 1024 / 8),
             txns: by_memory.clamp(4, half),
         }
     }
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -89,7 +89,15 @@
     let house = build(&told, None, &mut numbers, seed, &footing).map_err(io::Error::other)?;
     let most = |told: &file::House| told.routes.iter().map(|r| r.expiry).max().unwrap_or_default();
     let longest = Rc::new(Cell::new(most(&told)));
-    let porch = Porch { clock, pulse, counters, bounds, longest: longest.clone(), leaving: Cell::new(false) };
+    let porch = Porch {
+        clock,
+        pulse,
+        counters,
+        bounds,
+        longest: longest.clone(),
+        halves: Cell::new(0),
+        leaving: Cell::new(false),
+    };
     let porch = Rc::new(porch);
     let house = RefCell::new(Rc::new(house));
     let chance = RefCell::new(oorandom::Rand64::new(seed.into()));
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -76,7 +76,15 @@
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
     let longest = Rc::new(Cell::new(agreed.longest));
-    let porch = Rc::new(Porch { clock, pulse, counters, bounds, longest, leaving: Cell::new(false) });
+    let porch = Rc::new(Porch {
+        clock,
+        pulse,
+        counters,
+        bounds,
+        longest,
+        halves: Cell::new(0),
+        leaving: Cell::new(false),
+    });
     let front = Rc::new(Front {
         porch: porch.clone(),
         desk,
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -35,6 +35,8 @@
     pub bounds: Bounds,
     /// No txn is waited for longer, whatever it says: it would hold its room as long. An orderly end waits for this.
     pub longest: Rc<Cell<Micros>>,
+    /// Bytes of requests that came in part.
+    pub halves: Cell<usize>,
     /// Set once the agent is asked to end: every answer then closes its connection.
     pub leaving: Cell<bool>,
 }
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -42,6 +42,20 @@
 /// A refusal: status, reason code, words.
 pub struct Refused(pub StatusCode, pub &'static str, pub String);
 
+impl Refused {
+    /// The same on every front; where it is for want of room, with when to come back.
+    pub fn reply(self) -> Reply {
+        let Refused(status, code, why) = self;
+        let mut reply = plain(status, format!("{code}: {why}\n"));
+        let code = HeaderValue::from_static(code);
+        reply.headers_mut().insert(HeaderName::from_static("x-notchspool-reason"), code);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0.050"));
+        }
+        reply
+    }
+}
+
 /// A request as any front hands it in.
 pub struct Asking {
     pub listen: usize,
@@ -77,15 +91,9 @@
             "/-/counters" => plain(StatusCode::OK, self.page()),
             _ => match self.http(listen, request, call.clone()).await {
                 Ok(reply) => reply,
-                Err(Refused(status, code, why)) => {
-                    self.porch.counters.add(code);
-                    let mut reply = plain(status, format!("{code}: {why}\n"));
-                    let code = HeaderValue::from_static(code);
-                    reply.headers_mut().insert(HeaderName::from_static("x-notchspool-reason"), code);
-                    if status == StatusCode::SERVICE_UNAVAILABLE {
-                        reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("0.050"));
-                    }
-                    reply
+                Err(refused) => {
+                    self.porch.counters.add(refused.1);
+                    refused.reply()
                 }
             },
         };
--- a/crates/agent/src/wire/fcgi/front.rs
+++ b/crates/agent/src/wire/fcgi/front.rs
@@ -17,7 +17,7 @@
 
 use crate::base::bounds::BODY;
 use crate::memory::txn::Answer;
-use crate::wire::application::reply;
+use crate::wire::application::{Porch, reply};
 use crate::wire::caller::{Call, Caller};
 use crate::wire::door::{Asking, Door, Refused, bad};
 
@@ -26,6 +26,29 @@
 const PARAMS: usize = 64 * 1024;
 const READ: usize = 16 * 1024;
 
+/// What this connection holds of requests that came in part; given back when it goes.
+struct Halves {
+    porch: Rc<Porch>,
+    own: usize,
+}
+impl Halves {
+    fn hold(&mut self, bytes: usize) {
+        let all = self.porch.halves.get() + bytes;
+        self.porch.halves.set(all.saturating_sub(self.own));
+        self.own = bytes;
+    }
+    /// All together hold more than there is room for, and this one more than its equal part.
+    fn too_much(&self) -> bool {
+        let most = self.porch.bounds.halves;
+        self.porch.halves.get() > most && self.own > most / self.porch.counters.callers.get().max(1)
+    }
+}
+impl Drop for Halves {
+    fn drop(&mut self) {
+        self.hold(0);
+    }
+}
+
 type Done = (Id, Option<(Bytes, Ended)>);
 
 /// Serves a connection till it ends.
@@ -36,7 +59,15 @@
     let mut running: FuturesUnordered<LocalBoxFuture<'static, Done>> = FuturesUnordered::new();
     let mut aborts: BTreeMap<Id, AbortHandle> = BTreeMap::new();
     let mut closing = false;
+    let mut halves = Halves { porch: door.porch.clone(), own: 0 };
     loop {
+        let full = halves.too_much();
+        if full && running.is_empty() {
+            // Nothing of it is in hand. With something in hand no more is read until that is answered.
+            door.porch.counters.add("halves_full");
+            call.end("CALL_MADE_WAY");
+            return Ok(());
+        }
         if closing && running.is_empty() {
             return caller.shutdown().await;
         }
@@ -52,13 +83,14 @@
                     caller.flush().await?;
                 }
             }
-            read = read(&mut caller, &mut came), if !closing => {
+            read = read(&mut caller, &mut came), if !closing && !full => {
                 if read? == 0 {
                     // The client is gone: what runs for it ends with this.
                     return Ok(());
                 }
                 let mut events = Vec::new();
                 let taken = taker.take(&came, &mut events);
+                halves.hold(taker.held());
                 for event in events {
                     match event {
                         Event::Asked(request) => {
@@ -102,17 +134,18 @@
     };
     match answer {
         // Declined, and nothing can have run: the protocol has a word for that.
-        Ok(Answer::Declined(_, unserved)) if !unserved.may_have_run => (Bytes::new(), Ended::Overloaded),
-        Err(Refused(StatusCode::SERVICE_UNAVAILABLE, code, _)) => {
-            door.porch.counters.add(code);
-            (Bytes::new(), Ended::Overloaded)
+        // Its stdout has the answer that HTTP would give: when to come back, and why.
+        Ok(answer @ Answer::Declined(_, unserved)) if !unserved.may_have_run => {
+            (stdout(reply(answer)), Ended::Overloaded)
+        }
+        Err(refused @ Refused(StatusCode::SERVICE_UNAVAILABLE, ..)) => {
+            door.porch.counters.add(refused.1);
+            (stdout(refused.reply()), Ended::Overloaded)
         }
         Ok(answer) => (stdout(reply(answer)), Ended::Complete),
         Err(Refused(status, code, why)) => {
             door.porch.counters.add(code);
-            let headers = [("x-notchspool-reason", code.as_bytes())];
-            let body = format!("{code}: {why}\n");
-            (cgi::put_answer(status.as_u16(), headers.into_iter(), body.as_bytes()), Ended::Complete)
+            (stdout(Refused(status, code, why).reply()), Ended::Complete)
         }
     }
 }
--- a/crates/cli/tests/fastcgi.rs
+++ b/crates/cli/tests/fastcgi.rs
@@ -346,13 +346,17 @@
     }
     /// The answer to this id: status (0: none), how it ended, the body.
     fn hear(&mut self, id: u16) -> (u16, Ended, String) {
+        let answer = self.whole(id);
+        let read = cgi::answer(&answer.stdout);
+        let status = read.as_ref().map_or(0, |r| r.0.status);
+        let body = read.map(|r| String::from_utf8_lossy(&r.1).into_owned()).unwrap_or_default();
+        (status, answer.ended, body)
+    }
+    /// The same as it came.
+    fn whole(&mut self, id: u16) -> Answer {
         loop {
             if let Some(at) = self.heard.iter().position(|a| a.id == Id(id)) {
-                let answer = self.heard.remove(at);
-                let read = cgi::answer(&answer.stdout);
-                let status = read.as_ref().map_or(0, |r| r.0.status);
-                let body = read.map(|r| String::from_utf8_lossy(&r.1).into_owned()).unwrap_or_default();
-                return (status, answer.ended, body);
+                return self.heard.remove(at);
             }
             let mut room = [0; 4096];
             let n = self.io.read(&mut room).expect("an answer");
@@ -510,3 +514,84 @@
     assert_eq!(server.ran(), ["first", "held-1"], "nothing new went there");
     assert_eq!(next.ran().len(), 5);
 }
+
+/// Many answers and none of them read: what the system holds for a connection is full, and the agent can write no more. The room that these
+/// txns held is given back, and others are served.
+#[test]
+fn whoever_reads_nothing_gives_its_room_back() {
+    let stands: Vec<Stand> = (0..4).map(|_| Stand::new(Mode::Large)).collect();
+    let (at, door) = fast_door();
+    let text = pool("a", &stands, "") + &door + &route("look", "look", "a") + "[limits]\nmemory_mb = 32\n";
+    let house = House::start("fcgi-unread", &text);
+    let mut clients: Vec<Client> = (0..3).map(|_| Client::new(at)).collect();
+    for batch in 0..6u16 {
+        for client in &mut clients {
+            client.io.set_write_timeout(Some(Duration::from_millis(100))).expect("a time-out");
+            for id in 1..=30 {
+                let asked = client.bytes(batch * 30 + id, "GET", "/look", "unread");
+                let _ = client.io.write_all(&asked);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    house.wait("the room is given back", || house.pool_line("a").starts_with("pool a in_hand 0 "));
+    stands.iter().for_each(|s| s.set(Mode::Ok));
+    house.wait("others are served", || (0..10).all(|n| house.status("GET", "/look", &n.to_string()) == 200));
+    assert!(house.log().contains("CALL_STUCK"), "{}", house.log());
+}
+
+/// Halves of many requests on many connections: bounded together, whatever each alone may hold; who holds most makes way.
+#[test]
+fn halves_of_requests_are_bounded_over_all_connections() {
+    let stand = Stand::new(Mode::Ok);
+    let (at, door) = fast_door();
+    let text =
+        pool("a", std::slice::from_ref(&stand), "") + &door + &routes("a") + "[limits]\nmemory_mb = 32\n";
+    let house = House::start("fcgi-halves", &text);
+    let mut clients: Vec<Client> = (0..150).map(|_| Client::new(at)).collect();
+    let mut most = 0;
+    for client in &mut clients {
+        client.io.set_write_timeout(Some(Duration::from_millis(100))).expect("a time-out");
+        for id in 1..=20 {
+            // All of a request but the end of its input.
+            let params = cgi::params("POST", "/pay", std::iter::empty(), 60_000);
+            let asked = ask::request(Id(id), true, &params, &[b'x'; 60_000]).bytes;
+            if client.io.write_all(&asked[..asked.len() - 8]).is_err() {
+                break;
+            }
+        }
+        most = most.max(house.memory_kb());
+    }
+    println!("at most {most} kB while halves came");
+    assert!(most < 32 * 1024, "{most} kB while halves came");
+    assert_eq!(house.status("POST", "/pay", "other"), 200);
+    assert!(house.counter("halves_full") > 0 && house.log().contains("CALL_MADE_WAY"));
+    let mut client = Client::new(at);
+    let asked = client.bytes(1, "POST", "/pay", "fast");
+    client.say(&asked);
+    assert_eq!(client.hear(1), (200, Ended::Complete, "ok\n".into()));
+}
+
+/// A refusal says on both fronts when to come back, and why.
+#[test]
+fn a_refusal_by_fastcgi_says_when_to_come_back() {
+    let ill: Vec<Stand> = (0..12).map(|_| Stand::new(Mode::Hang)).collect();
+    let (at, door) = fast_door();
+    let text = pool("a", &ill, "part = 0.1") + &door + &routes("a") + "[limits]\nmemory_mb = 8\n";
+    let house = House::start("fcgi-refusal", &text);
+    let mut clients: Vec<Client> = (0..4).map(|_| Client::new(at)).collect();
+    for client in &mut clients {
+        for id in 1..=30 {
+            let asked = client.bytes(id, "POST", "/pay", &id.to_string());
+            client.say(&asked);
+        }
+    }
+    house.wait("it is full", || house.counter("POOL_FULL") > 0);
+    let refused = clients.iter_mut().find_map(|client| {
+        (1..=30).map(|id| client.whole(id)).find(|answer| {
+            answer.ended == Ended::Overloaded && String::from_utf8_lossy(&answer.stdout).contains("POOL_FULL")
+        })
+    });
+    let said = String::from_utf8_lossy(&refused.expect("a refusal").stdout).into_owned();
+    assert!(said.starts_with("Status: 503") && said.contains("retry-after: 0.050"), "{said}");
+}
--- a/crates/fastcgi/src/take.rs
+++ b/crates/fastcgi/src/take.rs
@@ -76,6 +76,13 @@
         self.halves.len() + self.out.len()
     }
 
+    /// Bytes of requests that have not come whole.
+    pub fn held(&self) -> usize {
+        let pairs = |pairs: &Vec<Pair>| pairs.iter().map(|(n, v)| n.len() + v.len()).sum::<usize>();
+        let half = |h: &Half| h.params.len() + h.pairs.as_ref().map_or(0, pairs) + h.body.len();
+        self.came.len() + self.halves.values().map(half).sum::<usize>()
+    }
+
     /// More bytes have come. What was whole before something wrong is handed out; after it nothing more is read.
     pub fn take(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), Wrong> {
         self.came.extend_from_slice(bytes);
@@ -234,11 +241,11 @@
     }
 
     /// The answer of a request that was handed out: its records, and whether the connection closes after them. None
-    /// where there is no such request.
+    /// where there is no such request. What was not begun may say more on stdout, for whoever reads it.
     pub fn answer(&mut self, id: Id, stdout: &[u8], ended: Ended) -> Option<(Bytes, bool)> {
         let keep = self.out.remove(&id)?;
         let mut said = BytesMut::new();
-        if ended == Ended::Complete {
+        if ended == Ended::Complete || !stdout.is_empty() {
             put_stream(&mut said, Kind::Stdout, id, stdout);
             end_stream(&mut said, Kind::Stdout, id);
         }
--- a/crates/lab/src/sockets/fcgi.rs
+++ b/crates/lab/src/sockets/fcgi.rs
@@ -255,10 +255,13 @@
             asker.take(&came, &mut events).map_err(|why| bad(&why.to_string()))?;
             for event in events {
                 let ask::Event::Answered(answer) = event else { continue };
-                if answer.ended == Ended::Overloaded {
-                    return Ok((Head { status: 503, ..Head::default() }, Bytes::new()));
-                }
-                let (head, body) = cgi::answer(&answer.stdout).ok_or_else(|| bad("no head"))?;
+                let read = cgi::answer(&answer.stdout);
+                let (head, body) = match read {
+                    None if answer.ended == Ended::Overloaded => {
+                        return Ok((Head { status: 503, ..Head::default() }, Bytes::new()));
+                    }
+                    read => read.ok_or_else(|| bad("no head"))?,
+                };
                 let text = |v: &Bytes| String::from_utf8_lossy(v).into_owned();
                 let headers = head.headers.iter().map(|(n, v)| (n.clone(), text(v))).collect();
                 return Ok((Head { status: head.status, headers, ..Head::default() }, body));
