F15: a backend's number is not given away while a posting can be out; a peer that ends tells of its postings

Excluded: the module (it waits for what the host owes it), the drain (what is out stays out). At fault: memory/ids.rs LONG_GONE of a minute whatever the expiries are; wire/backend.rs and wire/fcgi/peer.rs, Retire => ctx.stop().

--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -30,6 +30,8 @@
     pub budgets: Budgets,
     /// Where the agent itself listens.
     pub own: Vec<SocketAddr>,
+    /// The longest expiry of any route, now or before.
+    pub longest: Rc<Cell<Micros>>,
 }
 
 pub struct Pool {
@@ -78,8 +80,9 @@
             file::Protocol::Http => backend::maker(desk.clone(), ground.clone()),
             file::Protocol::Fastcgi => peer::maker(desk.clone(), ground.clone()),
         };
-        let own = on.own.clone();
-        let list = List::open(desk.clone(), on.clock, on.counters.clone(), zones, own, maker).start();
+        let (own, longest) = (on.own.clone(), on.longest.clone());
+        let list =
+            List::open(desk.clone(), on.clock, on.counters.clone(), zones, own, longest, maker).start();
         let registry = pool.register.map(|at| {
             let registry = Registry::new(
                 at,
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -68,6 +68,8 @@
     let bounds = Bounds::within(told.descriptors, told.memory_mb);
     log::info!("{}: {bounds:?}", told.name);
     let budgets = Budgets::default();
+    let most = |told: &file::House| told.routes.iter().map(|r| r.expiry).max().unwrap_or_default();
+    let longest = Rc::new(Cell::new(most(&told)));
     let own = told.doors.iter().filter_map(|door| match door.at {
         Place::Tcp(at) => Some(at),
         Place::Unix(_) => None,
@@ -81,14 +83,13 @@
         bounds,
         budgets: budgets.clone(),
         own,
+        longest: longest.clone(),
     };
     let seed = told.seed.unwrap_or_else(|| {
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64)
     });
     let mut numbers = Numbers::default();
     let house = build(&told, None, &mut numbers, seed, &footing).map_err(io::Error::other)?;
-    let most = |told: &file::House| told.routes.iter().map(|r| r.expiry).max().unwrap_or_default();
-    let longest = Rc::new(Cell::new(most(&told)));
     let porch = Porch {
         clock,
         pulse,
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -118,7 +118,13 @@
             ToPeer::Trim if self.out.is_empty() => self.renew(),
             ToPeer::Trim => {}
             ToPeer::Gone(gone) => self.gone = gone,
-            ToPeer::Retire => ctx.stop(),
+            ToPeer::Retire => {
+                // Its postings end with it: a txn that hears of none would never be answered.
+                for (txn, posting) in self.out.keys().copied().collect::<Vec<_>>() {
+                    self.returned(txn, posting, Outcome::only(Fate::Broken));
+                }
+                ctx.stop();
+            }
             ToPeer::Move(to) => {
                 log::info!("backend {} is now at {to}", self.at);
                 self.at = to;
--- a/crates/agent/src/wire/fcgi/peer.rs
+++ b/crates/agent/src/wire/fcgi/peer.rs
@@ -296,7 +296,12 @@
             }
             ToPeer::Trim => self.links.close_idle(Duration::ZERO),
             ToPeer::Gone(gone) => self.gone = gone,
-            ToPeer::Retire => ctx.stop(),
+            ToPeer::Retire => {
+                for (txn, posting) in self.out.keys().copied().collect::<Vec<_>>() {
+                    self.returned(txn, posting, Outcome::only(Fate::Broken));
+                }
+                ctx.stop();
+            }
             ToPeer::Move(to) => {
                 log::info!("backend {} is now at {to}", self.links.at.get());
                 self.links.at.set(to);
