--- a/crates/agent/src/wire/registry.rs
+++ b/crates/agent/src/wire/registry.rs
@@ -1,7 +1,7 @@
 //! The actor of discovery: holds the watch, hands its lines to the list, and says when it failed.
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix::{
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle,
@@ -20,6 +20,8 @@
 
 /// A watch without a sign of life for this long has failed: two of its empty lines are missing.
 const SILENCE: Duration = Duration::from_millis(4_500);
+/// A line that has begun is whole by then, or never: bytes without an end are no sign of life.
+const LINE_WITHIN: Duration = Duration::from_millis(9_000);
 
 pub struct Registry {
     at: SocketAddr,
@@ -114,7 +116,7 @@
         Ok(Ok(answer)) => answer,
     };
     counters.add("watches_answered");
-    let mut rest = BytesMut::new();
+    let (mut rest, mut since) = (BytesMut::new(), Instant::now());
     loop {
         match actix_rt::time::timeout(SILENCE, answer.next()).await {
             Err(_) => return "WATCH_SILENT",
@@ -124,6 +126,10 @@
         }
         while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
             list.do_send(listing::line(&rest.split_to(end + 1)));
+            since = Instant::now();
+        }
+        if since.elapsed() > LINE_WITHIN {
+            return "WATCH_SILENT";
         }
         if rest.len() > LINE {
             return "WATCH_LINE_TOO_LONG";
