--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -94,7 +94,8 @@
         traces: RefCell::default(),
     });
     let serve = serve(move |request| front.clone().answer(request)).await?;
-    let listener = Accept::Tcp(TcpListener::bind(listen).await?);
+    let named = |e: io::Error| io::Error::new(e.kind(), format!("{listen}: {e}"));
+    let listener = Accept::Tcp(TcpListener::bind(listen).await.map_err(named)?);
     let gate = Gate { porch, calls: Rc::default(), serve, asked: None };
     log::info!("{name}: ready at {listen}");
     stop::listen(vec![gate.listen(listener)], start::discovery, move |told| {
--- a/crates/routes/src/backup.rs
+++ b/crates/routes/src/backup.rs
@@ -5,7 +5,7 @@
 //! is tried with gets twice as much each step, one that fails begins anew, after twice the wait. Its own module
 //! keeps its cold backends safe meanwhile: what it turns away goes to the backup too.
 //!
-//! Held always, and tried by `tests/backup.rs`: a once-only txn that may have run, or a reference outside its group, never
+//! Held always, and tried by `tests/choices.rs`: a once-only txn that may have run, or a reference outside its group, never
 //! goes to the backup; the backup is not asked while the primary is in and took the txn.
 use notchspool::units::{Group, Kind, Micros};
 use oorandom::Rand64;
