--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -52,6 +52,7 @@
         idle: span(agreed.idle_close.times(0.8)),
     });
     let schemes = agreed.schemes.into_iter().zip(agreed.terms.schemes.iter().map(|row| row.kind)).collect();
+    let longest = Rc::new(Cell::new(agreed.longest));
     let away = agreed.terms.retry_after.map(|most| most.min(SOON));
     // On sockets the list always has to be asked for, whatever the simulator does at this site.
     let terms = Terms { list_on_request: true, ..agreed.terms };
@@ -63,6 +64,7 @@
         counters.clone(),
         agreed.zones,
         vec![listen],
+        longest.clone(),
         backend::maker(desk.clone(), ground.clone()),
     );
     let list = list.start();
@@ -75,7 +77,6 @@
         Registry::new(discovery, ground.client(usize::MAX, Past::register()), list, counters.clone()).start();
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
-    let longest = Rc::new(Cell::new(agreed.longest));
     let porch = Rc::new(Porch {
         clock,
         pulse,
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -1,4 +1,5 @@
 //! The actor that owns the server list: ids and addresses of backends, and the version last heard.
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,13 +32,14 @@
 }
 
 impl List {
-    /// `own`: where the agent itself listens.
+    /// `own`: where the agent itself listens. `longest`: the longest expiry that a txn can have, as it is now.
     pub fn open(
         desk: Addr<Desk>,
         clock: Clock,
         counters: Rc<Counters>,
         zones: Vec<String>,
         own: Vec<SocketAddr>,
+        longest: Rc<Cell<Micros>>,
         maker: Maker,
     ) -> List {
         List {
@@ -46,7 +48,7 @@
             maker,
             counters,
             zones,
-            ids: Ids::default(),
+            ids: Ids::new(longest),
             peers: Vec::new(),
             versions: Versions::default(),
             garbled: false,
