--- a/crates/agent/src/wire/listing.rs
+++ b/crates/agent/src/wire/listing.rs
@@ -19,12 +19,21 @@
     }
 }
 
+/// Bytes of the name of a backend or a zone: what is known of them is kept.
+const NAME: usize = 256;
+
 pub fn read(told: &Value) -> Read<Heard> {
     let version = Generation(whole(told, "revision")?);
     let how = if flag(told, "complete")? { Refresh::Full } else { Refresh::Delta };
     let mut read = Vec::new();
     for row in rows(told, "members")? {
         let name = text(row, "id")?;
+        if name.len() > NAME || row["locality"].as_str().is_some_and(|zone| zone.len() > NAME) {
+            return Err(format!(
+                "a name of over {NAME} bytes: {}",
+                name.chars().take(20).collect::<String>()
+            ));
+        }
         let of = |why| format!("{name}: {why}");
         let at: SocketAddr = text(row, "host_port")?
             .parse()
