--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -18,7 +18,7 @@
 use crate::wire::backend::{self, Ground};
 use crate::wire::fcgi::peer;
 use crate::wire::link::Past;
-use crate::wire::registry::{self, Registry, Turn};
+use crate::wire::registry::{Registry, Turn};
 
 /// What all pools stand on.
 #[derive(Clone)]
@@ -152,10 +152,7 @@
     /// Nothing new comes; what is in hand ends by itself.
     pub fn close(&self) {
         log::info!("pool {}: closing", self.name);
-        if let Some((_, registry)) = &self.registry {
-            registry.do_send(registry::Shut);
-        }
-        self.list.do_send(list::Shut);
-        self.desk.do_send(Close);
+        let registry = self.registry.iter().map(|(_, registry)| registry.clone().recipient());
+        self.desk.do_send(Close(registry.chain([self.list.clone().recipient()]).collect()));
     }
 }
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -9,7 +9,7 @@
 
 use super::counters::Counters;
 use super::hand::Hand;
-use super::mail::{Peer, ToPeer, Watch};
+use super::mail::{Peer, Shut, ToPeer, Watch};
 use super::txn::{Answer, Budgets, Carried, InHand, Made, RouteId};
 use crate::base::clock::{Clock, span};
 use crate::base::pulse::Pulse;
@@ -19,8 +19,8 @@
     hand: Hand,
     clock: Clock,
     pulse: Rc<Pulse>,
-    /// Nothing new comes; the end follows the last txn.
-    closing: bool,
+    /// Nothing new comes; the end follows the last txn, and then these end too. Till then they tell of drains.
+    closing: Option<Vec<Recipient<Shut>>>,
 }
 
 impl Desk {
@@ -42,7 +42,7 @@
             unserved: Vec::new(),
             unpaid: Vec::new(),
         };
-        Desk { balancer: Balancer::open(terms, seed, clock.now()), hand, clock, pulse, closing: false }
+        Desk { balancer: Balancer::open(terms, seed, clock.now()), hand, clock, pulse, closing: None }
     }
     /// Every call on the module passes here: its clock is set before, a wake it asks for is arranged after.
     fn call(&mut self, ctx: &mut Context<Desk>, call: impl FnOnce(&mut Balancer, &mut Hand)) {
@@ -85,7 +85,10 @@
 impl Handler<Wake> for Desk {
     type Result = ();
     fn handle(&mut self, _: Wake, ctx: &mut Context<Desk>) {
-        if self.closing && self.hand.txns.is_empty() {
+        if self.hand.txns.is_empty()
+            && let Some(ends) = self.closing.take()
+        {
+            ends.iter().for_each(|end| end.do_send(Shut));
             self.hand.peers.values().for_each(|peer| peer.do_send(ToPeer::Retire));
             return ctx.stop();
         }
@@ -192,14 +195,14 @@
     }
 }
 
-/// Its pool is gone from the file: what is in hand ends, nothing new comes.
+/// Its pool is gone from the file: what is in hand ends, nothing new comes; these end with it.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct Close;
+pub struct Close(pub Vec<Recipient<Shut>>);
 impl Handler<Close> for Desk {
     type Result = ();
-    fn handle(&mut self, _: Close, _: &mut Context<Desk>) {
-        self.closing = true;
+    fn handle(&mut self, close: Close, _: &mut Context<Desk>) {
+        self.closing = Some(close.0);
     }
 }
 
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -12,7 +12,7 @@
 use super::desk::{Desk, ListFailed, ListMoved, Listed, Meet};
 use super::figures::{self, Figures};
 use super::ids::Ids;
-use super::mail::{Maker, Peer, ToPeer};
+use super::mail::{Maker, Peer, Shut, ToPeer};
 use super::versions::Versions;
 use crate::base::bounds::BACKENDS;
 use crate::base::clock::Clock;
@@ -268,10 +268,6 @@
     }
 }
 
-/// Its pool is gone.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Shut;
 impl Handler<Shut> for List {
     type Result = ();
     fn handle(&mut self, _: Shut, ctx: &mut Context<List>) {
--- a/crates/agent/src/memory/mail.rs
+++ b/crates/agent/src/memory/mail.rs
@@ -32,6 +32,11 @@
 /// Makes the peer of a backend that the list names for the first time.
 pub type Maker = Box<dyn Fn(BackendId, SocketAddr) -> Peer>;
 
+/// Its pool is gone, and the last txn of it is answered.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Shut;
+
 /// Asks for the watch, anew if there is one.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/agent/src/wire/registry.rs
+++ b/crates/agent/src/wire/registry.rs
@@ -16,7 +16,7 @@
 use crate::base::bounds::LINE;
 use crate::memory::counters::Counters;
 use crate::memory::list::{Ended, List, Moved, Since};
-use crate::memory::mail::Watch;
+use crate::memory::mail::{Shut, Watch};
 
 /// A watch without a sign of life for this long has failed: two of its empty lines are missing.
 const SILENCE: Duration = Duration::from_millis(4_500);
@@ -61,10 +61,6 @@
     }
 }
 
-/// Its pool is gone.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Shut;
 impl Handler<Shut> for Registry {
     type Result = ();
     fn handle(&mut self, _: Shut, ctx: &mut Context<Registry>) {
--- a/crates/cli/tests/house.rs
+++ b/crates/cli/tests/house.rs
@@ -419,3 +419,38 @@
         assert!(log.contains(named), "{named}\n{log}");
     }
 }
+
+/// A pool that goes on only for what it has in hand hears of drains all the same: nothing new goes past the grace.
+#[test]
+fn a_pool_that_closes_hears_of_drains_till_its_last_txn() {
+    let (stand, register) = (Stand::new(Mode::Hang), Register::new());
+    register.tell("a", stand.at, "in_service");
+    let text = |connect: u32| {
+        format!(
+            "[[pool]]\nname = \"a\"\nregister = \"{}\"\nconnect_ms = {connect}.0\ndrain_grace_ms = 300.0\n{}",
+            register.at,
+            route("look", "look", "a")
+        )
+    };
+    let house = House::start("closes", &text(250));
+    std::thread::scope(|scope| {
+        // Until the list is there it is declined.
+        let held = scope.spawn(|| {
+            (0..200)
+                .map(|_| house.status("GET", "/look", "held"))
+                .find(|status| *status != 503 || !stand.seen().is_empty())
+        });
+        house.wait("it is out", || stand.seen().len() == 1);
+        house.change(&text(260));
+        house.wait("taken", || house.counter("files_taken") == 1);
+        register.tell("a", stand.at, "terminating");
+        std::thread::sleep(Duration::from_millis(600));
+        stand.set(Mode::Ok);
+        assert_eq!(
+            held.join().expect("an end"),
+            Some(503),
+            "declined: it may run again, and there is nobody else"
+        );
+    });
+    assert_eq!(stand.seen().len(), 1, "nothing went there past the grace");
+}
--- a/crates/cli/tests/standins/mod.rs
+++ b/crates/cli/tests/standins/mod.rs
@@ -129,8 +129,9 @@
             let id = [asked.header("x-id"), asked.header("x-trace-id")].into_iter().find(|id| !id.is_empty());
             self.seen.lock().expect("seen").push(id.unwrap_or("").to_owned());
             // What a path asks for outranks the mode.
+            let hangs = asked.first.contains(" /hang");
             let mode = match asked.first.split(' ').nth(1).unwrap_or("") {
-                path if path.starts_with("/hang") => Mode::Hang,
+                _ if hangs => Mode::Hang,
                 path if path.starts_with("/large") => Mode::Large,
                 _ => mode,
             };
@@ -148,7 +149,11 @@
                 Mode::Missing => "HTTP/1.1 404 Not Found\r\nX-Own: yes\r\nContent-Length: 5\r\n\r\nnone\n",
                 Mode::Fail => "HTTP/1.1 500 Oops\r\nX-Own: yes\r\nContent-Length: 5\r\n\r\noops\n",
                 Mode::Hang => {
-                    std::thread::sleep(PATIENCE);
+                    // Till it is told otherwise; then the connection ends.
+                    let began = Instant::now();
+                    while began.elapsed() < PATIENCE && (hangs || self.mode() == Mode::Hang) {
+                        std::thread::sleep(Duration::from_millis(10));
+                    }
                     return;
                 }
                 Mode::Break | Mode::Down => return,
@@ -162,6 +167,52 @@
     }
 }
 
+/// A register in the platform's form: every watch gets all lines from the first on, and then each as it is told.
+#[derive(Clone)]
+pub struct Register {
+    pub at: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Register {
+    pub fn new() -> Register {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let register = Register { at: listener.local_addr().expect("its address"), lines: Arc::default() };
+        let own = register.clone();
+        std::thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                let own = own.clone();
+                std::thread::spawn(move || own.watch(io));
+            }
+        });
+        register
+    }
+    fn watch(&self, mut io: TcpStream) -> Option<()> {
+        let mut reader = BufReader::new(io.try_clone().ok()?);
+        message(&mut reader, false)?;
+        io.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+        let mut told = 0;
+        loop {
+            let lines = self.lines.lock().expect("lines").clone();
+            let new = lines[told..].iter().map(|l| format!("{l}\n")).collect::<String>();
+            told = lines.len();
+            let text = if new.is_empty() { "\n".into() } else { new };
+            io.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).ok()?;
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+    /// Tells of one backend.
+    pub fn tell(&self, name: &str, at: SocketAddr, phase: &str) {
+        let mut lines = self.lines.lock().expect("lines");
+        let revision = lines.len() + 1;
+        lines.push(format!(
+            "{{\"revision\":{revision},\"complete\":{},\"members\":[{{\"id\":\"{name}\",\"host_port\":\"{at}\",\
+             \"phase\":\"{phase}\",\"size\":4.0,\"up_since_ms\":0}}]}}",
+            revision == 1
+        ));
+    }
+}
+
 pub struct House {
     pub child: Child,
     pub folder: PathBuf,
