--- a/crates/agent/src/base/clock.rs
+++ b/crates/agent/src/base/clock.rs
@@ -17,6 +17,11 @@
     pub fn now(&self) -> Micros {
         self.unix + Micros(self.began.elapsed().as_micros() as i64)
     }
+    /// How far the machine's clock has been set ahead of this one since the start; below nothing: back.
+    pub fn set_ahead(&self) -> Micros {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Micros(unix.as_micros() as i64) - self.now()
+    }
     /// How long it is still till `at`.
     pub fn until(&self, at: Micros) -> Duration {
         span(at - self.now())
--- a/crates/agent/src/memory/figures.rs
+++ b/crates/agent/src/memory/figures.rs
@@ -42,8 +42,16 @@
         self.own.iter().any(|own| comes_back(*own, at))
     }
 
-    /// Puts what can be believed in place of what can't. `new`: the number is another backend's than before.
-    pub fn mend(&mut self, id: BackendId, new: bool, row: &mut Row, now: Micros) -> Vec<Wrong> {
+    /// Puts what can be believed in place of what can't. `new`: the number is another backend's than before. `ahead`: how far
+    /// the machine's clock, by which starts are told, was set ahead of ours.
+    pub fn mend(
+        &mut self,
+        id: BackendId,
+        new: bool,
+        row: &mut Row,
+        now: Micros,
+        ahead: Micros,
+    ) -> Vec<Wrong> {
         let mut wrong = Vec::new();
         if new {
             self.held.remove(&id);
@@ -55,16 +63,20 @@
             row.entry.size = size;
         }
         let told = row.entry.started;
-        if told > now + AHEAD {
+        let set = ahead > AHEAD || ahead < Micros(0) - AHEAD;
+        if let Some(same) = before.filter(|held| held.told == told) {
+            // One process has one start, whatever becomes of clocks.
+            row.entry.started = same.started;
+        } else if told > Micros(0) {
             // A cold span and what is held against a process count from its start.
-            let same = before.filter(|held| held.told == told);
-            if same.is_none() {
+            row.entry.started = if set { told - ahead } else { told };
+            if row.entry.started > now + AHEAD {
                 wrong.push(format!(
                     "{}: field `up_since_ms` lies in the future, it counts from now",
                     row.name
                 ));
+                row.entry.started = now;
             }
-            row.entry.started = same.map_or(now, |held| held.started);
         }
         self.held.insert(id, Held { size: row.entry.size, told, started: row.entry.started });
         wrong
@@ -109,6 +121,20 @@
         Row { name: "b".into(), at: SocketAddr::from(([127, 0, 0, 1], 9)), zone: String::new(), entry }
     }
 
+    /// The machine's clock was set a minute ahead: what starts then starts now by ours, and is cold.
+    #[test]
+    fn a_clock_that_was_set_moves_no_start() {
+        let mut figures = Figures::default();
+        let (mut first, mut again, mut next) = (row(1.0, 9_000), row(1.0, 9_000), row(1.0, 70_000));
+        figures.mend(BackendId(0), true, &mut first, Micros::ms(9_500), Micros(0));
+        figures.mend(BackendId(0), false, &mut again, Micros::ms(10_000), Micros::ms(60_000));
+        assert_eq!(again.entry.started, Micros::ms(9_000), "the same process");
+        assert!(
+            figures.mend(BackendId(0), false, &mut next, Micros::ms(10_100), Micros::ms(60_000)).is_empty()
+        );
+        assert_eq!(next.entry.started, Micros::ms(10_000), "a new one");
+    }
+
     #[rstest]
     #[case::nothing(0.0)]
     #[case::below(-4.0)]
@@ -117,11 +143,11 @@
     fn a_wrong_size_leaves_the_last_good_one(#[case] size: f64) {
         let mut figures = Figures::default();
         let mut first = row(size, 0);
-        assert_eq!(figures.mend(BackendId(0), true, &mut first, Micros::ms(5)).len(), 1);
+        assert_eq!(figures.mend(BackendId(0), true, &mut first, Micros::ms(5), Micros(0)).len(), 1);
         assert_eq!(first.entry.size, 1.0);
-        assert!(figures.mend(BackendId(0), false, &mut row(2.5, 0), Micros::ms(5)).is_empty());
+        assert!(figures.mend(BackendId(0), false, &mut row(2.5, 0), Micros::ms(5), Micros(0)).is_empty());
         let mut again = row(size, 0);
-        figures.mend(BackendId(0), false, &mut again, Micros::ms(5));
+        figures.mend(BackendId(0), false, &mut again, Micros::ms(5), Micros(0));
         assert_eq!(again.entry.size, 2.5);
     }
 
@@ -130,7 +156,7 @@
         let mut figures = Figures::default();
         let mut heard = |told, now| {
             let mut row = row(1.0, told);
-            let wrong = figures.mend(BackendId(0), false, &mut row, Micros::ms(now)).len();
+            let wrong = figures.mend(BackendId(0), false, &mut row, Micros::ms(now), Micros(0)).len();
             (row.entry.started, wrong)
         };
         assert_eq!(heard(90_000, 5_000), (Micros::ms(5_000), 1));
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -76,7 +76,7 @@
         let Some((id, new)) = self.ids.number(&row.name, now, BACKENDS) else {
             return log::warn!("list: over {BACKENDS} backends, {} is left out", row.name);
         };
-        for why in self.figures.mend(id, new, &mut row, now) {
+        for why in self.figures.mend(id, new, &mut row, now, self.clock.set_ahead()) {
             self.wrong(&why);
         }
         let Row { at, zone, mut entry, .. } = row;
