--- a/crates/agent/src/base/bounds.rs
+++ b/crates/agent/src/base/bounds.rs
@@ -2,7 +2,6 @@
 pub const BODY: usize = 64 * 1024; // bytes of one body, either way
 pub const SEND_BUFFER: u32 = 16 * 1024; // bytes of a posting that the system may hold unsent
 pub const LINE: usize = 1024 * 1024; // bytes of one line of the list
-pub const BACKENDS: usize = 4096; // known at once; who is long gone makes room
 
 /// A txn in hand at its largest: two bodies, and the buffers of two connections.
 const TXN_BYTES: usize = 256 * 1024;
@@ -19,6 +18,8 @@
     pub links_each: usize,
     /// Bytes of requests that came in part, over all connections of clients that send several at once.
     pub halves: usize,
+    /// Backends known at once; who is long gone makes room. About 2.5 kB each, with their actors.
+    pub backends: usize,
     /// Txns in hand, fewer than connections: there is always one left to decline on.
     pub txns: usize,
 }
@@ -36,6 +37,7 @@
             links: half + 1,
             links_each: (half / 4).max(4),
             halves: memory_mb.saturating_mul(1024 * 1024 / 8),
+            backends: (memory_mb.saturating_mul(1024 * 1024 / 4) / 3072).clamp(64, 4096),
             txns: by_memory.clamp(4, half),
         }
     }
--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -13,7 +13,7 @@
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Close, Desk};
-use crate::memory::list::{self, Heard, List, Restore, Row};
+use crate::memory::list::{self, Bearings, Heard, List, Restore, Row};
 use crate::memory::txn::Budgets;
 use crate::wire::backend::{self, Ground};
 use crate::wire::fcgi::peer;
@@ -28,10 +28,7 @@
     pub counters: Rc<Counters>,
     pub bounds: Bounds,
     pub budgets: Budgets,
-    /// Where the agent itself listens.
-    pub own: Vec<SocketAddr>,
-    /// The longest expiry of any route, now or before.
-    pub longest: Rc<Cell<Micros>>,
+    pub bearings: Bearings,
 }
 
 pub struct Pool {
@@ -80,9 +77,8 @@
             file::Protocol::Http => backend::maker(desk.clone(), ground.clone()),
             file::Protocol::Fastcgi => peer::maker(desk.clone(), ground.clone()),
         };
-        let (own, longest) = (on.own.clone(), on.longest.clone());
-        let list =
-            List::open(desk.clone(), on.clock, on.counters.clone(), zones, own, longest, maker).start();
+        let list = List::open(desk.clone(), on.clock, on.counters.clone(), zones, on.bearings.clone(), maker)
+            .start();
         let registry = pool.register.map(|at| {
             let registry = Registry::new(
                 at,
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -17,6 +17,7 @@
 use crate::house::build::{Numbers, build};
 use crate::house::pool::Footing;
 use crate::memory::counters::Counters;
+use crate::memory::list::Bearings;
 use crate::memory::txn::Budgets;
 use crate::wire::application::Porch;
 use crate::wire::door::Door;
@@ -82,8 +83,7 @@
         counters: counters.clone(),
         bounds,
         budgets: budgets.clone(),
-        own,
-        longest: longest.clone(),
+        bearings: Bearings { own, longest: longest.clone(), most: bounds.backends },
     };
     let seed = told.seed.unwrap_or_else(|| {
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64)
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -18,7 +18,7 @@
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Desk};
-use crate::memory::list::{List, Restore};
+use crate::memory::list::{Bearings, List, Restore};
 use crate::memory::txn::Budgets;
 use crate::wire::application::{Front, Porch, SOON};
 use crate::wire::backend::{self, Ground};
@@ -63,8 +63,7 @@
         clock,
         counters.clone(),
         agreed.zones,
-        vec![listen],
-        longest.clone(),
+        Bearings { own: vec![listen], longest: longest.clone(), most: bounds.backends },
         backend::maker(desk.clone(), ground.clone()),
     );
     let list = list.start();
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -14,7 +14,6 @@
 use super::ids::Ids;
 use super::mail::{Maker, Peer, Shut, ToPeer};
 use super::versions::Versions;
-use crate::base::bounds::BACKENDS;
 use crate::base::clock::Clock;
 
 pub struct List {
@@ -29,17 +28,28 @@
     garbled: bool,
     staged: Vec<Entry>,
     figures: Figures,
+    /// Backends at once.
+    most: usize,
+}
+
+/// What a list has to know of its agent.
+#[derive(Clone)]
+pub struct Bearings {
+    /// Where the agent itself listens.
+    pub own: Vec<SocketAddr>,
+    /// The longest expiry that a txn can have, as it is now.
+    pub longest: Rc<Cell<Micros>>,
+    /// Backends known at once.
+    pub most: usize,
 }
 
 impl List {
-    /// `own`: where the agent itself listens. `longest`: the longest expiry that a txn can have, as it is now.
     pub fn open(
         desk: Addr<Desk>,
         clock: Clock,
         counters: Rc<Counters>,
         zones: Vec<String>,
-        own: Vec<SocketAddr>,
-        longest: Rc<Cell<Micros>>,
+        bearings: Bearings,
         maker: Maker,
     ) -> List {
         List {
@@ -48,12 +58,13 @@
             maker,
             counters,
             zones,
-            ids: Ids::new(longest),
+            ids: Ids::new(bearings.longest),
             peers: Vec::new(),
             versions: Versions::default(),
             garbled: false,
             staged: Vec::new(),
-            figures: Figures::new(own),
+            figures: Figures::new(bearings.own),
+            most: bearings.most,
         }
     }
 
@@ -73,8 +84,9 @@
             let Some(before) = known else { return };
             row.at = before;
         }
-        let Some((id, new)) = self.ids.number(&row.name, now, BACKENDS) else {
-            return log::warn!("list: over {BACKENDS} backends, {} is left out", row.name);
+        let Some((id, new)) = self.ids.number(&row.name, now, self.most) else {
+            self.counters.add("list_left_out");
+            return log::warn!("list: over {} backends, {} is left out", self.most, row.name);
         };
         for why in self.figures.mend(id, new, &mut row, now, self.clock.set_ahead()) {
             self.wrong(&why);
