--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -5,8 +5,10 @@
 
 use clap::{Args, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use notchspool_lab::core::auditor::{Breach, Rule, audit, history};
 use notchspool_lab::core::kit::Micros;
 use notchspool_lab::core::ledger::Ledger;
+use notchspool_lab::core::notation;
 use notchspool_lab::plain::agent;
 use notchspool_lab::plain::policy::Policy;
 use notchspool_lab::plan::{Arm, Plan, read, ship};
@@ -22,6 +24,9 @@
     Ls,
     /// Prints an experiment that ships, to begin one's own with.
     Show { name: String },
+    /// Judges books that were kept: for each of the four rules kept or broken, with the history of the txn; ends with 0, 1 or,
+    /// where they can't be read, 2.
+    Audit { books: Vec<PathBuf> },
     /// Writes one page, with plots, of the runs that were kept.
     Report(Report),
     /// A plain agent: a baseline, told what any agent is told. The lab starts it by itself.
@@ -71,6 +76,7 @@
             print!("{}", ship::shipped(&name).ok_or_else(|| no_such(&name))?);
             Ok(ExitCode::SUCCESS)
         }
+        Lab::Audit { books } => judge(&books),
         Lab::Report(asked) => report(&asked),
         Lab::Plain { policy } => {
             let policy = Policy::named(&policy).ok_or_else(|| format!("no policy `{policy}`"))?;
@@ -158,7 +164,7 @@
             let sheet = Sheet::of(&plan, &outcome);
             keep(&folder, &sheet)?;
             if asked.books {
-                books(&folder, &outcome.ledger)?;
+                books(&folder, &plan, &arm, &outcome.ledger)?;
             }
             print!("{}", table::whole(&sheet));
             sheets.push(sheet);
@@ -190,13 +196,41 @@
     std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))
 }
 
-fn books(folder: &Path, ledger: &Ledger) -> Result<(), String> {
-    let line = |(at, entry): &(Micros, _)| format!("{:>12.3} ms  {entry:?}\n", at.0 as f64 / 1000.0);
-    let text: String = ledger.lines.iter().map(line).collect();
+fn books(folder: &Path, plan: &Plan, arm: &Arm, ledger: &Ledger) -> Result<(), String> {
+    let made = format!("`notchspool lab run {} --seed {} --arm {} --books`", plan.name, plan.seed, arm.name);
+    let text = notation::write(&made, &drive::agreement(plan), ledger);
     let file = folder.join("books.txt");
     std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))
 }
 
+/// Judges kept books, one file after the other.
+fn judge(files: &[PathBuf]) -> Result<ExitCode, String> {
+    let mut sound = true;
+    for file in files {
+        let named = |why: String| format!("{}: {why}", file.display());
+        let text = std::fs::read_to_string(file).map_err(|e| named(e.to_string()))?;
+        let (agreed, ledger) = notation::read(&text).map_err(named)?;
+        let verdict = audit(&ledger, &agreed);
+        println!("{}: {} txns, {} postings", file.display(), verdict.taken, verdict.postings);
+        for rule in Rule::ALL {
+            let broken: Vec<&Breach> = verdict.breaches.iter().filter(|b| b.rule == rule).collect();
+            println!("  {rule:?}: {}", if broken.is_empty() { "kept" } else { "BROKEN" });
+            if let Some(first) = broken.first() {
+                sound = false;
+                println!(
+                    "    {} times, first: {} at {:.1} ms",
+                    broken.len(),
+                    first.what,
+                    first.at.0 as f64 / 1e3
+                );
+                let lines = first.txn.map(|txn| history(&ledger, txn)).unwrap_or_default();
+                lines.iter().for_each(|line| println!("      {line}"));
+            }
+        }
+    }
+    Ok(if sound { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
 fn sheets(from: &Path, found: &mut Vec<PathBuf>) -> Result<(), String> {
     let failed = |e: std::io::Error| format!("{}: {e}", from.display());
     if from.is_dir() {
--- a/crates/lab/src/core/auditor.rs
+++ b/crates/lab/src/core/auditor.rs
@@ -5,6 +5,8 @@
 //! has begun the next. Every other doubt counts against the agent: what came whole may have run.
 use std::collections::BTreeMap;
 
+use super::backend::Cold;
+use super::cold::ColdBook;
 use super::kit::*;
 use super::ledger::{End, Entry, Final, Ledger, Standing};
 
@@ -20,6 +22,10 @@
     Cold,
 }
 
+impl Rule {
+    pub const ALL: [Rule; 4] = [Rule::Lost, Rule::Twice, Rule::Drain, Rule::Cold];
+}
+
 /// How a scheme may be repeated.
 #[derive(Clone, Copy, Debug)]
 pub struct Repeats {
@@ -28,11 +34,21 @@
     pub window: Micros,
 }
 
-#[derive(Clone, Debug)]
+/// Where a backend stands, and the work that it can do when warm, in microseconds a microsecond.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    pub zone: ZoneId,
+    pub cell: u64,
+    pub able: f64,
+}
+
+#[derive(Clone, Debug, Default)]
 pub struct Agreement {
     pub schemes: Vec<Repeats>,
-    /// Zone and cell of each backend.
-    pub places: Vec<(ZoneId, u64)>,
+    /// By backend.
+    pub places: Vec<Place>,
+    /// What a new process can do, and what pushes it over; none: rule 4 is judged by those that fell.
+    pub cold: Option<Cold>,
     pub drain_grace: Option<Micros>,
     pub most_postings: usize,
     pub slack: Micros,
@@ -103,6 +119,7 @@
     let mut postings: BTreeMap<PostingId, (TxnId, usize)> = BTreeMap::new();
     let mut told: BTreeMap<(AgentId, BackId), Micros> = BTreeMap::new();
     let mut killed: Vec<(Micros, AgentId)> = Vec::new();
+    let mut cold = ColdBook::default();
     for &(at, entry) in &ledger.lines {
         match entry {
             Entry::Taken { txn, agent, scheme, expiry } => {
@@ -139,12 +156,26 @@
             Entry::Came { posting } => on(&mut books, &postings, posting, |s| s.came = Some(at)),
             Entry::Ran { posting } => on(&mut books, &postings, posting, |s| s.ran.push(at)),
             Entry::Repeat { .. } => {}
+            Entry::Weighs { posting, work } => {
+                let sent = postings.get(&posting).and_then(|(txn, nth)| Some((books.get(txn)?, *nth)));
+                if let Some((book, nth)) = sent
+                    && let Some(over) = cold.weighs(at, book.agent, book.sent[nth].back, work, agreed)
+                {
+                    verdict.breach(Rule::Cold, over, None, at);
+                }
+            }
             Entry::Over { posting, end } => {
                 on(&mut books, &postings, posting, |s| s.over = s.over.or(Some((at, end))))
             }
-            Entry::Told { agent, back, standing: Standing::Ready } => drop(told.remove(&(agent, back))),
+            Entry::Told { agent, back, standing: Standing::Ready } => {
+                told.remove(&(agent, back));
+                cold.told(agent, back);
+            }
             Entry::Told { agent, back, .. } => drop(told.entry((agent, back)).or_insert(at)),
-            Entry::Started { back } => told.retain(|(_, held), _| *held != back),
+            Entry::Started { back } => {
+                told.retain(|(_, held), _| *held != back);
+                cold.started(at, back);
+            }
             Entry::Fell { back: _ } => verdict.breach(Rule::Cold, "a cold backend was pushed over", None, at),
             Entry::Killed { agent } => {
                 killed.push((at, agent));
@@ -254,8 +285,8 @@
                 let place = |back: BackId| agreed.places[back.0];
                 let within = match row.group {
                     Group::All => true,
-                    Group::Zone => place(earlier.back).0 == place(later.back).0,
-                    Group::Cell => place(earlier.back).1 == place(later.back).1,
+                    Group::Zone => place(earlier.back).zone == place(later.back).zone,
+                    Group::Cell => place(earlier.back).cell == place(later.back).cell,
                 };
                 if !within {
                     breach(Rule::Twice, "a reference sent again outside its group", later.began);
@@ -300,6 +331,7 @@
                 of == txn
             }
             Entry::Came { posting }
+            | Entry::Weighs { posting, .. }
             | Entry::Ran { posting }
             | Entry::Repeat { posting }
             | Entry::Over { posting, .. } => own.contains(&posting),
--- a/crates/lab/src/core/backend.rs
+++ b/crates/lab/src/core/backend.rs
@@ -160,6 +160,8 @@
         if self.down {
             return Came::Down;
         }
+        // It may have been idle for long: what comes now can't have begun before.
+        self.settle(now);
         if self.warmth(now) < 1.0 && self.pushed_over(now, work.0 as f64) {
             self.crash(now);
             return Came::Fell;
--- a/crates/lab/src/core/fleet.rs
+++ b/crates/lab/src/core/fleet.rs
@@ -181,6 +181,9 @@
         let (back, wanted) = (held.back, held.wanted);
         self.live(now, back);
         self.ledger.write(now, Entry::Came { posting });
+        if self.backs[back.0].warmth(now) < 1.0 {
+            self.ledger.write(now, Entry::Weighs { posting, work: wanted.work });
+        }
         let lot = |n: u64| lot(self.seed, &[43, back.0 as u64, wanted.txn.0, n]);
         let ailing = &self.ailing[back.0];
         if lot(1) < ailing.errors.0 {
--- a/crates/lab/src/core/ledger.rs
+++ b/crates/lab/src/core/ledger.rs
@@ -48,6 +48,8 @@
     Began { posting: PostingId, txn: TxnId, back: BackId },
     /// Its last byte.
     Came { posting: PostingId },
+    /// How much work it is, where its backend was cold as it came.
+    Weighs { posting: PostingId, work: Micros },
     /// Its effect: work on it was begun.
     Ran { posting: PostingId },
     /// It was known as a repeat and had no effect.
--- a/crates/lab/src/sockets/drive.rs
+++ b/crates/lab/src/sockets/drive.rs
@@ -14,7 +14,7 @@
 use super::ground::{Block, Who, descriptors, free, listen};
 use super::stage::{LEAD, Stage};
 use super::{backends, registry};
-use crate::core::auditor::{Agreement, Repeats, Verdict, audit, history};
+use crate::core::auditor::{Agreement, Place, Repeats, Verdict, audit, history};
 use crate::core::crowd::{digest, orders};
 use crate::core::fleet::Fleet;
 use crate::core::kit::*;
@@ -264,7 +264,12 @@
             .iter()
             .map(|s| Repeats { kind: s.kind, group: s.group, window: s.window })
             .collect(),
-        places: plan.sites.iter().map(|s| (s.zone, s.cell)).collect(),
+        places: plan
+            .sites
+            .iter()
+            .map(|s| Place { zone: s.zone, cell: s.cell, able: s.build.cores as f64 * s.build.speed })
+            .collect(),
+        cold: plan.sites.first().map(|s| s.build.cold),
         drain_grace: Some(plan.told.drain_grace),
         most_postings: plan.told.most_postings,
         slack: Micros::ms(50),
