--- a/crates/lab/tests/seeded.rs
+++ b/crates/lab/tests/seeded.rs
@@ -78,11 +78,11 @@
     let mut plan = plan(day, seed);
     if rule == Rule::Cold {
         // Back soon, and for long so cold that what a warm one gets is too much for it.
-        plan.habits.rate *= 1.3;
+        plan.habits.rate *= 1.4;
         plan.faults[0].until = plan.faults[0].from + Micros::ms(600);
         for site in &mut plan.sites {
             let cold = &mut site.build.cold;
-            (cold.from, cold.multiple, cold.span) = (0.05, 1.0, Micros::ms(20_000));
+            (cold.from, cold.multiple, cold.span) = (0.15, 1.0, Micros::ms(20_000));
         }
         let (ledger, verdict) = judged(&plan, Breaks::Nothing);
         assert!(verdict.breaches.is_empty(), "{}", told(&ledger, &verdict));
