--- a/crates/agent/src/base/pulse.rs
+++ b/crates/agent/src/base/pulse.rs
@@ -21,6 +21,10 @@
     pub fn new(now: Micros) -> Pulse {
         Pulse { last: Cell::new(now), pause: Cell::new(None), pauses: Cell::new(0) }
     }
+    /// From here on requests can come: what came before, a large file to be read, is no pause.
+    pub fn begin(&self, now: Micros) {
+        self.last.set(now);
+    }
     /// The process runs. Called by all that is called now and then, and before anything from outside is believed.
     pub fn beat(&self, now: Micros) {
         let last = self.last.replace(now);
@@ -47,7 +51,8 @@
 
     #[test]
     fn a_pause_is_noticed_by_whoever_looks_first_and_is_over_soon() {
-        let pulse = Pulse::new(Micros::ms(1000));
+        let pulse = Pulse::new(Micros(0));
+        pulse.begin(Micros::ms(1000));
         pulse.beat(Micros::ms(1250));
         assert_eq!(pulse.waking(Micros::ms(1500)), None);
         assert_eq!(pulse.waking(Micros::ms(3500)), Some(Micros::ms(1500)));
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -106,6 +106,7 @@
     let door = Rc::new(Door { porch: porch.clone(), house, budgets, next: Cell::new(0), chance });
     let calls = Rc::new(Calls::new(bounds.unsent));
     let mut gates = Vec::new();
+    porch.pulse.begin(clock.now());
     for (nth, place) in told.doors.iter().enumerate() {
         let door = door.clone();
         let serve: Serve = match place.protocol {
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -94,6 +94,7 @@
         traces: RefCell::default(),
     });
     let serve = serve(move |request| front.clone().answer(request)).await?;
+    porch.pulse.begin(clock.now());
     let named = |e: io::Error| io::Error::new(e.kind(), format!("{listen}: {e}"));
     let listener = Accept::Tcp(TcpListener::bind(listen).await.map_err(named)?);
     let gate = Gate { porch, calls: Rc::new(Calls::new(bounds.unsent)), serve, asked: None };
