--- a/crates/lab/tests/auditor.rs
+++ b/crates/lab/tests/auditor.rs
@@ -58,3 +58,25 @@
     }
     assert!(cases > 3, "a file holds cases");
 }
+
+/// F29, not cured: by the rule a fall counts where two thirds of the work came from agents that were told of the start. The auditor counts
+/// every fall, which is stricter.
+#[test]
+#[should_panic(expected = "counted against them")]
+fn a_fall_by_who_was_not_told_is_nobodys() {
+    let mut ledger = Ledger::default();
+    for (at, words) in [
+        (0, "started 0"),
+        (10, "take 1 0 0 1010"),
+        (11, "began 1 1 0"),
+        (12, "came 1"),
+        (12, "weighs 1 900"),
+        (12, "fell 0"),
+    ] {
+        ledger.write(Micros::ms(at), notation::entry(words).expect("an entry"));
+    }
+    ledger.write(Micros::ms(13), notation::entry("over 1 broken").expect("an entry"));
+    ledger.write(Micros::ms(14), notation::entry("heard 1 reversed").expect("an entry"));
+    let found = audit(&ledger, &agreed()).breaches;
+    assert!(found.is_empty(), "counted against them: {found:?}");
+}
