--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -92,7 +92,7 @@
             self.wrong(&why);
         }
         let Row { at, zone, mut entry, .. } = row;
-        entry.zone = zone_number(&mut self.zones, &zone);
+        entry.zone = numbered(&mut self.zones, &zone, id);
         entry.backend = id;
         let at_number = id.0 as usize;
         if new {
@@ -192,6 +192,17 @@
     }
 }
 
+/// Zones that have names here; a register that tells ever new ones must not fill the memory.
+const ZONES: usize = 1024;
+
+/// The number of a zone. Where there are too many a backend is a zone of its own: near to nobody, and no repeat goes elsewhere.
+fn numbered(zones: &mut Vec<String>, name: &str, id: BackendId) -> ZoneId {
+    match zones.len() >= ZONES && !zones.iter().any(|zone| zone == name) {
+        true => ZoneId(u32::MAX - id.0),
+        false => zone_number(zones, name),
+    }
+}
+
 impl Actor for List {
     type Context = Context<List>;
 }
@@ -297,3 +308,18 @@
         self.versions.resume()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ever_new_zones_fill_nothing_and_are_never_taken_for_one() {
+        let mut zones = Vec::new();
+        let told: Vec<ZoneId> =
+            (0..2 * ZONES as u32).map(|n| numbered(&mut zones, &format!("z{n}"), BackendId(n))).collect();
+        assert_eq!(zones.len(), ZONES);
+        assert_eq!(told.iter().collect::<BTreeSet<_>>().len(), told.len());
+        assert_eq!(numbered(&mut zones, "z7", BackendId(9)), ZoneId(7), "what is known keeps its number");
+    }
+}
