--- a/crates/agent/src/life/mod.rs
+++ b/crates/agent/src/life/mod.rs
@@ -1,4 +1,6 @@
 //! Start, what is told, and the orderly end.
+pub mod inherited;
+pub mod kept;
 pub mod open;
 pub mod run;
 pub mod start;
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -98,7 +98,9 @@
         bounds,
         longest: longest.clone(),
         halves: Cell::new(0),
-        leaving: Cell::new(false),
+        ending: Cell::new(None),
+        away: Cell::new(None),
+        handed: false,
     };
     let porch = Rc::new(porch);
     let house = RefCell::new(Rc::new(house));
@@ -116,7 +118,8 @@
                 Box::pin(async move { served.await.map_err(DispatchError::Io) })
             }),
         };
-        let gate = Gate { porch: porch.clone(), calls: Rc::clone(&calls), serve, asked: None };
+        let gate =
+            Gate { porch: porch.clone(), calls: Rc::clone(&calls), serve, asked: None, accepting: None };
         gates.push(gate.listen(listen(&place.at).await?));
         log::info!("{}: ready at {:?}", told.name, place.at);
     }
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -5,20 +5,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix::Actor;
+use actix::{Actor, Addr};
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use notchspool::units::Terms;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedReceiver;
 
+use super::kept::{Kept, News};
 use super::start::{self, Told};
-use super::stop;
+use super::{inherited, stop};
 use crate::base::clock::{Clock, span};
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Desk};
-use crate::memory::list::{Bearings, List, Restore};
+use crate::memory::list::{Banned, Bearings, List, Restore};
 use crate::memory::txn::Budgets;
 use crate::wire::application::{Front, Porch, SOON};
 use crate::wire::backend::{self, Ground};
@@ -26,6 +28,7 @@
 use crate::wire::gate::{Accept, Gate, Serve};
 use crate::wire::link::Past;
 use crate::wire::listing;
+use crate::wire::management::Management;
 use crate::wire::registry::{Registry, Turn};
 
 pub fn run(told: Told) -> io::Result<()> {
@@ -40,8 +43,14 @@
 }
 
 async fn begin(told: Told, counters: Rc<Counters>) -> io::Result<()> {
-    let Told { name, listen, discovery, seed, bounds, known, agreed } = told;
+    let Told { name, listen, discovery, management, seed, bounds, known, agreed } = told;
     log::info!("{name}: {bounds:?}");
+    let inherited = match std::env::var("ROUTER_INHERITED_FD") {
+        Ok(number) => Some(inherited::listener(&number).map_err(io::Error::other)?),
+        Err(_) => None,
+    };
+    let kept = (management.is_some() || inherited.is_some())
+        .then(|| Kept::open(std::env::var_os("TMPDIR").map(Into::into), &name));
     let clock = Clock::start();
     let ground = Rc::new(Ground {
         clock,
@@ -67,13 +76,23 @@
         backend::maker(desk.clone(), ground.clone()),
     );
     let list = list.start();
+    let kept = match kept {
+        Some((kept, bans, news)) => {
+            // Who is out is so before the list is known.
+            list.send(Banned(bans)).await.map_err(io::Error::other)?;
+            actix_rt::spawn(hear(news, list.clone()));
+            Some(kept)
+        }
+        None => None,
+    };
     // The mailboxes keep the order: the known list is with the module before the first txn is.
     match listing::read(&known) {
         Ok(known) => list.send(Restore(known)).await.map_err(io::Error::other)?,
         Err(why) => log::warn!("list: the known list can't be used: {why}"),
     }
     let registry =
-        Registry::new(discovery, ground.client(usize::MAX, Past::register()), list, counters.clone()).start();
+        Registry::new(discovery, ground.client(usize::MAX, Past::register()), list.clone(), counters.clone())
+            .start();
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
     let porch = Rc::new(Porch {
@@ -83,7 +102,9 @@
         bounds,
         longest,
         halves: Cell::new(0),
-        leaving: Cell::new(false),
+        ending: Cell::new(None),
+        away: Cell::new(None),
+        handed: inherited.is_some(),
     });
     let front = Rc::new(Front {
         porch: porch.clone(),
@@ -96,8 +117,19 @@
     let serve = serve(move |request| front.clone().answer(request)).await?;
     porch.pulse.begin(clock.now());
     let named = |e: io::Error| io::Error::new(e.kind(), format!("{listen}: {e}"));
-    let listener = Accept::Tcp(TcpListener::bind(listen).await.map_err(named)?);
-    let gate = Gate { porch, calls: Rc::new(Calls::new(bounds.unsent)), serve, asked: None };
+    let listener = Accept::Tcp(match inherited {
+        Some(inherited) => TcpListener::from_std(inherited)?,
+        None => TcpListener::bind(listen).await.map_err(named)?,
+    });
+    if let (Some(at), Some(kept)) = (management, kept) {
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("management {at}: {e}"));
+        let door = TcpListener::bind(at).await.map_err(named)?;
+        let ban = Box::new(move |id, on| kept.change(id, on));
+        Management { porch: porch.clone(), lists: vec![list], ban }.listen(door);
+        log::info!("{name}: management at {at}");
+    }
+    let calls = Rc::new(Calls::new(bounds.unsent));
+    let gate = Gate { porch, calls, serve, asked: None, accepting: None };
     log::info!("{name}: ready at {listen}");
     stop::listen(vec![gate.listen(listener)], start::discovery, move |told| {
         registry.do_send(Turn(told?));
@@ -105,6 +137,16 @@
     })
 }
 
+/// What other processes of this agent changed.
+async fn hear(mut news: UnboundedReceiver<News>, list: Addr<List>) {
+    while let Some(news) = news.recv().await {
+        match news {
+            News::Bans(bans) => list.do_send(Banned(bans)),
+            News::Beside(beside) => log::info!("another process of this agent lives: {beside}"),
+        }
+    }
+}
+
 /// One HTTP service for all connections of the application.
 pub async fn serve<F>(answer: impl Fn(Request) -> F + 'static) -> io::Result<Serve>
 where
--- a/crates/agent/src/life/start.rs
+++ b/crates/agent/src/life/start.rs
@@ -11,6 +11,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The door for operators, where there is to be one.
+    pub management: Option<SocketAddr>,
     pub seed: u64,
     pub bounds: Bounds,
     pub known: Value,
@@ -44,6 +46,10 @@
         let value = either(var, field)?;
         value.parse::<SocketAddr>().map_err(|_| format!("field `{field}`: `{value}` is no address and port"))
     };
+    let management = match env("ROUTER_MANAGEMENT").is_some() || !all["management"].is_null() {
+        true => Some(address("ROUTER_MANAGEMENT", "management")?),
+        false => None,
+    };
     let seed = text(&all, "seed")?;
     let limit = |field: &str, default: f64| match number(&all["limits"], field, Some(default))? {
         limit if limit >= 1.0 => Ok(limit as usize),
@@ -53,6 +59,7 @@
         name: either("ROUTER_NAME", "name")?,
         listen: address("ROUTER_LISTEN", "listen")?,
         discovery: address("ROUTER_DISCOVERY", "discovery")?,
+        management,
         seed: u64::from_str_radix(seed, 16)
             .map_err(|_| format!("field `seed`: `{seed}` is not hexadecimal"))?,
         bounds: Bounds::within(limit("sockets", 1024.0)?, limit("memory_mb", 192.0)?),
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -8,6 +8,7 @@
 use notchspool::units::*;
 use notchspool_terms::zone_number;
 
+use super::bans::Bans;
 use super::counters::Counters;
 use super::desk::{Desk, ListFailed, ListMoved, Listed, Meet};
 use super::figures::{self, Figures};
@@ -27,7 +28,13 @@
     versions: Versions,
     garbled: bool,
     staged: Vec<Entry>,
+    /// Whom the line that is being read names.
+    named: BTreeSet<BackendId>,
     figures: Figures,
+    /// Backends that an operator took out.
+    bans: Bans,
+    /// Lines of a watch came since one last ended.
+    watched: bool,
     /// Backends at once.
     most: usize,
 }
@@ -63,7 +70,10 @@
             versions: Versions::default(),
             garbled: false,
             staged: Vec::new(),
+            named: BTreeSet::new(),
             figures: Figures::new(bearings.own),
+            bans: Bans::default(),
+            watched: false,
             most: bearings.most,
         }
     }
@@ -91,11 +101,12 @@
         for why in self.figures.mend(id, new, &mut row, now, self.clock.set_ahead()) {
             self.wrong(&why);
         }
-        let Row { at, zone, mut entry, .. } = row;
+        let Row { name, at, zone, mut entry } = row;
         entry.zone = numbered(&mut self.zones, &zone, id);
         entry.backend = id;
         let at_number = id.0 as usize;
         if new {
+            self.bans.forget(id);
             let peer = (self.maker)(id, at);
             self.desk.do_send(Meet(id, peer.clone()));
             match self.peers.get_mut(at_number) {
@@ -107,13 +118,20 @@
             *old = at;
             peer.do_send(ToPeer::Move(at));
         }
-        self.staged.push(entry);
+        self.named.insert(id);
+        self.staged.extend(self.bans.pass(&name, entry));
     }
 
     /// Who is gone, by the list just read.
     fn count(&mut self, whole: bool) {
         let now = self.clock.now();
-        let mut named: BTreeSet<BackendId> = self.staged.iter().map(|entry| entry.backend).collect();
+        let mut named = std::mem::take(&mut self.named);
+        if whole {
+            // Who is banned is told of as before, and keeps its number.
+            self.staged.extend(self.bans.only(&named));
+            named.extend(self.bans.held());
+        }
+        self.bans.held().for_each(|id| self.ids.here(id));
         for entry in &self.staged {
             match entry.standing {
                 Standing::Gone => self.ids.gone(entry.backend, now),
@@ -143,6 +161,7 @@
         for name in twice {
             self.wrong(&format!("{name} is named twice: the worst that is said of it counts"));
         }
+        self.named.clear();
         rows.into_iter().for_each(|row| self.entry(row));
         // Only what the module does not pass over: no whole list without entries.
         if !(how != Refresh::Delta && self.staged.is_empty()) {
@@ -248,6 +267,7 @@
     fn handle(&mut self, line: Line, _: &mut Context<List>) {
         match line {
             Line::Alive => {
+                self.watched = true;
                 if self.versions.known() {
                     let version = self.versions.given();
                     self.desk.do_send(Listed { how: Refresh::Delta, version, entries: Vec::new() });
@@ -255,6 +275,7 @@
                 self.look();
             }
             Line::Heard(heard) => {
+                self.watched = true;
                 let how = heard.how;
                 self.read(heard, how);
             }
@@ -276,6 +297,7 @@
 impl Handler<Ended> for List {
     type Result = ();
     fn handle(&mut self, _: Ended, _: &mut Context<List>) {
+        self.watched = false;
         self.desk.do_send(ListFailed);
     }
 }
@@ -287,6 +309,7 @@
 impl Handler<Moved> for List {
     type Result = ();
     fn handle(&mut self, _: Moved, _: &mut Context<List>) {
+        self.watched = false;
         self.desk.do_send(ListMoved);
     }
 }
@@ -298,6 +321,50 @@
     }
 }
 
+/// Whether a list has ever named this backend, or an operator has taken it out.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Knows(pub String);
+impl Handler<Knows> for List {
+    type Result = bool;
+    fn handle(&mut self, asked: Knows, _: &mut Context<List>) -> bool {
+        self.ids.known(&asked.0).is_some() || self.bans.holds(&asked.0)
+    }
+}
+
+/// Backends that operators took out, all of them. It counts from here on.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Banned(pub BTreeSet<String>);
+impl Handler<Banned> for List {
+    type Result = ();
+    fn handle(&mut self, banned: Banned, _: &mut Context<List>) {
+        let changed = self.bans.set(banned.0);
+        for name in &changed.on {
+            log::info!("backend {name} is out by hand");
+            let told = self.ids.known(name).and_then(|id| self.bans.begin(id));
+            self.staged.extend(told);
+        }
+        for name in &changed.off {
+            log::info!("backend {name} is back by hand");
+            let told = self.ids.known(name).and_then(|id| self.bans.end(id));
+            if let Some(gone) = told.as_ref().filter(|entry| entry.standing == Standing::Gone) {
+                self.ids.gone(gone.backend, self.clock.now());
+            }
+            self.staged.extend(told);
+        }
+        if self.staged.is_empty() {
+            return;
+        }
+        let (version, entries) = (self.versions.given(), std::mem::take(&mut self.staged));
+        self.desk.do_send(Listed { how: Refresh::Delta, version, entries });
+        if !self.watched {
+            // The module takes this for a sign of a living watch, and would not ask for one.
+            self.desk.do_send(ListFailed);
+        }
+    }
+}
+
 /// The version last heard, to go on from.
 #[derive(Message)]
 #[rtype(result = "Option<u64>")]
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -1,4 +1,5 @@
 //! What is kept in memory: the module with the txns in hand, the list, the counters.
+mod bans;
 pub mod counters;
 pub mod desk;
 mod figures;
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -15,7 +15,7 @@
 use notchspool::units::{Kind, Micros, SchemeId, TxnRef};
 use tokio::sync::oneshot;
 
-use super::caller::{Asked, Call};
+use super::caller::{Asked, Call, Letting};
 use super::posting::length;
 use crate::base::bounds::{BODY, Bounds};
 use crate::base::clock::Clock;
@@ -37,10 +37,20 @@
     pub longest: Rc<Cell<Micros>>,
     /// Bytes of requests that came in part.
     pub halves: Cell<usize>,
-    /// Set once the agent is asked to end: every answer then closes its connection.
-    pub leaving: Cell<bool>,
+    /// When the agent was asked to end: every answer then closes its connection.
+    pub ending: Cell<Option<Micros>>,
+    /// Since when clients are sent away by hand, with the same effect; all is as before once they are taken again.
+    pub away: Cell<Option<Micros>>,
+    /// The listening socket is the platform's, and a newer process accepts from it: at the end this one accepts no more.
+    pub handed: bool,
 }
 
+/// Idle connections are let go between these times after clients were sent away. The front has heard by the first; at the last
+/// nothing may begin any more that would not be over 2 s later.
+const SENT_AWAY: (Micros, Micros) = (Micros::ms(500), Micros::ms(1_900));
+/// The same after a newer process took over: the later, the fewer of them are left for a request to cross the close.
+const HANDED_OVER: (Micros, Micros) = (Micros::ms(1_000), Micros::ms(2_400));
+
 /// Told to come back after this where there was no room.
 pub const SOON: Micros = Micros::ms(50);
 /// What discovery wrote while the process stood still is read within this.
@@ -57,6 +67,20 @@
         actix_rt::time::sleep(LISTS_FIRST).await;
         from
     }
+    /// Whether answers close their connections.
+    pub fn closes(&self) -> bool {
+        self.ending.get().is_some() || self.away.get().is_some()
+    }
+    /// How idle connections are to be let go now.
+    pub fn letting(&self) -> Letting {
+        let now = self.clock.now();
+        match (self.ending.get(), self.away.get()) {
+            (Some(_), _) if !self.handed => Letting::AllButFresh,
+            (Some(since), _) => Letting::Since(now - since, HANDED_OVER),
+            (None, Some(since)) => Letting::Since(now - since, SENT_AWAY),
+            (None, None) => Letting::Keep,
+        }
+    }
     /// The counters, and how often the process stood still.
     pub fn page(&self) -> String {
         self.counters.print() + &format!("pauses {}\n", self.pulse.pauses())
@@ -98,6 +122,9 @@
         let refused = call.as_ref().and_then(|call| call.refused());
         let mut reply = match request.path() {
             _ if refused.is_some() => plain(StatusCode::BAD_REQUEST, "refused before\n"),
+            "/healthz" if self.porch.away.get().is_some() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "standby\n")
+            }
             "/healthz" => plain(StatusCode::OK, "ready\n"),
             "/-/counters" => plain(StatusCode::OK, self.porch.page()),
             _ => match self.txn(request, call.clone()).await {
@@ -110,7 +137,7 @@
                 }
             },
         };
-        if self.porch.leaving.get() || call.is_some_and(|call| call.refused().is_some()) {
+        if self.porch.closes() || call.is_some_and(|call| call.refused().is_some()) {
             reply.head_mut().set_connection_type(actix_http::ConnectionType::Close);
         }
         Ok(reply)
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -9,6 +9,7 @@
 
 use actix_rt::net::{TcpStream, UnixStream};
 use bytes::BytesMut;
+use notchspool::units::Micros;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::memory::counters::Counters;
@@ -47,6 +48,17 @@
     None
 }
 
+/// How connections that stand idle are let go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Letting {
+    /// After a minute.
+    Keep,
+    /// At once, but for those that have just come.
+    AllButFresh,
+    /// A few at a time, the longest idle first: so long after it began, between these two times.
+    Since(Micros, (Micros, Micros)),
+}
+
 /// What is known of one connection.
 pub struct Call {
     /// When it came, when the first byte of a request came, or when the last answer went.
@@ -92,6 +104,8 @@
     unsent: Cell<usize>,
     most_unsent: usize,
     next: Cell<u64>,
+    /// How many stood idle when they began to be let go.
+    at_first: Cell<Option<usize>>,
     all: RefCell<BTreeMap<u64, Rc<Call>>>,
 }
 
@@ -121,13 +135,34 @@
             call.end("CALL_STUCK");
         }
     }
+    /// Lets those that stand idle go, so that none is left when the time is over. Which close crosses a request can't be known: the
+    /// longest idle are the least likely to have one coming.
+    fn let_go(&self, since: Micros, (first, last): (Micros, Micros)) {
+        let all = self.all.borrow();
+        let idle = |call: &&Rc<Call>| {
+            let silent = !call.busy.get() && call.in_hand.get() == 0 && call.ended().is_none();
+            silent && (since >= last || !call.fresh())
+        };
+        let mut open: Vec<&Rc<Call>> = all.values().filter(idle).collect();
+        open.sort_by_key(|call| call.since.get());
+        let most = self.at_first.get().unwrap_or(open.len()).max(open.len());
+        self.at_first.set(Some(most));
+        let left = 1.0 - (since - first).over(last - first).clamp(0.0, 1.0);
+        let keep = (most as f64 * left).floor() as usize;
+        open.iter().take(open.len().saturating_sub(keep)).for_each(|call| call.end("CALL_SENT_AWAY"));
+    }
     /// Those with a request on its way or in hand, and those too fresh to tell.
     pub fn busy(&self) -> usize {
         self.all.borrow().values().filter(|call| call.busy.get() || call.fresh()).count()
     }
     /// Ends what is not worth keeping: silent from the start, a request that does not come whole or an answer
     /// that is not read, long idle; while the agent ends, all that stand idle.
-    pub fn sweep(&self, leaving: bool) {
+    pub fn sweep(&self, letting: Letting) {
+        match letting {
+            Letting::Since(since, span) => self.let_go(since, span),
+            Letting::Keep | Letting::AllButFresh => self.at_first.set(None),
+        }
+        let leaving = letting == Letting::AllButFresh;
         // Whoever asks much at once and reads nothing would hold the room of all that it asked, for as long as it likes.
         let unread = |call: &&Rc<Call>| call.unread.get().is_some_and(|since| since.elapsed() > WHOLE);
         for call in self.all.borrow().values().filter(|call| call.ended().is_none()).filter(unread) {
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -87,6 +87,9 @@
         let refused = call.as_ref().and_then(|call| call.refused());
         let mut reply = match request.path() {
             _ if refused.is_some() => plain(StatusCode::BAD_REQUEST, "refused before\n"),
+            "/-/healthz" if self.porch.away.get().is_some() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "standby\n")
+            }
             "/-/healthz" => plain(StatusCode::OK, "ready\n"),
             "/-/counters" => plain(StatusCode::OK, self.page()),
             _ => match self.http(listen, request, call.clone()).await {
@@ -97,7 +100,7 @@
                 }
             },
         };
-        if self.porch.leaving.get() || call.is_some_and(|call| call.refused().is_some()) {
+        if self.porch.closes() || call.is_some_and(|call| call.refused().is_some()) {
             reply.head_mut().set_connection_type(ConnectionType::Close);
         }
         Ok(reply)
--- a/crates/agent/src/wire/fcgi/front.rs
+++ b/crates/agent/src/wire/fcgi/front.rs
@@ -79,7 +79,7 @@
                 // One that was given up gets its end, and nothing of an answer.
                 let (stdout, ended) = said.unwrap_or((Bytes::new(), Ended::Complete));
                 if let Some((bytes, close)) = taker.answer(id, &stdout, ended) {
-                    closing |= close || door.porch.leaving.get();
+                    closing |= close || door.porch.closes();
                     caller.write_all(&bytes).await?;
                     caller.flush().await?;
                 }
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix::{Actor, ActorContext, AsyncContext, Context, Handler, Message, StreamHandler, System};
+use actix::{
+    Actor, ActorContext, AsyncContext, Context, Handler, Message, SpawnHandle, StreamHandler, System,
+};
 use actix_http::error::DispatchError;
 use futures_util::future::LocalBoxFuture;
 use notchspool::units::Micros;
@@ -45,11 +47,13 @@
     pub calls: Rc<Calls>,
     pub serve: Serve,
     pub asked: Option<Micros>,
+    /// Accepts connections.
+    pub accepting: Option<SpawnHandle>,
 }
 
 impl Gate {
     /// Listens from now on; what was accepted waits in the mailbox until it is served.
-    pub fn listen(self, listener: Accept) -> actix::Addr<Gate> {
+    pub fn listen(mut self, listener: Accept) -> actix::Addr<Gate> {
         Gate::create(|ctx| {
             let held = (listener, self.porch.clone(), self.calls.clone());
             let accepted = futures_util::stream::unfold(held, |(listener, front, calls)| async {
@@ -71,20 +75,24 @@
                 }
                 Some((came, (listener, front, calls)))
             });
-            ctx.add_stream(accepted);
+            self.accepting = Some(ctx.add_stream(accepted));
             self
         })
     }
     fn look(&mut self, ctx: &mut Context<Gate>) {
         let Some(asked) = self.asked else { return };
         let since = self.porch.clock.now() - asked;
-        let quiet = since > STILL_COMING && self.calls.busy() == 0;
+        // Where a newer process accepts, all that is left can still have something to say.
+        let quiet = match self.porch.handed {
+            true => self.porch.counters.callers.get() == 0,
+            false => since > STILL_COMING && self.calls.busy() == 0,
+        };
         if quiet || since > self.porch.longest.get() + STILL_COMING {
             log::info!("all answered, the end");
             ctx.stop();
             System::current().stop();
         } else {
-            self.calls.sweep(true);
+            self.calls.sweep(self.porch.letting());
             ctx.run_later(LOOK, Gate::look);
         }
     }
@@ -97,7 +105,7 @@
             if gate.porch.pulse.waking(gate.porch.clock.now()).is_some() {
                 gate.calls.begin_anew();
             }
-            gate.calls.sweep(gate.porch.leaving.get());
+            gate.calls.sweep(gate.porch.letting());
         });
     }
 }
@@ -138,7 +146,13 @@
         if self.asked.is_none() {
             log::info!("asked to end: {} txns in hand", self.porch.counters.in_hand.get());
             self.asked = Some(self.porch.clock.now());
-            self.porch.leaving.set(true);
+            self.porch.ending.set(self.asked);
+            if self.porch.handed {
+                log::info!("a newer process accepts from here on");
+                if let Some(accepting) = self.accepting.take() {
+                    ctx.cancel_future(accepting);
+                }
+            }
             self.look(ctx);
         }
     }
--- a/crates/agent/src/wire/mod.rs
+++ b/crates/agent/src/wire/mod.rs
@@ -7,5 +7,7 @@
 pub mod gate;
 pub mod link;
 pub mod listing;
+pub mod management;
+pub mod order;
 pub mod posting;
 pub mod registry;
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -10,7 +10,10 @@
 //! NAME VALUE`: a counter comes to it, `least NAME VALUE`: to that or more; `got A TEXT`: A has read this, whatever came around it; `reads A N`:
 //! whole requests it read; `opens A N`: connections; `log TEXT`; `config NAME VALUE`: changes the file; `term`,
 //! `hup`, `stop`, `cont`: the signal; `ends`: with exit code 0. `deaf`: nobody reads its log any more; `calls N
-//! PATH`: N connections in turn, each asks this and goes.
+//! PATH`: N connections in turn, each asks this and goes. `door`, before the start: there is a door for operators; `order LINE = ANSWER`: what
+//! is asked there and how the answer begins; `mute N`: N callers there who say nothing. `inherit`, before the start: the listening socket is the
+//! test's, as descriptor 3; `inherit TEXT`: what stands in the variable. `beside`: a second process of the agent, waited for till it says yes;
+//! from then on `term` is for the first, and `elder ends` waits for its end.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -165,12 +168,16 @@
     log: Arc<Mutex<String>>,
     deaf: Arc<AtomicBool>,
     at: SocketAddr,
+    door: Option<SocketAddr>,
+    inherit: Option<(Option<TcpListener>, String)>,
+    elder: Option<Child>,
+    muted: Vec<TcpStream>,
     calls: BTreeMap<String, BufReader<TcpStream>>,
 }
 
 impl Drop for Play {
     fn drop(&mut self) {
-        if let Some(agent) = &mut self.agent {
+        for agent in self.agent.iter_mut().chain(&mut self.elder) {
             let _ = agent.kill();
             let _ = agent.wait();
         }
@@ -203,12 +210,28 @@
             })
             .collect();
         let discovery = self.peers.entry("discovery".into()).or_insert_with(Peer::refuse).at;
-        let config = json!({"name": "n0", "listen": self.at.to_string(), "discovery": discovery.to_string(),
+        let mut config = json!({"name": "n0", "listen": self.at.to_string(), "discovery": discovery.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": {"revision": 41, "complete": true, "members": members}, "settings": self.settings});
+        if let Some(door) = self.door {
+            config["management"] = door.to_string().into();
+        }
         let path = self.folder.join("config.json");
         std::fs::write(&path, config.to_string()).expect("the configuration");
-        let mut agent = Command::new(env!("CARGO_BIN_EXE_notchspool-agent"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_notchspool-agent"));
+        if let Some((listener, number)) = &self.inherit {
+            command.env("ROUTER_INHERITED_FD", number);
+            if let Some(listener) = listener {
+                let shell = "exec 3<&0 0</dev/null; exec \"$0\"";
+                command = Command::new("sh");
+                command.args(["-c", shell, env!("CARGO_BIN_EXE_notchspool-agent")]);
+                command.env("ROUTER_INHERITED_FD", number);
+                let held = listener.try_clone().expect("one more descriptor");
+                command.stdin(Stdio::from(std::os::fd::OwnedFd::from(held)));
+            }
+        }
+        let mut agent = command
+            .env("TMPDIR", &self.folder)
             .env("ROUTER_CONFIG", path)
             .env("ROUTER_DISCOVERY", discovery.to_string())
             .env("NOTCHSPOOL_LOG", "debug")
@@ -240,6 +263,16 @@
         }
     }
 
+    /// One line to the door, and the whole answer.
+    fn order(&self, line: &str) -> Option<String> {
+        let mut io = TcpStream::connect(self.door.expect("a door")).ok()?;
+        io.set_read_timeout(Some(PATIENCE)).ok()?;
+        io.write_all(line.as_bytes()).ok()?;
+        let mut answer = String::new();
+        io.read_to_string(&mut answer).ok()?;
+        Some(answer)
+    }
+
     fn call(&mut self, name: &str) -> &mut BufReader<TcpStream> {
         let at = self.at;
         self.calls.entry(name.to_owned()).or_insert_with(|| {
@@ -279,10 +312,10 @@
                 self.start();
                 self.wait("it is never ready", || self.fetch("/healthz").is_some());
             }
-            "fails" => {
+            "fails" | "dies" => {
                 self.start();
                 let code = self.agent.as_mut().expect("started").wait().expect("an end").code();
-                assert_eq!(code, Some(2), "the start ends with an error");
+                assert_eq!(code, Some(if what == "fails" { 2 } else { 1 }), "the start ends with an error");
                 self.play(&format!("log {rest}"));
             }
             "ask" => {
@@ -342,6 +375,7 @@
             }
             "log" => self.wait(line, || self.log.lock().expect("the log").contains(rest)),
             "pause" => std::thread::sleep(Duration::from_millis(name.parse().expect("milliseconds"))),
+            "file" => std::fs::write(self.folder.join(name), raw(more)).expect("written"),
             "config" => {
                 let path = self.folder.join("config.json");
                 let value = self.peers.get(more).map_or(more.to_owned(), |peer| peer.at.to_string());
@@ -350,6 +384,37 @@
                 file[name] = value.into();
                 std::fs::write(&path, file.to_string()).expect("the configuration");
             }
+            "door" => self.door = Some(unused()),
+            "order" => {
+                let (asked, wanted) = rest.split_once(" = ").expect("LINE = ANSWER");
+                let asked = raw(asked);
+                let asked = if asked.ends_with('\n') { asked } else { asked + "\n" };
+                let answer = self.order(&asked).expect("an answer");
+                assert!(answer.starts_with(wanted) && answer.ends_with('\n'), "{line}: heard {answer}");
+            }
+            "mute" => {
+                for _ in 0..name.parse().expect("a number") {
+                    self.muted.push(TcpStream::connect(self.door.expect("a door")).expect("it listens"));
+                }
+            }
+            "inherit" if rest.is_empty() => {
+                let listener = TcpListener::bind(self.at).expect("a free port");
+                self.inherit = Some((Some(listener), "3".to_owned()));
+            }
+            "inherit" => self.inherit = Some((None, rest.to_owned())),
+            "beside" => {
+                self.elder = self.agent.take();
+                self.door = Some(unused());
+                self.start();
+                self.wait("it never says yes", || {
+                    self.order("status\n").is_some_and(|told| told.starts_with("OK"))
+                });
+            }
+            "elder" => {
+                let mut elder = self.elder.take().expect("a first process");
+                self.wait("it does not end", || elder.try_wait().is_ok_and(|end| end.is_some()));
+                assert!(elder.wait().expect("an end").success());
+            }
             "deaf" => self.deaf.store(true, Ordering::Relaxed),
             "calls" => {
                 let many: usize = name.parse().expect("a number");
@@ -358,7 +423,8 @@
                 }
             }
             "term" | "hup" | "stop" | "cont" => {
-                let id = self.agent.as_ref().expect("started").id().to_string();
+                let agent = self.elder.as_ref().or(self.agent.as_ref());
+                let id = agent.expect("started").id().to_string();
                 let signal = format!("-{}", what.to_uppercase());
                 assert!(Command::new("kill").args([&signal, &id]).status().expect("kill").success());
             }
@@ -389,6 +455,10 @@
         log: Default::default(),
         deaf: Default::default(),
         at: unused(),
+        door: None,
+        inherit: None,
+        elder: None,
+        muted: Vec::new(),
         calls: BTreeMap::new(),
     };
     let text = std::fs::read_to_string(&path).expect("a scenario");
