--- a/crates/agent/src/memory/counters.rs
+++ b/crates/agent/src/memory/counters.rs
@@ -14,6 +14,8 @@
     pub in_hand: Cell<usize>,
     pub callers: Cell<usize>,
     pub links: Cell<usize>,
+    /// Answers that pass through in pieces, now.
+    pub flows: Cell<usize>,
 }
 
 impl Counters {
@@ -31,17 +33,25 @@
             Fate::Broken => "posting_broken",
             Fate::Withdrawn => "posting_withdrawn",
             Fate::NeverSent => "posting_never_sent",
+            Fate::Spent => "posting_spent",
         });
     }
+    /// Txns in hand, and those whose answers still pass through: both hold room.
+    pub fn held(&self) -> usize {
+        self.in_hand.get() + self.flows.get()
+    }
     pub fn print(&self) -> String {
         let mut page = String::new();
         for (what, count) in self.counts.borrow().iter() {
             let _ = writeln!(page, "{what} {count}");
         }
         let _ = writeln!(page, "log_lines_lost {}", logger::lost());
-        for (what, now) in
-            [("now_in_hand", &self.in_hand), ("now_callers", &self.callers), ("now_links", &self.links)]
-        {
+        for (what, now) in [
+            ("now_in_hand", &self.in_hand),
+            ("now_callers", &self.callers),
+            ("now_links", &self.links),
+            ("now_flows", &self.flows),
+        ] {
             let _ = writeln!(page, "{what} {}", now.get());
         }
         page
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -40,7 +40,7 @@
             budgets,
             wake: None,
             unserved: Vec::new(),
-            unpaid: Vec::new(),
+            unsent: Vec::new(),
         };
         Desk { balancer: Balancer::open(terms, seed, clock.now()), hand, clock, pulse, closing: None }
     }
@@ -57,8 +57,8 @@
         if !self.hand.unserved.is_empty() {
             self.hand.settle_accounts(self.balancer.sound());
         }
-        for (txn, posting, backend) in std::mem::take(&mut self.hand.unpaid) {
-            let (fate, took) = (Fate::NeverSent, Micros(0));
+        for (txn, posting, backend, fate) in std::mem::take(&mut self.hand.unsent) {
+            let took = Micros(0);
             ctx.notify(Returned { txn, posting, backend, fate, took, report: None, made: None });
         }
         if let Some(wake) = self.hand.wake.take() {
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 
 use actix::Recipient;
-use notchspool::units::{BackendId, Micros, Outlet, TxnRef};
+use notchspool::units::{BackendId, Fate, Micros, Outlet, TxnRef};
 use notchspool_routes::budget::Budget;
 
 use super::counters::Counters;
+use super::flow::Rest;
 use super::mail::{Peer, ToPeer, Watch};
 use super::txn::{Answer, Budgets, InHand, Made, Unserved};
 
@@ -20,8 +21,8 @@
     pub wake: Option<Micros>,
     /// Txns that the call just made left unserved: true, declined, and when to come back.
     pub unserved: Vec<(TxnRef, bool, Option<Micros>)>,
-    /// Postings that no budget paid for, to come back as never sent.
-    pub unpaid: Vec<(TxnRef, u32, BackendId)>,
+    /// Postings that come back at once: no budget paid for them, or their body is spent.
+    pub unsent: Vec<(TxnRef, u32, BackendId, Fate)>,
 }
 
 impl Hand {
@@ -66,7 +67,12 @@
         let paid = |payer| self.budgets.borrow_mut().get_mut(&payer).is_some_and(Budget::repeat);
         if posting + held.earlier > 0 && held.payer.is_some_and(|payer| !paid(payer)) {
             self.counters.add("no_budget");
-            return self.unpaid.push((txn, posting, to));
+            return self.unsent.push((txn, posting, to, Fate::NeverSent));
+        }
+        // What passed through once is here no more.
+        if held.carried.rest.as_ref().is_some_and(Rest::is_taken) {
+            self.counters.add("body_spent");
+            return self.unsent.push((txn, posting, to, Fate::Spent));
         }
         self.counters.add("postings");
         peer.do_send(ToPeer::Post { txn, posting, until, carried: held.carried.clone() });
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -3,6 +3,7 @@
 pub mod counters;
 pub mod desk;
 mod figures;
+pub mod flow;
 pub mod hand;
 mod ids;
 pub mod list;
--- a/crates/agent/src/memory/txn.rs
+++ b/crates/agent/src/memory/txn.rs
@@ -12,6 +12,8 @@
 use notchspool_routes::budget::Budget;
 use tokio::sync::oneshot;
 
+use super::flow::{Flow, Rest};
+
 /// Which answers of a backend settle a txn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reading {
@@ -28,15 +30,28 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// The header that tells the backend how many milliseconds are left.
     pub expires: Option<HeaderName>,
+    /// All of the body, or what is held of it where the rest passes through.
     pub body: Bytes,
+    pub rest: Option<Rest>,
     pub reading: Reading,
+    /// Whether a large answer may pass through in pieces.
+    pub flows: bool,
 }
 
 /// What a backend made of it.
 pub struct Made {
     pub status: StatusCode,
     pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// All of the body, or its beginning.
     pub body: Bytes,
+    pub more: Option<More>,
+}
+
+/// What follows of an answer that passes through.
+pub struct More {
+    pub flow: Flow,
+    /// Bytes of the whole body, where that was told.
+    pub length: Option<usize>,
 }
 
 impl Made {
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -2,27 +2,30 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::convert::Infallible;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use actix::Addr;
-use actix_http::body::BoxBody;
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::{Method, Payload, Request, Response, StatusCode};
 use awc::http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::{Stream, StreamExt};
 use notchspool::units::{Kind, Micros, SchemeId, TxnRef};
 use tokio::sync::oneshot;
 
 use super::caller::{Asked, Call, Letting};
 use super::posting::length;
 use crate::base::bounds::{BODY, Bounds};
-use crate::base::clock::Clock;
+use crate::base::clock::{Clock, span};
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Desk, Left, Take};
-use crate::memory::txn::{Answer, Carried, Reading, Unserved};
+use crate::memory::flow::{Cut, Giver, LARGEST, Rest, flow};
+use crate::memory::txn::{Answer, Carried, More, Reading, Unserved};
 
 /// Kept clear of an expiry for the way back.
 const WAY: Micros = Micros::ms(5);
@@ -128,7 +131,7 @@
             "/healthz" => plain(StatusCode::OK, "ready\n"),
             "/-/counters" => plain(StatusCode::OK, self.porch.page()),
             _ => match self.txn(request, call.clone()).await {
-                Ok(answer) => reply(answer),
+                Ok((answer, asked)) => reply_on(answer, Some(asked)),
                 Err((status, why)) => {
                     self.porch.counters.add("bad_requests");
                     // Who sent this would send more of it: nothing else that came with it is looked at.
@@ -147,7 +150,7 @@
         &self,
         mut request: Request,
         call: Option<Rc<Call>>,
-    ) -> Result<Answer, (StatusCode, &'static str)> {
+    ) -> Result<(Answer, Asked), (StatusCode, &'static str)> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let head = request.head();
         if head.method != Method::GET && head.method != Method::POST {
@@ -180,33 +183,132 @@
             headers: headers.filter_map(|(name, value)| Some((name, value?))).collect(),
             expires: Some(name("x-expires-in-ms")),
             body: Bytes::new(),
+            rest: None,
             reading: Reading::Platform,
+            flows: true,
         };
-        carried.body = body(&mut request).await?;
+        let Body { held, length, mut payload } = begun(&mut request, LARGEST).await?;
+        carried.body = held;
         let came = self.porch.came().await;
-        let _asked = Asked::on(call);
-        if self.porch.counters.in_hand.get() >= self.porch.bounds.txns {
+        let asked = Asked::on(call);
+        if self.porch.counters.held() >= self.porch.bounds.txns {
             // At the bound nothing is begun: a decline, as true as any.
             self.porch.counters.add("declined_at_bound");
             log::debug!("all room for txns is taken: declined");
-            return Ok(Answer::Declined(self.away, Unserved::default()));
+            return Ok((Answer::Declined(self.away, Unserved::default()), asked));
         }
         if !self.traces.borrow_mut().insert(trace.clone()) {
             return Err((StatusCode::CONFLICT, "a txn of that X-Trace-Id is in hand"));
         }
-        let expiry = came + expires.min(self.porch.longest.get()) - WAY;
+        let expires = expires.min(self.porch.longest.get()) - WAY;
+        let mut expiry = came + expires;
+        let (giver, flow) = flow();
+        if payload.is_some() {
+            // The client's time runs from its last byte.
+            expiry = expiry + PASSES_WITHIN;
+            carried.rest = Some(Rest::new(flow, length, span(expires)));
+        }
         let txn = TxnRef(self.next.get());
         self.next.set(txn.0 + 1);
         let (caller, answer) = oneshot::channel();
         let mut waiting = Waiting { front: self, txn, trace, answered: false };
         let carried = Arc::new(carried);
-        self.desk.do_send(Take { txn, scheme, expiry, carried, caller, earlier: 0, payer: None });
+        let take = Take { txn, scheme, expiry, carried: carried.clone(), caller, earlier: 0, payer: None };
+        self.desk.do_send(take);
+        let mut answer = pin!(answer);
+        if let (Some(payload), Some(rest)) = (&mut payload, &carried.rest) {
+            let held = carried.body.len();
+            asked.passes(true);
+            let given = tokio::select! {
+                early = &mut answer => Err(early),
+                given = pass_on(payload, giver, held, length) => Ok(given),
+            };
+            match given {
+                Ok(Ok(())) => {
+                    asked.passes(false);
+                    rest.over();
+                }
+                Ok(Err(why)) => return Err(why),
+                Err(early) => {
+                    waiting.answered = true;
+                    let answer = early.unwrap_or(Answer::Reversed(None, Unserved::default()));
+                    return Ok((answer, asked));
+                }
+            }
+        }
         let answer = answer.await.unwrap_or(Answer::Reversed(None, Unserved::default()));
         waiting.answered = true;
-        Ok(answer)
+        Ok((answer, asked))
+    }
+}
+
+/// A client that gives nothing more of a body for so long has broken off.
+const UNGIVEN: Duration = Duration::from_millis(2_500);
+/// What a txn waits at most for its body to pass.
+const PASSES_WITHIN: Micros = Micros::ms(600_000);
+
+/// Hands a body on as it comes, to its end. Where nobody takes it, it waits.
+async fn pass_on(
+    payload: &mut Payload,
+    giver: Giver,
+    mut passed: usize,
+    length: Option<usize>,
+) -> Result<(), (StatusCode, &'static str)> {
+    loop {
+        let Ok(room) = giver.reserve().await else {
+            // Nobody will take it any more: the answer is on its way.
+            return std::future::pending().await;
+        };
+        let (piece, why) = match actix_rt::time::timeout(UNGIVEN, payload.next()).await {
+            Ok(Some(Ok(piece))) if passed + piece.len() > LARGEST => {
+                (Err(Cut), Some((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")))
+            }
+            Ok(Some(Ok(piece))) if piece.is_empty() => continue,
+            Ok(Some(Ok(piece))) => {
+                passed += piece.len();
+                (Ok(piece), None)
+            }
+            Ok(None) if length.is_none_or(|length| length == passed) => {
+                room.send(Ok(Bytes::new()));
+                return Ok(());
+            }
+            Ok(None | Some(Err(_))) => (Err(Cut), Some((StatusCode::BAD_REQUEST, "the body broke off"))),
+            Err(_) => (Err(Cut), Some((StatusCode::REQUEST_TIMEOUT, "the body stands still"))),
+        };
+        room.send(piece);
+        if let Some(why) = why {
+            return Err(why);
+        }
     }
 }
 
+/// A body, all of it or its beginning with what follows.
+pub struct Body {
+    pub held: Bytes,
+    /// Bytes in all, where that was told.
+    pub length: Option<usize>,
+    pub payload: Option<Payload>,
+}
+
+/// Reads a body while it is small enough to be held.
+async fn begun(request: &mut Request, most: usize) -> Result<Body, (StatusCode, &'static str)> {
+    let length = length(request.head().headers());
+    if length.is_some_and(|told| told > most) {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+    }
+    let mut held = BytesMut::new();
+    let mut payload = request.take_payload();
+    let large = length.is_some_and(|length| length > BODY);
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off"))?;
+        held.extend_from_slice(&chunk);
+        if held.len() > BODY || large {
+            return Ok(Body { held: held.freeze(), length, payload: Some(payload) });
+        }
+    }
+    Ok(Body { held: held.freeze(), length, payload: None })
+}
+
 pub async fn body(request: &mut Request) -> Result<Bytes, (StatusCode, &'static str)> {
     if length(request.head().headers()).is_some_and(|told| told > BODY) {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
@@ -228,9 +330,41 @@
 }
 
 pub fn reply(answer: Answer) -> Reply {
+    reply_on(answer, None)
+}
+
+/// An answer that passes through in pieces. Its connection counts as busy till the end.
+struct Passing {
+    first: Option<Bytes>,
+    more: More,
+    _asked: Option<Asked>,
+}
+
+impl MessageBody for Passing {
+    type Error = Cut;
+    fn size(&self) -> BodySize {
+        self.more.length.map_or(BodySize::Stream, |length| BodySize::Sized(length as u64))
+    }
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Bytes, Cut>>> {
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(first))),
+            None => Pin::new(&mut self.more.flow).poll_next(cx),
+        }
+    }
+}
+
+/// `asked`: the txn's hold on its connection, which an answer that passes through keeps.
+pub fn reply_on(answer: Answer, asked: Option<Asked>) -> Reply {
     match answer {
         Answer::Settled(made) => {
-            let mut reply = plain(made.status, made.body);
+            let mut reply = match made.more {
+                None => plain(made.status, made.body),
+                Some(more) => {
+                    let first = Some(made.body).filter(|body| !body.is_empty());
+                    let body = BoxBody::new(Passing { first, more, _asked: asked });
+                    Response::with_body(made.status, body)
+                }
+            };
             for (name, value) in made.headers {
                 reply.headers_mut().append(name, value);
             }
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -68,14 +68,15 @@
         self.held = false;
         self.client = self.ground.client(self.ground.bounds.links, self.past.clone());
     }
-    fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome) {
+    fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome, took: Option<Duration>) {
         let Some((_, sent)) = self.out.remove(&(txn, posting)) else { return };
         if outcome.fate == Fate::NeverSent {
             self.ground.counters.add("no_room_for_links");
             log::warn!("backend {}: no connection left of {}", self.at, self.ground.bounds.links);
             self.desk.do_send(NoRoom);
         }
-        self.tell(txn, posting, self.ground.clock.now() - sent, outcome);
+        let took = took.map_or(self.ground.clock.now() - sent, |took| Micros(took.as_micros() as i64));
+        self.tell(txn, posting, took, outcome);
     }
     fn tell(&self, txn: TxnRef, posting: u32, took: Micros, outcome: Outcome) {
         let (backend, Outcome { fate, report, made }) = (self.id, outcome);
@@ -111,7 +112,7 @@
             ToPeer::Cancel { txn, posting } => {
                 if let Some((handle, _)) = self.out.get(&(txn, posting)) {
                     ctx.cancel_future(*handle);
-                    self.returned(txn, posting, Outcome::only(Fate::Withdrawn));
+                    self.returned(txn, posting, Outcome::only(Fate::Withdrawn), None);
                 }
             }
             ToPeer::Probe => self.probe(ctx),
@@ -121,7 +122,7 @@
             ToPeer::Retire => {
                 // Its postings end with it: a txn that hears of none would never be answered.
                 for (txn, posting) in self.out.keys().copied().collect::<Vec<_>>() {
-                    self.returned(txn, posting, Outcome::only(Fate::Broken));
+                    self.returned(txn, posting, Outcome::only(Fate::Broken), None);
                 }
                 ctx.stop();
             }
@@ -150,9 +151,15 @@
         }
         let within = self.ground.clock.until(until);
         (self.used, self.held) = (self.ground.clock.now(), true);
-        let sent = posting::post(self.client.clone(), self.at, carried, within, self.ground.connect_within)
-            .into_actor(self)
-            .map(move |outcome, peer, _| peer.returned(txn, posting, outcome));
+        let (client, ground, rest) = (self.client.clone(), &self.ground, carried.clone());
+        let sent =
+            posting::post(client, self.at, carried, within, ground.connect_within, ground.counters.clone())
+                .into_actor(self)
+                .map(move |outcome, peer, _| {
+                    // Before its last byte came it could not begin: how long that took says nothing of the backend.
+                    let took = rest.rest.as_ref().and_then(|rest| rest.given()).map(|at| at.elapsed());
+                    peer.returned(txn, posting, outcome, took);
+                });
         self.out.insert((txn, posting), (ctx.spawn(sent), self.used));
     }
 
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -16,8 +16,12 @@
 
 /// One that has just come, and said nothing yet, is about to.
 const FRESH: Duration = Duration::from_millis(1_000);
-/// A first word, and a request once begun, must be here within this.
-const WHOLE: Duration = Duration::from_millis(2_000);
+/// A first word, and the head of a request once begun, must be here within this: a slow client takes 2 s.
+const WHOLE: Duration = Duration::from_millis(2_300);
+/// From then on a request has to grow by so many bytes a second: half of what a slow client gives.
+const GROWS: f64 = 32_000.0;
+/// An answer of which nothing is taken for so long is not read. A slow reader takes a large piece at a time.
+const UNREAD: Duration = Duration::from_millis(2_500);
 /// Where room is short, one that has yet to say something, or all of it, makes way after this.
 const PRESSED: Duration = Duration::from_millis(100);
 /// One may stand idle for this long where there is room.
@@ -67,6 +71,10 @@
     /// Bytes were read since the last answer was written: a request is on its way or in hand.
     busy: Cell<bool>,
     in_hand: Cell<usize>,
+    /// Bytes of the request that is on its way.
+    grown: Cell<usize>,
+    /// A body passes through: what comes belongs to it, whatever it looks like.
+    pub passing: Cell<bool>,
     /// It sent what can't be a txn, and why: it gets its answer, and no more is read.
     refused: Cell<Option<&'static str>>,
     /// Ended from here, with this reason code.
@@ -82,6 +90,10 @@
     fn fresh(&self) -> bool {
         !self.spoke.get() && self.since.get().elapsed() < FRESH
     }
+    /// How long a request may take that came as far as this one.
+    fn allowed(&self) -> Duration {
+        WHOLE + Duration::from_secs_f64(self.grown.get() as f64 / GROWS)
+    }
     pub fn refuse(&self, why: &'static str) {
         self.refused.set(Some(why));
     }
@@ -164,7 +176,7 @@
         }
         let leaving = letting == Letting::AllButFresh;
         // Whoever asks much at once and reads nothing would hold the room of all that it asked, for as long as it likes.
-        let unread = |call: &&Rc<Call>| call.unread.get().is_some_and(|since| since.elapsed() > WHOLE);
+        let unread = |call: &&Rc<Call>| call.unread.get().is_some_and(|since| since.elapsed() > UNREAD);
         for call in self.all.borrow().values().filter(|call| call.ended().is_none()).filter(unread) {
             call.end("CALL_STUCK");
         }
@@ -173,8 +185,10 @@
         {
             let stood = call.since.get().elapsed();
             match (call.busy.get(), call.spoke.get()) {
-                (true, _) if stood > WHOLE => call.end("CALL_STUCK"),
+                // What it wrote last may wait to be taken still: that is judged above.
+                (true, _) if stood > call.allowed() && call.unsent.get() == 0 => call.end("CALL_STUCK"),
                 (false, false) if stood > WHOLE => call.end("CALL_SILENT"),
+                (false, _) if call.unsent.get() > 0 => {}
                 (false, _) if stood > IDLE || (leaving && !call.fresh()) => call.end("CALL_IDLE"),
                 _ => {}
             }
@@ -233,6 +247,8 @@
             spoke: Cell::new(false),
             busy: Cell::new(false),
             in_hand: Cell::new(0),
+            grown: Cell::new(0),
+            passing: Cell::new(false),
             refused: Cell::new(None),
             ended: Cell::new(None),
             waker: RefCell::new(None),
@@ -258,6 +274,14 @@
 /// A txn of this connection in hand, while this lives.
 pub struct Asked(Option<Rc<Call>>);
 impl Asked {
+    /// Whether its body still passes through.
+    pub fn passes(&self, passes: bool) {
+        if let Some(call) = &self.0 {
+            call.passing.set(passes);
+            // What was kept back may be read now.
+            call.waker.take().into_iter().for_each(Waker::wake);
+        }
+    }
     pub fn on(call: Option<Rc<Call>>) -> Asked {
         call.iter().for_each(|call| call.in_hand.set(call.in_hand.get() + 1));
         Asked(call)
@@ -267,6 +291,8 @@
     fn drop(&mut self) {
         if let Some(call) = &self.0 {
             call.in_hand.set(call.in_hand.get().saturating_sub(1));
+            call.passing.set(false);
+            call.grown.set(0);
             call.since.set(Instant::now());
             // What came meanwhile may be read now.
             call.waker.take().into_iter().for_each(Waker::wake);
@@ -331,10 +357,11 @@
         }
         let before = buf.filled().len();
         let waits = !self.later.is_empty();
-        if waits && self.call.in_hand.get() > 0 {
+        let passing = self.call.passing.get();
+        if waits && self.call.in_hand.get() > 0 && !passing {
             return self.wait(cx);
         }
-        if waits && self.turn {
+        if waits && self.turn && !passing {
             self.turn = false;
             cx.waker().wake_by_ref();
             return Poll::Pending;
@@ -347,6 +374,7 @@
             Pin::new(&mut self.io).poll_read(cx, buf)
         };
         if !self.shares
+            && !passing
             && let Some(end) = enough(&buf.filled()[before..])
         {
             let mut rest = BytesMut::from(&buf.filled()[before + end..]);
@@ -359,7 +387,9 @@
             call.spoke.set(true);
             if !call.busy.replace(true) {
                 call.since.set(Instant::now());
+                call.grown.set(0);
             }
+            call.grown.set(call.grown.get() + buf.filled().len() - before);
         } else if read.is_pending() {
             call.waker.replace(Some(cx.waker().clone()));
         }
@@ -380,6 +410,10 @@
         };
         if left == 0 {
             call.unread.set(None);
+        } else if left < buf.len() {
+            // It takes some: that is all that can be asked.
+            call.unread.set(Some(Instant::now()));
+            call.writer.replace(Some(cx.waker().clone()));
         } else {
             call.unread.set(call.unread.get().or_else(|| Some(Instant::now())));
             call.writer.replace(Some(cx.waker().clone()));
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -166,7 +166,7 @@
             Some(None) => return Err(full("TENANT_FULL", "this tenant holds all that it may")),
             held => held.flatten(),
         };
-        if self.porch.counters.in_hand.get() >= self.porch.bounds.txns {
+        if self.porch.counters.held() >= self.porch.bounds.txns {
             return Err(full("AGENT_FULL", "all room for txns is taken"));
         }
         let first = match route.at.as_slice() {
@@ -317,6 +317,8 @@
         path: asking.path,
         expires: route.expiry_header.clone(),
         body: asking.body,
+        rest: None,
+        flows: false,
         reading: Reading::Plain,
     })
 }
--- a/crates/agent/src/wire/fcgi/peer.rs
+++ b/crates/agent/src/wire/fcgi/peer.rs
@@ -207,6 +207,7 @@
         return broken("an answer over 64 KiB");
     }
     let made = (fate == Fate::Settled || reading == Reading::Plain).then(|| Made {
+        more: None,
         status,
         headers: posting::handed_on(&headers, reading),
         body,
--- a/crates/agent/src/wire/link.rs
+++ b/crates/agent/src/wire/link.rs
@@ -38,12 +38,26 @@
     }
 }
 
+/// Heads of answers that are held till they are whole.
+const HEAD: usize = 32 * 1024;
+
 /// How far one posting got on its connection.
 #[derive(Default)]
 pub struct Mark {
     written: Passing,
+    /// The last bytes written after the head.
+    tail: Cell<u64>,
+    /// All of the body was handed to the connection.
+    pub fed: Cell<bool>,
+    /// Whoever gives the body broke off: no fault of this connection's.
+    pub cut: Cell<bool>,
     heard: Passing,
-    body: usize,
+    /// Bytes of the answer that were read, its head held back or not.
+    came: Cell<usize>,
+    /// None: in chunks.
+    body: Option<usize>,
+    /// Its answer has no body, whatever its head says.
+    bodiless: bool,
     pub ended: Cell<bool>, // the peer ended its sending while we read
     /// The connection is not to be used again: more came than belongs to the answer, or that can't be told.
     spent: Cell<bool>,
@@ -55,16 +69,32 @@
 }
 
 impl Mark {
-    pub fn new(body: usize) -> Rc<Mark> {
-        Rc::new(Mark { body, ..Mark::default() })
+    /// `body`: bytes of it, none where it goes in chunks.
+    pub fn new(body: Option<usize>, bodiless: bool) -> Rc<Mark> {
+        Rc::new(Mark { body, bodiless, ..Mark::default() })
     }
     /// Whether the last byte was written. Before that the posting never ran.
     pub fn whole(&self) -> bool {
-        self.written.headed.get() && self.written.after.get() >= self.body
+        let last = u64::from_be_bytes(*b"\0\0\x000\r\n\r\n");
+        let over = match self.body {
+            Some(length) => self.written.after.get() >= length,
+            None => self.fed.get() && self.tail.get() & 0xff_ffff_ffff == last,
+        };
+        self.written.headed.get() && over
+    }
+    fn wrote(&self, bytes: &[u8]) {
+        self.written.passed(bytes);
+        for byte in &bytes[bytes.len().saturating_sub(5)..] {
+            self.tail.set(self.tail.get() << 8 | u64::from(*byte));
+        }
+    }
+    /// Bytes written so far.
+    pub fn written(&self) -> usize {
+        self.written.all.get()
     }
     /// Bytes of the answer that came, interim heads left out.
-    pub fn heard(&self) -> usize {
-        self.heard.all.get()
+    pub fn came(&self) -> usize {
+        self.came.get()
     }
     /// The answer is over, with a body of so many bytes, or nobody knows how many.
     pub fn over(&self, length: Option<usize>) {
@@ -172,25 +202,68 @@
     }
 }
 
-/// Where an interim answer (1xx, but for 101, that nobody asks for) ends at the start of what came, if it is
-/// one; none as long as that can't be told. The HTTP client takes the first head that it sees for the answer.
-fn interim(came: &[u8]) -> Option<usize> {
-    let sample = b"HTTP/1.x 1xx";
-    let told = came.iter().zip(sample).all(|(byte, want)| *want == b'x' || byte == want);
-    if !told || came.starts_with(b"HTTP/1.1 101") || came.len() > INTERIM {
-        return Some(0);
+/// What stands at the start of what came.
+#[derive(Debug, PartialEq, Eq)]
+enum Head {
+    /// Too little of a head to tell.
+    Part,
+    /// An interim answer (1xx, but for 101, that nobody asks for), to its end. The HTTP client takes the first head that it
+    /// sees for the answer.
+    Interim(usize),
+    /// The head of the answer, to its end.
+    Answer(usize),
+    /// No head, or one that is too long.
+    None,
+}
+
+fn head(came: &[u8]) -> Head {
+    let begins = came.iter().zip(b"HTTP/1.x ").all(|(byte, want)| *want == b'x' || byte == want);
+    let interim = came.get(9) == Some(&b'1') && !came.starts_with(b"HTTP/1.1 101");
+    if !begins || came.len() > if interim { INTERIM } else { HEAD } {
+        return Head::None;
+    }
+    let ends = |(at, byte): (usize, &u8)| match (byte, &came[at + 1..]) {
+        (b'\n', [b'\r', b'\n', ..]) => Some(at + 3),
+        (b'\n', [b'\n', ..]) => Some(at + 2),
+        _ => None,
+    };
+    match came.iter().enumerate().find_map(ends) {
+        None => Head::Part,
+        Some(end) if interim => Head::Interim(end),
+        Some(end) => Head::Answer(end),
     }
-    came.windows(4).position(|end| end == b"\r\n\r\n").map(|at| at + 4)
+}
+
+/// Whether the body of an answer with this head ends with its connection: it has one, of no stated length and not in chunks. The
+/// HTTP client believes that of HTTP/1.0 alone, and would take an HTTP/1.1 answer for an empty one.
+fn ends_with_connection(head: &[u8]) -> bool {
+    let framed = |line: &[u8]| {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default().trim_ascii_end();
+        [&b"content-length"[..], b"transfer-encoding"].iter().any(|known| name.eq_ignore_ascii_case(known))
+    };
+    let none = matches!(head.get(9..12), Some(b"204" | b"304" | b"101"));
+    !none && !head.split(|byte| *byte == b'\n').skip(1).any(framed)
 }
 
 impl Link {
     /// Hands on what was read ahead. Nothing where that is still an interim answer.
     fn hand_on(&mut self, buf: &mut ReadBuf) {
         while self.opening {
-            match interim(&self.ahead) {
-                Some(0) if !self.ahead.is_empty() => self.opening = false,
-                Some(end) if end > 0 => self.ahead.advance(end),
-                _ => return,
+            match head(&self.ahead) {
+                Head::Part => return,
+                Head::Interim(end) => {
+                    self.ahead.advance(end);
+                    let mark = self.mark.iter();
+                    mark.for_each(|mark| mark.came.set(mark.came.get().saturating_sub(end)));
+                }
+                Head::Answer(end) => {
+                    let bodiless = self.mark.as_ref().is_some_and(|mark| mark.bodiless);
+                    if !bodiless && ends_with_connection(&self.ahead[..end]) {
+                        self.ahead[7] = b'0';
+                    }
+                    self.opening = false;
+                }
+                Head::None => self.opening = false,
             }
         }
         let some = self.ahead.split_to(buf.remaining().min(self.ahead.len()));
@@ -225,6 +298,8 @@
                 Poll::Ready(Ok(())) => {
                     self.waiting = false;
                     self.ahead.extend_from_slice(room.filled());
+                    let many = room.filled().len();
+                    self.mark.iter().for_each(|mark| mark.came.set(mark.came.get() + many));
                 }
                 Poll::Ready(Err(why)) => return self.broke(why),
                 Poll::Pending => return Poll::Pending,
@@ -238,7 +313,7 @@
         match Pin::new(&mut self.io).poll_write(cx, buf) {
             Poll::Ready(Ok(n)) => {
                 if let Ok(mark) = MARK.try_with(Rc::clone) {
-                    mark.written.passed(&buf[..n]);
+                    mark.wrote(&buf[..n]);
                     self.opening |= !self.mark.as_ref().is_some_and(|old| Rc::ptr_eq(old, &mark));
                     self.mark = Some(mark);
                 }
@@ -265,3 +340,50 @@
         ActixStream::poll_write_ready(&self.io, cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case(b"HTTP/1.1 200 OK\r\nA: b\r\n\r\nrest", Head::Answer(25))]
+    #[case(b"HTTP/1.1 200 OK\nA: b\n\nrest", Head::Answer(22))]
+    #[case(b"HTTP/1.1 100 Continue\r\n\r\nHTTP", Head::Interim(25))]
+    #[case(b"HTTP/1.1 101 No\r\n\r\n", Head::Answer(19))]
+    #[case(b"noise", Head::None)]
+    fn a_head_is_told_once_it_is_whole(#[case] came: &[u8], #[case] told: Head) {
+        let end = match told {
+            Head::Answer(end) | Head::Interim(end) => end,
+            _ => came.len(),
+        };
+        assert_eq!(head(came), told);
+        for cut in 0..end {
+            assert!(matches!(head(&came[..cut]), Head::Part | Head::None), "{cut}");
+        }
+    }
+
+    #[rstest]
+    #[case(b"HTTP/1.1 200 OK\r\n\r\n", true)]
+    #[case(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", true)]
+    #[case(b"HTTP/1.1 200 OK\r\nCONTENT-length : 3\r\n\r\n", false)]
+    #[case(b"HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n", false)]
+    #[case(b"HTTP/1.1 204 No\r\n\r\n", false)]
+    fn an_answer_without_a_length_ends_with_its_connection(#[case] head: &[u8], #[case] so: bool) {
+        assert_eq!(ends_with_connection(head), so);
+    }
+
+    #[test]
+    fn chunks_are_whole_with_their_last_one_alone() {
+        let mark = Mark::new(None, false);
+        mark.wrote(b"POST / HTTP/1.1\r\n\r\n");
+        mark.wrote(b"5\r\n0\r\n\r\n\r\n");
+        assert!(!mark.whole(), "a body may look like its own end");
+        mark.fed.set(true);
+        mark.wrote(b"0\r\n");
+        assert!(!mark.whole());
+        mark.wrote(b"\r\n");
+        assert!(mark.whole());
+    }
+}
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -1,11 +1,14 @@
 //! One posting, from its first byte to what became of it.
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use actix_http::body::{BodySize, MessageBody};
+use actix_http::error::PayloadError;
 use actix_http::{Method, StatusCode};
 use actix_rt::net::{TcpSocket, TcpStream};
 use actix_tls::connect::{ConnectError as NoAddress, ConnectInfo, Connection};
@@ -13,13 +16,16 @@
 use awc::http::Uri;
 use awc::http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
 use awc::{Client, Connector};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
 use notchspool::units::{Fate, Report};
 use notchspool_terms::report_line;
 
 use super::link::{Link, MARK, Mark, Past};
 use crate::base::bounds::{BODY, SEND_BUFFER};
 use crate::memory::counters::Counters;
-use crate::memory::txn::{Carried, Made, Reading};
+use crate::memory::flow::{Cut, Flow, Giver, LARGEST, Rest, flow};
+use crate::memory::txn::{Carried, Made, More, Reading};
 
 /// Error text of a connection that was not even tried, for want of room.
 const NO_ROOM: &str = "no room for another connection";
@@ -85,38 +91,98 @@
     }
 }
 
+/// A backend that takes nothing of a body for so long will not: longer than a client may take to give more of it.
+const UNTAKEN: Duration = Duration::from_millis(3_500);
+/// An answer that passes through and stands still for so long was broken off.
+const UNGIVEN: Duration = Duration::from_secs(5);
+/// What a posting waits at most for its body to pass.
+const PASSES_WITHIN: Duration = Duration::from_secs(600);
+
 /// Sends the txn to a backend and waits for its answer till the posting's time is up. An answer that has
-/// begun and then stands still for `stall` never comes whole.
+/// begun and then stands still for `stall` never comes whole. Where the body passes through, the time runs from its last byte.
 pub async fn post(
     client: Client,
     at: SocketAddr,
     carried: Arc<Carried>,
     within: Duration,
     stall: Duration,
+    counters: Rc<Counters>,
 ) -> Outcome {
-    let (mark, end) = (Mark::new(carried.body.len()), Instant::now() + within);
-    let mut sent = pin!(MARK.scope(mark.clone(), send(client, at, carried, within, mark.clone())));
+    let length = match &carried.rest {
+        None => Some(carried.body.len()),
+        Some(rest) => rest.length,
+    };
+    let (mark, began) = (Mark::new(length, carried.method == Method::HEAD), Instant::now());
+    let rest = carried.clone();
+    let rest = rest.rest.as_ref();
+    let end = || match rest.map(|rest| (rest.given(), rest.wait)) {
+        None => began + within,
+        Some((Some(given), wait)) => given + wait,
+        Some((None, _)) => began + PASSES_WITHIN,
+    };
+    let mut moved = (0, Instant::now());
+    let mut sent = pin!(MARK.scope(mark.clone(), send(client, at, carried, within, mark.clone(), counters)));
     loop {
-        let (before, left) = (mark.heard(), end.saturating_duration_since(Instant::now()));
+        let (before, left) = (mark.came(), end().saturating_duration_since(Instant::now()));
         match actix_rt::time::timeout(left.min(stall), &mut sent).await {
             Ok(outcome) => return outcome,
-            Err(_) if before > 0 && before == mark.heard() && left > stall => {
+            Err(_) if before > 0 && before == mark.came() && left > stall => {
                 log::warn!("backend {at}: an answer that stands still after {before} bytes");
                 return Outcome::only(Fate::Broken);
             }
-            Err(_) if Instant::now() < end => {}
-            Err(_) if mark.whole() => return Outcome::only(Fate::TimedOut),
-            Err(_) => return Outcome::only(Fate::NoLink),
+            Err(_) if rest.is_some() && !mark.whole() && mark.written() == moved.0 => {
+                if moved.1.elapsed() > UNTAKEN {
+                    log::warn!("backend {at}: it takes no more after {} bytes", moved.0);
+                    return Outcome::only(Fate::NoLink);
+                }
+            }
+            Err(_) => moved = (mark.written(), Instant::now()),
+        }
+        if Instant::now() >= end() {
+            return Outcome::only(if mark.whole() { Fate::TimedOut } else { Fate::NoLink });
         }
     }
 }
 
+/// The body of a posting: what is held, then what passes through. That is taken only once all that is held went on.
+struct Passing {
+    held: Option<Bytes>,
+    carried: Arc<Carried>,
+    flow: Option<Flow>,
+    mark: Rc<Mark>,
+}
+
+impl MessageBody for Passing {
+    type Error = Cut;
+    fn size(&self) -> BodySize {
+        let length = self.carried.rest.as_ref().and_then(|rest| rest.length);
+        length.map_or(BodySize::Stream, |length| BodySize::Sized(length as u64))
+    }
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Bytes, Cut>>> {
+        if let Some(held) = self.held.take() {
+            return Poll::Ready(Some(Ok(held)));
+        }
+        if self.flow.is_none() {
+            self.flow = self.carried.rest.as_ref().and_then(Rest::take);
+        }
+        let Some(flow) = &mut self.flow else { return Poll::Ready(Some(Err(Cut))) };
+        let piece = Pin::new(flow).poll_next(cx);
+        match piece {
+            Poll::Ready(None) => self.mark.fed.set(true),
+            Poll::Ready(Some(Err(Cut))) => self.mark.cut.set(true),
+            _ => {}
+        }
+        piece
+    }
+}
+
 async fn send(
     client: Client,
     at: SocketAddr,
     carried: Arc<Carried>,
     within: Duration,
     mark: Rc<Mark>,
+    counters: Rc<Counters>,
 ) -> Outcome {
     let uri = Uri::builder().scheme("http").authority(at.to_string()).path_and_query(carried.path.clone());
     let Ok(uri) = uri.build() else { return Outcome::only(Fate::NeverSent) };
@@ -124,14 +190,23 @@
     for (name, value) in &carried.headers {
         request = request.append_header((name.clone(), value.clone()));
     }
+    let within = carried.rest.as_ref().map_or(within, |rest| rest.wait);
     if let Some(expires) = &carried.expires {
         request = request.insert_header((expires.clone(), within.as_millis().to_string()));
     }
     let empty =
         carried.body.is_empty() && !matches!(carried.method, Method::POST | Method::PUT | Method::PATCH);
-    let sent = if empty { request.send() } else { request.send_body(carried.body.clone()) };
+    let sent = match &carried.rest {
+        Some(_) => {
+            let held = Some(carried.body.clone());
+            request.send_body(Passing { held, carried: carried.clone(), flow: None, mark: mark.clone() })
+        }
+        None if empty => request.send(),
+        None => request.send_body(carried.body.clone()),
+    };
     let mut answer = match sent.await {
         Ok(answer) => answer,
+        Err(_) if mark.cut.get() => return Outcome::only(Fate::Withdrawn),
         Err(why) => return broke(&why, mark.whole()),
     };
     let report = report(answer.headers());
@@ -140,21 +215,99 @@
     let bodiless = carried.method == Method::HEAD || status == 204 || status == 304;
     let length = length(answer.headers()).filter(|_| !bodiless);
     let chunked = answer.headers().contains_key("transfer-encoding");
-    let body = answer.body().limit(BODY).await;
-    mark.over(length.filter(|_| !chunked));
+    let length = length.filter(|_| !chunked);
     // An answer that stops short of its length, or between chunks, is no answer.
-    let whole = |n: usize| length.is_none_or(|length| length == n) && !(chunked && mark.ended.get());
-    let body = body.ok().filter(|body| whole(body.len()));
-    match (fate, body) {
-        (Fate::Settled, Some(body)) => Outcome { fate, report, made: Some(Made { status, headers, body }) },
-        (fate, Some(body)) if carried.reading == Reading::Plain => {
-            Outcome { fate, report, made: Some(Made { status, headers, body }) }
+    let whole = move |n: usize, mark: &Mark| {
+        length.is_none_or(|length| length == n) && !(chunked && mark.ended.get())
+    };
+    let settled = fate == Fate::Settled;
+    let mut body = BytesMut::new();
+    let large = loop {
+        if length.is_some_and(|length| length > BODY) || body.len() > BODY {
+            break true;
+        }
+        match answer.next().await {
+            Some(Ok(piece)) => body.extend_from_slice(&piece),
+            None if whole(body.len(), &mark) => {
+                mark.over(length);
+                let made = settled || carried.reading == Reading::Plain;
+                let made = made.then(|| Made { status, headers, body: body.freeze(), more: None });
+                return Outcome { fate, report, made };
+            }
+            Some(Err(_)) | None => break false,
+        }
+    };
+    if !large || !carried.flows || length.is_some_and(|length| length > LARGEST) {
+        log::warn!("backend {at}: an answer that stops short or is too large");
+        return Outcome { report, ..Outcome::only(if settled { Fate::Broken } else { fate }) };
+    }
+    if !settled {
+        return Outcome { report, ..Outcome::only(fate) };
+    }
+    let (giver, flow) = flow();
+    let (before, held) = (body.len(), Flowing::begin(counters));
+    let pass = async move {
+        let code = pass(&mut answer, &giver, before, whole, &mark).await;
+        if code == "FLOW_WHOLE" {
+            mark.over(length);
+        }
+        drop(held);
+        log::info!("answer of backend {at} ended: {code}");
+    };
+    let mark = MARK.with(Rc::clone);
+    actix_rt::spawn(MARK.scope(mark, pass));
+    let made = Made { status, headers, body: body.freeze(), more: Some(More { flow, length }) };
+    Outcome { fate, report, made: Some(made) }
+}
+
+/// An answer that passes through, while this lives.
+struct Flowing(Rc<Counters>);
+impl Flowing {
+    fn begin(counters: Rc<Counters>) -> Flowing {
+        counters.add("flows");
+        counters.flows.set(counters.flows.get() + 1);
+        Flowing(counters)
+    }
+}
+impl Drop for Flowing {
+    fn drop(&mut self) {
+        self.0.flows.set(self.0.flows.get().saturating_sub(1));
+    }
+}
+
+/// Passes an answer on to its end, and tells the reason code. Whoever takes it may go at any time.
+async fn pass(
+    answer: &mut (impl Stream<Item = Result<Bytes, PayloadError>> + Unpin),
+    giver: &Giver,
+    mut passed: usize,
+    whole: impl Fn(usize, &Mark) -> bool,
+    mark: &Mark,
+) -> &'static str {
+    loop {
+        let piece = tokio::select! {
+            piece = actix_rt::time::timeout(UNGIVEN, answer.next()) => piece,
+            () = giver.closed() => return "FLOW_LEFT",
+        };
+        let (piece, code) = match piece {
+            Ok(Some(Ok(piece))) if passed + piece.len() <= LARGEST => {
+                passed += piece.len();
+                (Ok(piece), "")
+            }
+            Ok(Some(Ok(_))) => (Err(Cut), "FLOW_TOO_LARGE"),
+            Ok(Some(Err(_))) => (Err(Cut), "FLOW_BROKEN"),
+            Ok(None) if whole(passed, mark) => (Ok(Bytes::new()), "FLOW_WHOLE"),
+            Ok(None) => (Err(Cut), "FLOW_CUT_SHORT"),
+            Err(_) => (Err(Cut), "FLOW_STANDS_STILL"),
+        };
+        if matches!(&piece, Ok(piece) if piece.is_empty() && code.is_empty()) {
+            continue;
+        }
+        if giver.send(piece).await.is_err() {
+            return "FLOW_LEFT";
         }
-        (Fate::Settled, None) => {
-            log::warn!("backend {at}: an answer that stops short or is over 64 KiB");
-            Outcome { report, ..Outcome::only(Fate::Broken) }
+        if !code.is_empty() {
+            return code;
         }
-        (fate, _) => Outcome { report, ..Outcome::only(fate) },
     }
 }
 
@@ -220,7 +373,7 @@
 
 /// Asks a backend for its health and load.
 pub async fn probe(client: Client, at: SocketAddr, within: Duration) -> (Fate, Option<Report>) {
-    let mark = Mark::new(0);
+    let mark = Mark::new(Some(0), false);
     let asked = async {
         let mut answer = match client.get(format!("http://{at}/load")).no_decompress().send().await {
             Ok(answer) => answer,
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -13,7 +13,9 @@
 //! PATH`: N connections in turn, each asks this and goes. `door`, before the start: there is a door for operators; `order LINE = ANSWER`: what
 //! is asked there and how the answer begins; `mute N`: N callers there who say nothing. `inherit`, before the start: the listening socket is the
 //! test's, as descriptor 3; `inherit TEXT`: what stands in the variable. `beside`: a second process of the agent, waited for till it says yes;
-//! from then on `term` is for the first, and `elder ends` waits for its end.
+//! from then on `term` is for the first, and `elder ends` waits for its end. `hearall N STATUS SIZE`: an answer of any framing to its end; `cut N`:
+//! one that is not whole. `slow N METHOD PATH SIZE PIECE`: a body in pieces, over three seconds; `begin N METHOD PATH SIZE PART`: only a part of it.
+//! A peer's `gulp SIZE` reads so many bytes, its `floods SIZE` is bytes without framing.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -78,6 +80,41 @@
     Some((first, headers, String::from_utf8_lossy(&body).into_owned()))
 }
 
+/// Reads an answer in chunks or of a stated length to its end: its first line, and the bytes of its body. None where it is cut off.
+fn whole(from: &mut impl BufRead) -> Option<(String, usize)> {
+    let (mut first, mut length, mut chunked) = (String::new(), 0, false);
+    from.read_line(&mut first).ok()?;
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let lower = line.to_ascii_lowercase();
+        chunked |= lower.starts_with("transfer-encoding:");
+        if let Some(value) = lower.strip_prefix("content-length:") {
+            length = value.trim().parse().expect("a length");
+        }
+    }
+    if !chunked {
+        from.read_exact(&mut vec![0; length]).ok()?;
+        return Some((first, length));
+    }
+    let mut all = 0;
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let size = usize::from_str_radix(line.trim(), 16).ok()?;
+        from.read_exact(&mut vec![0; size + 2]).ok()?;
+        if size == 0 {
+            return Some((first, all));
+        }
+        all += size;
+    }
+}
+
 fn serve(io: TcpStream, steps: &str, seen: &Mutex<Seen>) -> std::io::Result<()> {
     let mut reader = BufReader::new(io.try_clone()?);
     let mut io = io;
@@ -90,6 +127,7 @@
                 seen.read += 1;
                 seen.bytes += &format!("{first}{headers}\r\n{body}");
             }
+            "gulp" => drop(reader.read_exact(&mut vec![0; rest.parse().expect("a size")])),
             "part" => drop(reader.read(&mut [0; 16])?),
             "say" => io.write_all(raw(rest).as_bytes())?,
             "ok" => write!(io, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{rest}", rest.len())?,
@@ -102,6 +140,7 @@
                 let size = rest.parse().expect("a size");
                 write!(io, "{size:x}\r\n{}\r\n", "x".repeat(size))?;
             }
+            "floods" => io.write_all("x".repeat(rest.parse().expect("a size")).as_bytes())?,
             "fill" => {
                 let body = "f".repeat(rest.parse().expect("a size"));
                 write!(io, "HTTP/1.1 200 OK\r\nContent-Length: {rest}\r\n\r\n{body}")?;
@@ -337,6 +376,43 @@
                 // A bad request may be answered, and its connection ended, before all of it is written.
                 let _ = self.call(name).get_mut().write_all(asked.as_bytes());
             }
+            "slow" => {
+                // In pieces that look like the ends of heads, a tenth of a second apart.
+                let [method, path, size, every] = more.split(' ').collect::<Vec<_>>()[..] else {
+                    panic!("METHOD PATH SIZE PIECE")
+                };
+                let (size, every): (usize, usize) =
+                    (size.parse().expect("a size"), every.parse().expect("a piece"));
+                let head = format!(
+                    "{method} {path} HTTP/1.1\r\nHost: a\r\nX-Expires-In-Ms: 1500\r\nX-Trace-Id: 9b1f03aa5c7e{name}\r\nContent-Length: {size}\r\n\r\n"
+                );
+                let body = "\r\n\r\nab".repeat(size.div_ceil(6));
+                let io = self.call(name).get_mut();
+                io.write_all(head.as_bytes()).expect("written");
+                let pause = Duration::from_micros(3_000_000 * every as u64 / size as u64);
+                for piece in body.as_bytes()[..size].chunks(every) {
+                    io.write_all(piece).expect("written");
+                    std::thread::sleep(pause);
+                }
+            }
+            "begin" => {
+                let [method, path, size, part] = more.split(' ').collect::<Vec<_>>()[..] else {
+                    panic!("METHOD PATH SIZE PART")
+                };
+                let part: usize = part.parse().expect("a size");
+                let asked = format!(
+                    "{method} {path} HTTP/1.1\r\nHost: a\r\nX-Expires-In-Ms: 1500\r\nX-Trace-Id: 9b1f03aa5c7e{name}\r\nContent-Length: {size}\r\n\r\n{}",
+                    "b".repeat(part)
+                );
+                self.call(name).get_mut().write_all(asked.as_bytes()).expect("written");
+            }
+            "hearall" => {
+                let (status, size) = more.split_once(' ').expect("STATUS SIZE");
+                let (first, heard) = whole(self.call(name)).expect("a whole answer");
+                assert!(first.contains(&format!(" {status} ")), "{line}: heard {first}");
+                assert_eq!(heard.to_string(), size, "{line}");
+            }
+            "cut" => assert!(whole(self.call(name)).is_none(), "{line}: it looks whole"),
             "raw" => self.call(name).get_mut().write_all(raw(more).as_bytes()).expect("written"),
             "hear" => {
                 let (first, headers, body) = message(self.call(name)).expect("an answer");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -705,9 +705,9 @@
         };
         if over {
             desk.txns.remove(&txn);
-        } else if fate == Fate::Unusable || desk.gauge.spare < price {
+        } else if fate.ends() || desk.gauge.spare < price {
             // What one backend can't use none can: such a txn must not go round and cost them all.
-            out.count(if fate == Fate::Unusable { "unserved_unusable" } else { "unserved_no_budget" });
+            out.count(if fate.ends() { "unserved_unusable" } else { "unserved_no_budget" });
             desk.answer(txn, out);
         } else {
             desk.gauge.spare -= price;
--- a/src/units.rs
+++ b/src/units.rs
@@ -143,12 +143,18 @@
     Broken,
     Withdrawn,
     NeverSent,
+    /// Not sent, and no other posting can be: its body went out with an earlier one.
+    Spent,
 }
 
 impl Fate {
     /// Whether this outcome proves that the txn never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Fate::TurnedAway | Fate::NoLink | Fate::NeverSent)
+        matches!(self, Fate::TurnedAway | Fate::NoLink | Fate::NeverSent | Fate::Spent)
+    }
+    /// Whether no other backend can take the txn after it.
+    pub fn ends(self) -> bool {
+        matches!(self, Fate::Unusable | Fate::Spent)
     }
 }
 
