Whoever takes over says yes with a fresh list alone, and the elder ends before it is killed

Cause, by a debug log of both processes: the newer process first heard its watch 4.3 s after its start (logic.rs jitters the first asking over 0.4 of the asking time), and handed on at the call back what the known list had said of a backend that had gone since. Ruled out: the grace at the gate, a new start told during the ban (kept back), the freeze. The elder also lived past the kill (1.8 s with an expiry of 1.1 s): it now goes by the longest expiry.

--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -100,6 +100,7 @@
         halves: Cell::new(0),
         ending: Cell::new(None),
         away: Cell::new(None),
+        serves: Cell::new(true),
         handed: false,
     };
     let porch = Rc::new(porch);
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -9,7 +9,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
-use notchspool::units::Terms;
+use notchspool::units::{Micros, Terms};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -20,7 +20,8 @@
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Desk};
-use crate::memory::list::{Banned, Bearings, List, Restore};
+use crate::memory::list::{Banned, Bearings, Fresh, List, Restore};
+use crate::memory::mail::Watch;
 use crate::memory::txn::Budgets;
 use crate::wire::application::{Front, Porch, SOON};
 use crate::wire::backend::{self, Ground};
@@ -42,6 +43,10 @@
     ran
 }
 
+/// Whoever takes over waits so long for a fresh list, then it serves by what is known: discovery may be down for long.
+const FRESH_WITHIN: Micros = Micros::ms(3_000);
+const LOOK: Duration = Duration::from_millis(10);
+
 async fn begin(told: Told, counters: Rc<Counters>) -> io::Result<()> {
     let Told { name, listen, discovery, management, seed, bounds, known, agreed } = told;
     log::info!("{name}: {bounds:?}");
@@ -104,6 +109,7 @@
         halves: Cell::new(0),
         ending: Cell::new(None),
         away: Cell::new(None),
+        serves: Cell::new(inherited.is_none()),
         handed: inherited.is_some(),
     });
     let front = Rc::new(Front {
@@ -125,9 +131,18 @@
         let named = |e: io::Error| io::Error::new(e.kind(), format!("management {at}: {e}"));
         let door = TcpListener::bind(at).await.map_err(named)?;
         let ban = Box::new(move |id, on| kept.change(id, on));
-        Management { porch: porch.clone(), lists: vec![list], ban }.listen(door);
+        Management { porch: porch.clone(), lists: vec![list.clone()], ban }.listen(door);
         log::info!("{name}: management at {at}");
     }
+    if porch.handed {
+        // Whoever takes over is bound by what discovery says from its yes on, and what it knows may be old: it asks at once.
+        registry.do_send(Watch);
+        let until = clock.now() + FRESH_WITHIN;
+        while clock.now() < until && !list.send(Fresh).await.unwrap_or(true) {
+            actix_rt::time::sleep(LOOK).await;
+        }
+        porch.serves.set(true);
+    }
     let calls = Rc::new(Calls::new(bounds.unsent));
     let gate = Gate { porch, calls, serve, asked: None, accepting: None };
     log::info!("{name}: ready at {listen}");
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -75,6 +75,7 @@
             return self.unsent.push((txn, posting, to, Fate::Spent));
         }
         self.counters.add("postings");
+        log::debug!("txn {} to backend {}", txn.0, to.0);
         peer.do_send(ToPeer::Post { txn, posting, until, carried: held.carried.clone() });
     }
     fn cancel(&mut self, txn: TxnRef, posting: u32) {
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -102,6 +102,7 @@
             self.wrong(&why);
         }
         let Row { name, at, zone, mut entry } = row;
+        log::debug!("list: {name} {:?} from {} at {at}", entry.standing, entry.started.0 / 1000);
         entry.zone = numbered(&mut self.zones, &zone, id);
         entry.backend = id;
         let at_number = id.0 as usize;
@@ -321,6 +322,17 @@
     }
 }
 
+/// Whether a line of the watch has come and the watch still lives.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Fresh;
+impl Handler<Fresh> for List {
+    type Result = bool;
+    fn handle(&mut self, _: Fresh, _: &mut Context<List>) -> bool {
+        self.watched
+    }
+}
+
 /// Whether a list has ever named this backend, or an operator has taken it out.
 #[derive(Message)]
 #[rtype(result = "bool")]
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -44,6 +44,8 @@
     pub ending: Cell<Option<Micros>>,
     /// Since when clients are sent away by hand, with the same effect; all is as before once they are taken again.
     pub away: Cell<Option<Micros>>,
+    /// Clients are served: a process that takes over waits for a fresh list first.
+    pub serves: Cell<bool>,
     /// The listening socket is the platform's, and a newer process accepts from it: at the end this one accepts no more.
     pub handed: bool,
 }
@@ -51,8 +53,10 @@
 /// Idle connections are let go between these times after clients were sent away. The front has heard by the first; at the last
 /// nothing may begin any more that would not be over 2 s later.
 const SENT_AWAY: (Micros, Micros) = (Micros::ms(500), Micros::ms(1_900));
-/// The same after a newer process took over: the later, the fewer of them are left for a request to cross the close.
-const HANDED_OVER: (Micros, Micros) = (Micros::ms(1_000), Micros::ms(2_400));
+/// The same after a newer process took over, from a part of the longest expiry to so long after it: the later, the fewer of them are left for
+/// a request to cross the close. The platform kills 0.7 s after the longest expiry; what comes last is answered before.
+const HANDED_OVER: (f64, Micros) = (0.4, Micros::ms(200));
+const LAST_ANSWER: Micros = Micros::ms(550);
 
 /// Told to come back after this where there was no room.
 pub const SOON: Micros = Micros::ms(50);
@@ -74,12 +78,19 @@
     pub fn closes(&self) -> bool {
         self.ending.get().is_some() || self.away.get().is_some()
     }
+    /// When the last answer must be out, where the process ends beside a newer one.
+    pub fn last_answer(&self) -> Option<Micros> {
+        self.ending.get().filter(|_| self.handed).map(|since| since + self.longest.get() + LAST_ANSWER)
+    }
     /// How idle connections are to be let go now.
     pub fn letting(&self) -> Letting {
         let now = self.clock.now();
         match (self.ending.get(), self.away.get()) {
             (Some(_), _) if !self.handed => Letting::AllButFresh,
-            (Some(since), _) => Letting::Since(now - since, HANDED_OVER),
+            (Some(since), _) => {
+                let (longest, (part, after)) = (self.longest.get(), HANDED_OVER);
+                Letting::Since(now - since, (longest.times(part), longest + after))
+            }
             (None, Some(since)) => Letting::Since(now - since, SENT_AWAY),
             (None, None) => Letting::Keep,
         }
@@ -202,6 +213,9 @@
         }
         let expires = expires.min(self.porch.longest.get()) - WAY;
         let mut expiry = came + expires;
+        if let Some(last) = self.porch.last_answer() {
+            expiry = expiry.min(last);
+        }
         let (giver, flow) = flow();
         if payload.is_some() {
             // The client's time runs from its last byte.
--- a/crates/agent/src/wire/management.rs
+++ b/crates/agent/src/wire/management.rs
@@ -118,6 +118,7 @@
     async fn obey(&self, order: &Order) -> Result<String, String> {
         match order {
             Order::Status if self.porch.ending.get().is_some() => Err("ending".into()),
+            Order::Status if !self.porch.serves.get() => Err("no fresh list yet".into()),
             // It serves all who come: whether clients are sent is said at `/healthz`.
             Order::Status if self.porch.away.get().is_some() => Ok("ready, standby".into()),
             Order::Status => Ok("ready".into()),
