A request that still comes in outlives idle connections where room is short

Cause: caller.rs ended whatever had not come whole within 0.1 s first. Now those that stopped growing for 1 s go first, then the idle, and growing ones only where no connection at all is left.

--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -22,7 +22,11 @@
 const GROWS: f64 = 32_000.0;
 /// An answer of which nothing is taken for so long is not read. A slow reader takes a large piece at a time.
 const UNREAD: Duration = Duration::from_millis(2_500);
-/// Where room is short, one that has yet to say something, or all of it, makes way after this.
+/// Where room is short, one that has yet to say something makes way after this, and one whose request has stopped growing for so long: what a
+/// slow client writes comes in pieces, and not all of them at once.
+const UNSAID: Duration = Duration::from_millis(300);
+const HALTED: Duration = Duration::from_millis(1_000);
+/// Where there is none left, one that has yet to say something, or all of it, makes way after this.
 const PRESSED: Duration = Duration::from_millis(100);
 /// One may stand idle for this long where there is room.
 const IDLE: Duration = Duration::from_secs(60);
@@ -68,6 +72,8 @@
     /// When it came, when the first byte of a request came, or when the last answer went.
     since: Cell<Instant>,
     spoke: Cell<bool>,
+    /// When bytes last came.
+    heard: Cell<Instant>,
     /// Bytes were read since the last answer was written: a request is on its way or in hand.
     busy: Cell<bool>,
     in_hand: Cell<usize>,
@@ -201,17 +207,30 @@
             call.unread.set(call.unread.get().map(|_| Instant::now()));
         }
     }
-    /// Ends what is over `most` and has no txn in hand: first those with something to say that do not say it,
-    /// then those that stand idle, the longest first. False where on all a request is in hand or just coming.
-    pub fn make_room(&self, most: usize) -> bool {
+    /// Ends what is over `most` and has no txn in hand: first those with something to say that have stopped saying it, then those that
+    /// stand idle, the longest first; where `pressed` is, also requests that still grow, those that grew longest ago first. A slow
+    /// client's request is worth more than a connection that waits for its next one. False where nothing is left to end.
+    pub fn make_room(&self, most: usize, pressed: bool) -> bool {
         let all = self.all.borrow();
         let mut open: Vec<&Rc<Call>> = all.values().filter(|call| call.ended().is_none()).collect();
         let over = open.len().saturating_sub(most);
-        let idle = |call: &Rc<Call>| call.spoke.get() && !call.busy.get();
-        open.retain(|call| call.in_hand.get() == 0 && (idle(call) || call.since.get().elapsed() > PRESSED));
-        open.sort_by_key(|call| (idle(call), call.since.get()));
+        if over == 0 {
+            return true;
+        }
+        let rank = |call: &Rc<Call>| {
+            let quiet = call.heard.get().elapsed();
+            match (call.spoke.get(), call.busy.get()) {
+                (false, _) if quiet > UNSAID => Some(0),
+                (true, true) if quiet > HALTED => Some(0),
+                (true, false) if call.unsent.get() == 0 => Some(1),
+                _ if pressed && quiet > PRESSED => Some(2),
+                _ => None,
+            }
+        };
+        open.retain(|call| call.in_hand.get() == 0 && rank(call).is_some());
+        open.sort_by_key(|call| (rank(call), call.heard.get().max(call.since.get())));
         open.iter().take(over).for_each(|call| call.end("CALL_MADE_WAY"));
-        over == 0 || !open.is_empty()
+        !open.is_empty()
     }
 }
 
@@ -245,6 +264,7 @@
         let call = Rc::new(Call {
             since: Cell::new(Instant::now()),
             spoke: Cell::new(false),
+            heard: Cell::new(Instant::now()),
             busy: Cell::new(false),
             in_hand: Cell::new(0),
             grown: Cell::new(0),
@@ -385,6 +405,7 @@
         let call = &self.call;
         if buf.filled().len() > before {
             call.spoke.set(true);
+            call.heard.set(Instant::now());
             if !call.busy.replace(true) {
                 call.since.set(Instant::now());
                 call.grown.set(0);
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -65,10 +65,10 @@
                     log::debug!("all {} connections are taken: some make way", front.bounds.callers);
                 }
                 while front.counters.callers.get() >= front.bounds.callers {
-                    let soon = calls.make_room(front.bounds.callers - 1);
+                    let soon = calls.make_room(front.bounds.callers - 1, true);
                     actix_rt::time::sleep(if soon { SOON } else { LOOK }).await; // the next waits outside
                 }
-                calls.make_room(front.bounds.kept);
+                calls.make_room(front.bounds.kept, false);
                 let came = listener.accept().await;
                 if came.is_err() {
                     actix_rt::time::sleep(LOOK).await; // out of descriptors: the rest waits outside
