What the elder has learnt is left for the newer process

Ruled out: the door (0 ended there), the list. It is kept because both processes then keep one cold budget.

--- a/crates/agent/src/life/kept.rs
+++ b/crates/agent/src/life/kept.rs
@@ -2,7 +2,7 @@
 //! files, so that a disk that hangs stops nobody. It looks ten times a second whether the other process changed anything.
 //!
 //! Files, by the agent's name: `.bans`, a first line that tells the form and a line for each banned id, always replaced whole; `.change`,
-//! locked for read, change and write; `.elder`, locked by the process that serves as long as it lives; `.younger`, locked by one that was
+//! locked for read, change and write; `.learnt`, what an elder leaves for the process that takes over; `.elder`, locked by the process that serves as long as it lives; `.younger`, locked by one that was
 //! started beside it. Locks end with their process, however that ends: a file without a lock says nothing.
 use std::collections::BTreeSet;
 use std::fs::{File, OpenOptions};
@@ -25,19 +25,19 @@
 pub enum News {
     /// These are banned, and nobody else.
     Bans(BTreeSet<String>),
-    /// Another process of this agent lives, or none does any more.
-    Beside(bool),
+    /// Another process of this agent lives, or none does any more; and whether this one is the elder.
+    Beside { beside: bool, elder: bool },
 }
 
-struct Change {
-    id: String,
-    on: bool,
-    done: oneshot::Sender<Result<(), String>>,
+enum Order {
+    Ban { id: String, on: bool, done: oneshot::Sender<Result<(), String>> },
+    Leave(String),
 }
 
 /// The serving thread's end.
 pub struct Kept {
-    changes: Sender<Change>,
+    orders: Sender<Order>,
+    learnt: Option<PathBuf>,
 }
 
 impl Kept {
@@ -53,19 +53,28 @@
         let mut keeper =
             Keeper { stem, bans: BTreeSet::new(), seen: None, elder: None, younger: None, beside: false };
         let bans = keeper.look().unwrap_or_default();
-        let (changes, asked) = channel();
+        let learnt = keeper.file("learnt");
+        let (orders, asked) = channel();
         let (tell, news) = mpsc::unbounded_channel();
         keeper.place(&tell);
         std::thread::spawn(move || keeper.run(&asked, &tell));
-        (Kept { changes }, bans, news)
+        (Kept { orders, learnt }, bans, news)
     }
     /// Puts a ban on or lifts it; the answer says whether it is kept. In force it is either way.
     pub fn change(&self, id: String, on: bool) -> oneshot::Receiver<Result<(), String>> {
         let (done, told) = oneshot::channel();
         // Fails only where the thread is gone: then the answer's other end is gone with it.
-        let _ = self.changes.send(Change { id, on, done });
+        let _ = self.orders.send(Order::Ban { id, on, done });
         told
     }
+    /// Leaves this for the process that takes over.
+    pub fn leave(&self, text: String) {
+        let _ = self.orders.send(Order::Leave(text));
+    }
+    /// What an elder left, whenever that was.
+    pub fn left(&self) -> Option<String> {
+        read(self.learnt.as_ref()?).ok()
+    }
 }
 
 /// A name as a part of a file's name.
@@ -84,19 +93,29 @@
 }
 
 impl Keeper {
-    fn run(mut self, asked: &Receiver<Change>, tell: &mpsc::UnboundedSender<News>) {
+    fn run(mut self, asked: &Receiver<Order>, tell: &mpsc::UnboundedSender<News>) {
         loop {
-            let change = match asked.recv_timeout(LOOK) {
-                Ok(change) => Some(change),
+            let order = match asked.recv_timeout(LOOK) {
+                Ok(order) => Some(order),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            if let Some(Change { id, on, done }) = change {
-                let kept = self.change(id, on);
-                let _ = tell.send(News::Bans(self.bans.clone()));
-                let _ = done.send(kept);
-            } else if let Some(bans) = self.look() {
-                let _ = tell.send(News::Bans(bans));
+            match order {
+                Some(Order::Ban { id, on, done }) => {
+                    let kept = self.change(id, on);
+                    let _ = tell.send(News::Bans(self.bans.clone()));
+                    let _ = done.send(kept);
+                }
+                Some(Order::Leave(text)) => {
+                    if let Some(Err(why)) = self.file("learnt").map(|path| replace(&path, &text)) {
+                        log::warn!("what was learnt can't be left: {why}");
+                    }
+                }
+                None => {
+                    if let Some(bans) = self.look() {
+                        let _ = tell.send(News::Bans(bans));
+                    }
+                }
             }
             self.place(tell);
         }
@@ -147,10 +166,7 @@
         let told = |e: std::io::Error| format!("{}: {e}", path.display());
         let _lock = lock.map_err(told)?;
         let text = written(&self.bans);
-        let new = path.with_extension("bans-new");
-        let mut file = File::create(&new).map_err(told)?;
-        file.write_all(text.as_bytes()).and_then(|()| file.sync_all()).map_err(told)?;
-        std::fs::rename(&new, &path).map_err(told)?;
+        replace(&path, &text).map_err(told)?;
         self.seen = Some(text);
         Ok(())
     }
@@ -175,7 +191,7 @@
             }
         };
         if beside != std::mem::replace(&mut self.beside, beside) {
-            let _ = tell.send(News::Beside(beside));
+            let _ = tell.send(News::Beside { beside, elder: self.elder.is_some() });
         }
     }
 }
@@ -189,6 +205,15 @@
     open(path).ok().filter(|file| file.try_lock().is_ok())
 }
 
+/// A new file in place of the old one: whoever reads finds either, whole.
+fn replace(path: &Path, text: &str) -> std::io::Result<()> {
+    let new = path.with_extension("new");
+    let mut file = File::create(&new)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    std::fs::rename(&new, path)
+}
+
 fn read(path: &Path) -> std::io::Result<String> {
     let mut text = String::new();
     File::open(path)?.take(LARGEST).read_to_string(&mut text)?;
@@ -250,8 +275,9 @@
         // The second begins with it, hears that it is not alone, and the first hears it too.
         let (second, bans, mut news) = Kept::open(Some(folder.clone()), "n0");
         assert_eq!(bans, ids(&["s-1"]));
-        assert_eq!(next(&mut news), News::Beside(true));
-        assert_eq!(next(&mut heard), News::Beside(true));
+        assert_eq!(next(&mut news), News::Beside { beside: true, elder: false });
+        assert_eq!(next(&mut heard), News::Beside { beside: true, elder: true });
+        first.leave("figures".to_owned());
         second.change("s-2".into(), true).blocking_recv().expect("an answer").expect("kept");
         assert_eq!(next(&mut heard), News::Bans(ids(&["s-1", "s-2"])));
         first.change("s-1".into(), false).blocking_recv().expect("an answer").expect("kept");
@@ -260,7 +286,8 @@
         // A torn file changes nothing.
         std::fs::write(folder.join("notchspool-n0.bans"), "notchspool bans 1\ns-9").expect("written");
         drop((first, heard));
-        assert_eq!(next(&mut news), News::Beside(false));
+        assert_eq!(next(&mut news), News::Beside { beside: false, elder: true });
+        assert_eq!(second.left().as_deref(), Some("figures"));
         drop(second);
         std::fs::remove_dir_all(&folder).expect("removed");
     }
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -12,6 +12,7 @@
 use notchspool::units::{Micros, Terms};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
 
 use super::kept::{Kept, News};
 use super::start::{self, Told};
@@ -19,8 +20,9 @@
 use crate::base::clock::{Clock, span};
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
-use crate::memory::desk::{Ask, Desk};
-use crate::memory::list::{Banned, Bearings, Fresh, List, Restore};
+use crate::memory::desk::{Ask, Desk, Inherit, Tell};
+use crate::memory::learnt;
+use crate::memory::list::{Banned, Bearings, Fresh, List, Names, Restore};
 use crate::memory::mail::Watch;
 use crate::memory::txn::Budgets;
 use crate::wire::application::{Front, Porch, SOON};
@@ -43,6 +45,8 @@
     ran
 }
 
+/// An elder that lives has left what it learnt by then.
+const LEFT_WITHIN: Micros = Micros::ms(350);
 /// Whoever takes over waits so long for a fresh list, then it serves by what is known: discovery may be down for long.
 const FRESH_WITHIN: Micros = Micros::ms(3_000);
 const LOOK: Duration = Duration::from_millis(10);
@@ -57,6 +61,7 @@
     let kept = (management.is_some() || inherited.is_some())
         .then(|| Kept::open(std::env::var_os("TMPDIR").map(Into::into), &name));
     let clock = Clock::start();
+    let begun = clock.now();
     let ground = Rc::new(Ground {
         clock,
         counters: counters.clone(),
@@ -85,7 +90,8 @@
         Some((kept, bans, news)) => {
             // Who is out is so before the list is known.
             list.send(Banned(bans)).await.map_err(io::Error::other)?;
-            actix_rt::spawn(hear(news, list.clone()));
+            let kept = Rc::new(kept);
+            actix_rt::spawn(hear(news, kept.clone(), list.clone(), desk.clone(), clock));
             Some(kept)
         }
         None => None,
@@ -95,6 +101,7 @@
         Ok(known) => list.send(Restore(known)).await.map_err(io::Error::other)?,
         Err(why) => log::warn!("list: the known list can't be used: {why}"),
     }
+    let desk_of = desk.clone();
     let registry =
         Registry::new(discovery, ground.client(usize::MAX, Past::register()), list.clone(), counters.clone())
             .start();
@@ -127,7 +134,7 @@
         Some(inherited) => TcpListener::from_std(inherited)?,
         None => TcpListener::bind(listen).await.map_err(named)?,
     });
-    if let (Some(at), Some(kept)) = (management, kept) {
+    if let (Some(at), Some(kept)) = (management, kept.clone()) {
         let named = |e: io::Error| io::Error::new(e.kind(), format!("management {at}: {e}"));
         let door = TcpListener::bind(at).await.map_err(named)?;
         let ban = Box::new(move |id, on| kept.change(id, on));
@@ -141,6 +148,18 @@
         while clock.now() < until && !list.send(Fresh).await.unwrap_or(true) {
             actix_rt::time::sleep(LOOK).await;
         }
+        while let Some(kept) = &kept {
+            let names = answer_of(|tell| list.do_send(Names(tell))).await;
+            if let Some(elder) = kept.left().and_then(|text| learnt::read(&text, &names, begun)) {
+                log::info!("taken over from the elder: a window of {:.1}", elder.window);
+                desk_of.do_send(Inherit(elder));
+                break;
+            }
+            if clock.now() - begun > LEFT_WITHIN {
+                break;
+            }
+            actix_rt::time::sleep(LOOK).await;
+        }
         porch.serves.set(true);
     }
     let calls = Rc::new(Calls::new(bounds.unsent));
@@ -153,15 +172,36 @@
 }
 
 /// What other processes of this agent changed.
-async fn hear(mut news: UnboundedReceiver<News>, list: Addr<List>) {
+async fn hear(
+    mut news: UnboundedReceiver<News>,
+    kept: Rc<Kept>,
+    list: Addr<List>,
+    desk: Addr<Desk>,
+    clock: Clock,
+) {
     while let Some(news) = news.recv().await {
         match news {
             News::Bans(bans) => list.do_send(Banned(bans)),
-            News::Beside(beside) => log::info!("another process of this agent lives: {beside}"),
+            News::Beside { beside, elder } => {
+                log::info!("another process of this agent lives: {beside}");
+                if beside && elder {
+                    let names = answer_of(|tell| list.do_send(Names(tell))).await;
+                    let names = names.into_iter().map(|(name, id)| (id, name)).collect();
+                    let learnt = answer_of(|tell| desk.do_send(Tell(tell))).await;
+                    kept.leave(learnt::written(&learnt, &names, clock.now()));
+                }
+            }
         }
     }
 }
 
+/// What an actor tells when it is asked.
+async fn answer_of<T: Default>(ask: impl FnOnce(oneshot::Sender<T>)) -> T {
+    let (tell, told) = oneshot::channel();
+    ask(tell);
+    told.await.unwrap_or_default()
+}
+
 /// One HTTP service for all connections of the application.
 pub async fn serve<F>(answer: impl Fn(Request) -> F + 'static) -> io::Result<Serve>
 where
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use actix::{Actor, ActorContext, AsyncContext, Context, Handler, Message, Recipient};
+use notchspool::heir::Learnt;
 use notchspool::logic::Balancer;
 use notchspool::units::*;
 use tokio::sync::oneshot;
@@ -107,6 +108,28 @@
     }
 }
 
+/// What the module has learnt, for a process that takes over.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Tell(pub oneshot::Sender<Learnt>);
+impl Handler<Tell> for Desk {
+    type Result = ();
+    fn handle(&mut self, tell: Tell, _: &mut Context<Desk>) {
+        let _ = tell.0.send(self.balancer.learnt());
+    }
+}
+
+/// What an elder has learnt, before the first txn.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Inherit(pub Learnt);
+impl Handler<Inherit> for Desk {
+    type Result = ();
+    fn handle(&mut self, elder: Inherit, _: &mut Context<Desk>) {
+        self.balancer.inherit(elder.0);
+    }
+}
+
 /// A backend that the list names for the first time.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/agent/src/memory/ids.rs
+++ b/crates/agent/src/memory/ids.rs
@@ -51,6 +51,10 @@
     pub fn known(&self, name: &str) -> Option<BackendId> {
         self.by_name.get(name).copied()
     }
+    /// All names and their numbers.
+    pub fn names(&self) -> BTreeMap<String, BackendId> {
+        self.by_name.clone()
+    }
     pub fn here(&mut self, id: BackendId) {
         self.gone.remove(&id);
     }
--- /dev/null
+++ b/crates/agent/src/memory/learnt.rs
@@ -0,0 +1,117 @@
+//! What an elder process leaves for the one that takes over, as text: figures of the module, and of backends by their names, as numbers
+//! differ from process to process. Read defensively: what makes no sense is left out, and the whole where it is none of ours.
+use std::collections::BTreeMap;
+
+use notchspool::heir::{Known, Learnt};
+use notchspool::tally::Tally;
+use notchspool::units::{BackendId, Micros};
+use serde_json::{Map, Value, json};
+
+const FORM: &str = "notchspool learnt 1";
+/// Postings to one cold backend that count.
+const COLD: usize = 1024;
+
+/// `at`: when, Unix time in microseconds.
+pub fn written(learnt: &Learnt, names: &BTreeMap<BackendId, String>, at: Micros) -> String {
+    let backends: Map<String, Value> = (learnt.backends.iter())
+        .filter_map(|(id, known)| {
+            let cold: Vec<i64> = known.cold_sent.iter().map(|at| at.0).collect();
+            let told = json!({"started": known.started.0, "pace": known.pace, "doubt": known.doubt,
+                              "flow": known.flow, "cold_sent": cold});
+            Some((names.get(id)?.clone(), told))
+        })
+        .collect();
+    let took: Vec<Vec<f64>> = learnt.took.iter().map(Tally::parts).collect();
+    json!({"form": FORM, "at": at.0, "window": learnt.window, "saved": learnt.saved, "stress": learnt.stress,
+           "rest": learnt.rest, "fails": learnt.fails, "held": learnt.held, "busy": learnt.busy,
+           "opening": learnt.opening, "took": took, "backends": backends})
+    .to_string()
+}
+
+/// None where it is no such text, or older than `since`.
+pub fn read(text: &str, names: &BTreeMap<String, BackendId>, since: Micros) -> Option<Learnt> {
+    let told: Value = serde_json::from_str(text).ok()?;
+    if told["form"] != FORM || told["at"].as_i64()? < since.0 {
+        return None;
+    }
+    let within = |value: &Value, least: f64, most: f64| {
+        value.as_f64().filter(|figure| (least..=most).contains(figure))
+    };
+    let figure = |name: &str, least, most| within(&told[name], least, most);
+    let backends = told["backends"].as_object()?.iter().filter_map(|(name, told)| {
+        let sent = told["cold_sent"].as_array()?.iter().take(COLD).filter_map(Value::as_i64);
+        let known = Known {
+            started: Micros(told["started"].as_i64()?),
+            pace: within(&told["pace"], 0.0, 100.0)?,
+            doubt: within(&told["doubt"], 0.0, 1.0)?,
+            flow: within(&told["flow"], 0.0, 1e9)?,
+            cold_sent: sent.map(Micros).collect(),
+        };
+        Some((*names.get(name)?, known))
+    });
+    let took = told["took"].as_array()?.iter().map(|parts| {
+        let parts: Vec<f64> = parts.as_array()?.iter().filter_map(Value::as_f64).collect();
+        Tally::of(&parts)
+    });
+    Some(Learnt {
+        window: figure("window", 0.0, 1e6)?,
+        saved: figure("saved", -1e3, 1e3)?,
+        stress: figure("stress", 0.0, 10.0)?,
+        rest: figure("rest", 0.0, 100.0)?,
+        fails: figure("fails", 0.0, 1.0)?,
+        held: figure("held", 0.0, 1e9)?,
+        busy: figure("busy", 0.0, 1.0)?,
+        opening: told["opening"].as_bool()?,
+        took: took.collect::<Option<_>>()?,
+        backends: backends.collect(),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn some() -> (Learnt, BTreeMap<BackendId, String>) {
+        let mut took = Tally::default();
+        (0..300).for_each(|n| took.add(1_000 * n));
+        let known =
+            Known { started: Micros(7), pace: 1.5, doubt: 0.25, flow: 9.0, cold_sent: vec![Micros(8)] };
+        let learnt = Learnt {
+            window: 12.5,
+            saved: -0.5,
+            stress: 0.1,
+            busy: 0.7,
+            took: vec![took, Tally::default()],
+            backends: vec![(BackendId(3), known)],
+            ..Learnt::default()
+        };
+        (learnt, BTreeMap::from([(BackendId(3), "s-3".to_owned())]))
+    }
+
+    #[test]
+    fn it_is_read_as_it_was_written_under_the_numbers_of_who_reads() {
+        let (learnt, names) = some();
+        let text = written(&learnt, &names, Micros(50));
+        let numbers = BTreeMap::from([("s-3".to_owned(), BackendId(0))]);
+        let mut read = read(&text, &numbers, Micros(50)).expect("it is ours");
+        assert_eq!(read.backends[0].0, BackendId(0));
+        read.backends[0].0 = BackendId(3);
+        // A halved tally keeps its count apart from its bins: the sum of them is as good.
+        assert_eq!(read.took[0].quantile(0.5), learnt.took[0].quantile(0.5));
+        read.took = learnt.took.clone();
+        assert_eq!(read, learnt);
+    }
+
+    #[test]
+    fn what_is_old_cut_or_senseless_is_left() {
+        let (learnt, names) = some();
+        let numbers = BTreeMap::from([("s-3".to_owned(), BackendId(3))]);
+        let text = written(&learnt, &names, Micros(50));
+        assert!(read(&text, &numbers, Micros(51)).is_none(), "of an earlier upgrade");
+        for end in 0..text.len() {
+            assert!(read(&text[..end], &numbers, Micros(0)).is_none());
+        }
+        let wild = text.replace("\"window\":12.5", "\"window\":-1e300");
+        assert!(wild != text && read(&wild, &numbers, Micros(0)).is_none());
+    }
+}
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -1,12 +1,13 @@
 //! The actor that owns the server list: ids and addresses of backends, and the version last heard.
 use std::cell::Cell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use actix::{Actor, ActorContext, Addr, Context, Handler, Message};
 use notchspool::units::*;
 use notchspool_terms::zone_number;
+use tokio::sync::oneshot;
 
 use super::bans::Bans;
 use super::counters::Counters;
@@ -333,6 +334,17 @@
     }
 }
 
+/// The numbers of all backends, by name.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Names(pub oneshot::Sender<BTreeMap<String, BackendId>>);
+impl Handler<Names> for List {
+    type Result = ();
+    fn handle(&mut self, asked: Names, _: &mut Context<List>) {
+        let _ = asked.0.send(self.ids.names());
+    }
+}
+
 /// Whether a list has ever named this backend, or an operator has taken it out.
 #[derive(Message)]
 #[rtype(result = "bool")]
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -6,6 +6,7 @@
 pub mod flow;
 pub mod hand;
 mod ids;
+pub mod learnt;
 pub mod list;
 pub mod mail;
 pub mod txn;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! notchspool: the decisions of a client-side load balancer, free of I/O. Start with [`logic`].
 mod book;
+pub mod heir;
 pub mod logic;
 pub mod tally;
 pub mod units;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,15 +38,15 @@
     terms: Terms,
     now: Micros,
     chance: Rand64,
-    backends: Vec<Option<Backend>>,
+    pub(crate) backends: Vec<Option<Backend>>,
     members: Vec<BackendId>, // the few this agent sends to; one more whenever they are all busy
     generation: Generation,
     gone_lately: Vec<(Micros, BackendId)>,
     watch_at: Option<Micros>, // when to ask for the watch next
     failures: i32,
     txns: BTreeMap<TxnRef, State>,
-    took: Vec<Tally>, // by scheme: response times of settled postings
-    gauge: Gauge,
+    pub(crate) took: Vec<Tally>, // by scheme: response times of settled postings
+    pub(crate) gauge: Gauge,
     beating: bool,
     ejections: u32, // since the last beat
 }
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -5,7 +5,7 @@
 const FIRST: f64 = 2_000.0;
 const STEP: f64 = 1.35;
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tally {
     bins: [f64; BINS],
     count: f64,
@@ -24,6 +24,18 @@
             self.sum /= 2.0;
         }
     }
+    /// All that it holds: the bins, then the sum in microseconds.
+    pub fn parts(&self) -> Vec<f64> {
+        self.bins.iter().copied().chain([self.sum]).collect()
+    }
+    /// One that holds these parts; none where they can't be one's.
+    pub fn of(parts: &[f64]) -> Option<Tally> {
+        let (sum, bins) = parts.split_last()?;
+        let bins: [f64; BINS] = bins.try_into().ok()?;
+        let sound = parts.iter().all(|part| part.is_finite() && *part >= 0.0);
+        let count = bins.iter().sum();
+        (sound && count < 512.0 && *sum <= count * 1e10).then_some(Tally { bins, count, sum: *sum })
+    }
     /// The mean in microseconds, once something was measured.
     pub fn mean(&self) -> Option<f64> {
         (self.count > 0.0).then(|| self.sum / self.count)
