Two processes of one agent share its room: each keeps to half of the bounds

Found by the tests on the way: the files of bans and of what was learnt were replaced through one and the same new file, now through one each.

--- a/crates/agent/src/base/bounds.rs
+++ b/crates/agent/src/base/bounds.rs
@@ -1,4 +1,7 @@
 //! What the agent may hold at once, from the limits it is told. Each bound is stated where it acts.
+use std::cell::Cell;
+use std::rc::Rc;
+
 pub const BODY: usize = 64 * 1024; // bytes of one body, either way
 pub const SEND_BUFFER: u32 = 16 * 1024; // bytes of a posting that the system may hold unsent
 pub const LINE: usize = 1024 * 1024; // bytes of one line of the list
@@ -6,7 +9,7 @@
 /// A txn in hand at its largest: two bodies, and the buffers of two connections.
 const TXN_BYTES: usize = 256 * 1024;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
     /// Connections of the application. Beyond it the next waits outside.
     pub callers: usize,
@@ -26,6 +29,32 @@
     pub txns: usize,
 }
 
+/// The bounds as they are now: the half of them while another process of this agent lives. Both together are one agent to whoever limits it.
+#[derive(Clone, Debug)]
+pub struct Room {
+    whole: Bounds,
+    half: Bounds,
+    shared: Rc<Cell<bool>>,
+}
+
+impl Room {
+    /// From the limits that the agent is told, descriptors and memory.
+    pub fn within(sockets: usize, memory_mb: usize) -> Room {
+        Room {
+            whole: Bounds::within(sockets, memory_mb),
+            half: Bounds::within(sockets / 2, memory_mb / 2),
+            shared: Rc::default(),
+        }
+    }
+    pub fn now(&self) -> Bounds {
+        if self.shared.get() { self.half } else { self.whole }
+    }
+    /// Whether another process of this agent lives.
+    pub fn share(&self, shared: bool) {
+        self.shared.set(shared);
+    }
+}
+
 impl Bounds {
     pub fn within(sockets: usize, memory_mb: usize) -> Bounds {
         // Kept back for the listener, discovery, timers, the log; half of it for declines at the bound.
@@ -45,3 +74,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use rstest::rstest;
+
+    use super::*;
+
+    #[rstest]
+    #[case(256, 32)]
+    #[case(384, 48)]
+    #[case(1024, 192)]
+    fn two_processes_together_keep_within_the_limits_of_one(
+        #[case] sockets: usize,
+        #[case] memory_mb: usize,
+    ) {
+        let room = Room::within(sockets, memory_mb);
+        let whole = room.now();
+        room.clone().share(true);
+        let half = room.now();
+        assert!(2 * (half.callers + half.links) <= sockets, "{half:?}");
+        assert!(2 * half.txns * TXN_BYTES <= memory_mb * 1024 * 1024);
+        room.share(false);
+        assert_eq!(room.now(), whole);
+    }
+}
--- a/crates/agent/src/house/build.rs
+++ b/crates/agent/src/house/build.rs
@@ -64,7 +64,7 @@
     let rooms = old.map_or_else(Rooms::default, |old| old.rooms.clone());
     let party = |p: &file::Pool| Party { name: p.name.clone(), part: p.part, weight: p.weight };
     let parties: Vec<Party> = told.pools.iter().map(party).collect();
-    rooms.change(|division| division.reshape(on.bounds.txns, &parties));
+    rooms.change(|division| division.reshape(on.bounds.now().txns, &parties));
     Ok(House {
         table: Table::new(told.routes.iter().map(|r| r.rule.clone()).collect()),
         routes,
@@ -126,6 +126,6 @@
     // Four fifths of each share are guaranteed; the rest is lent to who needs it.
     let parties: Vec<Party> = named.chain([(OTHERS, (1.0 - sum).max(0.0))]).map(party).collect();
     let rooms = old.and_then(|old| old.tenants.as_ref()).map_or_else(Rooms::default, |t| t.rooms.clone());
-    rooms.change(|division: &mut Division| division.reshape(on.bounds.txns, &parties));
+    rooms.change(|division: &mut Division| division.reshape(on.bounds.now().txns, &parties));
     Tenants { header, rooms, names: told.shares.iter().cloned().collect() }
 }
--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -8,7 +8,7 @@
 use notchspool_routes::backup::Backup;
 use notchspool_terms::file;
 
-use crate::base::bounds::Bounds;
+use crate::base::bounds::Room;
 use crate::base::clock::{Clock, span};
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
@@ -26,7 +26,7 @@
     pub clock: Clock,
     pub pulse: Rc<Pulse>,
     pub counters: Rc<Counters>,
-    pub bounds: Bounds,
+    pub bounds: Room,
     pub budgets: Budgets,
     pub bearings: Bearings,
 }
@@ -60,7 +60,7 @@
         let ground = Rc::new(Ground {
             clock: on.clock,
             counters: on.counters.clone(),
-            bounds: on.bounds,
+            bounds: on.bounds.clone(),
             connect_within: span(pool.connect_within),
             idle: span(pool.idle_close.times(0.8)),
         });
@@ -80,13 +80,9 @@
         let list = List::open(desk.clone(), on.clock, on.counters.clone(), zones, on.bearings.clone(), maker)
             .start();
         let registry = pool.register.map(|at| {
-            let registry = Registry::new(
-                at,
-                ground.client(usize::MAX, Past::register()),
-                list.clone(),
-                on.counters.clone(),
-            )
-            .start();
+            let registry =
+                Registry::new(at, ground.client(None, Past::register()), list.clone(), on.counters.clone())
+                    .start();
             desk.do_send(Ask(registry.clone().recipient()));
             (at, registry)
         });
--- a/crates/agent/src/life/kept.rs
+++ b/crates/agent/src/life/kept.rs
@@ -207,7 +207,8 @@
 
 /// A new file in place of the old one: whoever reads finds either, whole.
 fn replace(path: &Path, text: &str) -> std::io::Result<()> {
-    let new = path.with_extension("new");
+    let mut new = path.as_os_str().to_owned();
+    new.push(".new");
     let mut file = File::create(&new)?;
     file.write_all(text.as_bytes())?;
     file.sync_all()?;
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, UnixListener};
 
 use super::{run, stop};
-use crate::base::bounds::Bounds;
+use crate::base::bounds::Room;
 use crate::base::clock::Clock;
 use crate::base::pulse::Pulse;
 use crate::house::build::{Numbers, build};
@@ -67,7 +67,8 @@
 
 async fn begin(path: PathBuf, told: file::House, counters: Rc<Counters>) -> io::Result<()> {
     let clock = Clock::start();
-    let bounds = Bounds::within(told.descriptors, told.memory_mb);
+    let room = Room::within(told.descriptors, told.memory_mb);
+    let bounds = room.now();
     log::info!("{}: {bounds:?}", told.name);
     let budgets = Budgets::default();
     let most = |told: &file::House| told.routes.iter().map(|r| r.expiry).max().unwrap_or_default();
@@ -82,7 +83,7 @@
         clock,
         pulse: pulse.clone(),
         counters: counters.clone(),
-        bounds,
+        bounds: room.clone(),
         budgets: budgets.clone(),
         bearings: Bearings { own, longest: longest.clone(), most: bounds.backends },
     };
@@ -95,7 +96,7 @@
         clock,
         pulse,
         counters,
-        bounds,
+        bounds: room,
         longest: longest.clone(),
         halves: Cell::new(0),
         ending: Cell::new(None),
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -52,7 +52,8 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 async fn begin(told: Told, counters: Rc<Counters>) -> io::Result<()> {
-    let Told { name, listen, discovery, management, seed, bounds, known, agreed } = told;
+    let Told { name, listen, discovery, management, seed, room, known, agreed } = told;
+    let bounds = room.now();
     log::info!("{name}: {bounds:?}");
     let inherited = match std::env::var("ROUTER_INHERITED_FD") {
         Ok(number) => Some(inherited::listener(&number).map_err(io::Error::other)?),
@@ -65,7 +66,7 @@
     let ground = Rc::new(Ground {
         clock,
         counters: counters.clone(),
-        bounds,
+        bounds: room.clone(),
         connect_within: span(agreed.connect_within),
         // Not near the time at which the backend closes: a posting written then may have run.
         idle: span(agreed.idle_close.times(0.8)),
@@ -91,7 +92,7 @@
             // Who is out is so before the list is known.
             list.send(Banned(bans)).await.map_err(io::Error::other)?;
             let kept = Rc::new(kept);
-            actix_rt::spawn(hear(news, kept.clone(), list.clone(), desk.clone(), clock));
+            actix_rt::spawn(hear(news, kept.clone(), list.clone(), desk.clone(), ground.clone()));
             Some(kept)
         }
         None => None,
@@ -103,7 +104,7 @@
     }
     let desk_of = desk.clone();
     let registry =
-        Registry::new(discovery, ground.client(usize::MAX, Past::register()), list.clone(), counters.clone())
+        Registry::new(discovery, ground.client(None, Past::register()), list.clone(), counters.clone())
             .start();
     desk.send(Ask(registry.clone().recipient())).await.map_err(io::Error::other)?;
 
@@ -111,7 +112,7 @@
         clock,
         pulse,
         counters,
-        bounds,
+        bounds: room,
         longest,
         halves: Cell::new(0),
         ending: Cell::new(None),
@@ -177,18 +178,19 @@
     kept: Rc<Kept>,
     list: Addr<List>,
     desk: Addr<Desk>,
-    clock: Clock,
+    ground: Rc<Ground>,
 ) {
     while let Some(news) = news.recv().await {
         match news {
             News::Bans(bans) => list.do_send(Banned(bans)),
             News::Beside { beside, elder } => {
                 log::info!("another process of this agent lives: {beside}");
+                ground.bounds.share(beside);
                 if beside && elder {
                     let names = answer_of(|tell| list.do_send(Names(tell))).await;
                     let names = names.into_iter().map(|(name, id)| (id, name)).collect();
                     let learnt = answer_of(|tell| desk.do_send(Tell(tell))).await;
-                    kept.leave(learnt::written(&learnt, &names, clock.now()));
+                    kept.leave(learnt::written(&learnt, &names, ground.clock.now()));
                 }
             }
         }
--- a/crates/agent/src/life/start.rs
+++ b/crates/agent/src/life/start.rs
@@ -5,7 +5,7 @@
 use notchspool_terms::{Agreed, agreed};
 use serde_json::Value;
 
-use crate::base::bounds::Bounds;
+use crate::base::bounds::Room;
 
 pub struct Told {
     pub name: String,
@@ -14,7 +14,7 @@
     /// The door for operators, where there is to be one.
     pub management: Option<SocketAddr>,
     pub seed: u64,
-    pub bounds: Bounds,
+    pub room: Room,
     pub known: Value,
     pub agreed: Agreed,
 }
@@ -62,7 +62,7 @@
         management,
         seed: u64::from_str_radix(seed, 16)
             .map_err(|_| format!("field `seed`: `{seed}` is not hexadecimal"))?,
-        bounds: Bounds::within(limit("sockets", 1024.0)?, limit("memory_mb", 192.0)?),
+        room: Room::within(limit("sockets", 1024.0)?, limit("memory_mb", 192.0)?),
         agreed: agreed(&all["settings"])?,
         known: all["known"].take(),
     })
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -19,7 +19,7 @@
 
 use super::caller::{Asked, Call, Letting};
 use super::posting::length;
-use crate::base::bounds::{BODY, Bounds};
+use crate::base::bounds::{BODY, Room};
 use crate::base::clock::{Clock, span};
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
@@ -35,7 +35,7 @@
     pub clock: Clock,
     pub pulse: Rc<Pulse>,
     pub counters: Rc<Counters>,
-    pub bounds: Bounds,
+    pub bounds: Room,
     /// No txn is waited for longer, whatever it says: it would hold its room as long. An orderly end waits for this.
     pub longest: Rc<Cell<Micros>>,
     /// Bytes of requests that came in part.
@@ -202,7 +202,7 @@
         carried.body = held;
         let came = self.porch.came().await;
         let asked = Asked::on(call);
-        if self.porch.counters.held() >= self.porch.bounds.txns {
+        if self.porch.counters.held() >= self.porch.bounds.now().txns {
             // At the bound nothing is begun: a decline, as true as any.
             self.porch.counters.add("declined_at_bound");
             log::debug!("all room for txns is taken: declined");
--- a/crates/agent/src/wire/backend.rs
+++ b/crates/agent/src/wire/backend.rs
@@ -13,7 +13,7 @@
 
 use super::link::Past;
 use super::posting::{self, Outcome};
-use crate::base::bounds::Bounds;
+use crate::base::bounds::Room;
 use crate::base::clock::{Clock, span};
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Desk, NoRoom, Probed, Returned};
@@ -29,15 +29,15 @@
 pub struct Ground {
     pub clock: Clock,
     pub counters: Rc<Counters>,
-    pub bounds: Bounds,
+    pub bounds: Room,
     pub connect_within: Duration,
     /// How long a connection is kept idle: short of when the backend may close it.
     pub idle: Duration,
 }
 
 impl Ground {
-    /// A client that opens connections while there are fewer than so many in all.
-    pub fn client(&self, most: usize, past: Rc<Past>) -> Client {
+    /// A client that opens connections while there is room for them; none: whatever others hold.
+    pub fn client(&self, most: Option<Room>, past: Rc<Past>) -> Client {
         posting::client(most, self.connect_within, self.idle, self.counters.clone(), past)
     }
 }
@@ -59,20 +59,20 @@
 impl Peer {
     fn meet(id: BackendId, at: SocketAddr, desk: Addr<Desk>, ground: Rc<Ground>) -> Addr<Peer> {
         let past = Rc::<Past>::default();
-        let (client, used) = (ground.client(ground.bounds.links, past.clone()), ground.clock.now());
+        let (client, used) = (ground.client(Some(ground.bounds.clone()), past.clone()), ground.clock.now());
         Peer { id, at, client, past, desk, ground, out: BTreeMap::new(), used, held: false, gone: false }
             .start()
     }
     /// Lets idle connections go. What is out stays out, and its connections go with it.
     fn renew(&mut self) {
         self.held = false;
-        self.client = self.ground.client(self.ground.bounds.links, self.past.clone());
+        self.client = self.ground.client(Some(self.ground.bounds.clone()), self.past.clone());
     }
     fn returned(&mut self, txn: TxnRef, posting: u32, outcome: Outcome, took: Option<Duration>) {
         let Some((_, sent)) = self.out.remove(&(txn, posting)) else { return };
         if outcome.fate == Fate::NeverSent {
             self.ground.counters.add("no_room_for_links");
-            log::warn!("backend {}: no connection left of {}", self.at, self.ground.bounds.links);
+            log::warn!("backend {}: no connection left of {}", self.at, self.ground.bounds.now().links);
             self.desk.do_send(NoRoom);
         }
         let took = took.map_or(self.ground.clock.now() - sent, |took| Micros(took.as_micros() as i64));
@@ -144,7 +144,7 @@
         carried: Arc<Carried>,
         ctx: &mut Context<Peer>,
     ) {
-        if self.out.len() >= self.ground.bounds.links_each {
+        if self.out.len() >= self.ground.bounds.now().links_each {
             self.ground.counters.add("no_room_at_backend");
             log::warn!("backend {}: {} postings are out, no more", self.at, self.out.len());
             return self.tell(txn, posting, Micros(0), Outcome::only(Fate::NeverSent));
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -166,7 +166,7 @@
             Some(None) => return Err(full("TENANT_FULL", "this tenant holds all that it may")),
             held => held.flatten(),
         };
-        if self.porch.counters.held() >= self.porch.bounds.txns {
+        if self.porch.counters.held() >= self.porch.bounds.now().txns {
             return Err(full("AGENT_FULL", "all room for txns is taken"));
         }
         let first = match route.at.as_slice() {
--- a/crates/agent/src/wire/fcgi/front.rs
+++ b/crates/agent/src/wire/fcgi/front.rs
@@ -39,7 +39,7 @@
     }
     /// All together hold more than there is room for, and this one more than its equal part.
     fn too_much(&self) -> bool {
-        let most = self.porch.bounds.halves;
+        let most = self.porch.bounds.now().halves;
         self.porch.halves.get() > most && self.own > most / self.porch.counters.callers.get().max(1)
     }
 }
@@ -55,7 +55,7 @@
 pub async fn serve(door: Rc<Door>, listen: usize, mut caller: Caller) -> io::Result<()> {
     let call = caller.call.clone();
     caller.shares = true;
-    let requests = REQUESTS.min(door.porch.bounds.txns);
+    let requests = REQUESTS.min(door.porch.bounds.now().txns);
     let mut taker = Taker::new(Bounds { requests, params: PARAMS, body: BODY });
     let mut running: FuturesUnordered<LocalBoxFuture<'static, Done>> = FuturesUnordered::new();
     let mut aborts: BTreeMap<Id, AbortHandle> = BTreeMap::new();
--- a/crates/agent/src/wire/fcgi/peer.rs
+++ b/crates/agent/src/wire/fcgi/peer.rs
@@ -77,7 +77,7 @@
         if let Some(link) = found {
             return Ok(link);
         }
-        if self.ground.counters.links.get() >= self.ground.bounds.links {
+        if self.ground.counters.links.get() >= self.ground.bounds.now().links {
             return Err(Fate::NeverSent);
         }
         let at = self.at.get();
@@ -273,7 +273,7 @@
         let ground = self.links.ground.clone();
         match told {
             ToPeer::Post { txn, posting, until, carried } => {
-                if self.out.len() >= ground.bounds.links_each {
+                if self.out.len() >= ground.bounds.now().links_each {
                     ground.counters.add("no_room_at_backend");
                     return self.tell(txn, posting, Micros(0), Outcome::only(Fate::NeverSent));
                 }
--- a/crates/agent/src/wire/gate.rs
+++ b/crates/agent/src/wire/gate.rs
@@ -60,15 +60,15 @@
                 if front.pulse.waking(front.clock.now()).is_some() {
                     calls.begin_anew();
                 }
-                if front.counters.callers.get() >= front.bounds.callers {
+                if front.counters.callers.get() >= front.bounds.now().callers {
                     front.counters.add("calls_full");
-                    log::debug!("all {} connections are taken: some make way", front.bounds.callers);
+                    log::debug!("all {} connections are taken: some make way", front.bounds.now().callers);
                 }
-                while front.counters.callers.get() >= front.bounds.callers {
-                    let soon = calls.make_room(front.bounds.callers - 1, true);
+                while front.counters.callers.get() >= front.bounds.now().callers {
+                    let soon = calls.make_room(front.bounds.now().callers - 1, true);
                     actix_rt::time::sleep(if soon { SOON } else { LOOK }).await; // the next waits outside
                 }
-                calls.make_room(front.bounds.kept, false);
+                calls.make_room(front.bounds.now().kept, false);
                 let came = listener.accept().await;
                 if came.is_err() {
                     actix_rt::time::sleep(LOOK).await; // out of descriptors: the rest waits outside
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -22,7 +22,7 @@
 use notchspool_terms::report_line;
 
 use super::link::{Link, MARK, Mark, Past};
-use crate::base::bounds::{BODY, SEND_BUFFER};
+use crate::base::bounds::{BODY, Room, SEND_BUFFER};
 use crate::memory::counters::Counters;
 use crate::memory::flow::{Cut, Flow, Giver, LARGEST, Rest, flow};
 use crate::memory::txn::{Carried, Made, More, Reading};
@@ -33,19 +33,19 @@
 /// A client for one peer. It adds nothing of its own: no time-out but the connect one, no redirects, no
 /// decompression, no second sending; connections are dropped before the peer may have closed them.
 pub fn client(
-    most: usize,
+    most: Option<Room>,
     connect_within: Duration,
     idle: Duration,
     counters: Rc<Counters>,
     past: Rc<Past>,
 ) -> Client {
     let connect = actix_service::fn_service(move |info: ConnectInfo<Uri>| {
-        let (counters, past) = (counters.clone(), past.clone());
+        let (counters, past, most) = (counters.clone(), past.clone(), most.clone());
         async move {
             let uri = info.request().clone();
             let at = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
             let at = at.ok_or(NoAddress::Unresolved)?;
-            if counters.links.get() >= most {
+            if most.is_some_and(|room| counters.links.get() >= room.now().links) {
                 return Err(NoAddress::Io(std::io::Error::other(NO_ROOM)));
             }
             let up = actix_rt::time::timeout(connect_within, connect(at)).await;
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -7,11 +7,11 @@
 //! one; `wait MS`, `close`, `reset`, `stall`. `refuse A`: nothing listens there; `silent A`: no connection
 //! there comes up. `start`, `fails TEXT`: it must not start. `ask N LINE [body SIZE]`: on connection N; `raw
 //! N TEXT`; `hear N STATUS TEXT`: the next answer there; `gone N`: closed by the agent; `leave N`. `count
-//! NAME VALUE`: a counter comes to it, `least NAME VALUE`: to that or more; `got A TEXT`: A has read this, whatever came around it; `reads A N`:
+//! NAME VALUE`: a counter comes to it, `least NAME VALUE`: to that or more; `most NAME VALUE`: to that or less; `got A TEXT`: A has read this, whatever came around it; `reads A N`:
 //! whole requests it read; `opens A N`: connections; `log TEXT`; `config NAME VALUE`: changes the file; `term`,
 //! `hup`, `stop`, `cont`: the signal; `ends`: with exit code 0. `deaf`: nobody reads its log any more; `calls N
 //! PATH`: N connections in turn, each asks this and goes. `door`, before the start: there is a door for operators; `order LINE = ANSWER`: what
-//! is asked there and how the answer begins; `mute N`: N callers there who say nothing. `inherit`, before the start: the listening socket is the
+//! is asked there and how the answer begins; `mute N`: N callers there who say nothing; `crowd N`: N clients that ask once and stay. `inherit`, before the start: the listening socket is the
 //! test's, as descriptor 3; `inherit TEXT`: what stands in the variable. `beside`: a second process of the agent, waited for till it says yes;
 //! from then on `term` is for the first, and `elder ends` waits for its end. `hearall N STATUS SIZE`: an answer of any framing to its end; `cut N`:
 //! one that is not whole. `slow N METHOD PATH SIZE PIECE`: a body in pieces, over three seconds; `begin N METHOD PATH SIZE PART`: only a part of it.
@@ -435,6 +435,12 @@
                 let has = |page: String| page.lines().filter_map(value).any(|value| value >= least);
                 self.wait(line, || self.fetch("/-/counters").is_some_and(has));
             }
+            "most" => {
+                let most: u64 = more.parse().expect("a number");
+                let value = |line: &str| line.strip_prefix(name)?.trim().parse::<u64>().ok();
+                let has = |page: String| page.lines().filter_map(value).any(|value| value <= most);
+                self.wait(line, || self.fetch("/-/counters").is_some_and(has));
+            }
             "count" => {
                 let wanted = format!("{name} {more}");
                 let has = |page: String| page.lines().any(|line| line == wanted);
@@ -473,6 +479,13 @@
                     self.muted.push(TcpStream::connect(self.door.expect("a door")).expect("it listens"));
                 }
             }
+            "crowd" => {
+                for _ in 0..name.parse().expect("a number") {
+                    let mut io = TcpStream::connect(self.at).expect("the agent listens");
+                    write!(io, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").expect("written");
+                    self.muted.push(io);
+                }
+            }
             "inherit" if rest.is_empty() => {
                 let listener = TcpListener::bind(self.at).expect("a free port");
                 self.inherit = Some((Some(listener), "3".to_owned()));
