Slow readers and early answers: no large answer cut off, connections kept after chunks

Causes: posting.rs called every answer in chunks spent; caller.rs left a connection busy whose answer had passed through with nothing left to write; 2.5 s without a read was taken for one that does not read, where a system says that there is room only by halves of what it holds; the server closed at once on who was still writing. Ruled out: backends, by the log's codes.

--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -204,6 +204,9 @@
     told.await.unwrap_or_default()
 }
 
+/// What still comes of a request that is answered already is read for so long.
+const GOES_ON: Duration = Duration::from_secs(2);
+
 /// One HTTP service for all connections of the application.
 pub async fn serve<F>(answer: impl Fn(Request) -> F + 'static) -> io::Result<Serve>
 where
@@ -214,6 +217,8 @@
         // The calls keep the time: an answer sent to who has not asked could pass for the next one.
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
+        // Who is answered before all of its body came goes on writing: closed at once, it would lose the answer.
+        .client_disconnect_timeout(GOES_ON)
         .h1_allow_half_closed(false)
         .on_connect_ext(|caller: &Caller, data| {
             data.insert(caller.call.clone());
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -374,6 +374,7 @@
             let mut reply = match made.more {
                 None => plain(made.status, made.body),
                 Some(more) => {
+                    asked.iter().for_each(Asked::flows);
                     let first = Some(made.body).filter(|body| !body.is_empty());
                     let body = BoxBody::new(Passing { first, more, _asked: asked });
                     Response::with_body(made.status, body)
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -20,8 +20,13 @@
 const WHOLE: Duration = Duration::from_millis(2_300);
 /// From then on a request has to grow by so many bytes a second: half of what a slow client gives.
 const GROWS: f64 = 32_000.0;
+/// One that grew so lately is given so much more: its last piece may be on its way.
+const STILL_COMES: Duration = Duration::from_millis(300);
+const LATER_STILL: Duration = Duration::from_millis(300);
 /// An answer of which nothing is taken for so long is not read. A slow reader takes a large piece at a time.
 const UNREAD: Duration = Duration::from_millis(2_500);
+/// The same where a large answer passes: a slow reader's system says only now and then that there is room again, by half of what it holds.
+const UNREAD_FLOW: Duration = Duration::from_secs(15);
 /// Where room is short, one that has yet to say something makes way after this, and one whose request has stopped growing for so long: what a
 /// slow client writes comes in pieces, and not all of them at once.
 const UNSAID: Duration = Duration::from_millis(300);
@@ -79,6 +84,8 @@
     in_hand: Cell<usize>,
     /// Bytes of the request that is on its way.
     grown: Cell<usize>,
+    /// The answer written last is one that passes through.
+    flowed: Cell<bool>,
     /// A body passes through: what comes belongs to it, whatever it looks like.
     pub passing: Cell<bool>,
     /// It sent what can't be a txn, and why: it gets its answer, and no more is read.
@@ -98,7 +105,8 @@
     }
     /// How long a request may take that came as far as this one.
     fn allowed(&self) -> Duration {
-        WHOLE + Duration::from_secs_f64(self.grown.get() as f64 / GROWS)
+        let still = if self.heard.get().elapsed() < STILL_COMES { LATER_STILL } else { Duration::ZERO };
+        WHOLE + still + Duration::from_secs_f64(self.grown.get() as f64 / GROWS)
     }
     pub fn refuse(&self, why: &'static str) {
         self.refused.set(Some(why));
@@ -182,8 +190,10 @@
         }
         let leaving = letting == Letting::AllButFresh;
         // Whoever asks much at once and reads nothing would hold the room of all that it asked, for as long as it likes.
-        let unread = |call: &&Rc<Call>| call.unread.get().is_some_and(|since| since.elapsed() > UNREAD);
+        let most = |call: &Call| if call.flowed.get() { UNREAD_FLOW } else { UNREAD };
+        let unread = |call: &&Rc<Call>| call.unread.get().is_some_and(|since| since.elapsed() > most(call));
         for call in self.all.borrow().values().filter(|call| call.ended().is_none()).filter(unread) {
+            log::info!("an answer not read: {} bytes wait", call.unsent.get());
             call.end("CALL_STUCK");
         }
         for call in
@@ -192,7 +202,14 @@
             let stood = call.since.get().elapsed();
             match (call.busy.get(), call.spoke.get()) {
                 // What it wrote last may wait to be taken still: that is judged above.
-                (true, _) if stood > call.allowed() && call.unsent.get() == 0 => call.end("CALL_STUCK"),
+                (true, _) if stood > call.allowed() && call.unsent.get() == 0 => {
+                    let (grown, quiet) = (call.grown.get(), call.heard.get().elapsed().as_millis());
+                    log::info!(
+                        "a request not whole after {} ms: {grown} bytes, the last {quiet} ms ago",
+                        stood.as_millis()
+                    );
+                    call.end("CALL_STUCK");
+                }
                 (false, false) if stood > WHOLE => call.end("CALL_SILENT"),
                 (false, _) if call.unsent.get() > 0 => {}
                 (false, _) if stood > IDLE || (leaving && !call.fresh()) => call.end("CALL_IDLE"),
@@ -269,6 +286,7 @@
             in_hand: Cell::new(0),
             grown: Cell::new(0),
             passing: Cell::new(false),
+            flowed: Cell::new(false),
             refused: Cell::new(None),
             ended: Cell::new(None),
             waker: RefCell::new(None),
@@ -292,8 +310,13 @@
 }
 
 /// A txn of this connection in hand, while this lives.
-pub struct Asked(Option<Rc<Call>>);
+pub struct Asked(Option<Rc<Call>>, Cell<bool>);
 impl Asked {
+    /// Its answer passes through: when this ends, that is written or about to be, and nothing more may come to say so.
+    pub fn flows(&self) {
+        self.1.set(true);
+        self.0.iter().for_each(|call| call.flowed.set(true));
+    }
     /// Whether its body still passes through.
     pub fn passes(&self, passes: bool) {
         if let Some(call) = &self.0 {
@@ -304,7 +327,7 @@
     }
     pub fn on(call: Option<Rc<Call>>) -> Asked {
         call.iter().for_each(|call| call.in_hand.set(call.in_hand.get() + 1));
-        Asked(call)
+        Asked(call, Cell::new(false))
     }
 }
 impl Drop for Asked {
@@ -314,6 +337,9 @@
             call.passing.set(false);
             call.grown.set(0);
             call.since.set(Instant::now());
+            if self.1.get() && call.in_hand.get() == 0 {
+                call.busy.set(false);
+            }
             // What came meanwhile may be read now.
             call.waker.take().into_iter().for_each(Waker::wake);
         }
@@ -409,6 +435,7 @@
             if !call.busy.replace(true) {
                 call.since.set(Instant::now());
                 call.grown.set(0);
+                call.flowed.set(false);
             }
             call.grown.set(call.grown.get() + buf.filled().len() - before);
         } else if read.is_pending() {
--- a/crates/agent/src/wire/link.rs
+++ b/crates/agent/src/wire/link.rs
@@ -11,6 +11,7 @@
 use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::chunks::Chunks;
 use crate::memory::counters::Counters;
 
 /// Interim heads ahead of an answer, all together, hold no more than this.
@@ -59,6 +60,8 @@
     /// Its answer has no body, whatever its head says.
     bodiless: bool,
     pub ended: Cell<bool>, // the peer ended its sending while we read
+    /// Where the answer's body in chunks stands.
+    chunks: Cell<Chunks>,
     /// The connection is not to be used again: more came than belongs to the answer, or that can't be told.
     spent: Cell<bool>,
 }
@@ -96,9 +99,21 @@
     pub fn came(&self) -> usize {
         self.came.get()
     }
-    /// The answer is over, with a body of so many bytes, or nobody knows how many.
-    pub fn over(&self, length: Option<usize>) {
-        self.spent.set(length.is_none_or(|length| self.heard.after.get() > length));
+    /// The answer is over, with a body of so many bytes, in chunks, or else to the connection's end.
+    pub fn over(&self, length: Option<usize>, chunked: bool) {
+        self.spent.set(match length {
+            _ if chunked => !self.chunks.get().ended_alone(),
+            Some(length) => self.heard.after.get() > length,
+            None => true,
+        });
+    }
+    /// Bytes of the answer go on to the HTTP client.
+    fn hears(&self, bytes: &[u8]) {
+        let before = self.heard.after.get();
+        self.heard.passed(bytes);
+        let mut chunks = self.chunks.get();
+        chunks.pass(&bytes[bytes.len() - (self.heard.after.get() - before)..]);
+        self.chunks.set(chunks);
     }
 }
 
@@ -269,7 +284,7 @@
         let some = self.ahead.split_to(buf.remaining().min(self.ahead.len()));
         buf.put_slice(&some);
         if let Some(mark) = &self.mark {
-            mark.heard.passed(&some);
+            mark.hears(&some);
         }
     }
 }
--- a/crates/agent/src/wire/mod.rs
+++ b/crates/agent/src/wire/mod.rs
@@ -2,6 +2,7 @@
 pub mod application;
 pub mod backend;
 pub mod caller;
+mod chunks;
 pub mod door;
 pub mod fcgi;
 pub mod gate;
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -229,7 +229,7 @@
         match answer.next().await {
             Some(Ok(piece)) => body.extend_from_slice(&piece),
             None if whole(body.len(), &mark) => {
-                mark.over(length);
+                mark.over(length, chunked);
                 let made = settled || carried.reading == Reading::Plain;
                 let made = made.then(|| Made { status, headers, body: body.freeze(), more: None });
                 return Outcome { fate, report, made };
@@ -249,7 +249,7 @@
     let pass = async move {
         let code = pass(&mut answer, &giver, before, whole, &mark).await;
         if code == "FLOW_WHOLE" {
-            mark.over(length);
+            mark.over(length, chunked);
         }
         drop(held);
         log::info!("answer of backend {at} ended: {code}");
@@ -381,8 +381,9 @@
         };
         let fate = if answer.status() == StatusCode::OK { Fate::Settled } else { Fate::Errored };
         let (by_header, length) = (report(answer.headers()), length(answer.headers()));
+        let chunked = answer.headers().contains_key("transfer-encoding");
         let body = answer.body().limit(BODY).await;
-        mark.over(length);
+        mark.over(length, chunked);
         match body {
             Ok(body) => {
                 let line = std::str::from_utf8(&body).ok();
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -14,7 +14,8 @@
 //! is asked there and how the answer begins; `mute N`: N callers there who say nothing; `crowd N`: N clients that ask once and stay. `inherit`, before the start: the listening socket is the
 //! test's, as descriptor 3; `inherit TEXT`: what stands in the variable. `beside`: a second process of the agent, waited for till it says yes;
 //! from then on `term` is for the first, and `elder ends` waits for its end. `hearall N STATUS SIZE`: an answer of any framing to its end; `cut N`:
-//! one that is not whole. `slow N METHOD PATH SIZE PIECE`: a body in pieces, over three seconds; `begin N METHOD PATH SIZE PART`: only a part of it.
+//! one that is not whole. `slow N METHOD PATH SIZE PIECE`: a body in pieces, over three seconds; `begin N METHOD PATH SIZE PART`: only a part of it; `early N METHOD
+//! PATH SIZE`: all of it, whatever is answered meanwhile.
 //! A peer's `gulp SIZE` reads so many bytes, its `floods SIZE` is bytes without framing.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -395,6 +396,21 @@
                     std::thread::sleep(pause);
                 }
             }
+            "early" => {
+                let [method, path, size] = more.split(' ').collect::<Vec<_>>()[..] else {
+                    panic!("METHOD PATH SIZE")
+                };
+                let size: usize = size.parse().expect("a size");
+                let head = format!(
+                    "{method} {path} HTTP/1.1\r\nHost: a\r\nX-Expires-In-Ms: 1500\r\nX-Trace-Id: 9b1f03aa5c7e{name}\r\nContent-Length: {size}\r\n\r\n"
+                );
+                let io = self.call(name).get_mut();
+                io.write_all(head.as_bytes()).expect("written");
+                for _ in 0..20 {
+                    io.write_all(&vec![b'b'; size / 20]).expect("it is read on");
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            }
             "begin" => {
                 let [method, path, size, part] = more.split(' ').collect::<Vec<_>>()[..] else {
                     panic!("METHOD PATH SIZE PART")
