--- a/crates/agent/src/base/bounds.rs
+++ b/crates/agent/src/base/bounds.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 pub const BODY: usize = 64 * 1024; // bytes of one body, either way
+pub const HELD: usize = 512 * 1024; // bytes of one body that are held out of the shared pot
 pub const SEND_BUFFER: u32 = 16 * 1024; // bytes of a posting that the system may hold unsent
 pub const LINE: usize = 1024 * 1024; // bytes of one line of the list
 
@@ -21,6 +22,8 @@
     pub links_each: usize,
     /// Bytes of requests that came in part, over all connections of clients that send several at once.
     pub halves: usize,
+    /// Bytes of bodies over the small ones that are held, all together.
+    pub pot: usize,
     /// Bytes of answers that callers do not take, all together.
     pub unsent: usize,
     /// Backends known at once; who is long gone makes room. About 2.5 kB each, with their actors.
@@ -68,6 +71,7 @@
             links: half + 1,
             links_each: (half / 4).max(4),
             halves: memory_mb.saturating_mul(1024 * 1024 / 8),
+            pot: memory_mb.saturating_mul(1024 * 1024 / 8),
             unsent: memory_mb.saturating_mul(1024 * 1024 / 16),
             backends: (memory_mb.saturating_mul(1024 * 1024 / 4) / 3072).clamp(64, 4096),
             txns: by_memory.clamp(4, half),
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -24,6 +24,7 @@
 use crate::memory::learnt;
 use crate::memory::list::{Banned, Bearings, Fresh, List, Names, Restore};
 use crate::memory::mail::Watch;
+use crate::memory::pot::Pot;
 use crate::memory::txn::Budgets;
 use crate::wire::application::{Front, Porch, SOON};
 use crate::wire::backend::{self, Ground};
@@ -126,6 +127,7 @@
         schemes,
         away,
         next: Cell::new(0),
+        pot: Pot::default(),
         traces: RefCell::default(),
     });
     let serve = serve(move |request| front.clone().answer(request)).await?;
--- a/crates/agent/src/memory/mod.rs
+++ b/crates/agent/src/memory/mod.rs
@@ -9,5 +9,6 @@
 pub mod learnt;
 pub mod list;
 pub mod mail;
+pub mod pot;
 pub mod txn;
 mod versions;
--- a/crates/agent/src/memory/txn.rs
+++ b/crates/agent/src/memory/txn.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 
 use super::flow::{Flow, Rest};
+use super::pot::Drawn;
 
 /// Which answers of a backend settle a txn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,8 @@
     pub expires: Option<HeaderName>,
     /// All of the body, or what is held of it where the rest passes through.
     pub body: Bytes,
+    /// What of it is held out of the shared pot.
+    pub drawn: Option<Drawn>,
     pub rest: Option<Rest>,
     pub reading: Reading,
     /// Whether a large answer may pass through in pieces.
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -19,12 +19,13 @@
 
 use super::caller::{Asked, Call, Letting};
 use super::posting::length;
-use crate::base::bounds::{BODY, Room};
+use crate::base::bounds::{BODY, HELD, Room};
 use crate::base::clock::{Clock, span};
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Desk, Left, Take};
 use crate::memory::flow::{Cut, Giver, LARGEST, Rest, flow};
+use crate::memory::pot::{Drawn, Pot};
 use crate::memory::txn::{Answer, Carried, More, Reading, Unserved};
 
 /// Kept clear of an expiry for the way back.
@@ -108,6 +109,7 @@
     /// What a decline of this front says; none where clients are not to be told.
     pub away: Option<Micros>,
     pub next: Cell<u64>,
+    pub pot: Pot,
     /// Ids of the txns in hand.
     pub traces: RefCell<BTreeSet<HeaderValue>>,
 }
@@ -194,12 +196,14 @@
             headers: headers.filter_map(|(name, value)| Some((name, value?))).collect(),
             expires: Some(name("x-expires-in-ms")),
             body: Bytes::new(),
+            drawn: None,
             rest: None,
             reading: Reading::Platform,
             flows: true,
         };
-        let Body { held, length, mut payload } = begun(&mut request, LARGEST).await?;
-        carried.body = held;
+        let pot = (&self.pot, self.porch.bounds.now().pot);
+        let Body { held, drawn, length, mut payload } = begun(&mut request, pot).await?;
+        (carried.body, carried.drawn) = (held, drawn);
         let came = self.porch.came().await;
         let asked = Asked::on(call);
         if self.porch.counters.held() >= self.porch.bounds.now().txns {
@@ -299,28 +303,41 @@
 /// A body, all of it or its beginning with what follows.
 pub struct Body {
     pub held: Bytes,
+    /// What of that is held out of the shared pot.
+    pub drawn: Option<Drawn>,
     /// Bytes in all, where that was told.
     pub length: Option<usize>,
     pub payload: Option<Payload>,
 }
 
-/// Reads a body while it is small enough to be held.
-async fn begun(request: &mut Request, most: usize) -> Result<Body, (StatusCode, &'static str)> {
+/// Reads a body as far as it is to be held: a small one whole, a larger one while the shared pot has room.
+async fn begun(
+    request: &mut Request,
+    (pot, most): (&Pot, usize),
+) -> Result<Body, (StatusCode, &'static str)> {
     let length = length(request.head().headers());
-    if length.is_some_and(|told| told > most) {
+    if length.is_some_and(|told| told > LARGEST) {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
     }
     let mut held = BytesMut::new();
     let mut payload = request.take_payload();
-    let large = length.is_some_and(|length| length > BODY);
+    let mut drawn: Option<Drawn> = None;
+    // One that can't be held whole is not worth holding.
+    let large = length.is_some_and(|length| length > HELD);
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off"))?;
         held.extend_from_slice(&chunk);
-        if held.len() > BODY || large {
-            return Ok(Body { held: held.freeze(), length, payload: Some(payload) });
+        if held.len() <= BODY && !large {
+            continue;
+        }
+        let room = held.len() <= HELD && !large;
+        // What was held before it was known to be large counts from now on.
+        let first = if drawn.is_none() { held.len() } else { chunk.len() };
+        if !room || !drawn.get_or_insert_with(|| pot.draw()).more(first, most) {
+            return Ok(Body { held: held.freeze(), drawn, length, payload: Some(payload) });
         }
     }
-    Ok(Body { held: held.freeze(), length, payload: None })
+    Ok(Body { held: held.freeze(), drawn, length, payload: None })
 }
 
 pub async fn body(request: &mut Request) -> Result<Bytes, (StatusCode, &'static str)> {
--- a/crates/agent/src/wire/caller.rs
+++ b/crates/agent/src/wire/caller.rs
@@ -200,9 +200,11 @@
             self.all.borrow().values().filter(|call| call.in_hand.get() == 0 && call.ended().is_none())
         {
             let stood = call.since.get().elapsed();
+            // However much came: what does not grow for as long as a head may take will not be whole.
+            let halted = call.heard.get().elapsed().min(stood) > WHOLE;
             match (call.busy.get(), call.spoke.get()) {
                 // What it wrote last may wait to be taken still: that is judged above.
-                (true, _) if stood > call.allowed() && call.unsent.get() == 0 => {
+                (true, _) if (halted || stood > call.allowed()) && call.unsent.get() == 0 => {
                     let (grown, quiet) = (call.grown.get(), call.heard.get().elapsed().as_millis());
                     log::info!(
                         "a request not whole after {} ms: {grown} bytes, the last {quiet} ms ago",
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -317,6 +317,7 @@
         path: asking.path,
         expires: route.expiry_header.clone(),
         body: asking.body,
+        drawn: None,
         rest: None,
         flows: false,
         reading: Reading::Plain,
--- a/crates/agent/src/wire/posting.rs
+++ b/crates/agent/src/wire/posting.rs
@@ -144,9 +144,12 @@
     }
 }
 
+/// A held body goes on in such pieces: the client library copies what it is handed.
+const PIECE: usize = 16 * 1024;
+
 /// The body of a posting: what is held, then what passes through. That is taken only once all that is held went on.
 struct Passing {
-    held: Option<Bytes>,
+    held: Bytes,
     carried: Arc<Carried>,
     flow: Option<Flow>,
     mark: Rc<Mark>,
@@ -155,12 +158,19 @@
 impl MessageBody for Passing {
     type Error = Cut;
     fn size(&self) -> BodySize {
-        let length = self.carried.rest.as_ref().and_then(|rest| rest.length);
+        let length = match &self.carried.rest {
+            Some(rest) => rest.length,
+            None => Some(self.carried.body.len()),
+        };
         length.map_or(BodySize::Stream, |length| BodySize::Sized(length as u64))
     }
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Bytes, Cut>>> {
-        if let Some(held) = self.held.take() {
-            return Poll::Ready(Some(Ok(held)));
+        if !self.held.is_empty() {
+            let many = self.held.len().min(PIECE);
+            return Poll::Ready(Some(Ok(self.held.split_to(many))));
+        }
+        if self.carried.rest.is_none() {
+            return Poll::Ready(None);
         }
         if self.flow.is_none() {
             self.flow = self.carried.rest.as_ref().and_then(Rest::take);
@@ -197,12 +207,12 @@
     let empty =
         carried.body.is_empty() && !matches!(carried.method, Method::POST | Method::PUT | Method::PATCH);
     let sent = match &carried.rest {
-        Some(_) => {
-            let held = Some(carried.body.clone());
+        rest if rest.is_some() || carried.body.len() > BODY => {
+            let held = carried.body.clone();
             request.send_body(Passing { held, carried: carried.clone(), flow: None, mark: mark.clone() })
         }
-        None if empty => request.send(),
-        None => request.send_body(carried.body.clone()),
+        _ if empty => request.send(),
+        _ => request.send_body(carried.body.clone()),
     };
     let mut answer = match sent.await {
         Ok(answer) => answer,
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -14,7 +14,7 @@
 //! is asked there and how the answer begins; `mute N`: N callers there who say nothing; `crowd N`: N clients that ask once and stay. `inherit`, before the start: the listening socket is the
 //! test's, as descriptor 3; `inherit TEXT`: what stands in the variable. `beside`: a second process of the agent, waited for till it says yes;
 //! from then on `term` is for the first, and `elder ends` waits for its end. `hearall N STATUS SIZE`: an answer of any framing to its end; `cut N`:
-//! one that is not whole. `slow N METHOD PATH SIZE PIECE`: a body in pieces, over three seconds; `begin N METHOD PATH SIZE PART`: only a part of it; `early N METHOD
+//! one that is not whole. `slow N METHOD PATH SIZE PIECE`: a body in pieces, over three seconds; `begin N METHOD PATH SIZE PART`: only a part of it, `more N SIZE`: so much more; `early N METHOD
 //! PATH SIZE`: all of it, whatever is answered meanwhile.
 //! A peer's `gulp SIZE` reads so many bytes, its `floods SIZE` is bytes without framing.
 use std::collections::BTreeMap;
@@ -396,6 +396,10 @@
                     std::thread::sleep(pause);
                 }
             }
+            "more" => {
+                let rest = vec![b'b'; more.parse().expect("a size")];
+                self.call(name).get_mut().write_all(&rest).expect("written");
+            }
             "early" => {
                 let [method, path, size] = more.split(' ').collect::<Vec<_>>()[..] else {
                     panic!("METHOD PATH SIZE")
