--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -11,12 +11,13 @@
 //! whole requests it read; `opens A N`: connections; `log TEXT`; `config NAME VALUE`: changes the file; `term`,
 //! `hup`, `stop`, `cont`: the signal; `ends`: with exit code 0. `deaf`: nobody reads its log any more; `calls N
 //! PATH`: N connections in turn, each asks this and goes. `door`, before the start: there is a door for operators; `order LINE = ANSWER`: what
-//! is asked there and how the answer begins; `mute N`: N callers there who say nothing; `crowd N`: N clients that ask once and stay. `inherit`, before the start: the listening socket is the
+//! is asked there and how the answer begins; `mute N`: N callers there who say nothing; `crowd N`: N clients that ask once and stay; `prompt MS`: 40 answers there, none
+//! later. `stillborn`: a second process that fails at its start; `killed`: SIGKILL. `inherit`, before the start: the listening socket is the
 //! test's, as descriptor 3; `inherit TEXT`: what stands in the variable. `beside`: a second process of the agent, waited for till it says yes;
 //! from then on `term` is for the first, and `elder ends` waits for its end. `hearall N STATUS SIZE`: an answer of any framing to its end; `cut N`:
 //! one that is not whole. `slow N METHOD PATH SIZE PIECE`: a body in pieces, over three seconds; `begin N METHOD PATH SIZE PART`: only a part of it, `more N SIZE`: so much more; `early N METHOD
 //! PATH SIZE`: all of it, whatever is answered meanwhile.
-//! A peer's `gulp SIZE` reads so many bytes, its `floods SIZE` is bytes without framing.
+//! `sliced N TEXT`, and a peer's `slices TEXT`: written a byte at a time. A peer's `gulp SIZE` reads so many bytes, its `floods SIZE` is bytes without framing.
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -116,6 +117,16 @@
     }
 }
 
+/// Writes a text a byte at a time, so that it is cut at each.
+fn sliced(io: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    io.set_nodelay(true)?;
+    for byte in raw(text).bytes() {
+        io.write_all(&[byte])?;
+        std::thread::sleep(Duration::from_micros(500));
+    }
+    Ok(())
+}
+
 fn serve(io: TcpStream, steps: &str, seen: &Mutex<Seen>) -> std::io::Result<()> {
     let mut reader = BufReader::new(io.try_clone()?);
     let mut io = io;
@@ -141,6 +152,7 @@
                 let size = rest.parse().expect("a size");
                 write!(io, "{size:x}\r\n{}\r\n", "x".repeat(size))?;
             }
+            "slices" => sliced(&mut io, rest)?,
             "floods" => io.write_all("x".repeat(rest.parse().expect("a size")).as_bytes())?,
             "fill" => {
                 let body = "f".repeat(rest.parse().expect("a size"));
@@ -433,6 +445,7 @@
                 assert_eq!(heard.to_string(), size, "{line}");
             }
             "cut" => assert!(whole(self.call(name)).is_none(), "{line}: it looks whole"),
+            "sliced" => sliced(self.call(name).get_mut(), more).expect("written"),
             "raw" => self.call(name).get_mut().write_all(raw(more).as_bytes()).expect("written"),
             "hear" => {
                 let (first, headers, body) = message(self.call(name)).expect("an answer");
@@ -519,6 +532,32 @@
                     self.order("status\n").is_some_and(|told| told.starts_with("OK"))
                 });
             }
+            "prompt" => {
+                let most = Duration::from_millis(name.parse().expect("milliseconds"));
+                let mut worst = Duration::ZERO;
+                for _ in 0..40 {
+                    let began = Instant::now();
+                    assert!(self.order("status\n").is_some_and(|told| told.starts_with("OK")));
+                    worst = worst.max(began.elapsed());
+                    std::thread::sleep(Duration::from_millis(10));
+                }
+                println!("the worst of 40 answers at the door took {worst:?}");
+                assert!(worst <= most, "{line}: {worst:?}");
+            }
+            "stillborn" => {
+                // A second process that ends at once: its door is the first one's.
+                let first = self.agent.take();
+                self.start();
+                let code = self.agent.take().expect("started").wait().expect("an end").code();
+                assert_eq!(code, Some(1));
+                self.agent = first;
+            }
+            "killed" => {
+                let mut agent = self.agent.take().expect("started");
+                agent.kill().expect("killed");
+                agent.wait().expect("an end");
+                self.calls.clear();
+            }
             "elder" => {
                 let mut elder = self.elder.take().expect("a first process");
                 self.wait("it does not end", || elder.try_wait().is_ok_and(|end| end.is_some()));
