--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -1,5 +1,6 @@
 //! One pool as it runs: its module behind a desk, its list, its register if it follows one.
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -13,7 +14,7 @@
 use crate::base::pulse::Pulse;
 use crate::memory::counters::Counters;
 use crate::memory::desk::{Ask, Close, Desk};
-use crate::memory::list::{self, Bearings, Heard, List, Restore, Row};
+use crate::memory::list::{self, Banned, Bearings, Heard, List, Restore, Row};
 use crate::memory::txn::Budgets;
 use crate::wire::backend::{self, Ground};
 use crate::wire::fcgi::peer;
@@ -29,6 +30,8 @@
     pub bounds: Room,
     pub budgets: Budgets,
     pub bearings: Bearings,
+    /// Backends that are out by hand.
+    pub bans: Rc<RefCell<BTreeSet<String>>>,
 }
 
 pub struct Pool {
@@ -96,10 +99,20 @@
             version: Cell::new(0),
             backup: RefCell::new(Backup::new(seed)),
         };
+        // Who is out is so before the list is known.
+        opened.ban(&on.bans.borrow());
         opened.list_members(pool, Refresh::Restored);
         opened
     }
 
+    /// These are out by hand, and nobody else.
+    pub fn ban(&self, names: &BTreeSet<String>) {
+        self.list.do_send(Banned(names.clone()));
+    }
+    pub fn list(&self) -> Addr<List> {
+        self.list.clone()
+    }
+
     /// Whether this one goes on as that pool of a new file: what is known of its backends stays then.
     pub fn goes_on_as(&self, pool: &file::Pool) -> bool {
         self.name == pool.name && self.opened_with == fixed(pool)
--- a/crates/agent/src/life/open.rs
+++ b/crates/agent/src/life/open.rs
@@ -1,5 +1,6 @@
 //! An agent with routes, as an operator's file says; reads it again on SIGHUP, all of it or nothing.
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -10,6 +11,7 @@
 use notchspool_terms::file::{self, Place, Protocol};
 use tokio::net::{TcpListener, UnixListener};
 
+use super::kept::{Kept, News};
 use super::{run, stop};
 use crate::base::bounds::Room;
 use crate::base::clock::Clock;
@@ -24,6 +26,7 @@
 use crate::wire::door::Door;
 use crate::wire::fcgi::front;
 use crate::wire::gate::{Accept, Gate, Serve};
+use crate::wire::management::Management;
 
 /// What the file says. Mistakes come as lines.
 pub fn told(path: &Path) -> Result<file::House, String> {
@@ -79,7 +82,14 @@
     });
     let own: Vec<_> = own.collect();
     let pulse = Rc::new(Pulse::new(clock.now()));
+    let kept = told.management.map(|_| Kept::open(std::env::var_os("TMPDIR").map(Into::into), &told.name));
+    let (kept, out, news) = match kept {
+        Some((kept, out, news)) => (Some(kept), out, Some(news)),
+        None => (None, BTreeSet::new(), None),
+    };
+    let bans = Rc::new(RefCell::new(out));
     let footing = Footing {
+        bans: bans.clone(),
         clock,
         pulse: pulse.clone(),
         counters: counters.clone(),
@@ -108,6 +118,26 @@
     let house = RefCell::new(Rc::new(house));
     let chance = RefCell::new(oorandom::Rand64::new(seed.into()));
     let door = Rc::new(Door { porch: porch.clone(), house, budgets, next: Cell::new(0), chance });
+    if let (Some(at), Some(kept)) = (told.management, kept) {
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("management {at}: {e}"));
+        let listener = TcpListener::bind(at).await.map_err(named)?;
+        let ban = Box::new(move |id, on| kept.change(id, on));
+        let of = door.clone();
+        let lists = Box::new(move || of.house.borrow().pools.iter().map(|pool| pool.list()).collect());
+        Management { porch: porch.clone(), lists, ban }.listen(listener);
+        log::info!("{}: management at {at}", told.name);
+    }
+    if let Some(mut news) = news {
+        let of = door.clone();
+        actix_rt::spawn(async move {
+            while let Some(news) = news.recv().await {
+                if let News::Bans(out) = news {
+                    of.house.borrow().pools.iter().for_each(|pool| pool.ban(&out));
+                    *bans.borrow_mut() = out;
+                }
+            }
+        });
+    }
     let calls = Rc::new(Calls::new(bounds.unsent));
     let mut gates = Vec::new();
     porch.pulse.begin(clock.now());
@@ -125,10 +155,10 @@
         gates.push(gate.listen(listen(&place.at).await?));
         log::info!("{}: ready at {:?}", told.name, place.at);
     }
-    let (doors, numbers) = (told.doors, RefCell::new(numbers));
+    let (doors, management, numbers) = (told.doors, told.management, RefCell::new(numbers));
     let again = move |told: Result<file::House, String>| {
         let told = told?;
-        if told.doors != doors {
+        if told.doors != doors || told.management != management {
             return Err("listeners can't change while the agent runs; start a new one".into());
         }
         let old = door.house.borrow().clone();
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -141,7 +141,9 @@
         let named = |e: io::Error| io::Error::new(e.kind(), format!("management {at}: {e}"));
         let door = TcpListener::bind(at).await.map_err(named)?;
         let ban = Box::new(move |id, on| kept.change(id, on));
-        Management { porch: porch.clone(), lists: vec![list.clone()], ban }.listen(door);
+        let lists = vec![list.clone()];
+        let lists = Box::new(move || lists.clone());
+        Management { porch: porch.clone(), lists, ban }.listen(door);
         log::info!("{name}: management at {at}");
     }
     if porch.handed {
--- a/crates/agent/src/wire/management.rs
+++ b/crates/agent/src/wire/management.rs
@@ -30,7 +30,8 @@
 
 pub struct Management {
     pub porch: Rc<Porch>,
-    pub lists: Vec<Addr<List>>,
+    /// The lists of all pools, as they are now.
+    pub lists: Box<dyn Fn() -> Vec<Addr<List>>>,
     pub ban: Ban,
 }
 
@@ -139,7 +140,7 @@
 
     async fn hand(&self, id: &str, on: bool) -> Result<String, String> {
         let mut known = false;
-        for list in &self.lists {
+        for list in (self.lists)() {
             known |= list.send(Knows(id.to_owned())).await.unwrap_or(false);
         }
         if !known {
--- a/crates/cli/tests/house.rs
+++ b/crates/cli/tests/house.rs
@@ -456,3 +456,49 @@
     });
     assert_eq!(stand.seen().len(), 1, "nothing went there past the grace");
 }
+
+/// One line to the door for operators, and its answer.
+fn order(at: std::net::SocketAddr, line: &str) -> String {
+    let mut io = std::net::TcpStream::connect(at).expect("it listens");
+    io.write_all(format!("{line}\n").as_bytes()).expect("written");
+    let mut answer = String::new();
+    std::io::Read::read_to_string(&mut io, &mut answer).expect("an answer");
+    answer
+}
+
+#[test]
+fn operators_have_a_door_and_a_ban_holds_in_every_pool_and_over_a_new_file() {
+    let stands = [Stand::new(Mode::Ok), Stand::new(Mode::Ok)];
+    let door = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let file = |name: &str| {
+        format!(
+            "management = \"{door}\"\n{}",
+            pool(name, &stands, "drain_grace_ms = 200.0") + &route("x", "look", name)
+        )
+    };
+    let house = House::start("door", &file("a"));
+    assert!(order(door, "status").starts_with("OK"));
+    assert!(order(door, "maint-on nobody").starts_with("ERR"));
+    let out = format!("{}", stands[0].at);
+    assert!(order(door, &format!("maint-on {out}")).starts_with("OK"), "{}", house.log());
+    std::thread::sleep(Duration::from_millis(300));
+    let before = stands[0].seen().len();
+    // The pool that takes the place of the first hears of it before it knows anybody.
+    house.change(&file("b"));
+    house.wait("the new file", || house.counter("files_taken") == 1);
+    for n in 0..40 {
+        assert_eq!(house.status("GET", "/x", &format!("d{n}")), 200);
+    }
+    assert_eq!(stands[0].seen().len(), before, "{}", house.log());
+    assert!(order(door, &format!("maint-off {out}")).starts_with("OK"));
+    let mut next = 100;
+    house.wait("it is back", || {
+        next += 1;
+        house.status("GET", "/x", &format!("d{next}"));
+        stands[0].seen().len() > before
+    });
+    assert!(order(door, "standby").starts_with("OK"));
+    assert_eq!(house.status("GET", "/-/healthz", "h"), 503);
+    assert!(order(door, "active").starts_with("OK"));
+    assert_eq!(house.status("GET", "/-/healthz", "h"), 200);
+}
--- a/crates/cli/tests/standins/mod.rs
+++ b/crates/cli/tests/standins/mod.rs
@@ -275,6 +275,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_notchspool"))
             .arg("run")
             .arg(&file)
+            .env("TMPDIR", &folder)
             .stderr(Stdio::from(log))
             .spawn()
             .expect("the agent");
--- a/crates/terms/src/file/form.rs
+++ b/crates/terms/src/file/form.rs
@@ -13,6 +13,8 @@
     #[serde(default)]
     pub zone: String,
     pub seed: Option<u64>,
+    /// Where operators call; none: nowhere.
+    pub management: Option<Spanned<String>>,
     #[serde(default)]
     pub limits: Limits,
     #[serde(default)]
--- a/crates/terms/src/file/mod.rs
+++ b/crates/terms/src/file/mod.rs
@@ -17,6 +17,8 @@
     pub zones: Vec<String>,
     /// Of chance; none: of the clock at start.
     pub seed: Option<u64>,
+    /// Where operators call.
+    pub management: Option<SocketAddr>,
     pub memory_mb: usize,
     pub descriptors: usize,
     pub doors: Vec<Door>,
--- a/crates/terms/src/file/read.rs
+++ b/crates/terms/src/file/read.rs
@@ -103,6 +103,12 @@
         Place::Unix(_) => None,
     });
     let own: Vec<SocketAddr> = own.collect();
+    let management = f.management.as_ref().and_then(|at| seen.address(at));
+    if let (Some(place), Some(at)) = (&f.management, management)
+        && own.contains(&at)
+    {
+        seen.wrong(place.span(), "a listener is there already");
+    }
     let pools = pools(seen, &f.pool, &schemes, &own, zone);
     let routes = routes(seen, &f.route, &doors, &pools, &schemes);
     let memory_mb = *f.limits.memory_mb.get_ref();
@@ -138,6 +144,7 @@
         name: f.name,
         zones,
         seed: f.seed,
+        management,
         memory_mb,
         descriptors,
         doors,
