--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -12,7 +12,7 @@
 //! `hup`, `stop`, `cont`: the signal; `ends`: with exit code 0. `deaf`: nobody reads its log any more; `calls N
 //! PATH`: N connections in turn, each asks this and goes. `door`, before the start: there is a door for operators; `order LINE = ANSWER`: what
 //! is asked there and how the answer begins; `mute N`: N callers there who say nothing; `crowd N`: N clients that ask once and stay; `prompt MS`: 40 answers there, none
-//! later. `stillborn`: a second process that fails at its start; `killed`: SIGKILL. `inherit`, before the start: the listening socket is the
+//! later. `stillborn`: a second process that fails at its start; `hung`: one that stands still before its yes, till `forsaken`; `killed`: SIGKILL. `inherit`, before the start: the listening socket is the
 //! test's, as descriptor 3; `inherit TEXT`: what stands in the variable. `beside`: a second process of the agent, waited for till it says yes;
 //! from then on `term` is for the first, and `elder ends` waits for its end. `hearall N STATUS SIZE`: an answer of any framing to its end; `cut N`:
 //! one that is not whole. `slow N METHOD PATH SIZE PIECE`: a body in pieces, over three seconds; `begin N METHOD PATH SIZE PART`: only a part of it, `more N SIZE`: so much more; `early N METHOD
@@ -552,6 +552,21 @@
                 assert_eq!(code, Some(1));
                 self.agent = first;
             }
+            "hung" => {
+                // A second process that stands still before its yes, and is killed in the end.
+                let first = self.agent.take();
+                self.door = Some(unused());
+                self.start();
+                let second = self.agent.take().expect("started");
+                let id = second.id().to_string();
+                assert!(Command::new("kill").args(["-STOP", &id]).status().expect("kill").success());
+                (self.agent, self.elder) = (first, Some(second));
+            }
+            "forsaken" => {
+                let mut second = self.elder.take().expect("a second process");
+                second.kill().expect("killed");
+                second.wait().expect("an end");
+            }
             "killed" => {
                 let mut agent = self.agent.take().expect("started");
                 agent.kill().expect("killed");
