A ban is in force before any file is touched

Seen on reading again: kept.rs took a blocking lock first, so a sister process that hangs with the lock kept the ban out of force and the caller without an answer (test: a_ban_is_in_force_though_a_sister_hangs_with_the_lock). Now it is told to the list first, and the lock is tried for half a second; then the answer says that it is in force but not kept. Also: body() reads through begun(), which did the same.

--- a/crates/agent/src/life/kept.rs
+++ b/crates/agent/src/life/kept.rs
@@ -15,6 +15,9 @@
 
 /// How often the thread looks. What the other process was told binds this one so much later at the most.
 const LOOK: Duration = Duration::from_millis(100);
+/// The other process holds the lock for one small write; one that hangs is waited for half a second in all.
+const LOCK_TRIES: u32 = 50;
+const LOCK_PAUSE: Duration = Duration::from_millis(10);
 const FORM: &str = "notchspool bans 1";
 /// Bytes of the file and bans at once.
 const LARGEST: u64 = 1024 * 1024;
@@ -102,6 +105,10 @@
             };
             match order {
                 Some(Order::Ban { id, on, done }) => {
+                    // In force before any file is touched: a sister that hangs with the lock must not hold up a ban.
+                    let mut now = self.bans.clone();
+                    let _ = if on { now.insert(id.clone()) } else { now.remove(&id) };
+                    let _ = tell.send(News::Bans(now));
                     let kept = self.change(id, on);
                     let _ = tell.send(News::Bans(self.bans.clone()));
                     let _ = done.send(kept);
@@ -154,7 +161,7 @@
 
     /// In force it is in any case; kept where that can be.
     fn change(&mut self, id: String, on: bool) -> Result<(), String> {
-        let lock = self.file("change").map(|path| open(&path).and_then(|file| file.lock().map(|()| file)));
+        let lock = self.file("change").map(|path| locked(&path));
         // What the other process changed meanwhile stays.
         self.look();
         match on {
@@ -200,6 +207,19 @@
     OpenOptions::new().create(true).truncate(false).write(true).open(path)
 }
 
+/// The file, locked, once whoever holds it lets it go; an error where that takes too long.
+fn locked(path: &Path) -> std::io::Result<File> {
+    let file = open(path)?;
+    for _ in 0..LOCK_TRIES {
+        match file.try_lock() {
+            Ok(()) => return Ok(file),
+            Err(std::fs::TryLockError::WouldBlock) => std::thread::sleep(LOCK_PAUSE),
+            Err(std::fs::TryLockError::Error(why)) => return Err(why),
+        }
+    }
+    Err(std::io::Error::other("the other process holds its lock"))
+}
+
 /// The file, locked; none where another holds it, or it can't be.
 fn held(path: &Path) -> Option<File> {
     open(path).ok().filter(|file| file.try_lock().is_ok())
@@ -264,6 +284,22 @@
         assert!(parse("[bans]\n").is_err());
     }
 
+    #[test]
+    fn a_ban_is_in_force_though_a_sister_hangs_with_the_lock() {
+        let folder = std::env::temp_dir().join(format!("notchspool-hung-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let (kept, _, mut heard) = Kept::open(Some(folder.clone()), "n0");
+        let hung = open(&folder.join("notchspool-n0.change")).expect("a file");
+        hung.lock().expect("locked");
+        let answer = kept.change("s-1".into(), true);
+        assert_eq!(heard.blocking_recv(), Some(News::Bans(ids(&["s-1"]))));
+        let why = answer.blocking_recv().expect("an answer").expect_err("not kept");
+        assert!(why.contains("holds its lock"), "{why}");
+        assert_eq!(heard.blocking_recv(), Some(News::Bans(ids(&["s-1"]))), "it stays in force");
+        drop(kept);
+        std::fs::remove_dir_all(&folder).expect("removed");
+    }
+
     #[test]
     fn two_processes_share_bans_and_know_of_each_other() {
         let folder = std::env::temp_dir().join(format!("notchspool-kept-{}", std::process::id()));
@@ -273,6 +309,7 @@
         assert_eq!(bans, ids(&[]));
         first.change("s-1".into(), true).blocking_recv().expect("an answer").expect("kept");
         assert_eq!(next(&mut heard), News::Bans(ids(&["s-1"])));
+        assert_eq!(next(&mut heard), News::Bans(ids(&["s-1"])), "in force, then kept");
         // The second begins with it, hears that it is not alone, and the first hears it too.
         let (second, bans, mut news) = Kept::open(Some(folder.clone()), "n0");
         assert_eq!(bans, ids(&["s-1"]));
@@ -283,6 +320,7 @@
         assert_eq!(next(&mut heard), News::Bans(ids(&["s-1", "s-2"])));
         first.change("s-1".into(), false).blocking_recv().expect("an answer").expect("kept");
         assert_eq!(next(&mut news), News::Bans(ids(&["s-1", "s-2"])));
+        assert_eq!(next(&mut news), News::Bans(ids(&["s-1", "s-2"])));
         assert_eq!(next(&mut news), News::Bans(ids(&["s-2"])));
         // A torn file changes nothing.
         std::fs::write(folder.join("notchspool-n0.bans"), "notchspool bans 1\ns-9").expect("written");
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -344,16 +344,10 @@
     if length(request.head().headers()).is_some_and(|told| told > BODY) {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
     }
-    let mut whole = BytesMut::new();
-    let mut payload = request.take_payload();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| (StatusCode::BAD_REQUEST, "the body broke off"))?;
-        if whole.len() + chunk.len() > BODY {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
-        }
-        whole.extend_from_slice(&chunk);
+    match begun(request, (&Pot::default(), 0)).await? {
+        Body { held, payload: None, .. } => Ok(held),
+        _ => Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB")),
     }
-    Ok(whole.freeze())
 }
 
 pub fn plain(status: StatusCode, body: impl Into<Bytes>) -> Reply {
