Shares judged over the fleet: agents tell one another what tenants send; sizes from live weights

At fault: route() turned away by one window for all alike, and ease() took work of high variation for waiting. Now: at sites with messages an agent tells a peer drawn at random its arrivals by tenant and its stress, ten times a second; a txn is within its share by chance, quota over what all agents get; those have a window of their own with a higher aim, moved by the mean stress heard. Sizes: the largest weight seen of a machine type, the rest is crowd.

--- a/crates/lab/src/seeded/day.rs
+++ b/crates/lab/src/seeded/day.rs
@@ -316,6 +316,7 @@
             report_by_probe: false,
             probe_price: 0.0,
             tick: Micros::ms(5),
+            ..Terms::default()
         }
     }
 
@@ -333,6 +334,7 @@
                 },
                 started: row.started.map_or(Micros(0), |at| at + LEAD),
                 size: site.size,
+                ..Listed::default()
             })
         };
         listing.rows.iter().map(row).collect()
@@ -427,7 +429,7 @@
     fn reply(&mut self, sent: u64, reply: Reply) {
         let Some(one) = self.sent.get(&sent).filter(|s| s.open) else { return };
         let load = self.world.fleet.load(one.to);
-        let report = Some(Report { utilisation: Some(load.utilisation), in_flight: Some(load.in_flight) });
+        let report = Some(Report { utilisation: Some(load.utilisation), in_flight: Some(load.in_flight), ..Report::default() });
         let (end, fate) = match reply {
             Reply::Settled => (End::Settled, Fate::Settled),
             Reply::Errored => (End::Errored, Fate::Errored),
--- a/crates/terms/src/file/read.rs
+++ b/crates/terms/src/file/read.rs
@@ -272,6 +272,7 @@
                 report_by_probe: row.probes,
                 probe_price: 0.04,
                 tick: Micros::ms(5),
+                ..Terms::default()
             },
             members,
             protocol: row.protocol,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -14,6 +14,7 @@
     pub terms: Terms,
     pub zones: Vec<String>,
     pub schemes: Vec<String>,
+    pub tenants: Vec<String>,
     pub report_fields: Vec<String>,
     /// After this a backend closes a connection that stands idle.
     pub idle_close: Micros,
@@ -78,6 +79,15 @@
         may_cancel: flag(permissions, "cancel")?,
         may_probe: flag(permissions, "probes")?,
         report_by_probe: settings["loadReport"]["via"].as_str() == Some("probe"),
+        live_weights: settings["weightKind"].as_str() == Some("live"),
+        second_copies: flag(permissions, "secondCopies")?,
+        peers: flag(permissions, "peers")?,
+        me: PeerId(number(settings, "selfIndex", Some(0.0))? as u32),
+        kept_promises: number(&settings["scoreParts"], "keptPromises", Some(0.0))?,
+        quotas: rows(settings, "realms")?
+            .iter()
+            .map(|row| number(row, "quotaPerS", None))
+            .collect::<Read<_>>()?,
         probe_price: number(costs, "probe", Some(0.0))?,
         tick: time(settings, "tickMs", Some(1.0))?,
     };
@@ -85,6 +95,7 @@
         terms,
         zones,
         schemes: names(settings, "schemes")?,
+        tenants: names(settings, "realms")?,
         report_fields: strings(&settings["loadReport"], "fields")?,
         idle_close: time(permissions, "idleCloseMs", Some(15_000.0))?,
         connect_within: time(permissions, "connectTimeoutMs", Some(250.0))?,
@@ -101,6 +112,8 @@
         _ if value < 0.0 => {}
         "busy" | "util" => report.utilisation = Some(value),
         "rif" | "inflight" => report.in_flight = Some(value),
+        "q" | "queue" => report.queue = Some(value),
+        "rate" | "qps" => report.rate = Some(value),
         _ => {}
     }
 }
@@ -117,5 +130,6 @@
             put(&mut report, name.trim(), value);
         }
     }
-    (report.utilisation.is_some() || report.in_flight.is_some()).then_some(report)
+    let told = [report.utilisation, report.in_flight, report.queue, report.rate];
+    told.iter().any(Option::is_some).then_some(report)
 }
--- a/crates/wirehost/src/actions.rs
+++ b/crates/wirehost/src/actions.rs
@@ -1,7 +1,7 @@
 //! Writes a balancer's actions as wire messages.
 use std::fmt::Write;
 
-use notchspool::units::{BackendId, Micros, Outlet, TxnRef};
+use notchspool::units::{BackendId, Micros, Outlet, PeerId, TxnRef};
 
 /// The wire names of an instance's backends, by the numbers its balancer knows them under.
 #[derive(Default)]
@@ -77,6 +77,14 @@
     fn wake_in(&mut self, span: Micros) {
         self.action("setTimer", format_args!(r#","keyBack":1,"spanMs":{}"#, ms(span)));
     }
+    fn tell(&mut self, peer: PeerId, line: &str) {
+        let line = serde_json::Value::from(line);
+        self.action("notify", format_args!(r#","target":{},"octets":{line}"#, peer.0));
+    }
+    fn trim(&mut self, backend: BackendId) {
+        let name = self.backend(backend).to_owned();
+        self.action("freeLinks", format_args!(r#","backend":{name}"#));
+    }
     fn note(&mut self, line: &str) {
         let line = serde_json::Value::from(line);
         self.action("remark", format_args!(r#","line":{line}"#));
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -15,6 +15,8 @@
     names: Names,
     zones: Vec<String>,
     schemes: Vec<String>,
+    tenants: Vec<String>,
+    models: Vec<String>,
     report_fields: Vec<String>,
 }
 
@@ -72,10 +74,10 @@
             self.ledgers.insert(slot, lines);
             return Ok(());
         }
-        const KNOWN: [&str; 8] =
-            ["hello", "down", "endpoints", "order", "reportBack", "expired", "wake", "pong"];
+        const KNOWN: [&str; 9] =
+            ["hello", "down", "endpoints", "order", "reportBack", "expired", "wake", "pong", "whisper"];
         if !KNOWN.contains(&what.as_str()) {
-            return Ok(()); // firstByte and whisper bear on no decision; what is newer than us neither
+            return Ok(()); // firstByte bears on no decision; what is newer than us neither
         }
         let id = text(event, "i")?;
         match what.as_str() {
@@ -98,13 +100,15 @@
 
 impl Instance {
     fn start(now: Micros, id: &str, event: &Value) -> Read<Instance> {
-        let Agreed { terms, zones, schemes, report_fields, .. } = agreed(&event["facts"])?;
+        let Agreed { terms, zones, schemes, tenants, report_fields, .. } = agreed(&event["facts"])?;
         Ok(Instance {
             quoted: Value::from(id).to_string(),
             balancer: Balancer::open(terms, whole(event, "entropy")?, now),
             names: Names::default(),
             zones,
             schemes,
+            tenants,
+            models: Vec::new(),
             report_fields,
         })
     }
@@ -121,7 +125,7 @@
             return self.endpoints(now, event, ledgers, reply);
         }
         let report = self.report(event)?;
-        let Instance { quoted, balancer, names, schemes, .. } = self;
+        let Instance { quoted, balancer, names, schemes, tenants, .. } = self;
         let backend = || {
             let name = text(event, "backend")?;
             names.find(name).ok_or_else(|| format!("field `backend`: `{name}` is not known"))
@@ -137,7 +141,9 @@
                     .position(|s| s == name)
                     .ok_or_else(|| format!("field `priority`: `{name}` is not known"))?;
                 let expiry = time(event, "notAfterMs", None)?;
-                balancer.take(txn()?, SchemeId(scheme), expiry).route(&mut wire);
+                let owner = event["owner"].as_str();
+                let tenant = owner.and_then(|name| tenants.iter().position(|t| t == name)).map(TenantId);
+                balancer.take(txn()?, SchemeId(scheme), expiry).of(tenant).route(&mut wire);
             }
             "reportBack" => {
                 let (backend, fate) = (backend()?, fate(event)?);
@@ -154,6 +160,7 @@
                 }
             }
             "wake" => balancer.wake(&mut wire),
+            "whisper" => balancer.heard(text(event, "octets")?),
             _ => {
                 let (backend, fate) = (backend()?, fate(event)?);
                 balancer.reported(backend, report);
@@ -205,6 +212,7 @@
                     zone: zone_number(&mut self.zones, line["site"].as_str().unwrap_or("")),
                     cell: CellId(line["cell"].as_i64().unwrap_or(0)),
                     standing,
+                    model: ModelId(zone_number(&mut self.models, line["model"].as_str().unwrap_or("")).0),
                     started: time(line, "startedAtMs", Some(0.0))?,
                     size: number(line, "powerHint", Some(1.0))?,
                 });
--- a/src/book.rs
+++ b/src/book.rs
@@ -5,6 +5,7 @@
 #[derive(Default)]
 pub struct Backend {
     pub entry: Entry,
+    pub crowd: f64,             // txns held a core by the list, where its weights are live
     pub told: Option<Micros>,   // since when it is known to drain or to be gone
     pub leaves: Micros,         // till when one that drains still takes its part
     pub frozen: Option<Micros>, // gone, but held on the list by the guard since then
@@ -57,6 +58,7 @@
     pub ran: Option<(BackendId, Micros)>,      // the first posting that may have run, and when it was sent
     pub last: Option<BackendId>,
     pub closed: bool,
+    pub fair: bool, // within its tenant's share
 }
 
 impl State {
@@ -68,6 +70,8 @@
 /// The running figures of a balancer.
 pub struct Gauge {
     pub window: f64,    // own postings that may be out, in the mean over some response times
+    pub wide: f64,      // the same for txns within their tenants' shares
+    pub spared: f64,    // and what it was under- or overused by
     pub saved: f64,     // postings by which the window was lately under- or (below 0) overused
     pub opening: bool,  // never yet under strain: the window grows fast
     pub stress: f64,    // squares of response times as a part of the SLA time, smoothed
@@ -87,6 +91,8 @@
     pub fn start() -> Gauge {
         Gauge {
             window: 2.0,
+            wide: 2.0,
+            spared: 3.0,
             saved: 3.0,
             opening: true,
             stress: 0.0,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,6 @@
 mod book;
 pub mod heir;
 pub mod logic;
+mod rates;
 pub mod tally;
 pub mod units;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,6 +8,7 @@
 use oorandom::Rand64;
 
 use crate::book::{Backend, Gauge, State, draw, prefer};
+use crate::rates::Rates;
 use crate::tally::Tally;
 use crate::units::*;
 
@@ -32,6 +33,8 @@
 const SLOW: f64 = 2.0; // a member this many times slower than its peers makes room for another
 const UNUSED: Micros = Micros::ms(10_000); // a member above those that got nothing for this long leaves
 const BURST: f64 = 3.0; // postings over the window that chance may bring at once
+const TELLS: f64 = 10.0; // messages a second to a peer drawn at random
+const FAIR: f64 = 5.0; // the aim for txns within their tenants' shares is this many times that of the rest
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
 pub struct Balancer {
@@ -47,6 +50,8 @@
     txns: BTreeMap<TxnRef, State>,
     pub(crate) took: Vec<Tally>, // by scheme: response times of settled postings
     pub(crate) gauge: Gauge,
+    pub(crate) sizes: BTreeMap<ModelId, f64>, // where weights are live: the largest seen of each machine type
+    rates: Rates,
     beating: bool,
     ejections: u32, // since the last beat
 }
@@ -74,6 +79,8 @@
             txns: BTreeMap::new(),
             took: vec![Tally::default(); terms.schemes.len()],
             gauge: Gauge::start(),
+            sizes: BTreeMap::new(),
+            rates: Rates::of(terms.quotas.len()),
             beating: false,
             ejections: 0,
             terms,
@@ -95,6 +102,11 @@
         Txn { desk: self, txn }
     }
 
+    /// Another agent's figures.
+    pub fn heard(&mut self, told: &str) {
+        self.rates.hear(told);
+    }
+
     /// The handle of a txn that is still of interest.
     pub fn txn(&mut self, txn: TxnRef) -> Option<Txn<'_>> {
         self.txns.contains_key(&txn).then_some(Txn { desk: self, txn })
@@ -132,6 +144,12 @@
                 *b = Backend { out, cold_sent, ..Backend::new(entry.clone(), now) };
             }
             b.entry = entry.clone();
+            if self.terms.live_weights {
+                let size = self.sizes.entry(entry.model).or_default();
+                *size = size.max(entry.size);
+                b.crowd = *size / entry.size.max(1e-9) - 1.0;
+                b.entry.size = *size;
+            }
             match entry.standing {
                 Standing::Ready => (b.told, b.frozen, b.dropped) = (None, None, false),
                 Standing::Draining if b.told.is_none() => {
@@ -152,6 +170,7 @@
         self.count();
         if how == Refresh::Restored {
             self.gauge.window = 1.33 * self.gauge.least;
+            self.gauge.wide = self.gauge.window;
         }
     }
 
@@ -349,6 +368,14 @@
         // left is told to all alike: as long as that is much, waiting is not why answers are late.
         let room = if self.gauge.thin { (1.0 - self.gauge.busy / FULL).max(0.0) } else { 0.0 };
         let aim = (QUICK * self.gauge.rest).clamp(EASE, 1.5 * EASE) * (1.0 + ROOM * room);
+        if self.terms.peers {
+            let wide = if self.terms.kept_promises > 0.0 { aim } else { FAIR * aim };
+            let pull = ((wide - self.rates.stress()) / wide).clamp(-1.0, 1.0);
+            if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * (self.gauge.wide + self.gauge.spared) {
+                let step = 0.2 * self.gauge.wide / (1.0 + self.gauge.wide);
+                self.gauge.wide = (self.gauge.wide + step * pull).max(self.gauge.least);
+            }
+        }
         let pull = ((aim - self.gauge.stress) / aim).clamp(-1.0, 1.0);
         if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * (self.gauge.window + self.gauge.saved) {
             self.gauge.opening &= pull > 0.0;
@@ -610,10 +637,17 @@
             out.watch();
         }
         self.count();
+        self.rates.fade(BEAT, self.gauge.stress);
+        if self.terms.peers && self.terms.agents > 1 && self.chance.rand_float() < TELLS * BEAT.over(Micros::ms(1_000)) {
+            let other = 1 + (self.chance.rand_float() * (self.terms.agents - 1) as f64) as u32;
+            out.tell(PeerId((self.terms.me.0 + other) % self.terms.agents), &self.rates.told());
+        }
         // The mean counts, not the moment: few txns come in clusters, and those are no overload.
         let took = self.took.iter().filter_map(Tally::mean).fold(BEAT.0 as f64, f64::max);
         self.gauge.saved += (self.gauge.window - self.in_flight()) * BEAT.0 as f64 / took;
         self.gauge.saved = self.gauge.saved.clamp(-BURST, BURST);
+        self.gauge.spared += (self.gauge.wide - self.in_flight()) * BEAT.0 as f64 / took;
+        self.gauge.spared = self.gauge.spared.clamp(-BURST, BURST);
         let unused = |b: &Backend| b.out.is_empty() && now - b.used > UNUSED;
         if self.members.len() > FEW
             && let Some(at) = self.members.iter().position(|&id| self.backend(id).is_none_or(unused))
@@ -657,10 +691,26 @@
 }
 
 impl Txn<'_> {
+    /// Whose it is. What a tenant sends beyond its share is told from the rest by chance: one in so many, as all of
+    /// its tries at all agents go over the quota.
+    pub fn of(self, tenant: Option<TenantId>) -> Self {
+        let Txn { desk, txn } = self;
+        let Some(TenantId(tenant)) = tenant else { return Txn { desk, txn } };
+        desk.rates.add(tenant);
+        let all = desk.rates.mean(tenant) * desk.terms.agents as f64;
+        let quota = desk.terms.quotas.get(tenant).copied().unwrap_or(f64::MAX);
+        let fair = desk.terms.peers && desk.chance.rand_float() * all < quota;
+        desk.txns.get_mut(&txn).into_iter().for_each(|s| s.fair = fair);
+        Txn { desk, txn }
+    }
+
     /// Sends the txn on its way, or answers it at once where the window is used up.
     pub fn route(self, out: &mut dyn Outlet) {
         let Txn { desk, txn } = self;
-        if desk.in_flight() >= desk.gauge.window + desk.gauge.saved {
+        let fair = desk.txns.get(&txn).is_some_and(|s| s.fair);
+        let gauge = &desk.gauge;
+        let room = if fair { gauge.wide + gauge.spared } else { gauge.window + gauge.saved };
+        if desk.in_flight() >= room {
             out.count("unserved_window");
             return desk.answer(txn, out);
         }
--- /dev/null
+++ b/src/rates.rs
@@ -0,0 +1,55 @@
+//! How many txns a second each tenant sends and how near the SLA time answers come, at this agent and in the mean of
+//! those it hears from. No decisions here.
+use crate::units::Micros;
+
+const SPAN: Micros = Micros::ms(2_000); // what came longer ago than this counts little
+const SAMPLE: f64 = 0.05; // what one more agent's figures count, once many have been heard
+const BODY: usize = 256; // bytes of a message
+
+#[derive(Default)]
+pub struct Rates {
+    own: Vec<f64>, // by tenant, and the stress last
+    mean: Vec<f64>,
+    heard: f64,
+}
+
+impl Rates {
+    pub fn of(tenants: usize) -> Rates {
+        Rates { own: vec![0.0; tenants + 1], mean: vec![0.0; tenants + 1], heard: 0.0 }
+    }
+    /// One more txn of a tenant.
+    pub fn add(&mut self, tenant: usize) {
+        if let Some(own) = self.own.get_mut(tenant) {
+            *own += 1.0 / SPAN.over(Micros::ms(1_000));
+        }
+    }
+    /// Time passes; the stress is now this.
+    pub fn fade(&mut self, span: Micros, stress: f64) {
+        let left = (-span.over(SPAN)).exp();
+        self.own.iter_mut().for_each(|own| *own *= left);
+        self.own.last_mut().into_iter().for_each(|own| *own = stress);
+    }
+    pub fn stress(&self) -> f64 {
+        self.mean(self.own.len() - 1)
+    }
+    /// Txns a second of a tenant at an agent like any other: the mean of what was heard, else what comes here.
+    pub fn mean(&self, tenant: usize) -> f64 {
+        let of = if self.heard > 0.0 { &self.mean } else { &self.own };
+        of.get(tenant).copied().unwrap_or(0.0)
+    }
+    /// This agent's figures as a message: hundredths of a txn a second, by tenant.
+    pub fn told(&self) -> String {
+        let figures: Vec<String> = self.own.iter().map(|own| format!("{:.0}", own * 100.0)).collect();
+        figures.join(" ").chars().take(BODY).collect()
+    }
+    /// Another agent's. What is not of this form is left out.
+    pub fn hear(&mut self, told: &str) {
+        let figures: Option<Vec<f64>> = told.split(' ').map(|f| f.parse::<u32>().ok().map(f64::from)).collect();
+        let Some(figures) = figures.filter(|f| f.len() == self.mean.len()) else { return };
+        self.heard += 1.0;
+        let part = SAMPLE.max(1.0 / self.heard);
+        for (mean, told) in self.mean.iter_mut().zip(figures) {
+            *mean += part * (told / 100.0 - *mean);
+        }
+    }
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -51,6 +51,12 @@
     CellId(i64);
     /// The version of a server list.
     Generation(u64);
+    /// A tenant, by its row in the terms.
+    TenantId(usize);
+    /// A machine type, numbered by the front.
+    ModelId(u32);
+    /// Another agent, by its own number.
+    PeerId(u32);
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,7 +84,7 @@
 }
 
 /// What an instance is told at start and never changes.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub agents: u32,
     pub zone: ZoneId,
@@ -98,6 +104,18 @@
     pub may_cancel: bool,
     /// Load is reported to probes only.
     pub report_by_probe: bool,
+    /// Listed weights are the size over 1 + txns held a core, and move with load.
+    pub live_weights: bool,
+    /// Two postings of a txn may be out at once.
+    pub second_copies: bool,
+    /// Agents may send one another messages.
+    pub peers: bool,
+    /// This agent's number among all.
+    pub me: PeerId,
+    /// Weight of the part of the goal that counts only where all but few answers come within their SLA time.
+    pub kept_promises: f64,
+    /// Txns a second that each tenant's share holds, over all agents.
+    pub quotas: Vec<f64>,
     /// Price of one probe a txn, as a share of the value.
     pub probe_price: f64,
     pub tick: Micros,
@@ -119,6 +137,8 @@
     pub cell: CellId,
     pub standing: Standing,
     pub started: Micros,
+    pub model: ModelId,
+    /// As listed; where weights are live, the balancer puts the nominal size here and the rest into `crowd`.
     pub size: f64,
 }
 
@@ -163,6 +183,10 @@
 pub struct Report {
     pub utilisation: Option<f64>,
     pub in_flight: Option<f64>,
+    /// Txns that wait.
+    pub queue: Option<f64>,
+    /// Txns settled a second.
+    pub rate: Option<f64>,
 }
 
 /// What a balancer does, carried out by the front.
@@ -174,6 +198,10 @@
     fn probe(&mut self, backend: BackendId);
     fn watch(&mut self);
     fn wake_in(&mut self, span: Micros);
+    /// A message to one peer, of 256 bytes at most. Only where the terms allow it.
+    fn tell(&mut self, _: PeerId, _: &str) {}
+    /// Closes the connections to a backend that stand idle.
+    fn trim(&mut self, _: BackendId) {}
     fn note(&mut self, line: &str);
     /// One more of a kind of decision, for sums over a fleet. Hosts without counters pass it over.
     fn count(&mut self, _: &'static str) {}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -69,7 +69,7 @@
     /// What it tells of itself: how busy it was in the last whole half second.
     fn report(&self, now: Micros) -> Report {
         let busy = self.busy.get(&(now.0 / HALF - 1)).copied().unwrap_or(0) as f64;
-        Report { utilisation: Some(busy / (2 * HALF) as f64), in_flight: None }
+        Report { utilisation: Some(busy / (2 * HALF) as f64), in_flight: None, ..Report::default() }
     }
 }
 
@@ -129,6 +129,7 @@
         report_by_probe: false,
         probe_price: 0.0,
         tick: Micros::ms(1),
+        ..Terms::default()
     }
 }
 
--- a/tests/heir.rs
+++ b/tests/heir.rs
@@ -36,6 +36,7 @@
         report_by_probe: false,
         probe_price: 0.0,
         tick: Micros::ms(5),
+        ..Terms::default()
     }
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -78,6 +78,7 @@
         report_by_probe: false,
         probe_price: 0.04,
         tick: Micros::ms(5),
+        ..Terms::default()
     }
 }
 
@@ -202,7 +203,7 @@
                 handle.into_iter().for_each(|h| h.left(&mut self.stage));
             }
             "report" => {
-                let report = Report { utilisation: words[2].parse().ok(), in_flight: words[3].parse().ok() };
+                let report = Report { utilisation: words[2].parse().ok(), in_flight: words[3].parse().ok(), ..Report::default() };
                 let id = entry(&format!("{}:0", words[1])).backend;
                 self.reports.insert(id, report);
                 self.desk.reported(id, Some(report));
