--- a/src/book.rs
+++ b/src/book.rs
@@ -71,6 +71,7 @@
 pub struct Gauge {
     pub window: f64,    // own postings that may be out, in the mean over some response times
     pub wide: f64,      // the same for txns within their tenants' shares
+    pub calm: bool,     // the fleet's answers come with ease: no window for those
     pub spared: f64,    // and what it was under- or overused by
     pub saved: f64,     // postings by which the window was lately under- or (below 0) overused
     pub opening: bool,  // never yet under strain: the window grows fast
@@ -92,6 +93,7 @@
         Gauge {
             window: 2.0,
             wide: 2.0,
+            calm: false,
             spared: 3.0,
             saved: 3.0,
             opening: true,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,7 +34,7 @@
 const UNUSED: Micros = Micros::ms(10_000); // a member above those that got nothing for this long leaves
 const BURST: f64 = 3.0; // postings over the window that chance may bring at once
 const TELLS: f64 = 10.0; // messages a second to a peer drawn at random
-const FAIR: f64 = 5.0; // the aim for txns within their tenants' shares is this many times that of the rest
+const FAIR: f64 = 2.5; // the aim for txns within their tenants' shares is this many times that of the rest
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
 pub struct Balancer {
@@ -371,6 +371,7 @@
         if self.terms.peers {
             let wide = if self.terms.kept_promises > 0.0 { aim } else { FAIR * aim };
             let pull = ((wide - self.rates.stress()) / wide).clamp(-1.0, 1.0);
+            self.gauge.calm = pull > 0.0 && self.terms.kept_promises == 0.0;
             if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * (self.gauge.wide + self.gauge.spared) {
                 let step = 0.2 * self.gauge.wide / (1.0 + self.gauge.wide);
                 self.gauge.wide = (self.gauge.wide + step * pull).max(self.gauge.least);
@@ -710,7 +711,7 @@
         let fair = desk.txns.get(&txn).is_some_and(|s| s.fair);
         let gauge = &desk.gauge;
         let room = if fair { gauge.wide + gauge.spared } else { gauge.window + gauge.saved };
-        if desk.in_flight() >= room {
+        if !(fair && gauge.calm) && desk.in_flight() >= room {
             out.count("unserved_window");
             return desk.answer(txn, out);
         }
