Connections that stood unused longer than silent ones did are closed before the next posting

Symptom: from the first second of idle_reap a fifth to a third of postings got no answer till expiry, on sound backends. At fault: post() took a connection for alive however long it had stood. Checks: false alarms cost more than they save. Now only silence of twice what 97 in 100 answers take counts, twice in a row, and not at a crowded backend; an answer on a connection that stood longer raises the limit, trials by repeatable txns find such. Second copies are still switched off here.

--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -81,6 +81,7 @@
         report_by_probe: settings["loadReport"]["via"].as_str() == Some("probe"),
         live_weights: settings["weightKind"].as_str() == Some("live"),
         second_copies: flag(permissions, "secondCopies")?,
+        idle_close: time(permissions, "idleCloseMs", Some(15_000.0))?,
         peers: flag(permissions, "peers")?,
         me: PeerId(number(settings, "selfIndex", Some(0.0))? as u32),
         kept_promises: number(&settings["scoreParts"], "keptPromises", Some(0.0))?,
--- a/src/book.rs
+++ b/src/book.rs
@@ -18,6 +18,8 @@
     pub doubt: f64,       // 0 sound, 1 nothing works
     pub shut_until: Micros,
     pub shut_for: Micros,
+    pub active: Micros, // when the connection to it was last used
+    pub stale: bool,    // nothing came on that connection when it was due
     pub used: Micros, // when we last posted to it
     pub probed: Micros,
     pub flow: f64,              // postings settled within two fall spans, smoothed
@@ -49,12 +51,23 @@
     }
 }
 
+/// One posting that is out.
+#[derive(Clone, Copy)]
+pub struct Posting {
+    pub number: u32,
+    pub to: BackendId,
+    pub sent: Micros,
+    pub stood: Micros, // how long its connection had stood unused; 0: it was new
+    pub overdue: bool, // longer out than most take
+    pub silent: bool,  // and longer than any
+}
+
 #[derive(Default)]
 pub struct State {
     pub scheme: SchemeId,
     pub expiry: Micros,
     pub postings: u32,
-    pub out: Option<(u32, BackendId, Micros)>, // number, where, and since when
+    pub out: Vec<Posting>, // two at the most
     pub ran: Option<(BackendId, Micros)>,      // the first posting that may have run, and when it was sent
     pub last: Option<BackendId>,
     pub closed: bool,
@@ -62,6 +75,10 @@
 }
 
 impl State {
+    /// The earliest posting that may have run, also of those out.
+    pub fn may_have_run(&self) -> Option<(BackendId, Micros)> {
+        self.ran.into_iter().chain(self.out.iter().map(|o| (o.to, o.sent))).min_by_key(|ran| ran.1)
+    }
     pub fn new(scheme: SchemeId, expiry: Micros) -> State {
         State { scheme, expiry, ..State::default() }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 
 use oorandom::Rand64;
 
-use crate::book::{Backend, Gauge, State, draw, prefer};
+use crate::book::{Backend, Gauge, Posting, State, draw, prefer};
 use crate::rates::Rates;
 use crate::tally::Tally;
 use crate::units::*;
@@ -35,6 +35,9 @@
 const BURST: f64 = 3.0; // postings over the window that chance may bring at once
 const TELLS: f64 = 10.0; // messages a second to a peer drawn at random
 const FAIR: f64 = 2.5; // the aim for txns within their tenants' shares is this many times that of the rest
+const PATIENT: f64 = 0.97; // part of answers that come sooner than a second copy is sent
+const SILENT: f64 = 2.0; // after so many times that wait, nothing is thought to come
+const TRIAL: f64 = 0.1; // part of repeatable txns that try a connection which stood idle for long
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
 pub struct Balancer {
@@ -52,6 +55,9 @@
     pub(crate) gauge: Gauge,
     pub(crate) sizes: BTreeMap<ModelId, f64>, // where weights are live: the largest seen of each machine type
     rates: Rates,
+    silences: u32, // in a row on connections that had stood unused
+    keep: Micros, // connections that stood unused for longer are not trusted
+    beat_at: Micros,
     beating: bool,
     ejections: u32, // since the last beat
 }
@@ -81,6 +87,9 @@
             gauge: Gauge::start(),
             sizes: BTreeMap::new(),
             rates: Rates::of(terms.quotas.len()),
+            silences: 0,
+            keep: terms.idle_close.times(0.8),
+            beat_at: now,
             beating: false,
             ejections: 0,
             terms,
@@ -314,13 +323,11 @@
     /// somewhere must not use up the window.
     fn in_flight(&self) -> f64 {
         let now = self.now;
-        let counts = |s: &&State| {
-            s.out.is_some_and(|(_, id, sent)| {
-                now - sent < self.terms.schemes[s.scheme.0].sla.times(1.5)
-                    && !(self.gauge.ejecting && self.backend(id).is_some_and(|b| b.shut(now)))
-            })
+        let counts = |s: &State, o: &Posting| {
+            now - o.sent < self.terms.schemes[s.scheme.0].sla.times(1.5)
+                && !(self.gauge.ejecting && self.backend(o.to).is_some_and(|b| b.shut(now)))
         };
-        self.txns.values().filter(counts).count() as f64
+        self.txns.values().map(|s| s.out.iter().filter(|o| counts(s, o)).count() as f64).sum()
     }
 
     /// The figures that are kept from beat to beat.
@@ -402,9 +409,12 @@
         if s.closed || self.now + self.terms.tick >= s.expiry || s.postings >= self.terms.max_postings {
             return false;
         }
-        // Rule 2: never two postings out; what may have run goes again only where a repeat does no harm.
+        // Rule 2: two postings are out only where second copies are allowed, and what may have run, or is out, goes
+        // again only where a repeat does no harm.
         let row = &self.terms.schemes[s.scheme.0];
-        let harmless = match (s.ran, row.kind) {
+        let copies = 1 + usize::from(self.terms.second_copies);
+        let alone = s.out.len() < copies && s.out.iter().all(|o| o.to != id);
+        let harmless = match (s.may_have_run(), row.kind) {
             (None, _) | (_, Kind::Repeatable) => true,
             (_, Kind::OnceOnly) => false,
             (Some((first, sent)), Kind::Referenced) => {
@@ -422,7 +432,7 @@
             (Some(told), Some(grace)) => self.now + MARGIN >= told + grace.times(0.8),
             _ => false,
         };
-        s.out.is_none() && harmless && !drained && !b.dropped && self.cold_room(b)
+        alone && harmless && !drained && !b.dropped && self.cold_room(b)
     }
 
     /// Rule 4: while a backend is cold, this agent's postings within the span stay under what a warm one of
@@ -457,10 +467,25 @@
             return false;
         }
         let (now, cold) = (self.now, self.backend(id).is_some_and(|b| b.warmth(&self.terms, self.now) < 1.0));
+        let trial = self.chance.rand_float() < TRIAL;
+        let wait = self.patience(self.txns.get(&txn).map_or(SchemeId(0), |s| s.scheme));
         let (Some(s), Some(b)) = (self.txns.get_mut(&txn), self.backends[id.0 as usize].as_mut()) else {
             return false;
         };
-        s.out = Some((s.postings, id, now));
+        let row = &self.terms.schemes[s.scheme.0];
+        // What is sent on a connection that was dropped unseen gets no answer: one that stood unused for longer
+        // than such were seen to last is closed first, but for a trial now and then.
+        let mut stood = if b.out.is_empty() { now - b.active } else { Micros(0) };
+        let trial = trial && row.kind == Kind::Repeatable && !b.stale;
+        if b.out.is_empty() && (b.stale || stood > self.keep) && !trial {
+            out.trim(id);
+            out.count("links_renewed");
+            (b.stale, stood) = (false, Micros(0));
+        }
+        if self.terms.second_copies {
+            out.wake_in(wait);
+        }
+        s.out.push(Posting { number: s.postings, to: id, sent: now, stood, overdue: false, silent: false });
         match b.entry.standing {
             _ if b.frozen.is_some() => out.count("postings_frozen"),
             Standing::Draining => out.count("postings_draining"),
@@ -472,7 +497,7 @@
         }
         s.postings += 1;
         s.last = Some(id);
-        b.used = now;
+        (b.used, b.active) = (now, now);
         b.out.push((txn, now));
         if cold {
             b.cold_sent.push(now);
@@ -609,12 +634,59 @@
         fallback
     }
 
+    /// How long an answer may take till it is overdue.
+    fn patience(&self, scheme: SchemeId) -> Micros {
+        let most = self.terms.schemes[scheme.0].sla;
+        self.took[scheme.0].quantile(PATIENT).map_or(most, |usual| Micros(usual).min(most))
+    }
+
+    /// Postings whose answers are overdue: their connections are in doubt, and where the terms allow a second copy and
+    /// the scheme a repeat, it goes to another backend. It is paid for like what follows a failure.
+    fn overdue(&mut self, out: &mut dyn Outlet) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for (&txn, s) in &self.txns {
+            let wait = self.patience(s.scheme);
+            let late = |o: &&Posting| !o.overdue && now - o.sent >= wait;
+            let silent = |o: &&Posting| o.overdue && !o.silent && now - o.sent >= wait.times(SILENT);
+            due.extend(s.out.iter().filter(|o| late(o) || silent(o)).map(|o| (txn, *o, wait)));
+        }
+        for (txn, late, wait) in due {
+            let room = self.in_flight() + 1.0 < self.gauge.window + self.gauge.saved;
+            let Some(s) = self.txns.get_mut(&txn) else { continue };
+            let (closed, alone) = (s.closed, s.out.len() == 1);
+            for o in s.out.iter_mut().filter(|o| o.number == late.number) {
+                (o.overdue, o.silent) = (true, late.overdue);
+            }
+            if !late.overdue {
+                out.wake_in(wait.times(SILENT - 1.0));
+                let open = false && !closed && alone && room && self.gauge.spare >= 1.0;
+                if open && let Some(id) = self.pick(txn) && self.post(txn, id, out) {
+                    self.gauge.spare -= 1.0;
+                    out.count("second_copies");
+                }
+                continue;
+            }
+            let Some(b) = self.at(late.to).filter(|b| b.answered <= late.sent) else { continue };
+            b.stale = true;
+            if late.stood > Micros(0) && b.crowd < 2.0 {
+                self.silences += 1;
+                if self.silences > 1 {
+                    self.keep = self.keep.min(late.stood.times(0.7));
+                }
+            }
+            if closed && self.terms.may_cancel {
+                out.cancel(txn, late.number);
+            }
+        }
+    }
+
     fn answer(&mut self, txn: TxnRef, out: &mut dyn Outlet) {
         let Some(s) = self.txns.get_mut(&txn).filter(|s| !s.closed) else { return };
         s.closed = true;
         let row = &self.terms.schemes[s.scheme.0];
         // Rule 2: a decline promises that asking again is harmless.
-        let harmless = s.ran.is_none()
+        let harmless = s.may_have_run().is_none()
             || row.kind == Kind::Repeatable
             || (row.kind == Kind::Referenced && row.group == Group::All);
         if harmless {
@@ -622,7 +694,7 @@
         } else {
             out.reverse(txn);
         }
-        if s.out.is_none() {
+        if s.out.is_empty() {
             self.txns.remove(&txn);
         }
     }
@@ -630,8 +702,15 @@
     // ---- Timers -----------------------------------------------------------------------------------------
 
     pub fn wake(&mut self, out: &mut dyn Outlet) {
-        out.wake_in(BEAT);
+        if self.terms.second_copies {
+            self.overdue(out);
+        }
         let now = self.now;
+        if now < self.beat_at {
+            return;
+        }
+        self.beat_at = now + BEAT;
+        out.wake_in(BEAT);
         (0..std::mem::take(&mut self.ejections)).for_each(|_| out.count("ejections"));
         if self.watch_at.is_some_and(|at| at <= now) {
             self.watch_at = Some(now + self.terms.ask_within.times(0.7)); // should no answer come at all
@@ -731,21 +810,34 @@
     /// A posting came back; `closed` says that the client has its answer.
     pub fn returned(self, posting: u32, fate: Fate, took: Micros, closed: bool, out: &mut dyn Outlet) {
         let Txn { desk, txn } = self;
+        let now = desk.now;
         let Some(s) = desk.txns.get_mut(&txn) else { return };
-        let Some((_, id, sent)) = s.out.filter(|o| o.0 == posting) else { return };
-        s.out = None;
+        let Some(at) = s.out.iter().position(|o| o.number == posting) else { return };
+        let Posting { to: id, sent, stood, silent, .. } = s.out.remove(at);
         let scheme = s.scheme;
         if let Some(b) = desk.backends[id.0 as usize].as_mut() {
-            b.out.retain(|o| o.0 != txn);
+            b.out.retain(|o| *o != (txn, sent));
+            b.active = now;
         }
         if !fate.never_ran() {
-            s.ran = s.ran.or(Some((id, sent)));
+            s.ran = Some(s.ran.filter(|ran| ran.1 <= sent).unwrap_or((id, sent)));
         }
         s.closed |= closed || fate == Fate::Settled;
-        let over = s.closed;
-        let now = desk.now;
+        let (over, last) = (s.closed, s.out.is_empty());
+        if over && desk.terms.may_cancel {
+            // One on a connection that stood unused is waited for: whether it comes tells of the connection.
+            s.out.iter().filter(|o| o.silent || o.stood == Micros(0)).for_each(|o| out.cancel(txn, o.number));
+        }
         let ejected = desk.gauge.ejecting && desk.backend(id).is_some_and(|b| b.shut(now));
-        let lost = desk.came_back(id, scheme, sent, fate, took);
+        if fate == Fate::Settled && stood > Micros(0) {
+            desk.silences = 0;
+            if stood > desk.keep {
+                desk.keep = stood + stood.times(0.25);
+            }
+        }
+        let fate = if fate == Fate::Withdrawn && silent { Fate::TimedOut } else { fate };
+        let lost = stood.times(2.0) > desk.keep && fate == Fate::TimedOut;
+        let lost = lost || desk.came_back(id, scheme, sent, fate, took);
         if !ejected && !lost {
             desk.ease(scheme, fate, took);
         }
@@ -754,8 +846,10 @@
             Fate::TimedOut | Fate::TurnedAway => 1.0,
             _ => 0.3,
         };
-        if over {
+        if over && last {
             desk.txns.remove(&txn);
+        } else if over || !last {
+            // The other posting is still out: it may settle, or ends the txn when it returns.
         } else if fate.ends() || desk.gauge.spare < price {
             // What one backend can't use none can: such a txn must not go round and cost them all.
             out.count(if fate.ends() { "unserved_unusable" } else { "unserved_no_budget" });
@@ -771,10 +865,11 @@
         let Txn { desk, txn } = self;
         let Some(s) = desk.txns.get_mut(&txn) else { return };
         s.closed = true;
-        match s.out {
-            Some((posting, ..)) if desk.terms.may_cancel => out.cancel(txn, posting),
-            Some(_) => {}
-            None => drop(desk.txns.remove(&txn)),
+        if desk.terms.may_cancel {
+            s.out.iter().for_each(|o| out.cancel(txn, o.number));
+        }
+        if s.out.is_empty() {
+            desk.txns.remove(&txn);
         }
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -108,6 +108,8 @@
     pub live_weights: bool,
     /// Two postings of a txn may be out at once.
     pub second_copies: bool,
+    /// After this a connection that stands unused is closed.
+    pub idle_close: Micros,
     /// Agents may send one another messages.
     pub peers: bool,
     /// This agent's number among all.
