--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,8 +35,8 @@
 const BURST: f64 = 3.0; // postings over the window that chance may bring at once
 const TELLS: f64 = 10.0; // messages a second to a peer drawn at random
 const FAIR: f64 = 2.5; // the aim for txns within their tenants' shares is this many times that of the rest
-const PATIENT: f64 = 0.97; // part of answers that come sooner than a second copy is sent
-const SILENT: f64 = 2.0; // after so many times that wait, nothing is thought to come
+const PATIENT: f64 = 0.9; // part of answers that come sooner than a second copy is sent
+const SILENT: f64 = 3.0; // after so many times that wait, nothing is thought to come
 const TRIAL: f64 = 0.1; // part of repeatable txns that try a connection which stood idle for long
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
@@ -636,7 +636,7 @@
 
     /// How long an answer may take till it is overdue.
     fn patience(&self, scheme: SchemeId) -> Micros {
-        let most = self.terms.schemes[scheme.0].sla;
+        let most = self.terms.schemes[scheme.0].sla.times(0.6);
         self.took[scheme.0].quantile(PATIENT).map_or(most, |usual| Micros(usual).min(most))
     }
 
@@ -660,7 +660,8 @@
             }
             if !late.overdue {
                 out.wake_in(wait.times(SILENT - 1.0));
-                let open = false && !closed && alone && room && self.gauge.spare >= 1.0;
+                let idle = self.backend(late.to).is_some_and(|b| b.crowd < 1.0) && late.stood > Micros(0);
+                let open = !closed && alone && room && idle && self.gauge.spare >= 1.0;
                 if open && let Some(id) = self.pick(txn) && self.post(txn, id, out) {
                     self.gauge.spare -= 1.0;
                     out.count("second_copies");
