--- a/crates/lab/src/seeded/day.rs
+++ b/crates/lab/src/seeded/day.rs
@@ -297,6 +297,7 @@
             group: s.group,
             window: s.window,
             sla: s.sla,
+            overdue: 1.0,
         };
         Terms {
             agents: self.agents.len() as u32,
--- a/crates/terms/src/file/read.rs
+++ b/crates/terms/src/file/read.rs
@@ -193,6 +193,7 @@
                 },
                 window: ms(row.window_ms.as_ref().map_or(0.0, |w| seen.within(w, 0.0, HOUR))),
                 sla: ms(sla),
+                overdue: 1.0,
             },
             expiry: ms(expiry),
             reference: row.reference.as_ref().map(|r| r.get_ref().to_ascii_lowercase()),
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -48,6 +48,7 @@
         },
         window: time(row, "windowMs", Some(0.0))?,
         sla: time(row, "slaTimeMs", None)?,
+        overdue: number(row, "overdueValue", Some(1.0))?,
     })
 }
 
--- a/src/book.rs
+++ b/src/book.rs
@@ -66,6 +66,7 @@
 pub struct State {
     pub scheme: SchemeId,
     pub expiry: Micros,
+    pub taken: Micros,
     pub postings: u32,
     pub out: Vec<Posting>, // two at the most
     pub ran: Option<(BackendId, Micros)>,      // the first posting that may have run, and when it was sent
@@ -79,8 +80,14 @@
     pub fn may_have_run(&self) -> Option<(BackendId, Micros)> {
         self.ran.into_iter().chain(self.out.iter().map(|o| (o.to, o.sent))).min_by_key(|ran| ran.1)
     }
-    pub fn new(scheme: SchemeId, expiry: Micros) -> State {
-        State { scheme, expiry, ..State::default() }
+    /// Rule 2: a decline promises that asking again is harmless.
+    pub fn harmless(&self, row: &Scheme) -> bool {
+        self.may_have_run().is_none()
+            || row.kind == Kind::Repeatable
+            || (row.kind == Kind::Referenced && row.group == Group::All)
+    }
+    pub fn new(scheme: SchemeId, expiry: Micros, taken: Micros) -> State {
+        State { scheme, expiry, taken, ..State::default() }
     }
 }
 
@@ -88,6 +95,7 @@
 pub struct Gauge {
     pub window: f64,    // own postings that may be out, in the mean over some response times
     pub wide: f64,      // the same for txns within their tenants' shares
+    pub crowd: f64,     // txns held a core by the list, in the mean
     pub calm: bool,     // the fleet's answers come with ease: no window for those
     pub spared: f64,    // and what it was under- or overused by
     pub saved: f64,     // postings by which the window was lately under- or (below 0) overused
@@ -110,6 +118,7 @@
         Gauge {
             window: 2.0,
             wide: 2.0,
+            crowd: 0.0,
             calm: false,
             spared: 3.0,
             saved: 3.0,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,6 +37,7 @@
 const FAIR: f64 = 2.5; // the aim for txns within their tenants' shares is this many times that of the rest
 const PATIENT: f64 = 0.9; // part of answers that come sooner than a second copy is sent
 const SILENT: f64 = 3.0; // after so many times that wait, nothing is thought to come
+const HASTE: Micros = Micros::ms(10); // so long before its SLA time a txn is given up
 const TRIAL: f64 = 0.1; // part of repeatable txns that try a connection which stood idle for long
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
@@ -101,7 +102,7 @@
     }
 
     pub fn take(&mut self, txn: TxnRef, scheme: SchemeId, expiry: Micros) -> Txn<'_> {
-        self.txns.insert(txn, State::new(scheme, expiry));
+        self.txns.insert(txn, State::new(scheme, expiry, self.now));
         self.gauge.spare = (self.gauge.spare + 0.1).min(10.0);
         if self.terms.may_probe && self.terms.report_by_probe {
             // Probes cost: a fifth of a point in a hundred of the value is spent on reports by probe alone.
@@ -349,6 +350,8 @@
         // compare, so they stand for cores but within bounds.
         self.gauge.least = 1.2 * cores / self.terms.agents.max(1) as f64;
         self.gauge.flow = if size > 0.0 { flow / size / 2.0 } else { 0.0 };
+        let all = self.kept().count().max(1) as f64;
+        self.gauge.crowd = self.kept().map(|b| b.crowd).sum::<f64>() / all;
         self.gauge.thin = self.terms.agents as usize > listed;
         // When more than half looks ill, the observer or something shared is the likelier cause: all stay.
         self.gauge.ejecting = 2 * ill <= listed;
@@ -484,6 +487,9 @@
         }
         if self.terms.second_copies {
             out.wake_in(wait);
+            if row.overdue == 0.0 {
+                out.wake_in(s.taken + row.sla - HASTE - now);
+            }
         }
         s.out.push(Posting { number: s.postings, to: id, sent: now, stood, overdue: false, silent: false });
         match b.entry.standing {
@@ -644,6 +650,18 @@
     /// the scheme a repeat, it goes to another backend. It is paid for like what follows a failure.
     fn overdue(&mut self, out: &mut dyn Outlet) {
         let now = self.now;
+        // An answer after the SLA time is worth nothing: what has none by then and may be declined is, while that is
+        // early, and its work is withdrawn.
+        let late = |s: &State| {
+            let row = &self.terms.schemes[s.scheme.0];
+            !s.closed && row.overdue == 0.0 && now >= s.taken + row.sla - HASTE && s.harmless(row)
+        };
+        let late: Vec<TxnRef> = self.txns.iter().filter(|(_, s)| late(s)).map(|(&txn, _)| txn).collect();
+        for txn in late {
+            out.count("unserved_late");
+            self.answer(txn, out);
+            self.txn(txn).into_iter().for_each(|t| t.left(out));
+        }
         let mut due = Vec::new();
         for (&txn, s) in &self.txns {
             let wait = self.patience(s.scheme);
@@ -685,12 +703,7 @@
     fn answer(&mut self, txn: TxnRef, out: &mut dyn Outlet) {
         let Some(s) = self.txns.get_mut(&txn).filter(|s| !s.closed) else { return };
         s.closed = true;
-        let row = &self.terms.schemes[s.scheme.0];
-        // Rule 2: a decline promises that asking again is harmless.
-        let harmless = s.may_have_run().is_none()
-            || row.kind == Kind::Repeatable
-            || (row.kind == Kind::Referenced && row.group == Group::All);
-        if harmless {
+        if s.harmless(&self.terms.schemes[s.scheme.0]) {
             out.decline(txn, self.terms.retry_after.map(|most| most.min(Micros::ms(50))));
         } else {
             out.reverse(txn);
--- a/src/units.rs
+++ b/src/units.rs
@@ -81,6 +81,8 @@
     pub group: Group,
     pub window: Micros,
     pub sla: Micros,
+    /// Part of a txn's value that an answer after the SLA time still earns.
+    pub overdue: f64,
 }
 
 /// What an instance is told at start and never changes.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -114,6 +114,7 @@
             group: Group::All,
             window: Micros::ms(3_000),
             sla: Micros::ms(300),
+            overdue: 1.0,
         }],
         max_postings: 6,
         drain_grace: Some(Micros::ms(2_000)),
--- a/tests/heir.rs
+++ b/tests/heir.rs
@@ -21,7 +21,7 @@
     Terms {
         agents: 1,
         zone: ZoneId(0),
-        schemes: vec![Scheme { kind, group, window: Micros::ms(3_000), sla: Micros::ms(600) }],
+        schemes: vec![Scheme { kind, group, window: Micros::ms(3_000), sla: Micros::ms(600), overdue: 1.0 }],
         max_postings: 3,
         drain_grace: Some(Micros::ms(2_000)),
         ask_within: Micros::ms(1_000),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -59,7 +59,10 @@
 }
 
 fn terms() -> Terms {
-    let row = |kind, sla| Scheme { kind, group: Group::Zone, window: Micros::ms(750), sla: Micros::ms(sla) };
+    let row = |kind, sla| {
+        let (window, sla) = (Micros::ms(750), Micros::ms(sla));
+        Scheme { kind, group: Group::Zone, window, sla, overdue: 1.0 }
+    };
     Terms {
         agents: 1,
         zone: ZoneId(0),
