--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,7 @@
 const PATIENT: f64 = 0.9; // part of answers that come sooner than a second copy is sent
 const SILENT: f64 = 3.0; // after so many times that wait, nothing is thought to come
 const HASTE: Micros = Micros::ms(10); // so long before its SLA time a txn is given up
-const TRIAL: f64 = 0.1; // part of repeatable txns that try a connection which stood idle for long
+const TRIAL: f64 = 0.03; // part of repeatable txns that try a connection which stood idle for long
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
 pub struct Balancer {
@@ -471,6 +471,7 @@
         }
         let (now, cold) = (self.now, self.backend(id).is_some_and(|b| b.warmth(&self.terms, self.now) < 1.0));
         let trial = self.chance.rand_float() < TRIAL;
+        let keep = if self.terms.peers { self.keep.min(self.rates.keep()) } else { self.keep };
         let wait = self.patience(self.txns.get(&txn).map_or(SchemeId(0), |s| s.scheme));
         let (Some(s), Some(b)) = (self.txns.get_mut(&txn), self.backends[id.0 as usize].as_mut()) else {
             return false;
@@ -480,7 +481,7 @@
         // than such were seen to last is closed first, but for a trial now and then.
         let mut stood = if b.out.is_empty() { now - b.active } else { Micros(0) };
         let trial = trial && row.kind == Kind::Repeatable && !b.stale;
-        if b.out.is_empty() && (b.stale || stood > self.keep) && !trial {
+        if b.out.is_empty() && (b.stale || stood > keep) && !trial {
             out.trim(id);
             out.count("links_renewed");
             (b.stale, stood) = (false, Micros(0));
@@ -678,7 +679,9 @@
             }
             if !late.overdue {
                 out.wake_in(wait.times(SILENT - 1.0));
-                let idle = self.backend(late.to).is_some_and(|b| b.crowd < 1.0) && late.stood > Micros(0);
+                let idle = self.backend(late.to).is_some_and(|b| {
+                    b.crowd < 1.0 && (b.doubt > 0.1 || late.stood > Micros(0) && self.silences > 0)
+                });
                 let open = !closed && alone && room && idle && self.gauge.spare >= 1.0;
                 if open && let Some(id) = self.pick(txn) && self.post(txn, id, out) {
                     self.gauge.spare -= 1.0;
@@ -731,7 +734,7 @@
             out.watch();
         }
         self.count();
-        self.rates.fade(BEAT, self.gauge.stress);
+        self.rates.fade(BEAT, self.gauge.stress, self.keep);
         if self.terms.peers && self.terms.agents > 1 && self.chance.rand_float() < TELLS * BEAT.over(Micros::ms(1_000)) {
             let other = 1 + (self.chance.rand_float() * (self.terms.agents - 1) as f64) as u32;
             out.tell(PeerId((self.terms.me.0 + other) % self.terms.agents), &self.rates.told());
--- a/src/rates.rs
+++ b/src/rates.rs
@@ -1,5 +1,5 @@
-//! How many txns a second each tenant sends and how near the SLA time answers come, at this agent and in the mean of
-//! those it hears from. No decisions here.
+//! How many txns a second each tenant sends, how near the SLA time answers come and how soon unused connections end, at
+//! this agent and in the mean of those it hears from. No decisions here.
 use crate::units::Micros;
 
 const SPAN: Micros = Micros::ms(2_000); // what came longer ago than this counts little
@@ -8,14 +8,14 @@
 
 #[derive(Default)]
 pub struct Rates {
-    own: Vec<f64>, // by tenant, and the stress last
+    own: Vec<f64>, // by tenant; then how often a second an unused connection ends, and the stress
     mean: Vec<f64>,
     heard: f64,
 }
 
 impl Rates {
     pub fn of(tenants: usize) -> Rates {
-        Rates { own: vec![0.0; tenants + 1], mean: vec![0.0; tenants + 1], heard: 0.0 }
+        Rates { own: vec![0.0; tenants + 2], mean: vec![0.0; tenants + 2], heard: 0.0 }
     }
     /// One more txn of a tenant.
     pub fn add(&mut self, tenant: usize) {
@@ -23,11 +23,17 @@
             *own += 1.0 / SPAN.over(Micros::ms(1_000));
         }
     }
-    /// Time passes; the stress is now this.
-    pub fn fade(&mut self, span: Micros, stress: f64) {
+    /// Time passes; the stress is now this, and connections are not trusted that stood unused for `keep`.
+    pub fn fade(&mut self, span: Micros, stress: f64, keep: Micros) {
         let left = (-span.over(SPAN)).exp();
         self.own.iter_mut().for_each(|own| *own *= left);
-        self.own.last_mut().into_iter().for_each(|own| *own = stress);
+        if let [.., ends, own] = &mut self.own[..] {
+            (*ends, *own) = (Micros::ms(1_000).over(keep), stress);
+        }
+    }
+    /// How long an unused connection lasts at an agent like any other.
+    pub fn keep(&self) -> Micros {
+        Micros::ms(1_000).times(1.0 / self.mean(self.own.len() - 2).max(1e-6))
     }
     pub fn stress(&self) -> f64 {
         self.mean(self.own.len() - 1)
