--- a/crates/lab/src/seeded/day.rs
+++ b/crates/lab/src/seeded/day.rs
@@ -430,7 +430,11 @@
     fn reply(&mut self, sent: u64, reply: Reply) {
         let Some(one) = self.sent.get(&sent).filter(|s| s.open) else { return };
         let load = self.world.fleet.load(one.to);
-        let report = Some(Report { utilisation: Some(load.utilisation), in_flight: Some(load.in_flight), ..Report::default() });
+        let report = Some(Report {
+            utilisation: Some(load.utilisation),
+            in_flight: Some(load.in_flight),
+            ..Report::default()
+        });
         let (end, fate) = match reply {
             Reply::Settled => (End::Settled, Fate::Settled),
             Reply::Errored => (End::Errored, Fate::Errored),
--- a/src/book.rs
+++ b/src/book.rs
@@ -20,7 +20,7 @@
     pub shut_for: Micros,
     pub active: Micros, // when the connection to it was last used
     pub stale: bool,    // nothing came on that connection when it was due
-    pub used: Micros, // when we last posted to it
+    pub used: Micros,   // when we last posted to it
     pub probed: Micros,
     pub flow: f64,              // postings settled within two fall spans, smoothed
     pub cold: bool,             // at the last beat
@@ -68,8 +68,8 @@
     pub expiry: Micros,
     pub taken: Micros,
     pub postings: u32,
-    pub out: Vec<Posting>, // two at the most
-    pub ran: Option<(BackendId, Micros)>,      // the first posting that may have run, and when it was sent
+    pub out: Vec<Posting>,                // two at the most
+    pub ran: Option<(BackendId, Micros)>, // the first posting that may have run, and when it was sent
     pub last: Option<BackendId>,
     pub closed: bool,
     pub fair: bool, // within its tenant's share
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,7 +57,7 @@
     pub(crate) sizes: BTreeMap<ModelId, f64>, // where weights are live: the largest seen of each machine type
     rates: Rates,
     silences: u32, // in a row on connections that had stood unused
-    keep: Micros, // connections that stood unused for longer are not trusted
+    keep: Micros,  // connections that stood unused for longer are not trusted
     beat_at: Micros,
     beating: bool,
     ejections: u32, // since the last beat
@@ -546,7 +546,10 @@
             let pace = faded.max(waiting / 3.0).clamp(least, 20.0);
             b.entry.size * left * near * ((1.0 - b.doubt) / pace).powi(2)
         };
-        let weights: Vec<f64> = all.iter().zip(&idle).map(weigh).collect();
+        // Where weights move with load, they tell of all backends alike who holds more than the rest.
+        let usual = self.gauge.crowd + 0.5;
+        let weights: Vec<f64> =
+            all.iter().zip(&idle).map(|(b, idle)| weigh((b, idle)) * usual / (usual + b.crowd)).collect();
         let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
         let capped =
             |(w, b): (&f64, &&Backend)| if b.warmth(&self.terms, self.now) < 1.0 { w.min(mean) } else { *w };
@@ -683,7 +686,10 @@
                     b.crowd < 1.0 && (b.doubt > 0.1 || late.stood > Micros(0) && self.silences > 0)
                 });
                 let open = !closed && alone && room && idle && self.gauge.spare >= 1.0;
-                if open && let Some(id) = self.pick(txn) && self.post(txn, id, out) {
+                if open
+                    && let Some(id) = self.pick(txn)
+                    && self.post(txn, id, out)
+                {
                     self.gauge.spare -= 1.0;
                     out.count("second_copies");
                 }
@@ -735,7 +741,10 @@
         }
         self.count();
         self.rates.fade(BEAT, self.gauge.stress, self.keep);
-        if self.terms.peers && self.terms.agents > 1 && self.chance.rand_float() < TELLS * BEAT.over(Micros::ms(1_000)) {
+        if self.terms.peers
+            && self.terms.agents > 1
+            && self.chance.rand_float() < TELLS * BEAT.over(Micros::ms(1_000))
+        {
             let other = 1 + (self.chance.rand_float() * (self.terms.agents - 1) as f64) as u32;
             out.tell(PeerId((self.terms.me.0 + other) % self.terms.agents), &self.rates.told());
         }
--- a/src/rates.rs
+++ b/src/rates.rs
@@ -50,7 +50,8 @@
     }
     /// Another agent's. What is not of this form is left out.
     pub fn hear(&mut self, told: &str) {
-        let figures: Option<Vec<f64>> = told.split(' ').map(|f| f.parse::<u32>().ok().map(f64::from)).collect();
+        let figures: Option<Vec<f64>> =
+            told.split(' ').map(|f| f.parse::<u32>().ok().map(f64::from)).collect();
         let Some(figures) = figures.filter(|f| f.len() == self.mean.len()) else { return };
         self.heard += 1.0;
         let part = SAMPLE.max(1.0 / self.heard);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -206,7 +206,11 @@
                 handle.into_iter().for_each(|h| h.left(&mut self.stage));
             }
             "report" => {
-                let report = Report { utilisation: words[2].parse().ok(), in_flight: words[3].parse().ok(), ..Report::default() };
+                let report = Report {
+                    utilisation: words[2].parse().ok(),
+                    in_flight: words[3].parse().ok(),
+                    ..Report::default()
+                };
                 let id = entry(&format!("{}:0", words[1])).backend;
                 self.reports.insert(id, report);
                 self.desk.reported(id, Some(report));
