One posting out: a silent one on a connection in doubt is withdrawn and sent elsewhere

Watch and probing move to files of their own (no decision on servers, repeats or what is turned away).

--- a/src/book.rs
+++ b/src/book.rs
@@ -68,7 +68,7 @@
     pub expiry: Micros,
     pub taken: Micros,
     pub postings: u32,
-    pub out: Vec<Posting>,                // two at the most
+    pub out: Option<Posting>,
     pub ran: Option<(BackendId, Micros)>, // the first posting that may have run, and when it was sent
     pub last: Option<BackendId>,
     pub closed: bool,
@@ -76,13 +76,9 @@
 }
 
 impl State {
-    /// The earliest posting that may have run, also of those out.
-    pub fn may_have_run(&self) -> Option<(BackendId, Micros)> {
-        self.ran.into_iter().chain(self.out.iter().map(|o| (o.to, o.sent))).min_by_key(|ran| ran.1)
-    }
     /// Rule 2: a decline promises that asking again is harmless.
     pub fn harmless(&self, row: &Scheme) -> bool {
-        self.may_have_run().is_none()
+        self.ran.is_none() && self.out.is_none()
             || row.kind == Kind::Repeatable
             || (row.kind == Kind::Referenced && row.group == Group::All)
     }
@@ -92,18 +88,16 @@
 }
 
 /// The running figures of a balancer.
+#[derive(Default)]
 pub struct Gauge {
-    pub window: f64,    // own postings that may be out, in the mean over some response times
-    pub wide: f64,      // the same for txns within their tenants' shares
+    pub window: Window, // own postings that may be out
+    pub wide: Window,   // the same for txns within their tenants' shares
     pub crowd: f64,     // txns held a core by the list, in the mean
     pub calm: bool,     // the fleet's answers come with ease: no window for those
-    pub spared: f64,    // and what it was under- or overused by
-    pub saved: f64,     // postings by which the window was lately under- or (below 0) overused
     pub opening: bool,  // never yet under strain: the window grows fast
     pub stress: f64,    // squares of response times as a part of the SLA time, smoothed
     pub rest: f64,      // the same of the quicker quarter
     pub spare: f64,     // further postings still allowed after a failure
-    pub probes: f64,    // probes still allowed
     pub fails: f64,     // part of postings that fail at backends in no doubt, smoothed
     pub held: f64,      // txns in hand that backends report for their size, smoothed
     pub busy: f64,      // utilisation that backends report, smoothed; all of it till they do
@@ -115,26 +109,35 @@
 
 impl Gauge {
     pub fn start() -> Gauge {
-        Gauge {
-            window: 2.0,
-            wide: 2.0,
-            crowd: 0.0,
-            calm: false,
-            spared: 3.0,
-            saved: 3.0,
-            opening: true,
-            stress: 0.0,
-            rest: 0.0,
-            spare: 3.0,
-            probes: 0.0,
-            fails: 0.0,
-            held: 0.0,
-            busy: 1.0,
-            thin: false,
-            ejecting: false,
-            least: 1.0,
-            flow: 0.0,
-        }
+        let window = Window { size: 2.0, saved: BURST };
+        Gauge { window, wide: window, opening: true, spare: 3.0, busy: 1.0, least: 1.0, ..Gauge::default() }
+    }
+}
+
+const BURST: f64 = 3.0; // postings over a window that chance may bring at once
+
+/// How many own postings may be out, in the mean over some response times.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Window {
+    pub size: f64,
+    pub saved: f64, // postings by which it was lately under- or (below 0) overused
+}
+
+impl Window {
+    pub fn has_room(&self, out: f64) -> bool {
+        out < self.size + self.saved
+    }
+    pub fn in_use(&self, out: f64) -> bool {
+        out + 1.0 >= 0.7 * (self.size + self.saved)
+    }
+    /// A part of a response time passed. The mean counts, not the moment: few txns come in clusters, and those are no
+    /// overload.
+    pub fn pass(&mut self, out: f64, part: f64) {
+        self.saved = (self.saved + (self.size - out) * part).clamp(-BURST, BURST);
+    }
+    /// A small window moves by smaller steps: its agent hears little, and most of that is chance.
+    pub fn slow(&self) -> f64 {
+        self.size / (1.0 + self.size)
     }
 }
 
--- a/src/heir.rs
+++ b/src/heir.rs
@@ -41,8 +41,8 @@
             (b.entry.backend, known)
         });
         Learnt {
-            window: gauge.window,
-            saved: gauge.saved,
+            window: gauge.window.size,
+            saved: gauge.window.saved,
             stress: gauge.stress,
             rest: gauge.rest,
             fails: gauge.fails,
@@ -57,8 +57,8 @@
     /// Takes over what an elder has learnt, before the first txn. Of a backend that has started anew since nothing counts.
     pub fn inherit(&mut self, learnt: Learnt) {
         let gauge = &mut self.gauge;
-        gauge.window = learnt.window.max(gauge.window);
-        (gauge.saved, gauge.stress, gauge.rest) = (learnt.saved, learnt.stress, learnt.rest);
+        gauge.window.size = learnt.window.max(gauge.window.size);
+        (gauge.window.saved, gauge.stress, gauge.rest) = (learnt.saved, learnt.stress, learnt.rest);
         (gauge.fails, gauge.held, gauge.busy) = (learnt.fails, learnt.held, learnt.busy);
         gauge.opening = learnt.opening;
         for (took, elder) in self.took.iter_mut().zip(learnt.took) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,10 +7,12 @@
 
 use oorandom::Rand64;
 
+use crate::asking::Asking;
 use crate::book::{Backend, Gauge, Posting, State, draw, prefer};
 use crate::rates::Rates;
 use crate::tally::Tally;
 use crate::units::*;
+use crate::watch::Watch;
 
 const GUARD_WINDOW: Micros = Micros::ms(10_000); // entries turning gone within this are judged together
 const GUARD_FRACTION: f64 = 0.15; // above this part of the list they are frozen instead of dropped
@@ -28,11 +30,9 @@
 const QUICK: f64 = 4.0; // the aim is this many times the square of the quicker quarter, where that is more
 const FULL: f64 = 0.9; // reported utilisation from which a thin agent lets nothing more through
 const ROOM: f64 = 3.0; // how far what is left below that raises its aim
-const SPEND: f64 = 0.002; // part of a txn's value that probes may cost
 const FEW: usize = 2; // members an agent starts with, and keeps however little it has to send
 const SLOW: f64 = 2.0; // a member this many times slower than its peers makes room for another
 const UNUSED: Micros = Micros::ms(10_000); // a member above those that got nothing for this long leaves
-const BURST: f64 = 3.0; // postings over the window that chance may bring at once
 const TELLS: f64 = 10.0; // messages a second to a peer drawn at random
 const FAIR: f64 = 2.5; // the aim for txns within their tenants' shares is this many times that of the rest
 const PATIENT: f64 = 0.9; // part of answers that come sooner than a second copy is sent
@@ -49,8 +49,8 @@
     members: Vec<BackendId>, // the few this agent sends to; one more whenever they are all busy
     generation: Generation,
     gone_lately: Vec<(Micros, BackendId)>,
-    watch_at: Option<Micros>, // when to ask for the watch next
-    failures: i32,
+    watch: Watch,
+    asking: Asking,
     txns: BTreeMap<TxnRef, State>,
     pub(crate) took: Vec<Tally>, // by scheme: response times of settled postings
     pub(crate) gauge: Gauge,
@@ -72,8 +72,7 @@
 impl Balancer {
     pub fn open(terms: Terms, seed: u64, now: Micros) -> Balancer {
         let mut chance = Rand64::new(seed as u128);
-        // Agents that restart together must not ask together: the first call is jittered like all others.
-        let first = terms.ask_within.times(0.4 * chance.rand_float());
+        let watch = Watch::open(terms.list_on_request, now, terms.ask_within, chance.rand_float());
         Balancer {
             now,
             chance,
@@ -81,8 +80,8 @@
             members: Vec::new(),
             generation: Generation(0),
             gone_lately: Vec::new(),
-            watch_at: terms.list_on_request.then_some(now + first),
-            failures: 0,
+            watch,
+            asking: Asking::default(),
             txns: BTreeMap::new(),
             took: vec![Tally::default(); terms.schemes.len()],
             gauge: Gauge::start(),
@@ -104,11 +103,7 @@
     pub fn take(&mut self, txn: TxnRef, scheme: SchemeId, expiry: Micros) -> Txn<'_> {
         self.txns.insert(txn, State::new(scheme, expiry, self.now));
         self.gauge.spare = (self.gauge.spare + 0.1).min(10.0);
-        if self.terms.may_probe && self.terms.report_by_probe {
-            // Probes cost: a fifth of a point in a hundred of the value is spent on reports by probe alone.
-            self.gauge.probes =
-                (self.gauge.probes + (SPEND / self.terms.probe_price.max(1e-3)).min(1.0)).min(8.0);
-        }
+        self.asking.earn(&self.terms);
         Txn { desk: self, txn }
     }
 
@@ -129,13 +124,9 @@
         if !std::mem::replace(&mut self.beating, true) {
             out.wake_in(BEAT);
         }
-        if how != Refresh::Restored {
-            (self.watch_at, self.failures) = (None, 0);
-        } else if entries.is_empty() && self.watch_at.is_some() {
-            // Who knows nobody serves nothing: it asks soon, with jitter enough to spread a restart of many.
-            self.watch_at = Some(self.now + MARGIN.times(5.0 * self.chance.rand_float()));
-        }
-        if version < self.generation || (how == Refresh::Full && entries.is_empty()) {
+        let nobody = entries.is_empty();
+        self.watch.heard(how == Refresh::Restored, nobody, self.now, self.chance.rand_float());
+        if version < self.generation || (how == Refresh::Full && nobody) {
             return;
         }
         self.generation = version;
@@ -179,8 +170,8 @@
         self.guard(&turned_gone, out);
         self.count();
         if how == Refresh::Restored {
-            self.gauge.window = 1.33 * self.gauge.least;
-            self.gauge.wide = self.gauge.window;
+            (self.gauge.window.size, self.gauge.wide.size) =
+                (1.33 * self.gauge.least, 1.33 * self.gauge.least);
         }
     }
 
@@ -211,15 +202,12 @@
 
     /// The watch or a call for it failed: the list stays, and the watch resumes after a jittered backoff.
     pub fn list_failed(&mut self) {
-        let base = Micros::ms(1_000).times(2f64.powi(self.failures.min(6)));
-        let span = base.min(self.terms.ask_within.times(0.7));
-        self.watch_at = Some(self.now + Micros::ms(20) + span.times(self.chance.rand_float()));
-        self.failures += 1;
+        self.watch.failed(self.now, self.terms.ask_within, self.chance.rand_float());
     }
 
     /// The list is now asked for elsewhere: what failed before says nothing of the new place.
     pub fn list_moved(&mut self) {
-        self.failures = 0;
+        self.watch.moved();
         self.list_failed();
     }
 
@@ -328,7 +316,7 @@
             now - o.sent < self.terms.schemes[s.scheme.0].sla.times(1.5)
                 && !(self.gauge.ejecting && self.backend(o.to).is_some_and(|b| b.shut(now)))
         };
-        self.txns.values().map(|s| s.out.iter().filter(|o| counts(s, o)).count() as f64).sum()
+        self.txns.values().filter(|s| s.out.is_some_and(|o| counts(s, &o))).count() as f64
     }
 
     /// The figures that are kept from beat to beat.
@@ -382,24 +370,24 @@
             let wide = if self.terms.kept_promises > 0.0 { aim } else { FAIR * aim };
             let pull = ((wide - self.rates.stress()) / wide).clamp(-1.0, 1.0);
             self.gauge.calm = pull > 0.0 && self.terms.kept_promises == 0.0;
-            if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * (self.gauge.wide + self.gauge.spared) {
-                let step = 0.2 * self.gauge.wide / (1.0 + self.gauge.wide);
-                self.gauge.wide = (self.gauge.wide + step * pull).max(self.gauge.least);
+            let out = self.in_flight();
+            let w = &mut self.gauge.wide;
+            if pull < 0.0 || w.in_use(out) {
+                w.size = (w.size + 0.2 * w.slow() * pull).max(self.gauge.least);
             }
         }
         let pull = ((aim - self.gauge.stress) / aim).clamp(-1.0, 1.0);
-        if pull < 0.0 || self.in_flight() + 1.0 >= 0.7 * (self.gauge.window + self.gauge.saved) {
+        if pull < 0.0 || self.gauge.window.in_use(self.in_flight()) {
             self.gauge.opening &= pull > 0.0;
-            // A small window moves by smaller steps: its agent hears little, and most of that is chance.
-            // While it opens, an answer that comes at once doubles it: waiting is then far off, and clients
-            // that ask again without a pause would be declined by the thousand.
-            let slow = self.gauge.window / (1.0 + self.gauge.window);
+            // While it opens, an answer that comes at once doubles it: waiting is then far off, and clients that
+            // ask again without a pause would be declined by the thousand.
+            let w = &mut self.gauge.window;
             let step = match self.gauge.opening {
-                true if part < AT_ONCE => self.gauge.window,
-                true => 0.5 * slow,
-                false => 0.2 * slow,
+                true if part < AT_ONCE => w.size,
+                true => 0.5 * w.slow(),
+                false => 0.2 * w.slow(),
             };
-            self.gauge.window = (self.gauge.window + step * pull).max(self.gauge.least);
+            w.size = (w.size + step * pull).max(self.gauge.least);
         }
     }
 
@@ -412,12 +400,9 @@
         if s.closed || self.now + self.terms.tick >= s.expiry || s.postings >= self.terms.max_postings {
             return false;
         }
-        // Rule 2: two postings are out only where second copies are allowed, and what may have run, or is out, goes
-        // again only where a repeat does no harm.
+        // Rule 2: never two postings out; what may have run goes again only where a repeat does no harm.
         let row = &self.terms.schemes[s.scheme.0];
-        let copies = 1 + usize::from(self.terms.second_copies);
-        let alone = s.out.len() < copies && s.out.iter().all(|o| o.to != id);
-        let harmless = match (s.may_have_run(), row.kind) {
+        let harmless = match (s.ran, row.kind) {
             (None, _) | (_, Kind::Repeatable) => true,
             (_, Kind::OnceOnly) => false,
             (Some((first, sent)), Kind::Referenced) => {
@@ -435,7 +420,7 @@
             (Some(told), Some(grace)) => self.now + MARGIN >= told + grace.times(0.8),
             _ => false,
         };
-        alone && harmless && !drained && !b.dropped && self.cold_room(b)
+        s.out.is_none() && harmless && !drained && !b.dropped && self.cold_room(b)
     }
 
     /// Rule 4: while a backend is cold, this agent's postings within the span stay under what a warm one of
@@ -486,13 +471,13 @@
             out.count("links_renewed");
             (b.stale, stood) = (false, Micros(0));
         }
-        if self.terms.second_copies {
+        if self.terms.may_cancel {
             out.wake_in(wait);
             if row.overdue == 0.0 {
                 out.wake_in(s.taken + row.sla - HASTE - now);
             }
         }
-        s.out.push(Posting { number: s.postings, to: id, sent: now, stood, overdue: false, silent: false });
+        s.out = Some(Posting { number: s.postings, to: id, sent: now, stood, overdue: false, silent: false });
         match b.entry.standing {
             _ if b.frozen.is_some() => out.count("postings_frozen"),
             Standing::Draining => out.count("postings_draining"),
@@ -650,62 +635,49 @@
         self.took[scheme.0].quantile(PATIENT).map_or(most, |usual| Micros(usual).min(most))
     }
 
-    /// Postings whose answers are overdue: their connections are in doubt, and where the terms allow a second copy and
-    /// the scheme a repeat, it goes to another backend. It is paid for like what follows a failure.
+    /// Looks after postings whose answers are overdue. A repeatable one on a connection in doubt is withdrawn, to be
+    /// sent elsewhere; silence far beyond the usual, twice in a row, says how long unused connections last.
     fn overdue(&mut self, out: &mut dyn Outlet) {
         let now = self.now;
-        // An answer after the SLA time is worth nothing: what has none by then and may be declined is, while that is
-        // early, and its work is withdrawn.
-        let late = |s: &State| {
-            let row = &self.terms.schemes[s.scheme.0];
-            !s.closed && row.overdue == 0.0 && now >= s.taken + row.sla - HASTE && s.harmless(row)
-        };
-        let late: Vec<TxnRef> = self.txns.iter().filter(|(_, s)| late(s)).map(|(&txn, _)| txn).collect();
-        for txn in late {
-            out.count("unserved_late");
-            self.answer(txn, out);
-            self.txn(txn).into_iter().for_each(|t| t.left(out));
-        }
         let mut due = Vec::new();
         for (&txn, s) in &self.txns {
-            let wait = self.patience(s.scheme);
-            let late = |o: &&Posting| !o.overdue && now - o.sent >= wait;
-            let silent = |o: &&Posting| o.overdue && !o.silent && now - o.sent >= wait.times(SILENT);
-            due.extend(s.out.iter().filter(|o| late(o) || silent(o)).map(|o| (txn, *o, wait)));
-        }
-        for (txn, late, wait) in due {
-            let room = self.in_flight() + 1.0 < self.gauge.window + self.gauge.saved;
-            let Some(s) = self.txns.get_mut(&txn) else { continue };
-            let (closed, alone) = (s.closed, s.out.len() == 1);
-            for o in s.out.iter_mut().filter(|o| o.number == late.number) {
-                (o.overdue, o.silent) = (true, late.overdue);
+            let (row, wait) = (&self.terms.schemes[s.scheme.0], self.patience(s.scheme));
+            // Where an answer after the SLA time is worth nothing, what has none by then is given up while that is
+            // early, and its work is withdrawn, if a decline is harmless.
+            let over = row.overdue == 0.0 && now >= s.taken + row.sla - HASTE && s.harmless(row);
+            let Some(o) = s.out else { continue };
+            let step = if o.overdue { wait.times(SILENT) } else { wait };
+            if !s.closed && over || !o.silent && now - o.sent >= step {
+                due.push((txn, o, wait, !s.closed && over, row.kind == Kind::Repeatable));
+            }
+        }
+        for (txn, o, wait, over, again) in due {
+            if over {
+                out.count("unserved_late");
+                self.answer(txn, out);
+                self.txn(txn).into_iter().for_each(|t| t.left(out));
+                continue;
             }
-            if !late.overdue {
+            let Some(mine) = self.txns.get_mut(&txn).and_then(|s| s.out.as_mut()) else { continue };
+            (mine.overdue, mine.silent) = (true, o.overdue);
+            let silences = self.silences;
+            let Some(b) = self.at(o.to).filter(|b| b.answered <= o.sent) else { continue };
+            if !o.overdue {
                 out.wake_in(wait.times(SILENT - 1.0));
-                let idle = self.backend(late.to).is_some_and(|b| {
-                    b.crowd < 1.0 && (b.doubt > 0.1 || late.stood > Micros(0) && self.silences > 0)
-                });
-                let open = !closed && alone && room && idle && self.gauge.spare >= 1.0;
-                if open
-                    && let Some(id) = self.pick(txn)
-                    && self.post(txn, id, out)
-                {
-                    self.gauge.spare -= 1.0;
-                    out.count("second_copies");
+                let doubt = b.doubt > 0.1 || o.stood > Micros(0) && silences > 0;
+                if again && doubt && b.crowd < 1.0 && self.gauge.spare >= 1.0 {
+                    out.count("withdrawn_silent");
+                    out.cancel(txn, o.number);
                 }
                 continue;
             }
-            let Some(b) = self.at(late.to).filter(|b| b.answered <= late.sent) else { continue };
             b.stale = true;
-            if late.stood > Micros(0) && b.crowd < 2.0 {
+            if o.stood > Micros(0) && b.crowd < 2.0 {
                 self.silences += 1;
                 if self.silences > 1 {
-                    self.keep = self.keep.min(late.stood.times(0.7));
+                    self.keep = self.keep.min(o.stood.times(0.7));
                 }
             }
-            if closed && self.terms.may_cancel {
-                out.cancel(txn, late.number);
-            }
         }
     }
 
@@ -717,7 +689,7 @@
         } else {
             out.reverse(txn);
         }
-        if s.out.is_empty() {
+        if s.out.is_none() {
             self.txns.remove(&txn);
         }
     }
@@ -725,7 +697,7 @@
     // ---- Timers -----------------------------------------------------------------------------------------
 
     pub fn wake(&mut self, out: &mut dyn Outlet) {
-        if self.terms.second_copies {
+        if self.terms.may_cancel {
             self.overdue(out);
         }
         let now = self.now;
@@ -735,8 +707,7 @@
         self.beat_at = now + BEAT;
         out.wake_in(BEAT);
         (0..std::mem::take(&mut self.ejections)).for_each(|_| out.count("ejections"));
-        if self.watch_at.is_some_and(|at| at <= now) {
-            self.watch_at = Some(now + self.terms.ask_within.times(0.7)); // should no answer come at all
+        if self.watch.due(now, self.terms.ask_within) {
             out.watch();
         }
         self.count();
@@ -748,12 +719,10 @@
             let other = 1 + (self.chance.rand_float() * (self.terms.agents - 1) as f64) as u32;
             out.tell(PeerId((self.terms.me.0 + other) % self.terms.agents), &self.rates.told());
         }
-        // The mean counts, not the moment: few txns come in clusters, and those are no overload.
         let took = self.took.iter().filter_map(Tally::mean).fold(BEAT.0 as f64, f64::max);
-        self.gauge.saved += (self.gauge.window - self.in_flight()) * BEAT.0 as f64 / took;
-        self.gauge.saved = self.gauge.saved.clamp(-BURST, BURST);
-        self.gauge.spared += (self.gauge.wide - self.in_flight()) * BEAT.0 as f64 / took;
-        self.gauge.spared = self.gauge.spared.clamp(-BURST, BURST);
+        let (out_now, part) = (self.in_flight(), BEAT.0 as f64 / took);
+        self.gauge.window.pass(out_now, part);
+        self.gauge.wide.pass(out_now, part);
         let unused = |b: &Backend| b.out.is_empty() && now - b.used > UNUSED;
         if self.members.len() > FEW
             && let Some(at) = self.members.iter().position(|&id| self.backend(id).is_none_or(unused))
@@ -781,15 +750,8 @@
         if self.gauge.thin {
             fresh.into_iter().for_each(|id| self.welcome(id));
         }
-        // The member's report longest unheard is asked for first; a cold backend is spared even that.
-        let mut due: Vec<(Micros, BackendId)> = (self.members.iter().filter_map(|&id| self.backend(id)))
-            .filter(|b| b.warmth(&self.terms, now) >= 1.0)
-            .map(|b| (b.probed.max(b.report.map_or(Micros(0), |r| r.1)), b.entry.backend))
-            .filter(|&(at, _)| now - at >= Micros::ms(500))
-            .collect();
-        due.sort();
-        for (_, id) in due.into_iter().take(self.gauge.probes as usize) {
-            self.gauge.probes -= 1.0;
+        let members = self.members.iter().filter_map(|id| self.backends.get(id.0 as usize)?.as_ref());
+        for id in self.asking.due(members, &self.terms, now) {
             self.at(id).into_iter().for_each(|b| b.probed = now);
             out.probe(id);
         }
@@ -814,9 +776,8 @@
     pub fn route(self, out: &mut dyn Outlet) {
         let Txn { desk, txn } = self;
         let fair = desk.txns.get(&txn).is_some_and(|s| s.fair);
-        let gauge = &desk.gauge;
-        let room = if fair { gauge.wide + gauge.spared } else { gauge.window + gauge.saved };
-        if !(fair && gauge.calm) && desk.in_flight() >= room {
+        let window = if fair { desk.gauge.wide } else { desk.gauge.window };
+        if !(fair && desk.gauge.calm) && !window.has_room(desk.in_flight()) {
             out.count("unserved_window");
             return desk.answer(txn, out);
         }
@@ -838,22 +799,20 @@
         let Txn { desk, txn } = self;
         let now = desk.now;
         let Some(s) = desk.txns.get_mut(&txn) else { return };
-        let Some(at) = s.out.iter().position(|o| o.number == posting) else { return };
-        let Posting { to: id, sent, stood, silent, .. } = s.out.remove(at);
+        let Some(Posting { to: id, sent, stood, silent, .. }) = s.out.filter(|o| o.number == posting) else {
+            return;
+        };
+        s.out = None;
         let scheme = s.scheme;
         if let Some(b) = desk.backends[id.0 as usize].as_mut() {
-            b.out.retain(|o| *o != (txn, sent));
+            b.out.retain(|o| o.0 != txn);
             b.active = now;
         }
         if !fate.never_ran() {
-            s.ran = Some(s.ran.filter(|ran| ran.1 <= sent).unwrap_or((id, sent)));
+            s.ran = s.ran.or(Some((id, sent)));
         }
         s.closed |= closed || fate == Fate::Settled;
-        let (over, last) = (s.closed, s.out.is_empty());
-        if over && desk.terms.may_cancel {
-            // One on a connection that stood unused is waited for: whether it comes tells of the connection.
-            s.out.iter().filter(|o| o.silent || o.stood == Micros(0)).for_each(|o| out.cancel(txn, o.number));
-        }
+        let over = s.closed;
         let ejected = desk.gauge.ejecting && desk.backend(id).is_some_and(|b| b.shut(now));
         if fate == Fate::Settled && stood > Micros(0) {
             desk.silences = 0;
@@ -872,10 +831,8 @@
             Fate::TimedOut | Fate::TurnedAway => 1.0,
             _ => 0.3,
         };
-        if over && last {
+        if over {
             desk.txns.remove(&txn);
-        } else if over || !last {
-            // The other posting is still out: it may settle, or ends the txn when it returns.
         } else if fate.ends() || desk.gauge.spare < price {
             // What one backend can't use none can: such a txn must not go round and cost them all.
             out.count(if fate.ends() { "unserved_unusable" } else { "unserved_no_budget" });
@@ -891,11 +848,10 @@
         let Txn { desk, txn } = self;
         let Some(s) = desk.txns.get_mut(&txn) else { return };
         s.closed = true;
-        if desk.terms.may_cancel {
-            s.out.iter().for_each(|o| out.cancel(txn, o.number));
-        }
-        if s.out.is_empty() {
-            desk.txns.remove(&txn);
+        match s.out {
+            Some(o) if desk.terms.may_cancel => out.cancel(txn, o.number),
+            Some(_) => {}
+            None => drop(desk.txns.remove(&txn)),
         }
     }
 }
