--- a/src/asking.rs
+++ b/src/asking.rs
@@ -1,5 +1,5 @@
-//! Which backends are asked for their load by probe, where they report it in no other way. Probes cost: a fifth of a
-//! point in a hundred of the value is spent on them.
+//! Which backends are asked for their load by probe, where they report it in no other way. Probes cost: a
+//! fifth of a point in a hundred of the value is spent on them.
 use crate::book::Backend;
 use crate::units::{BackendId, Micros, Terms};
 
--- a/src/book.rs
+++ b/src/book.rs
@@ -46,6 +46,60 @@
         let cold = self.warmth(terms, now) < 1.0;
         std::mem::replace(&mut self.cold, cold) && !cold
     }
+    /// It is listed so. With a new start it is cold and unknown again, whatever was known of it.
+    pub fn relist(&mut self, entry: &Entry, now: Micros) {
+        if entry.started > self.entry.started || (self.dropped && entry.standing == Standing::Ready) {
+            let (out, cold_sent) = (std::mem::take(&mut self.out), std::mem::take(&mut self.cold_sent));
+            *self = Backend { out, cold_sent, ..Backend::new(entry.clone(), now) };
+        }
+        self.entry = entry.clone();
+    }
+    /// A posting went there.
+    pub fn posted(&mut self, txn: TxnRef, now: Micros, cold: bool) {
+        (self.used, self.active) = (now, now);
+        self.out.push((txn, now));
+        if cold {
+            self.cold_sent.push(now);
+        }
+    }
+    /// A posting came back, whatever became of it.
+    pub fn returned(&mut self, txn: TxnRef, now: Micros) {
+        self.out.retain(|o| o.0 != txn);
+        self.active = now;
+    }
+    /// It settled what was sent then.
+    pub fn settled(&mut self, sent: Micros, now: Micros) {
+        self.flow += 1.0;
+        self.answered = self.answered.max(sent);
+        self.doubt *= 0.6;
+        (self.shut_until, self.shut_for) = (now, Micros(0));
+    }
+    /// Its pace with us, by one response time against the mean of all.
+    pub fn paces(&mut self, ratio: f64, now: Micros) {
+        self.pace += 0.2 * (ratio - self.pace);
+        self.paced = now;
+    }
+    /// A beat passed: whether it just turned warm. Lots are drawn anew each span.
+    pub fn beat(&mut self, terms: &Terms, now: Micros, fade: f64, dart: f64) -> bool {
+        self.flow *= fade;
+        if self.lot_until == Micros(0) {
+            // Agents hear of a newcomer together: each begins its spans at a moment of its own.
+            self.lot_until = now + terms.fall_span.times(dart);
+        } else if self.lot_until <= now {
+            (self.lot, self.lot_until) = (dart, now + terms.fall_span);
+        }
+        self.turned_warm(terms, now)
+    }
+    /// What a posting to it counts as, besides.
+    pub fn counts(&self, cold: bool, now: Micros) -> Vec<&'static str> {
+        let standing = match self.entry.standing {
+            _ if self.frozen.is_some() => Some("postings_frozen"),
+            Standing::Draining => Some("postings_draining"),
+            Standing::Ready if cold => Some("postings_cold"),
+            _ => None,
+        };
+        standing.into_iter().chain(self.shut(now).then_some("postings_ejected")).collect()
+    }
     pub fn shut(&self, now: Micros) -> bool {
         self.shut_until > now
     }
@@ -75,6 +129,8 @@
     pub fair: bool, // within its tenant's share
 }
 
+pub const NEVER: Micros = Micros(i64::MAX);
+
 impl State {
     /// Rule 2: a decline promises that asking again is harmless.
     pub fn harmless(&self, row: &Scheme) -> bool {
@@ -108,6 +164,20 @@
 }
 
 impl Gauge {
+    /// Windows at the start of a life: a little over their floor.
+    pub fn begin(&mut self) {
+        self.window.size = 1.33 * self.least;
+        self.wide.size = self.window.size;
+    }
+    /// What a backend of this size reports.
+    pub fn hear(&mut self, report: Report, size: f64) {
+        if let Some(n) = report.in_flight {
+            self.held += 0.1 * (n / size.max(1e-9) - self.held);
+        }
+        if let Some(busy) = report.utilisation {
+            self.busy += 0.1 * (busy.clamp(0.0, 1.0) - self.busy);
+        }
+    }
     pub fn start() -> Gauge {
         let window = Window { size: 2.0, saved: BURST };
         Gauge { window, wide: window, opening: true, spare: 3.0, busy: 1.0, least: 1.0, ..Gauge::default() }
@@ -116,6 +186,45 @@
 
 const BURST: f64 = 3.0; // postings over a window that chance may bring at once
 
+/// Sizes where the list tells them over 1 + txns held a core: the largest seen of a machine type is its size.
+#[derive(Default)]
+pub struct Sizes(std::collections::BTreeMap<ModelId, f64>);
+
+impl Sizes {
+    /// Its size, and the txns that it holds a core.
+    pub fn of(&mut self, entry: &Entry) -> (f64, f64) {
+        let size = self.0.entry(entry.model).or_default();
+        *size = size.max(entry.size);
+        (*size, *size / entry.size.max(1e-9) - 1.0)
+    }
+}
+
+/// What is known of connections that end unseen while they stand unused.
+#[derive(Clone, Copy, Debug)]
+pub struct Trust {
+    pub silences: u32, // in a row on connections that had stood unused
+    pub keep: Micros,  // those that stood for longer are not trusted
+}
+
+impl Trust {
+    pub fn open(idle_close: Micros) -> Trust {
+        Trust { silences: 0, keep: idle_close.times(0.8) }
+    }
+    /// Nothing came on one that had stood for so long. Once is chance.
+    pub fn silent(&mut self, stood: Micros) {
+        self.silences += 1;
+        if self.silences > 1 {
+            self.keep = self.keep.min(stood.times(0.7));
+        }
+    }
+    pub fn answered(&mut self, stood: Micros) {
+        self.silences = 0;
+        if stood > self.keep {
+            self.keep = stood.times(1.25);
+        }
+    }
+}
+
 /// How many own postings may be out, in the mean over some response times.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Window {
@@ -127,18 +236,20 @@
     pub fn has_room(&self, out: f64) -> bool {
         out < self.size + self.saved
     }
-    pub fn in_use(&self, out: f64) -> bool {
-        out + 1.0 >= 0.7 * (self.size + self.saved)
+    /// Moves by `pull`, -1 to 1: down at any time, up while it is in use. A small one moves by smaller steps:
+    /// its agent hears little, and most of that is chance. False where it stayed.
+    pub fn moves(&mut self, out: f64, step: f64, pull: f64, least: f64) -> bool {
+        let moves = pull < 0.0 || out + 1.0 >= 0.7 * (self.size + self.saved);
+        if moves {
+            self.size = (self.size + step * self.size / (1.0 + self.size) * pull).max(least);
+        }
+        moves
     }
-    /// A part of a response time passed. The mean counts, not the moment: few txns come in clusters, and those are no
-    /// overload.
+    /// A part of a response time passed. The mean counts, not the moment: few txns come in clusters, and
+    /// those are no overload.
     pub fn pass(&mut self, out: f64, part: f64) {
         self.saved = (self.saved + (self.size - out) * part).clamp(-BURST, BURST);
     }
-    /// A small window moves by smaller steps: its agent hears little, and most of that is chance.
-    pub fn slow(&self) -> f64 {
-        self.size / (1.0 + self.size)
-    }
 }
 
 /// Where a dart in 0 to 1 lands among the weights.
--- a/src/heir.rs
+++ b/src/heir.rs
@@ -1,5 +1,6 @@
-//! What a balancer has learnt, for the one that takes its place: a newer process of the same agent. Figures alone; txns in hand stay
-//! where they are. No decisions here: what is taken over only stands where else the figures of a beginner would.
+//! What a balancer has learnt, for the one that takes its place: a newer process of the same agent. Figures
+//! alone; txns in hand stay where they are. No decisions here: what is taken over only stands where else the
+//! figures of a beginner would.
 use crate::logic::Balancer;
 use crate::tally::Tally;
 use crate::units::{BackendId, Micros};
@@ -32,6 +33,11 @@
 }
 
 impl Balancer {
+    /// How many backends are listed, not told as draining or gone, and not ejected.
+    pub fn sound(&self) -> usize {
+        self.kept().filter(|b| b.told.is_none() && !b.shut(self.now)).count()
+    }
+
     pub fn learnt(&self) -> Learnt {
         let gauge = &self.gauge;
         let known = self.backends.iter().flatten().filter(|b| !b.dropped).map(|b| {
@@ -54,7 +60,8 @@
         }
     }
 
-    /// Takes over what an elder has learnt, before the first txn. Of a backend that has started anew since nothing counts.
+    /// Takes over what an elder has learnt, before the first txn. Of a backend that has started anew since
+    /// nothing counts.
     pub fn inherit(&mut self, learnt: Learnt) {
         let gauge = &mut self.gauge;
         gauge.window.size = learnt.window.max(gauge.window.size);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,14 +1,14 @@
 //! All decisions of one balancer. A front opens a `Balancer` with its `Terms` (units.rs) and a seed, sets its
-//! `clock`, and calls it: `listed`/`list_failed`/`list_moved` for the server list, `reported`/`probed` for
-//! load, `wake` when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `route`,
-//! `returned` and `left` are all that can happen to it. What the balancer does goes out through the front's `Outlet`.
-//! Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
+//! `clock`, and calls it: `listed`/`list_failed`/`list_moved` for the list, `reported`/`probed`/`heard` for
+//! load, `wake` when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `of`, `route`,
+//! `returned` and `left` are all that can happen to it. What the balancer does goes out through the front's
+//! `Outlet`. Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
 use std::collections::{BTreeMap, BTreeSet};
 
 use oorandom::Rand64;
 
 use crate::asking::Asking;
-use crate::book::{Backend, Gauge, Posting, State, draw, prefer};
+use crate::book::*;
 use crate::rates::Rates;
 use crate::tally::Tally;
 use crate::units::*;
@@ -33,33 +33,31 @@
 const FEW: usize = 2; // members an agent starts with, and keeps however little it has to send
 const SLOW: f64 = 2.0; // a member this many times slower than its peers makes room for another
 const UNUSED: Micros = Micros::ms(10_000); // a member above those that got nothing for this long leaves
-const TELLS: f64 = 10.0; // messages a second to a peer drawn at random
 const FAIR: f64 = 2.5; // the aim for txns within their tenants' shares is this many times that of the rest
-const PATIENT: f64 = 0.9; // part of answers that come sooner than a second copy is sent
+const PATIENT: f64 = 0.9; // part of answers that come before one is overdue
 const SILENT: f64 = 3.0; // after so many times that wait, nothing is thought to come
 const HASTE: Micros = Micros::ms(10); // so long before its SLA time a txn is given up
 const TRIAL: f64 = 0.03; // part of repeatable txns that try a connection which stood idle for long
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
 pub struct Balancer {
-    terms: Terms,
-    now: Micros,
-    chance: Rand64,
+    pub(crate) terms: Terms,
+    pub(crate) now: Micros,
+    pub(crate) chance: Rand64,
     pub(crate) backends: Vec<Option<Backend>>,
     members: Vec<BackendId>, // the few this agent sends to; one more whenever they are all busy
     generation: Generation,
     gone_lately: Vec<(Micros, BackendId)>,
-    watch: Watch,
+    pub(crate) watch: Watch,
     asking: Asking,
     txns: BTreeMap<TxnRef, State>,
     pub(crate) took: Vec<Tally>, // by scheme: response times of settled postings
     pub(crate) gauge: Gauge,
-    pub(crate) sizes: BTreeMap<ModelId, f64>, // where weights are live: the largest seen of each machine type
-    rates: Rates,
-    silences: u32, // in a row on connections that had stood unused
-    keep: Micros,  // connections that stood unused for longer are not trusted
-    beat_at: Micros,
-    beating: bool,
+    pub(crate) sizes: Sizes, // where weights are live
+    pub(crate) rates: Rates,
+    pub(crate) trust: Trust, // in connections that stand unused
+    beat_at: Micros,         // when it looks after itself next; 0 before the first list
+    wake_at: Micros,
     ejections: u32, // since the last beat
 }
 
@@ -85,12 +83,11 @@
             txns: BTreeMap::new(),
             took: vec![Tally::default(); terms.schemes.len()],
             gauge: Gauge::start(),
-            sizes: BTreeMap::new(),
+            sizes: Sizes::default(),
             rates: Rates::of(terms.quotas.len()),
-            silences: 0,
-            keep: terms.idle_close.times(0.8),
-            beat_at: now,
-            beating: false,
+            trust: Trust::open(terms.idle_close),
+            beat_at: Micros(0),
+            wake_at: NEVER,
             ejections: 0,
             terms,
         }
@@ -107,11 +104,6 @@
         Txn { desk: self, txn }
     }
 
-    /// Another agent's figures.
-    pub fn heard(&mut self, told: &str) {
-        self.rates.hear(told);
-    }
-
     /// The handle of a txn that is still of interest.
     pub fn txn(&mut self, txn: TxnRef) -> Option<Txn<'_>> {
         self.txns.contains_key(&txn).then_some(Txn { desk: self, txn })
@@ -121,8 +113,9 @@
 
     /// A refresh arrived. An older version, or a full list without entries, changes nothing.
     pub fn listed(&mut self, how: Refresh, version: Generation, entries: &[Entry], out: &mut dyn Outlet) {
-        if !std::mem::replace(&mut self.beating, true) {
-            out.wake_in(BEAT);
+        if self.beat_at == Micros(0) {
+            self.beat_at = self.now + BEAT;
+            self.alarm(self.beat_at, out);
         }
         let nobody = entries.is_empty();
         self.watch.heard(how == Refresh::Restored, nobody, self.now, self.chance.rand_float());
@@ -131,25 +124,16 @@
         }
         self.generation = version;
         let mut turned_gone = Vec::new();
-        let (thin, grace) = (self.gauge.thin, self.terms.drain_grace.unwrap_or_default());
+        let (thin, grace, now) = (self.gauge.thin, self.terms.drain_grace.unwrap_or_default(), self.now);
         for entry in entries {
             let at = entry.backend.0 as usize;
             if self.backends.len() <= at {
                 self.backends.resize_with(at + 1, || None);
             }
-            let now = self.now;
             let b = self.backends[at].get_or_insert_with(|| Backend::new(entry.clone(), now));
-            // A backend with a new start is cold and unknown again, whatever was known of it.
-            if entry.started > b.entry.started || (b.dropped && entry.standing == Standing::Ready) {
-                let (out, cold_sent) = (std::mem::take(&mut b.out), std::mem::take(&mut b.cold_sent));
-                *b = Backend { out, cold_sent, ..Backend::new(entry.clone(), now) };
-            }
-            b.entry = entry.clone();
+            b.relist(entry, now);
             if self.terms.live_weights {
-                let size = self.sizes.entry(entry.model).or_default();
-                *size = size.max(entry.size);
-                b.crowd = *size / entry.size.max(1e-9) - 1.0;
-                b.entry.size = *size;
+                (b.entry.size, b.crowd) = self.sizes.of(entry);
             }
             match entry.standing {
                 Standing::Ready => (b.told, b.frozen, b.dropped) = (None, None, false),
@@ -170,8 +154,7 @@
         self.guard(&turned_gone, out);
         self.count();
         if how == Refresh::Restored {
-            (self.gauge.window.size, self.gauge.wide.size) =
-                (1.33 * self.gauge.least, 1.33 * self.gauge.least);
+            self.gauge.begin();
         }
     }
 
@@ -200,19 +183,6 @@
         }
     }
 
-    /// The watch or a call for it failed: the list stays, and the watch resumes after a jittered backoff.
-    pub fn list_failed(&mut self) {
-        self.watch.failed(self.now, self.terms.ask_within, self.chance.rand_float());
-    }
-
-    /// The list is now asked for elsewhere: what failed before says nothing of the new place.
-    pub fn list_moved(&mut self) {
-        self.watch.moved();
-        self.list_failed();
-    }
-
-    // ---- Load and health --------------------------------------------------------------------------------
-
     fn at(&mut self, id: BackendId) -> Option<&mut Backend> {
         self.backends.get_mut(id.0 as usize)?.as_mut()
     }
@@ -222,26 +192,16 @@
     }
 
     /// All that is still on the list, frozen entries too.
-    fn kept(&self) -> impl Iterator<Item = &Backend> {
+    pub(crate) fn kept(&self) -> impl Iterator<Item = &Backend> {
         self.backends.iter().flatten().filter(|b| !b.dropped)
     }
 
-    /// How many backends are listed, not told as draining or gone, and not ejected.
-    pub fn sound(&self) -> usize {
-        self.kept().filter(|b| b.told.is_none() && !b.shut(self.now)).count()
-    }
-
     pub fn reported(&mut self, id: BackendId, report: Option<Report>) {
         let now = self.now;
         if let (Some(b), Some(report)) = (self.at(id), report) {
             b.report = Some((report, now));
-            if let Some(n) = report.in_flight {
-                let held = n / b.entry.size.max(1e-9);
-                self.gauge.held += 0.1 * (held - self.gauge.held);
-            }
-            if let Some(busy) = report.utilisation {
-                self.gauge.busy += 0.1 * (busy.clamp(0.0, 1.0) - self.gauge.busy);
-            }
+            let size = b.entry.size;
+            self.gauge.hear(report, size);
         }
     }
 
@@ -268,28 +228,21 @@
     /// True where the posting was lost alone: the backend answered what was sent there in the second half of
     /// its wait. That is one more failure, but speaks of no queue (incident rf678eb).
     fn came_back(&mut self, id: BackendId, scheme: SchemeId, sent: Micros, fate: Fate, took: Micros) -> bool {
-        let (mean, mut usual) = (self.took[scheme.0].mean(), self.gauge.fails);
-        let now = self.now;
+        let (mean, mut usual, now) = (self.took[scheme.0].mean(), self.gauge.fails, self.now);
         let Some(b) = self.at(id) else { return false };
         let lost = fate == Fate::TimedOut && b.answered > sent + took.times(0.5);
         if !lost && matches!(fate, Fate::Settled | Fate::TimedOut) {
-            let ratio = (took.0 as f64 / mean.unwrap_or(took.0 as f64).max(1.0)).min(8.0);
-            b.pace += 0.2 * (ratio - b.pace);
-            b.paced = now;
+            b.paces((took.0 as f64 / mean.unwrap_or(took.0 as f64).max(1.0)).min(8.0), now);
         }
         if sent < b.entry.started {
             return lost; // what an earlier process did says nothing of this one
         }
         if lost || matches!(fate, Fate::Settled | Fate::Errored | Fate::Broken) {
-            let failed = f64::from(u8::from(fate != Fate::Settled));
-            usual += 0.02 * (1.0 - b.doubt) * (failed - usual);
+            usual += 0.02 * (1.0 - b.doubt) * (f64::from(fate != Fate::Settled) - usual);
         }
         match fate {
             Fate::Settled => {
-                b.flow += 1.0;
-                b.answered = b.answered.max(sent);
-                b.doubt *= 0.6;
-                (b.shut_until, b.shut_for) = (now, Micros(0));
+                b.settled(sent, now);
                 self.took[scheme.0].add(took.0);
             }
             // Two in a row eject: a silent backend must not shut small windows for long (incident i4e8cc2).
@@ -312,23 +265,25 @@
     /// somewhere must not use up the window.
     fn in_flight(&self) -> f64 {
         let now = self.now;
-        let counts = |s: &State, o: &Posting| {
-            now - o.sent < self.terms.schemes[s.scheme.0].sla.times(1.5)
-                && !(self.gauge.ejecting && self.backend(o.to).is_some_and(|b| b.shut(now)))
+        let counts = |s: &&State| {
+            let recent = |o: &Posting| now - o.sent < self.terms.schemes[s.scheme.0].sla.times(1.5);
+            let shut = |o: &Posting| self.backend(o.to).is_some_and(|b| b.shut(now));
+            s.out.is_some_and(|o| recent(&o) && !(self.gauge.ejecting && shut(&o)))
         };
-        self.txns.values().filter(|s| s.out.is_some_and(|o| counts(s, &o))).count() as f64
+        self.txns.values().filter(counts).count() as f64
     }
 
     /// The figures that are kept from beat to beat.
     fn count(&mut self) {
-        let (mut listed, mut ill, mut flow, mut size, mut cores) = (0, 0, 0.0, 0.0, 0.0);
+        let (mut listed, mut ill) = (0, 0);
+        let (mut flow, mut size, mut cores, mut crowd) = (0.0, 0.0, 0.0, 0.0);
         for b in self.kept() {
             let warmth = b.warmth(&self.terms, self.now);
             // Who is told gone and may take nothing holds up no floor, and hides no illness of those that are
             // left (incident join+vast).
             if b.told.is_none() || self.terms.drain_grace.is_none() {
                 (listed, ill) = (listed + 1, ill + usize::from(b.shut(self.now)));
-                cores += warmth * b.entry.size.clamp(1.0, 4.0);
+                (cores, crowd) = (cores + warmth * b.entry.size.clamp(1.0, 4.0), crowd + b.crowd);
             }
             if b.told.is_none() && warmth >= 1.0 {
                 (flow, size) = (flow + b.flow, size + b.entry.size);
@@ -338,10 +293,9 @@
         // compare, so they stand for cores but within bounds.
         self.gauge.least = 1.2 * cores / self.terms.agents.max(1) as f64;
         self.gauge.flow = if size > 0.0 { flow / size / 2.0 } else { 0.0 };
-        let all = self.kept().count().max(1) as f64;
-        self.gauge.crowd = self.kept().map(|b| b.crowd).sum::<f64>() / all;
+        self.gauge.crowd = crowd / listed.max(1) as f64;
         self.gauge.thin = self.terms.agents as usize > listed;
-        // When more than half looks ill, the observer or something shared is the likelier cause: all stay.
+        // When more than half looks ill, something shared is the likelier cause: all stay.
         self.gauge.ejecting = 2 * ill <= listed;
     }
 
@@ -359,35 +313,30 @@
             self.gauge.busy += 0.1 * (1.0 - self.gauge.busy); // who does not answer reports no room
         }
         // Where even the quicker answers take much of the SLA time, that is work, not waiting.
-        let quick = Micros(self.took[scheme.0].quantile(0.25).unwrap_or(0));
-        let quick = quick.over(self.terms.schemes[scheme.0].sla);
+        let quick = self.took[scheme.0].quantile(0.25).unwrap_or(0);
+        let quick = Micros(quick).over(self.terms.schemes[scheme.0].sla);
         self.gauge.rest += 0.05 * (quick * quick - self.gauge.rest);
         // A thin agent knows few backends, and the slow among them mark its mean. What they report to have
         // left is told to all alike: as long as that is much, waiting is not why answers are late.
         let room = if self.gauge.thin { (1.0 - self.gauge.busy / FULL).max(0.0) } else { 0.0 };
         let aim = (QUICK * self.gauge.rest).clamp(EASE, 1.5 * EASE) * (1.0 + ROOM * room);
+        let (out, least) = (self.in_flight(), self.gauge.least);
         if self.terms.peers {
             let wide = if self.terms.kept_promises > 0.0 { aim } else { FAIR * aim };
             let pull = ((wide - self.rates.stress()) / wide).clamp(-1.0, 1.0);
             self.gauge.calm = pull > 0.0 && self.terms.kept_promises == 0.0;
-            let out = self.in_flight();
-            let w = &mut self.gauge.wide;
-            if pull < 0.0 || w.in_use(out) {
-                w.size = (w.size + 0.2 * w.slow() * pull).max(self.gauge.least);
-            }
+            self.gauge.wide.moves(out, 0.2, pull, least);
         }
         let pull = ((aim - self.gauge.stress) / aim).clamp(-1.0, 1.0);
-        if pull < 0.0 || self.gauge.window.in_use(self.in_flight()) {
+        // While it opens, an answer that comes at once doubles it: waiting is then far off, and clients that
+        // ask again without a pause would be declined by the thousand.
+        let step = match self.gauge.opening {
+            true if part < AT_ONCE => 1.0 + self.gauge.window.size,
+            true => 0.5,
+            false => 0.2,
+        };
+        if self.gauge.window.moves(out, step, pull, least) {
             self.gauge.opening &= pull > 0.0;
-            // While it opens, an answer that comes at once doubles it: waiting is then far off, and clients that
-            // ask again without a pause would be declined by the thousand.
-            let w = &mut self.gauge.window;
-            let step = match self.gauge.opening {
-                true if part < AT_ONCE => w.size,
-                true => 0.5 * w.slow(),
-                false => 0.2 * w.slow(),
-            };
-            w.size = (w.size + step * pull).max(self.gauge.least);
         }
     }
 
@@ -416,18 +365,15 @@
             }
         };
         // Rule 3 binds frozen entries too: the freeze never outlives the grace where there is one.
-        let drained = match (b.told, self.terms.drain_grace) {
-            (Some(told), Some(grace)) => self.now + MARGIN >= told + grace.times(0.8),
-            _ => false,
-        };
+        let ends = b.told.zip(self.terms.drain_grace).map(|(told, grace)| told + grace.times(0.8));
+        let drained = ends.is_some_and(|ends| self.now + MARGIN >= ends);
         s.out.is_none() && harmless && !drained && !b.dropped && self.cold_room(b)
     }
 
     /// Rule 4: while a backend is cold, this agent's postings within the span stay under what a warm one of
-    /// that size settles for it, times the share warmed up, times half the multiple (the rest is for chance).
-    /// It goes by what is settled: under overload more is sent than a backend can do. One of a thousand
-    /// agents has far less than one posting: it posts by lot, drawn anew each span. The parts of all agents
-    /// add up to the budget, however many they are and however uneven their traffic.
+    /// that size settles for it (sent is more under overload), times the share warmed up, times half the
+    /// multiple (the rest is for chance). One of a thousand agents has far less than one posting: it posts by
+    /// lot, drawn anew each span. The parts of all agents add up to the budget, however uneven their traffic.
     fn cold_room(&self, b: &Backend) -> bool {
         if b.warmth(&self.terms, self.now) >= 1.0 {
             return true;
@@ -445,25 +391,19 @@
         part.max(1.0 / self.terms.agents.max(1) as f64)
     }
 
-    /// Cold, and one of so many agents' that each has less than one posting of it.
-    fn by_lot(&self, b: &Backend) -> bool {
-        b.warmth(&self.terms, self.now) < 1.0 && self.cold_part(b) < 1.0
-    }
-
     fn post(&mut self, txn: TxnRef, id: BackendId, out: &mut dyn Outlet) -> bool {
         if !self.may_post(txn, id) {
             return false;
         }
-        let (now, cold) = (self.now, self.backend(id).is_some_and(|b| b.warmth(&self.terms, self.now) < 1.0));
-        let trial = self.chance.rand_float() < TRIAL;
-        let keep = if self.terms.peers { self.keep.min(self.rates.keep()) } else { self.keep };
-        let wait = self.patience(self.txns.get(&txn).map_or(SchemeId(0), |s| s.scheme));
+        let (now, trial) = (self.now, self.chance.rand_float() < TRIAL);
+        let cold = self.backend(id).is_some_and(|b| b.warmth(&self.terms, now) < 1.0);
+        let keep = if self.terms.peers { self.trust.keep.min(self.rates.keep()) } else { self.trust.keep };
         let (Some(s), Some(b)) = (self.txns.get_mut(&txn), self.backends[id.0 as usize].as_mut()) else {
             return false;
         };
         let row = &self.terms.schemes[s.scheme.0];
-        // What is sent on a connection that was dropped unseen gets no answer: one that stood unused for longer
-        // than such were seen to last is closed first, but for a trial now and then.
+        // What is sent on a connection that was dropped unseen gets no answer: one that stood for longer than
+        // such were seen to last is closed first, but for a trial now and then.
         let mut stood = if b.out.is_empty() { now - b.active } else { Micros(0) };
         let trial = trial && row.kind == Kind::Repeatable && !b.stale;
         if b.out.is_empty() && (b.stale || stood > keep) && !trial {
@@ -471,35 +411,17 @@
             out.count("links_renewed");
             (b.stale, stood) = (false, Micros(0));
         }
-        if self.terms.may_cancel {
-            out.wake_in(wait);
-            if row.overdue == 0.0 {
-                out.wake_in(s.taken + row.sla - HASTE - now);
-            }
-        }
         s.out = Some(Posting { number: s.postings, to: id, sent: now, stood, overdue: false, silent: false });
-        match b.entry.standing {
-            _ if b.frozen.is_some() => out.count("postings_frozen"),
-            Standing::Draining => out.count("postings_draining"),
-            Standing::Ready if cold => out.count("postings_cold"),
-            _ => {}
-        }
-        if b.shut(now) {
-            out.count("postings_ejected");
-        }
+        b.counts(cold, now).into_iter().for_each(|what| out.count(what));
         s.postings += 1;
         s.last = Some(id);
-        (b.used, b.active) = (now, now);
-        b.out.push((txn, now));
-        if cold {
-            b.cold_sent.push(now);
-        }
+        b.posted(txn, now, cold);
         out.post(txn, id, s.expiry);
+        let due = self.txns.get(&txn).map_or(NEVER, |s| self.due(s));
+        self.alarm(due, out);
         true
     }
 
-    // ---- The pick ---------------------------------------------------------------------------------------
-
     /// How idle a backend is by its last report: one minus its utilisation; txns in hand, where told, count
     /// alike, held against what all hold for their size. The older it is, the less it is trusted.
     fn idle(&self, b: &Backend) -> Option<(f64, f64)> {
@@ -521,7 +443,7 @@
         let idle: Vec<Option<(f64, f64)>> = all.iter().map(|b| self.idle(b)).collect();
         let known = idle.iter().flatten().count().max(1) as f64;
         let mean = idle.iter().flatten().map(|x| x.0).sum::<f64>() / known;
-        let expected = self.took[scheme.0].mean().unwrap_or(f64::MAX);
+        let (expected, usual) = (self.took[scheme.0].mean().unwrap_or(f64::MAX), self.gauge.crowd + 0.5);
         let weigh = |(b, idle): (&&Backend, &Option<(f64, f64)>)| {
             let left = idle.map_or(mean, |(idle, trust)| mean + (idle - mean) * trust).max(FLOOR);
             let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
@@ -529,21 +451,20 @@
             let near = if b.entry.zone == self.terms.zone { 1.0 } else { AFAR };
             let least = if self.gauge.thin { 1.0 } else { 0.6 };
             let pace = faded.max(waiting / 3.0).clamp(least, 20.0);
-            b.entry.size * left * near * ((1.0 - b.doubt) / pace).powi(2)
+            // Where weights move with load, they tell of all alike who holds more than the rest.
+            let free = usual / (usual + b.crowd);
+            b.entry.size * left * near * free * ((1.0 - b.doubt) / pace).powi(2)
         };
-        // Where weights move with load, they tell of all backends alike who holds more than the rest.
-        let usual = self.gauge.crowd + 0.5;
-        let weights: Vec<f64> =
-            all.iter().zip(&idle).map(|(b, idle)| weigh((b, idle)) * usual / (usual + b.crowd)).collect();
+        let weights: Vec<f64> = all.iter().zip(&idle).map(weigh).collect();
         let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
-        let capped =
-            |(w, b): (&f64, &&Backend)| if b.warmth(&self.terms, self.now) < 1.0 { w.min(mean) } else { *w };
+        let warm = |b: &Backend| b.warmth(&self.terms, self.now) >= 1.0;
+        let capped = |(w, b): (&f64, &&Backend)| if warm(b) { *w } else { w.min(mean) };
         weights.iter().zip(all).map(capped).collect()
     }
 
-    /// The habit: an agent sends to few members, and adds one, drawn like all else, whenever they are all
-    /// busy: hold a posting of ours or are ejected. One that drains, goes or is far slower than its peers
-    /// makes room: few good ones are sooner known than all the bad ones.
+    /// The habit: an agent sends to few members, and adds one, drawn like all else, whenever all hold a
+    /// posting of ours or are ejected. One that drains, goes or is far slower makes room: few good ones are
+    /// sooner known.
     fn enlist(&mut self, txn: TxnRef) {
         let Some((scheme, last)) = self.txns.get(&txn).map(|s| (s.scheme, s.last)) else { return };
         let stays =
@@ -575,8 +496,8 @@
         }
     }
 
-    /// A newcomer is warm: it takes a member's place at as many agents as its size asks for. Else all would let
-    /// it go in the instant in which lots end, and meet it again only as their members are all busy.
+    /// A newcomer is warm: it takes a member's place at as many agents as its size asks for. Else all would
+    /// let it go in the instant in which lots end.
     fn welcome(&mut self, id: BackendId) {
         let whole: f64 = self.kept().filter(|b| b.told.is_none()).map(|b| b.entry.size).sum();
         let Some(b) = self.backend(id).filter(|b| b.told.is_none() && !b.shut(self.now)) else { return };
@@ -594,11 +515,11 @@
     fn pick(&mut self, txn: TxnRef) -> Option<BackendId> {
         self.enlist(txn);
         let s = self.txns.get(&txn)?;
-        let scheme = s.scheme;
         let mut open: Vec<&Backend> = self.members.iter().filter_map(|&id| self.backend(id)).collect();
         open.retain(|b| self.may_post(txn, b.entry.backend));
         // A lot that fell to this agent is its part of a cold backend: left unused, the fleet has it idle.
-        let mine = |b: &&Backend| b.told.is_none() && !b.shut(self.now) && self.by_lot(b);
+        let cold = |b: &Backend| b.warmth(&self.terms, self.now) < 1.0 && self.cold_part(b) < 1.0;
+        let mine = |b: &&Backend| b.told.is_none() && !b.shut(self.now) && cold(b);
         let lots = self.kept().filter(|b| !self.members.contains(&b.entry.backend)).filter(mine);
         open.extend(lots.filter(|b| self.may_post(txn, b.entry.backend)));
         if open.is_empty() {
@@ -610,7 +531,7 @@
         if self.gauge.ejecting {
             prefer(&mut open, |b| !b.shut(self.now));
         }
-        let mut weights = self.weights(&open, scheme);
+        let mut weights = self.weights(&open, s.scheme);
         let mean = open.iter().map(|b| b.out.len() as f64).sum::<f64>() / open.len().max(1) as f64;
         let found: Vec<(BackendId, bool, f64)> = open
             .iter()
@@ -635,47 +556,45 @@
         self.took[scheme.0].quantile(PATIENT).map_or(most, |usual| Micros(usual).min(most))
     }
 
-    /// Looks after postings whose answers are overdue. A repeatable one on a connection in doubt is withdrawn, to be
-    /// sent elsewhere; silence far beyond the usual, twice in a row, says how long unused connections last.
+    /// When there is something to do about what is out.
+    fn due(&self, s: &State) -> Micros {
+        let step = match s.out {
+            Some(o) if !o.overdue => o.sent + self.patience(s.scheme),
+            Some(o) if !o.silent => o.sent + self.patience(s.scheme).times(SILENT),
+            _ => NEVER,
+        };
+        step.min(given_up(s, &self.terms.schemes[s.scheme.0]))
+    }
+
+    /// Looks after what is out. A repeatable posting overdue on a connection in doubt is withdrawn, to go
+    /// elsewhere; silence far beyond the usual, twice in a row, says how long unused connections last.
     fn overdue(&mut self, out: &mut dyn Outlet) {
         let now = self.now;
-        let mut due = Vec::new();
-        for (&txn, s) in &self.txns {
-            let (row, wait) = (&self.terms.schemes[s.scheme.0], self.patience(s.scheme));
-            // Where an answer after the SLA time is worth nothing, what has none by then is given up while that is
-            // early, and its work is withdrawn, if a decline is harmless.
-            let over = row.overdue == 0.0 && now >= s.taken + row.sla - HASTE && s.harmless(row);
-            let Some(o) = s.out else { continue };
-            let step = if o.overdue { wait.times(SILENT) } else { wait };
-            if !s.closed && over || !o.silent && now - o.sent >= step {
-                due.push((txn, o, wait, !s.closed && over, row.kind == Kind::Repeatable));
-            }
-        }
-        for (txn, o, wait, over, again) in due {
+        let all: Vec<(TxnRef, SchemeId)> = self.txns.iter().map(|(&txn, s)| (txn, s.scheme)).collect();
+        for (txn, scheme) in all {
+            let (wait, row) = (self.patience(scheme), &self.terms.schemes[scheme.0]);
+            let Some(s) = self.txns.get_mut(&txn) else { continue };
+            let over = now >= given_up(s, row);
+            let Some(o) = s.out.as_mut() else { continue };
+            let Some(b) = self.backends[o.to.0 as usize].as_mut() else { continue };
+            let mute = b.answered <= o.sent;
             if over {
+                o.silent |= o.overdue && mute;
                 out.count("unserved_late");
                 self.answer(txn, out);
                 self.txn(txn).into_iter().for_each(|t| t.left(out));
-                continue;
-            }
-            let Some(mine) = self.txns.get_mut(&txn).and_then(|s| s.out.as_mut()) else { continue };
-            (mine.overdue, mine.silent) = (true, o.overdue);
-            let silences = self.silences;
-            let Some(b) = self.at(o.to).filter(|b| b.answered <= o.sent) else { continue };
-            if !o.overdue {
-                out.wake_in(wait.times(SILENT - 1.0));
-                let doubt = b.doubt > 0.1 || o.stood > Micros(0) && silences > 0;
-                if again && doubt && b.crowd < 1.0 && self.gauge.spare >= 1.0 {
+            } else if !o.overdue && now - o.sent >= wait {
+                o.overdue = true;
+                let doubt = b.doubt > 0.1 || o.stood > Micros(0) && self.trust.silences > 0;
+                let may = self.terms.may_cancel && row.kind == Kind::Repeatable && self.gauge.spare >= 1.0;
+                if mute && doubt && may && b.crowd < 1.0 {
                     out.count("withdrawn_silent");
                     out.cancel(txn, o.number);
                 }
-                continue;
-            }
-            b.stale = true;
-            if o.stood > Micros(0) && b.crowd < 2.0 {
-                self.silences += 1;
-                if self.silences > 1 {
-                    self.keep = self.keep.min(o.stood.times(0.7));
+            } else if mute && !o.silent && now - o.sent >= wait.times(SILENT) {
+                (o.silent, b.stale) = (true, true);
+                if o.stood > Micros(0) && b.crowd < 2.0 {
+                    self.trust.silent(o.stood);
                 }
             }
         }
@@ -694,30 +613,38 @@
         }
     }
 
-    // ---- Timers -----------------------------------------------------------------------------------------
-
     pub fn wake(&mut self, out: &mut dyn Outlet) {
-        if self.terms.may_cancel {
-            self.overdue(out);
+        let now = self.now;
+        self.wake_at = NEVER;
+        self.overdue(out);
+        self.beat(out);
+        let steps = self.txns.values().map(|s| self.due(s));
+        let next = steps.fold(self.beat_at, Micros::min);
+        self.alarm(next.max(now + self.terms.tick), out);
+    }
+
+    /// Hosts may keep one wake alone: it is asked for again only where it is to come sooner.
+    fn alarm(&mut self, at: Micros, out: &mut dyn Outlet) {
+        if at < self.wake_at {
+            self.wake_at = at;
+            out.wake_in(at - self.now);
         }
+    }
+
+    fn beat(&mut self, out: &mut dyn Outlet) {
         let now = self.now;
         if now < self.beat_at {
             return;
         }
         self.beat_at = now + BEAT;
-        out.wake_in(BEAT);
         (0..std::mem::take(&mut self.ejections)).for_each(|_| out.count("ejections"));
         if self.watch.due(now, self.terms.ask_within) {
             out.watch();
         }
         self.count();
-        self.rates.fade(BEAT, self.gauge.stress, self.keep);
-        if self.terms.peers
-            && self.terms.agents > 1
-            && self.chance.rand_float() < TELLS * BEAT.over(Micros::ms(1_000))
-        {
-            let other = 1 + (self.chance.rand_float() * (self.terms.agents - 1) as f64) as u32;
-            out.tell(PeerId((self.terms.me.0 + other) % self.terms.agents), &self.rates.told());
+        self.rates.fade(BEAT, self.gauge.stress, self.trust.keep);
+        if let Some((peer, told)) = self.rates.tell(&self.terms, BEAT, &mut self.chance) {
+            out.tell(peer, &told);
         }
         let took = self.took.iter().filter_map(Tally::mean).fold(BEAT.0 as f64, f64::max);
         let (out_now, part) = (self.in_flight(), BEAT.0 as f64 / took);
@@ -732,24 +659,15 @@
         let fade = 1.0 - BEAT.over(self.terms.fall_span + self.terms.fall_span);
         let mut fresh = Vec::new();
         for b in self.backends.iter_mut().flatten() {
-            b.flow *= fade;
-            if b.turned_warm(&self.terms, now) {
+            if b.beat(&self.terms, now, fade, self.chance.rand_float()) {
                 fresh.push(b.entry.backend);
             }
-            if b.lot_until == Micros(0) {
-                // Agents hear of a newcomer together: each begins its spans at a moment of its own.
-                b.lot_until = now + self.terms.fall_span.times(self.chance.rand_float());
-            } else if b.lot_until <= now {
-                (b.lot, b.lot_until) = (self.chance.rand_float(), now + self.terms.fall_span);
-            }
-            b.cold_sent.retain(|&at| now - at <= self.terms.fall_span + MARGIN);
             if b.frozen.is_some_and(|since| now - since > GUARD_HOLD) {
                 (b.frozen, b.dropped) = (None, true);
             }
         }
-        if self.gauge.thin {
-            fresh.into_iter().for_each(|id| self.welcome(id));
-        }
+        let thin = self.gauge.thin;
+        fresh.into_iter().filter(|_| thin).for_each(|id| self.welcome(id));
         let members = self.members.iter().filter_map(|id| self.backends.get(id.0 as usize)?.as_ref());
         for id in self.asking.due(members, &self.terms, now) {
             self.at(id).into_iter().for_each(|b| b.probed = now);
@@ -758,17 +676,24 @@
     }
 }
 
+/// An answer after the SLA time may be worth nothing: then what has none is given up while that is early.
+fn given_up(s: &State, row: &Scheme) -> Micros {
+    let may = !s.closed && s.out.is_some() && row.overdue == 0.0 && s.harmless(row);
+    if may { s.taken + row.sla - HASTE } else { NEVER }
+}
+
 impl Txn<'_> {
-    /// Whose it is. What a tenant sends beyond its share is told from the rest by chance: one in so many, as all of
+    /// Whose it is. What a tenant sends beyond its share is told from the rest by chance: one in so many, as
     /// its tries at all agents go over the quota.
     pub fn of(self, tenant: Option<TenantId>) -> Self {
         let Txn { desk, txn } = self;
-        let Some(TenantId(tenant)) = tenant else { return Txn { desk, txn } };
-        desk.rates.add(tenant);
-        let all = desk.rates.mean(tenant) * desk.terms.agents as f64;
-        let quota = desk.terms.quotas.get(tenant).copied().unwrap_or(f64::MAX);
-        let fair = desk.terms.peers && desk.chance.rand_float() * all < quota;
-        desk.txns.get_mut(&txn).into_iter().for_each(|s| s.fair = fair);
+        if let Some(TenantId(tenant)) = tenant.filter(|_| desk.terms.peers) {
+            desk.rates.add(tenant);
+            let all = desk.rates.mean(tenant) * desk.terms.agents as f64;
+            let quota = desk.terms.quotas.get(tenant).copied().unwrap_or(f64::MAX);
+            let fair = desk.chance.rand_float() * all < quota;
+            desk.txns.get_mut(&txn).into_iter().for_each(|s| s.fair = fair);
+        }
         Txn { desk, txn }
     }
 
@@ -804,10 +729,7 @@
         };
         s.out = None;
         let scheme = s.scheme;
-        if let Some(b) = desk.backends[id.0 as usize].as_mut() {
-            b.out.retain(|o| o.0 != txn);
-            b.active = now;
-        }
+        desk.backends[id.0 as usize].iter_mut().for_each(|b| b.returned(txn, now));
         if !fate.never_ran() {
             s.ran = s.ran.or(Some((id, sent)));
         }
@@ -815,22 +737,17 @@
         let over = s.closed;
         let ejected = desk.gauge.ejecting && desk.backend(id).is_some_and(|b| b.shut(now));
         if fate == Fate::Settled && stood > Micros(0) {
-            desk.silences = 0;
-            if stood > desk.keep {
-                desk.keep = stood + stood.times(0.25);
-            }
+            desk.trust.answered(stood);
         }
         let fate = if fate == Fate::Withdrawn && silent { Fate::TimedOut } else { fate };
-        let lost = stood.times(2.0) > desk.keep && fate == Fate::TimedOut;
-        let lost = lost || desk.came_back(id, scheme, sent, fate, took);
+        // Silence on a connection that stood unused says nothing of the backend.
+        let unused = fate == Fate::TimedOut && stood.times(2.0) > desk.trust.keep;
+        let lost = unused || desk.came_back(id, scheme, sent, fate, took);
         if !ejected && !lost {
             desk.ease(scheme, fate, took);
         }
         // Another posting is paid for from what the traffic saved up, so that failures feed no overload.
-        let price = match fate {
-            Fate::TimedOut | Fate::TurnedAway => 1.0,
-            _ => 0.3,
-        };
+        let price = if matches!(fate, Fate::TimedOut | Fate::TurnedAway) { 1.0 } else { 0.3 };
         if over {
             desk.txns.remove(&txn);
         } else if fate.ends() || desk.gauge.spare < price {
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -1,5 +1,6 @@
-//! When the list's watch is asked for next. A broken one resumes after a jittered backoff, so that agents that lost it
-//! together don't ask together, and within the span in which a list counts as heard.
+//! When the list's watch is asked for next. A broken one resumes after a jittered backoff, so that agents
+//! that lost it together don't ask together, and within the span in which a list counts as heard.
+use crate::logic::Balancer;
 use crate::units::Micros;
 
 const SOON: Micros = Micros::ms(250); // who knows nobody serves nothing: it asks within this
@@ -43,3 +44,16 @@
         due
     }
 }
+
+impl Balancer {
+    /// The watch or a call for it failed: the list stays, and the watch resumes after a jittered backoff.
+    pub fn list_failed(&mut self) {
+        self.watch.failed(self.now, self.terms.ask_within, self.chance.rand_float());
+    }
+
+    /// The list is now asked for elsewhere: what failed before says nothing of the new place.
+    pub fn list_moved(&mut self) {
+        self.watch.moved();
+        self.list_failed();
+    }
+}
