The agent reads tenants, machine types and the new settings, and lets go connections on request

X-Customer names the tenant, flavor the machine type; weightKind, quotaPerS, selfIndex, overdueValue, keptPromises are checked; what is allowed and not used on sockets (messages, second copies, many txns a connection) is a line in the log at start.

--- a/crates/agent/src/house/pool.rs
+++ b/crates/agent/src/house/pool.rs
@@ -137,6 +137,7 @@
             name: m.name.clone(),
             at: m.at,
             zone: m.zone.clone(),
+            model: String::new(),
             entry: Entry {
                 cell: CellId(m.cell),
                 standing: Standing::Ready,
--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -77,6 +77,7 @@
     let away = agreed.terms.retry_after.map(|most| most.min(SOON));
     // On sockets the list always has to be asked for, whatever the simulator does at this site.
     let terms = Terms { list_on_request: true, ..agreed.terms };
+    agreed.unused.iter().for_each(|what| log::info!("settings: {what}"));
     let pulse = Rc::new(Pulse::new(clock.now()));
     let desk = Desk::open(terms, seed, clock, pulse.clone(), counters.clone(), Budgets::default()).start();
     let list = List::open(
@@ -125,6 +126,7 @@
         porch: porch.clone(),
         desk,
         schemes,
+        tenants: agreed.tenants,
         away,
         next: Cell::new(0),
         pot: Pot::default(),
--- a/crates/agent/src/memory/desk.rs
+++ b/crates/agent/src/memory/desk.rs
@@ -190,6 +190,8 @@
 pub struct Take {
     pub txn: TxnRef,
     pub scheme: SchemeId,
+    /// Whose it is, where the settings know the customer.
+    pub tenant: Option<TenantId>,
     pub expiry: Micros,
     pub carried: Arc<Carried>,
     pub caller: oneshot::Sender<Answer>,
@@ -200,7 +202,7 @@
 impl Handler<Take> for Desk {
     type Result = ();
     fn handle(&mut self, take: Take, ctx: &mut Context<Desk>) {
-        let Take { txn, scheme, expiry, carried, caller, earlier, payer } = take;
+        let Take { txn, scheme, tenant, expiry, carried, caller, earlier, payer } = take;
         self.hand.counters.add("taken");
         let held = InHand {
             carried,
@@ -214,7 +216,7 @@
         };
         self.hand.txns.insert(txn, held);
         self.hand.counters.in_hand.set(self.hand.counters.in_hand.get() + 1);
-        self.call(ctx, |balancer, hand| balancer.take(txn, scheme, expiry).route(hand));
+        self.call(ctx, |balancer, hand| balancer.take(txn, scheme, expiry).of(tenant).route(hand));
     }
 }
 
--- a/crates/agent/src/memory/figures.rs
+++ b/crates/agent/src/memory/figures.rs
@@ -118,7 +118,13 @@
 
     fn row(size: f64, started: i64) -> Row {
         let entry = Entry { size, started: Micros::ms(started), ..Entry::default() };
-        Row { name: "b".into(), at: SocketAddr::from(([127, 0, 0, 1], 9)), zone: String::new(), entry }
+        Row {
+            name: "b".into(),
+            at: SocketAddr::from(([127, 0, 0, 1], 9)),
+            zone: String::new(),
+            model: String::new(),
+            entry,
+        }
     }
 
     /// The machine's clock was set a minute ahead: what starts then starts now by ours, and is cold.
--- a/crates/agent/src/memory/hand.rs
+++ b/crates/agent/src/memory/hand.rs
@@ -96,6 +96,11 @@
             peer.do_send(ToPeer::Probe);
         }
     }
+    fn trim(&mut self, backend: BackendId) {
+        if let Some(peer) = self.peers.get(&backend) {
+            peer.do_send(ToPeer::Trim);
+        }
+    }
     fn watch(&mut self) {
         self.counters.add("watches");
         if let Some(registry) = &self.registry {
--- a/crates/agent/src/memory/list.rs
+++ b/crates/agent/src/memory/list.rs
@@ -24,6 +24,8 @@
     maker: Maker,
     counters: Rc<Counters>,
     zones: Vec<String>,
+    /// Machine types that it told of.
+    models: Vec<String>,
     ids: Ids,
     peers: Vec<(SocketAddr, Peer)>,
     versions: Versions,
@@ -66,6 +68,7 @@
             maker,
             counters,
             zones,
+            models: Vec::new(),
             ids: Ids::new(bearings.longest),
             peers: Vec::new(),
             versions: Versions::default(),
@@ -102,9 +105,10 @@
         for why in self.figures.mend(id, new, &mut row, now, self.clock.set_ahead()) {
             self.wrong(&why);
         }
-        let Row { name, at, zone, mut entry } = row;
+        let Row { name, at, zone, model, mut entry } = row;
         log::debug!("list: {name} {:?} from {} at {at}", entry.standing, entry.started.0 / 1000);
         entry.zone = numbered(&mut self.zones, &zone, id);
+        entry.model = ModelId(numbered(&mut self.models, &model, id).0);
         entry.backend = id;
         let at_number = id.0 as usize;
         if new {
@@ -213,7 +217,7 @@
     }
 }
 
-/// Zones that have names here; a register that tells ever new ones must not fill the memory.
+/// Zones, and machine types, that have names here; a register that tells ever new ones must not fill the memory.
 const ZONES: usize = 1024;
 
 /// The number of a zone. Where there are too many a backend is a zone of its own: near to nobody, and no repeat goes elsewhere.
@@ -233,6 +237,8 @@
     pub name: String,
     pub at: SocketAddr,
     pub zone: String,
+    /// Its machine type: backends of one type are of one size.
+    pub model: String,
     pub entry: Entry,
 }
 
--- a/crates/agent/src/wire/application.rs
+++ b/crates/agent/src/wire/application.rs
@@ -14,7 +14,7 @@
 use awc::http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
-use notchspool::units::{Kind, Micros, SchemeId, TxnRef};
+use notchspool::units::{Kind, Micros, SchemeId, TenantId, TxnRef};
 use tokio::sync::oneshot;
 
 use super::caller::{Asked, Call, Letting};
@@ -106,6 +106,8 @@
     pub porch: Rc<Porch>,
     pub desk: Addr<Desk>,
     pub schemes: Vec<(String, Kind)>,
+    /// Customers that have a share, by their names in `X-Customer`.
+    pub tenants: Vec<String>,
     /// What a decline of this front says; none where clients are not to be told.
     pub away: Option<Micros>,
     pub next: Cell<u64>,
@@ -176,6 +178,8 @@
         if (head.method == Method::GET) != (kind == Kind::Repeatable) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of that scheme"));
         }
+        let customer = head.headers().get("x-customer").and_then(|v| v.to_str().ok());
+        let tenant = customer.and_then(|name| self.tenants.iter().position(|t| t == name)).map(TenantId);
         let expires =
             head.headers().get("x-expires-in-ms").and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
         let expires = Micros::ms(expires.ok_or(bad("X-Expires-In-Ms is no whole number"))?.into());
@@ -231,7 +235,8 @@
         let (caller, answer) = oneshot::channel();
         let mut waiting = Waiting { front: self, txn, trace, answered: false };
         let carried = Arc::new(carried);
-        let take = Take { txn, scheme, expiry, carried: carried.clone(), caller, earlier: 0, payer: None };
+        let carried_on = carried.clone();
+        let take = Take { txn, scheme, tenant, expiry, carried: carried_on, caller, earlier: 0, payer: None };
         self.desk.do_send(take);
         let mut answer = pin!(answer);
         if let (Some(payload), Some(rest)) = (&mut payload, &carried.rest) {
--- a/crates/agent/src/wire/door.rs
+++ b/crates/agent/src/wire/door.rs
@@ -242,7 +242,7 @@
         let (caller, answer) = oneshot::channel();
         let mut waiting = Waiting { pool, txn, answered: false };
         let (scheme, carried, payer) = (route.scheme, carried.clone(), Some(route.id));
-        pool.desk.do_send(Take { txn, scheme, expiry, carried, caller, earlier, payer });
+        pool.desk.do_send(Take { txn, scheme, tenant: None, expiry, carried, caller, earlier, payer });
         let answer = answer.await.unwrap_or(Answer::Reversed(None, Unserved::default()));
         waiting.answered = true;
         answer
--- a/crates/agent/src/wire/listing.rs
+++ b/crates/agent/src/wire/listing.rs
@@ -19,7 +19,7 @@
     }
 }
 
-/// Bytes of the name of a backend or a zone: what is known of them is kept.
+/// Bytes of the name of a backend, a zone or a machine type: what is known of them is kept.
 const NAME: usize = 256;
 
 pub fn read(told: &Value) -> Read<Heard> {
@@ -28,7 +28,8 @@
     let mut read = Vec::new();
     for row in rows(told, "members")? {
         let name = text(row, "id")?;
-        if name.len() > NAME || row["locality"].as_str().is_some_and(|zone| zone.len() > NAME) {
+        let long = |field: &str| row[field].as_str().is_some_and(|name| name.len() > NAME);
+        if name.len() > NAME || long("locality") || long("flavor") {
             return Err(format!(
                 "a name of over {NAME} bytes: {}",
                 name.chars().take(20).collect::<String>()
@@ -51,7 +52,8 @@
             ..Entry::default()
         };
         let zone = row["locality"].as_str().unwrap_or("").to_owned();
-        read.push(Row { name: name.to_owned(), at, zone, entry });
+        let model = row["flavor"].as_str().unwrap_or("").to_owned();
+        read.push(Row { name: name.to_owned(), at, zone, model, entry });
     }
     Ok(Heard { how, version, rows: read })
 }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -16,6 +16,8 @@
     pub schemes: Vec<String>,
     pub tenants: Vec<String>,
     pub report_fields: Vec<String>,
+    /// What the settings allow and an agent on sockets does otherwise, for its log.
+    pub unused: Vec<&'static str>,
     /// After this a backend closes a connection that stands idle.
     pub idle_close: Micros,
     /// A connection that is not up by then never comes up.
@@ -48,7 +50,7 @@
         },
         window: time(row, "windowMs", Some(0.0))?,
         sla: time(row, "slaTimeMs", None)?,
-        overdue: number(row, "overdueValue", Some(1.0))?,
+        overdue: within(row, "overdueValue", 1.0, 0.0, 1.0)?,
     })
 }
 
@@ -61,8 +63,9 @@
     let mut zones = strings(settings, "zones")?;
     let zone = zone_number(&mut zones, settings["myZone"].as_str().unwrap_or(""));
     let retry_after = time(permissions, "maxRetryAfterMs", Some(0.0))?;
+    let agents = within(settings, "balancers", 1.0, 1.0, 1e6)?;
     let terms = Terms {
-        agents: number(settings, "balancers", Some(1.0))? as u32,
+        agents: agents as u32,
         zone,
         schemes: rows(settings, "schemes")?.iter().map(scheme).collect::<Read<_>>()?,
         max_postings: number(permissions, "maxPostings", Some(1.0))? as u32,
@@ -80,21 +83,37 @@
         may_cancel: flag(permissions, "cancel")?,
         may_probe: flag(permissions, "probes")?,
         report_by_probe: settings["loadReport"]["via"].as_str() == Some("probe"),
-        live_weights: settings["weightKind"].as_str() == Some("live"),
-        second_copies: flag(permissions, "secondCopies")?,
+        live_weights: match settings["weightKind"].as_str().unwrap_or("nominal") {
+            "live" => true,
+            "none" | "nominal" | "rough" => false,
+            other => return Err(format!("field `weightKind`: `{other}` is not known")),
+        },
         idle_close: time(permissions, "idleCloseMs", Some(15_000.0))?,
         peers: flag(permissions, "peers")?,
-        me: PeerId(number(settings, "selfIndex", Some(0.0))? as u32),
-        kept_promises: number(&settings["scoreParts"], "keptPromises", Some(0.0))?,
+        me: PeerId(within(settings, "selfIndex", 0.0, 0.0, agents - 1.0)? as u32),
+        kept_promises: within(&settings["scoreParts"], "keptPromises", 0.0, 0.0, 1e9)?,
         quotas: rows(settings, "realms")?
             .iter()
-            .map(|row| number(row, "quotaPerS", None))
+            .map(|row| within(row, "quotaPerS", f64::MAX, 0.0, f64::MAX))
             .collect::<Read<_>>()?,
         probe_price: number(costs, "probe", Some(0.0))?,
         tick: time(settings, "tickMs", Some(1.0))?,
     };
+    let allowed = [
+        (
+            terms.peers,
+            "messages between agents are not carried here: shares are judged by what comes to this agent",
+        ),
+        (flag(permissions, "secondCopies")?, "second copies are allowed, and none is sent"),
+        (
+            within(permissions, "streamsPerConn", 1.0, 1.0, 1e6)? > 1.0,
+            "a connection may carry many txns, and carries one at a time",
+        ),
+    ];
+    let unused = allowed.into_iter().filter(|(is, _)| *is).map(|(_, what)| what).collect();
     Ok(Agreed {
         terms,
+        unused,
         zones,
         schemes: names(settings, "schemes")?,
         tenants: names(settings, "realms")?,
--- a/crates/terms/src/read.rs
+++ b/crates/terms/src/read.rs
@@ -15,6 +15,14 @@
         }
     }
 }
+/// A number from `least` to `most`.
+pub fn within(of: &Value, field: &str, default: f64, least: f64, most: f64) -> Read<f64> {
+    let value = number(of, field, Some(default))?;
+    match (least..=most).contains(&value) {
+        true => Ok(value),
+        false => Err(format!("field `{field}`: {value} is not from {least} to {most}")),
+    }
+}
 pub fn whole(of: &Value, field: &str) -> Read<u64> {
     of[field].as_u64().ok_or_else(|| format!("field `{field}` is no whole number"))
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -702,7 +702,7 @@
         let Txn { desk, txn } = self;
         let fair = desk.txns.get(&txn).is_some_and(|s| s.fair);
         let window = if fair { desk.gauge.wide } else { desk.gauge.window };
-        if !(fair && desk.gauge.calm) && !window.has_room(desk.in_flight()) {
+        if !(fair && desk.gauge.calm || window.has_room(desk.in_flight())) {
             out.count("unserved_window");
             return desk.answer(txn, out);
         }
--- a/src/units.rs
+++ b/src/units.rs
@@ -108,8 +108,6 @@
     pub report_by_probe: bool,
     /// Listed weights are the size over 1 + txns held a core, and move with load.
     pub live_weights: bool,
-    /// Two postings of a txn may be out at once.
-    pub second_copies: bool,
     /// After this a connection that stands unused is closed.
     pub idle_close: Micros,
     /// Agents may send one another messages.
