A connection is blamed only on proof; scenarios of shares, live weights, connections, give-ups

Symptom: floors_of_a_fleet_go_by_what_can_take: 76 postings out at 4 machines, 77 settled in 4 s of 800 they can do, once idle_close 0 meant 'not known' (before, each posting there opened a new connection). Cause: without live weights every silence of an overdriven backend was taken for its connection's, and such time-outs neither blame nor ease. Lines at fault: overdue(), returned(). Now silence counts at once only where live weights say that the backend is not crowded; elsewhere only once a new connection to it answers as usual. An operator's file gave no idle_close to the module: each posting would have closed idle connections; mended.

--- a/crates/terms/src/file/read.rs
+++ b/crates/terms/src/file/read.rs
@@ -273,6 +273,7 @@
                 report_by_probe: row.probes,
                 probe_price: 0.04,
                 tick: Micros::ms(5),
+                idle_close: ms(seen.within(&row.idle_close_ms, 1.0, 24.0 * HOUR)),
                 ..Terms::default()
             },
             members,
--- a/src/book.rs
+++ b/src/book.rs
@@ -19,6 +19,7 @@
     pub shut_until: Micros,
     pub shut_for: Micros,
     pub active: Micros, // when the connection to it was last used
+    pub silent: Micros, // how long that connection had stood by then
     pub stale: bool,    // nothing came on that connection when it was due
     pub used: Micros,   // when we last posted to it
     pub probed: Micros,
@@ -208,17 +209,20 @@
 
 impl Trust {
     pub fn open(idle_close: Micros) -> Trust {
-        Trust { silences: 0, keep: idle_close.times(0.8) }
+        let keep = if idle_close > Micros(0) { idle_close.times(0.8) } else { NEVER };
+        Trust { silences: 0, keep }
     }
     /// Nothing came on one that had stood for so long. Once is chance.
     pub fn silent(&mut self, stood: Micros) {
-        self.silences += 1;
-        if self.silences > 1 {
+        self.silences += u32::from(stood > Micros(0));
+        if self.silences > 1 && stood > Micros(0) {
             self.keep = self.keep.min(stood.times(0.7));
         }
     }
     pub fn answered(&mut self, stood: Micros) {
-        self.silences = 0;
+        if stood > Micros(0) {
+            self.silences = 0;
+        }
         if stood > self.keep {
             self.keep = stood.times(1.25);
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -225,8 +225,8 @@
         }
     }
 
-    /// True where the posting was lost alone: the backend answered what was sent there in the second half of
-    /// its wait. That is one more failure, but speaks of no queue (incident rf678eb).
+    /// True where the posting was lost alone: the backend answered what was sent in the second half of its
+    /// wait. That is one more failure, but speaks of no queue (rf678eb).
     fn came_back(&mut self, id: BackendId, scheme: SchemeId, sent: Micros, fate: Fate, took: Micros) -> bool {
         let (mean, mut usual, now) = (self.took[scheme.0].mean(), self.gauge.fails, self.now);
         let Some(b) = self.at(id) else { return false };
@@ -261,8 +261,7 @@
         lost
     }
 
-    /// Own postings out, but for those long past their SLA time or at an ejected backend: what is stuck
-    /// somewhere must not use up the window.
+    /// Own postings out. What is stuck, long past its SLA time or at an ejected backend, uses up no window.
     fn in_flight(&self) -> f64 {
         let now = self.now;
         let counts = |s: &&State| {
@@ -279,8 +278,7 @@
         let (mut flow, mut size, mut cores, mut crowd) = (0.0, 0.0, 0.0, 0.0);
         for b in self.kept() {
             let warmth = b.warmth(&self.terms, self.now);
-            // Who is told gone and may take nothing holds up no floor, and hides no illness of those that are
-            // left (incident join+vast).
+            // Who is told gone and may take nothing holds up no floor, and hides no illness of the rest.
             if b.told.is_none() || self.terms.drain_grace.is_none() {
                 (listed, ill) = (listed + 1, ill + usize::from(b.shut(self.now)));
                 (cores, crowd) = (cores + warmth * b.entry.size.clamp(1.0, 4.0), crowd + b.crowd);
@@ -396,12 +394,11 @@
             return false;
         }
         let (now, trial) = (self.now, self.chance.rand_float() < TRIAL);
-        let cold = self.backend(id).is_some_and(|b| b.warmth(&self.terms, now) < 1.0);
         let keep = if self.terms.peers { self.trust.keep.min(self.rates.keep()) } else { self.trust.keep };
         let (Some(s), Some(b)) = (self.txns.get_mut(&txn), self.backends[id.0 as usize].as_mut()) else {
             return false;
         };
-        let row = &self.terms.schemes[s.scheme.0];
+        let (row, cold) = (&self.terms.schemes[s.scheme.0], b.warmth(&self.terms, now) < 1.0);
         // What is sent on a connection that was dropped unseen gets no answer: one that stood for longer than
         // such were seen to last is closed first, but for a trial now and then.
         let mut stood = if b.out.is_empty() { now - b.active } else { Micros(0) };
@@ -436,9 +433,8 @@
         Some((idle.max(FLOOR), 1.0 / (1.0 + age * age)))
     }
 
-    /// Weight of each backend: what it reports to have left, for its size, held against its pace with us.
-    /// The unreported count as the mean, and as a report ages it fades towards the mean, so that one that is
-    /// late or stuck pins nothing. A cold one is capped at the mean weight.
+    /// Weight of each backend: what it reports to have left, for its size, against its pace with us. A report
+    /// that ages, or is missing, fades to the mean: a late one pins nothing. A cold one has the mean at most.
     fn weights(&self, all: &[&Backend], scheme: SchemeId) -> Vec<f64> {
         let idle: Vec<Option<(f64, f64)>> = all.iter().map(|b| self.idle(b)).collect();
         let known = idle.iter().flatten().count().max(1) as f64;
@@ -462,9 +458,8 @@
         weights.iter().zip(all).map(capped).collect()
     }
 
-    /// The habit: an agent sends to few members, and adds one, drawn like all else, whenever all hold a
-    /// posting of ours or are ejected. One that drains, goes or is far slower makes room: few good ones are
-    /// sooner known.
+    /// The habit: an agent sends to few members, and adds one, drawn like all else, whenever all hold one of
+    /// ours or are ejected. One that drains, goes or is far slower makes room: few good ones are sooner known.
     fn enlist(&mut self, txn: TxnRef) {
         let Some((scheme, last)) = self.txns.get(&txn).map(|s| (s.scheme, s.last)) else { return };
         let stays =
@@ -496,8 +491,7 @@
         }
     }
 
-    /// A newcomer is warm: it takes a member's place at as many agents as its size asks for. Else all would
-    /// let it go in the instant in which lots end.
+    /// A newcomer is warm: it takes a member's place at as many agents as its size asks for.
     fn welcome(&mut self, id: BackendId) {
         let whole: f64 = self.kept().filter(|b| b.told.is_none()).map(|b| b.entry.size).sum();
         let Some(b) = self.backend(id).filter(|b| b.told.is_none() && !b.shut(self.now)) else { return };
@@ -592,9 +586,9 @@
                     out.cancel(txn, o.number);
                 }
             } else if mute && !o.silent && now - o.sent >= wait.times(SILENT) {
-                (o.silent, b.stale) = (true, true);
-                if o.stood > Micros(0) && b.crowd < 2.0 {
-                    self.trust.silent(o.stood);
+                (o.silent, b.stale, b.silent) = (true, true, o.stood);
+                if self.terms.live_weights && b.crowd < 2.0 {
+                    self.trust.silent(std::mem::take(&mut b.silent)); // no queue keeps it silent
                 }
             }
         }
@@ -736,8 +730,15 @@
         s.closed |= closed || fate == Fate::Settled;
         let over = s.closed;
         let ejected = desk.gauge.ejecting && desk.backend(id).is_some_and(|b| b.shut(now));
-        if fate == Fate::Settled && stood > Micros(0) {
-            desk.trust.answered(stood);
+        // A new connection answers as usual where one that had stood did not: it was the connection.
+        let soon = took < desk.patience(scheme);
+        if fate == Fate::Settled
+            && let Some(b) = desk.backends[id.0 as usize].as_mut()
+        {
+            match (stood, std::mem::take(&mut b.silent)) {
+                (Micros(0), silent) if soon => desk.trust.silent(silent),
+                (stood, _) => desk.trust.answered(stood),
+            }
         }
         let fate = if fate == Fate::Withdrawn && silent { Fate::TimedOut } else { fate };
         // Silence on a connection that stood unused says nothing of the backend.
@@ -767,8 +768,8 @@
         s.closed = true;
         match s.out {
             Some(o) if desk.terms.may_cancel => out.cancel(txn, o.number),
-            Some(_) => {}
             None => drop(desk.txns.remove(&txn)),
+            _ => {}
         }
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -108,7 +108,7 @@
     pub report_by_probe: bool,
     /// Listed weights are the size over 1 + txns held a core, and move with load.
     pub live_weights: bool,
-    /// After this a connection that stands unused is closed.
+    /// After this a connection that stands unused is closed; 0: not known, and they last.
     pub idle_close: Micros,
     /// Agents may send one another messages.
     pub peers: bool,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,6 +2,7 @@
 //! A:ZONE[:draining|:gone|:start=MS]...`; `lost`: the list call failed, `moved`: it goes elsewhere; `at MS`
 //! moves the clock; `take REF SCHEME EXPIRY_MS`, `back REF FATE TOOK`, `left REF`; `report A UTIL|- HELD|-`:
 //! probes tell the same at once. `flow N SCHEME`: N txns in turn, answered as `answers A FATE TOOK` says;
+//! `heard FIGURES`: other agents told this, often; a tenant's number may follow an expiry or a flow's scheme.
 //! `burst`: N at once, left out till `backs TOOK`. `share A LEAST MOST`: percent of them that went to A, or
 //! was `declined`; `spread`: to how many; `expect ACTION`: the next; `seen`: how many.
 use std::collections::BTreeMap;
@@ -53,6 +54,13 @@
     fn wake_in(&mut self, span: Micros) {
         self.wake = Some(self.now + span.0 / 1000);
     }
+    fn tell(&mut self, peer: PeerId, line: &str) {
+        assert!(peer != PeerId(0) && line.len() <= 256, "told {peer:?}: {line}");
+        self.log.push(format!("tell {}", peer.0));
+    }
+    fn trim(&mut self, backend: BackendId) {
+        self.log.push(format!("trim {}", name(backend)));
+    }
     fn note(&mut self, line: &str) {
         self.log.push(format!("note {line}"));
     }
@@ -105,7 +113,11 @@
         match part {
             "draining" => entry.standing = Standing::Draining,
             "gone" => entry.standing = Standing::Gone,
-            other => entry.started = Micros::ms(number(other.strip_prefix("start=").expect("start=MS"))),
+            other => match other.split_once('=').expect("NAME=VALUE") {
+                ("start", ms) => entry.started = Micros::ms(number(ms)),
+                ("size", size) => entry.size = size.parse().expect("a size"),
+                _ => panic!("no {other}"),
+            },
         }
     }
     entry
@@ -137,9 +149,10 @@
         self.stage.now = ms;
         self.desk.clock(Micros::ms(ms));
     }
-    fn take(&mut self, txn: u64, scheme_word: &str, expiry: i64) {
+    fn take(&mut self, txn: u64, scheme_word: &str, expiry: i64, tenant: Option<&&str>) {
         let expiry = Micros::ms(self.stage.now + expiry);
-        self.desk.take(TxnRef(txn), scheme(scheme_word), expiry).route(&mut self.stage);
+        let tenant = tenant.map(|word| TenantId(number(word) as usize));
+        self.desk.take(TxnRef(txn), scheme(scheme_word), expiry).of(tenant).route(&mut self.stage);
         self.pongs();
     }
     fn back(&mut self, txn: u64, fate: Fate, took: i64) {
@@ -163,7 +176,7 @@
         for _ in 0..count {
             self.next += 1;
             let (txn, from) = (self.next, self.stage.log.len());
-            self.take(txn, words[2], 2_000);
+            self.take(txn, words[2], 2_000, words.get(3));
             while let Some((_, to)) = self.stage.sent.get(&txn).cloned().filter(|_| words[0] == "flow") {
                 let (fate, took) =
                     self.answers.get(&to).or(self.answers.get("all")).copied().unwrap_or((Fate::Settled, 50));
@@ -195,12 +208,13 @@
             "lost" => self.desk.list_failed(),
             "moved" => self.desk.list_moved(),
             "at" => self.to(number(words[1])),
-            "take" => self.take(number(words[1]) as u64, words[2], number(words[3])),
+            "take" => self.take(number(words[1]) as u64, words[2], number(words[3]), words.get(4)),
             "back" => self.back(number(words[1]) as u64, fate(words[2]), number(words[3])),
             "backs" => {
                 let out: Vec<u64> = self.stage.sent.keys().copied().collect();
                 out.into_iter().for_each(|txn| self.back(txn, Fate::Settled, number(words[1])));
             }
+            "heard" => (0..50).for_each(|_| self.desk.heard(&words[1..].join(" "))),
             "left" => {
                 let handle = self.desk.txn(TxnRef(number(words[1]) as u64));
                 handle.into_iter().for_each(|h| h.left(&mut self.stage));
@@ -265,6 +279,12 @@
             match words[1] {
                 "agents" => terms.agents = number(words[2]) as u32,
                 "probed" => terms.report_by_probe = true,
+                "live" => terms.live_weights = true,
+                "peers" => terms.peers = true,
+                "promises" => terms.kept_promises = 0.3,
+                "quota" => terms.quotas.push(number(words[2]) as f64),
+                "idle" => terms.idle_close = Micros::ms(number(words[2])),
+                "worthless" => terms.schemes.iter_mut().for_each(|row| row.overdue = 0.0),
                 "grace" => terms.drain_grace = words[2].parse().ok().map(Micros::ms),
                 other => panic!("no term {other}"),
             }
