--- a/crates/terms/src/file/read.rs
+++ b/crates/terms/src/file/read.rs
@@ -252,6 +252,7 @@
             seen.wrong(span, "this agent listens there itself");
         }
         let cold = &row.cold;
+        let idle_close = ms(seen.within(&row.idle_close_ms, 1.0, 24.0 * HOUR));
         read.push(Pool {
             name: name.clone(),
             terms: Terms {
@@ -273,14 +274,14 @@
                 report_by_probe: row.probes,
                 probe_price: 0.04,
                 tick: Micros::ms(5),
-                idle_close: ms(seen.within(&row.idle_close_ms, 1.0, 24.0 * HOUR)),
+                idle_close,
                 ..Terms::default()
             },
             members,
             protocol: row.protocol,
             register: register.map(|(_, at)| at),
             connect_within: ms(seen.within(&row.connect_ms, 1.0, HOUR)),
-            idle_close: ms(seen.within(&row.idle_close_ms, 1.0, 24.0 * HOUR)),
+            idle_close,
             part: row.part.as_ref().map_or(0.0, |part| seen.within(part, 0.0, 1.0)),
             weight: seen.within(&row.weight, 0.0, 1e12),
             backup: row.backup.as_ref().and_then(|backup| seen.find(backup, "pool", &names)),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -459,7 +459,7 @@
     }
 
     /// The habit: an agent sends to few members, and adds one, drawn like all else, whenever all hold one of
-    /// ours or are ejected. One that drains, goes or is far slower makes room: few good ones are sooner known.
+    /// ours or are ejected. One that drains, goes or is far slower makes room: few good are sooner known.
     fn enlist(&mut self, txn: TxnRef) {
         let Some((scheme, last)) = self.txns.get(&txn).map(|s| (s.scheme, s.last)) else { return };
         let stays =
