--- a/crates/agent/src/life/run.rs
+++ b/crates/agent/src/life/run.rs
@@ -72,6 +72,12 @@
         // Not near the time at which the backend closes: a posting written then may have run.
         idle: span(agreed.idle_close.times(0.8)),
     });
+    let slas = agreed.terms.schemes.iter().map(|row| row.sla);
+    let shape = Rc::new(learnt::Shape {
+        agents: agreed.terms.agents,
+        live: agreed.terms.live_weights,
+        schemes: agreed.schemes.iter().cloned().zip(slas).collect(),
+    });
     let schemes = agreed.schemes.into_iter().zip(agreed.terms.schemes.iter().map(|row| row.kind)).collect();
     let longest = Rc::new(Cell::new(agreed.longest));
     let away = agreed.terms.retry_after.map(|most| most.min(SOON));
@@ -94,7 +100,8 @@
             // Who is out is so before the list is known.
             list.send(Banned(bans)).await.map_err(io::Error::other)?;
             let kept = Rc::new(kept);
-            actix_rt::spawn(hear(news, kept.clone(), list.clone(), desk.clone(), ground.clone()));
+            let all = (list.clone(), desk.clone(), ground.clone(), shape.clone());
+            actix_rt::spawn(hear(news, kept.clone(), all));
             Some(kept)
         }
         None => None,
@@ -157,8 +164,11 @@
         }
         while let Some(kept) = &kept {
             let names = answer_of(|tell| list.do_send(Names(tell))).await;
-            if let Some(elder) = kept.left().and_then(|text| learnt::read(&text, &names, begun)) {
-                log::info!("taken over from the elder: a window of {:.1}", elder.window);
+            if let Some(elder) = kept.left().and_then(|text| learnt::read(&text, &names, &shape, begun)) {
+                match elder.same {
+                    true => log::info!("taken over from the elder: a window of {:.1}", elder.window),
+                    false => log::info!("taken over from an elder of another shape: windows begin afresh"),
+                }
                 desk_of.do_send(Inherit(elder));
                 break;
             }
@@ -182,9 +192,7 @@
 async fn hear(
     mut news: UnboundedReceiver<News>,
     kept: Rc<Kept>,
-    list: Addr<List>,
-    desk: Addr<Desk>,
-    ground: Rc<Ground>,
+    (list, desk, ground, shape): (Addr<List>, Addr<Desk>, Rc<Ground>, Rc<learnt::Shape>),
 ) {
     while let Some(news) = news.recv().await {
         match news {
@@ -196,7 +204,7 @@
                     let names = answer_of(|tell| list.do_send(Names(tell))).await;
                     let names = names.into_iter().map(|(name, id)| (id, name)).collect();
                     let learnt = answer_of(|tell| desk.do_send(Tell(tell))).await;
-                    kept.leave(learnt::written(&learnt, &names, ground.clock.now()));
+                    kept.leave(learnt::written(&learnt, &names, &shape, ground.clock.now()));
                 }
             }
         }
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -347,7 +347,12 @@
         match what {
             "sockets" => self.sockets = name.parse().expect("a number"),
             "settings" => {
-                let place = self.settings.pointer_mut(name).expect("such a setting");
+                let (group, field) = name.rsplit_once('/').expect("/GROUP/FIELD");
+                let group = self.settings.pointer_mut(group).expect("such a group");
+                let place = match group {
+                    Value::Array(rows) => &mut rows[field.parse::<usize>().expect("a row")],
+                    group => &mut group[field],
+                };
                 *place = serde_json::from_str(more).expect("a value");
             }
             "peer" => {
--- a/src/book.rs
+++ b/src/book.rs
@@ -63,6 +63,10 @@
             self.cold_sent.push(now);
         }
     }
+    /// For how long its connection has stood unused; 0 where it is in use, or there was none.
+    pub fn stood(&self, now: Micros) -> Micros {
+        if self.out.is_empty() && self.active > Micros(0) { now - self.active } else { Micros(0) }
+    }
     /// A posting came back, whatever became of it.
     pub fn returned(&mut self, txn: TxnRef, now: Micros) {
         self.out.retain(|o| o.0 != txn);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -401,7 +401,7 @@
         let (row, cold) = (&self.terms.schemes[s.scheme.0], b.warmth(&self.terms, now) < 1.0);
         // What is sent on a connection that was dropped unseen gets no answer: one that stood for longer than
         // such were seen to last is closed first, but for a trial now and then.
-        let mut stood = if b.out.is_empty() { now - b.active } else { Micros(0) };
+        let mut stood = b.stood(now);
         let trial = trial && row.kind == Kind::Repeatable && !b.stale;
         if b.out.is_empty() && (b.stale || stood > keep) && !trial {
             out.trim(id);
