--- a/src/logic.rs
+++ b/src/logic.rs
@@ -547,7 +547,7 @@
     /// How long an answer may take till it is overdue.
     fn patience(&self, scheme: SchemeId) -> Micros {
         let most = self.terms.schemes[scheme.0].sla.times(0.6);
-        self.took[scheme.0].quantile(PATIENT).map_or(most, |usual| Micros(usual).min(most))
+        self.took[scheme.0].quantile(PATIENT).map_or(most, |usual| Micros(usual).max(MARGIN).min(most))
     }
 
     /// When there is something to do about what is out.
@@ -563,7 +563,7 @@
     /// Looks after what is out. A repeatable posting overdue on a connection in doubt is withdrawn, to go
     /// elsewhere; silence far beyond the usual, twice in a row, says how long unused connections last.
     fn overdue(&mut self, out: &mut dyn Outlet) {
-        let now = self.now;
+        let (now, elsewhere) = (self.now, self.terms.may_cancel && self.sound() > 1);
         let all: Vec<(TxnRef, SchemeId)> = self.txns.iter().map(|(&txn, s)| (txn, s.scheme)).collect();
         for (txn, scheme) in all {
             let (wait, row) = (self.patience(scheme), &self.terms.schemes[scheme.0]);
@@ -580,8 +580,8 @@
             } else if !o.overdue && now - o.sent >= wait {
                 o.overdue = true;
                 let doubt = b.doubt > 0.1 || o.stood > Micros(0) && self.trust.silences > 0;
-                let may = self.terms.may_cancel && row.kind == Kind::Repeatable && self.gauge.spare >= 1.0;
-                if mute && doubt && may && b.crowd < 1.0 {
+                let may = elsewhere && s.postings < self.terms.max_postings && self.gauge.spare >= 1.0;
+                if mute && doubt && may && row.kind == Kind::Repeatable && b.crowd < 1.0 {
                     out.count("withdrawn_silent");
                     out.cancel(txn, o.number);
                 }
