Tests' agents listen where no outgoing connection takes their port; what is down lets nobody in

Checks: the port was asked for at 127.0.0.1:0 and let go before the agent bound it; outgoing connections of sister tests leave from 127.0.0.1 too, so the system may give one of them that very port. Second: Stand::new(Mode::Down) listened till its thread first ran; what is sent meanwhile is in the system's queue and may have run, so a reversal is the right answer, and the stand-in was at fault. Ruled out: the agent (it names the port and ends; it answers by what may have run). At fault: standins/mod.rs (House::start, Stand::new, Stand::set), fast_door in fastcgi.rs, scene in abuse.rs, door in house.rs.

--- a/crates/cli/tests/abuse.rs
+++ b/crates/cli/tests/abuse.rs
@@ -277,9 +277,7 @@
 
 fn scene(front: Front, name: &str) -> Scene {
     let stands: Vec<Stand> = (0..6).map(|_| Stand::new(Mode::Slow)).collect();
-    let free =
-        || std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
-    let fast = (front == Front::Fastcgi).then(free);
+    let fast = (front == Front::Fastcgi).then(unused);
     let door = fast.map(|at| format!("[[listen]]\nname = \"fast\"\nat = \"{at}\"\nprotocol = \"fastcgi\"\n"));
     let tenants = "[tenants]\nheader = \"X-Tenant\"\nshares = { good = 0.5, bad = 0.3 }\n";
     let text = pool("a", &stands, "max_postings = 3")
@@ -292,7 +290,7 @@
         + if front == Front::Tenants { tenants } else { "" };
     let (mut house, mut agent) = (None, None);
     let at = if front == Front::Platform {
-        let at = free();
+        let at = unused();
         agent = Some(platform(at, &stands, name));
         at
     } else {
--- a/crates/cli/tests/fastcgi.rs
+++ b/crates/cli/tests/fastcgi.rs
@@ -372,7 +372,7 @@
 
 /// A second listener that speaks FastCGI, at a free port.
 fn fast_door() -> (SocketAddr, String) {
-    let free = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let free = unused();
     (free, format!("[[listen]]\nname = \"fast\"\nat = \"{free}\"\nprotocol = \"fastcgi\"\n"))
 }
 
--- a/crates/cli/tests/house.rs
+++ b/crates/cli/tests/house.rs
@@ -469,7 +469,7 @@
 #[test]
 fn operators_have_a_door_and_a_ban_holds_in_every_pool_and_over_a_new_file() {
     let stands = [Stand::new(Mode::Ok), Stand::new(Mode::Ok)];
-    let door = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address");
+    let door = unused();
     let file = |name: &str| {
         format!(
             "management = \"{door}\"\n{}",
--- a/crates/cli/tests/standins/mod.rs
+++ b/crates/cli/tests/standins/mod.rs
@@ -4,12 +4,21 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
+/// A free port at an address that nothing else here uses: at 127.0.0.1 somebody's outgoing connection takes it
+/// before the agent listens.
+pub fn unused() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let (run, n) = (std::process::id() % 200 + 30, NEXT.fetch_add(1, Ordering::Relaxed));
+    let free = TcpListener::bind(format!("127.{run}.6.{n}:0")).expect("a free port");
+    free.local_addr().expect("its address")
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Mode {
     Ok,
@@ -69,6 +78,7 @@
     pub mode: Arc<Mutex<Mode>>,
     pub seen: Arc<Mutex<Vec<String>>>,
     pub last: Arc<Mutex<String>>,
+    listens: Arc<AtomicBool>,
 }
 
 impl Stand {
@@ -82,8 +92,10 @@
             mode: Arc::new(Mutex::new(mode)),
             seen: Arc::default(),
             last: Arc::default(),
+            listens: Arc::new(AtomicBool::new(mode != Mode::Down)),
         };
-        let own = stand.clone();
+        // What is down from the first lets nobody in, not even into the system's queue.
+        let (own, listener) = (stand.clone(), (mode != Mode::Down).then_some(listener));
         std::thread::spawn(move || own.listen(listener));
         stand
     }
@@ -92,18 +104,23 @@
     }
     pub fn set(&self, mode: Mode) {
         *self.mode.lock().expect("mode") = mode;
+        // Down counts once nobody listens: till then the system takes what is sent, and that may have run.
+        let began = Instant::now();
+        while mode == Mode::Down && self.listens.load(Ordering::SeqCst) && began.elapsed() < PATIENCE {
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
     pub fn seen(&self) -> Vec<String> {
         self.seen.lock().expect("seen").clone()
     }
-    pub fn listen(&self, listener: TcpListener) {
-        let mut open = Some(listener);
+    fn listen(&self, mut open: Option<TcpListener>) {
         loop {
             if self.mode() == Mode::Down {
                 open = None;
             } else if open.is_none() {
                 open = TcpListener::bind(self.at).ok();
             }
+            self.listens.store(open.is_some(), Ordering::SeqCst);
             let Some(listener) = &open else {
                 std::thread::sleep(Duration::from_millis(2));
                 continue;
@@ -265,9 +282,7 @@
     pub fn start(name: &str, rest: &str) -> House {
         let folder = std::env::temp_dir().join(format!("notchspool-house-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
-        let free = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let at = free.local_addr().expect("its address");
-        drop(free);
+        let at = unused();
         let file = folder.join("agent.toml");
         std::fs::write(&file, House::file(at, &rest.replace("@folder", &folder.to_string_lossy())))
             .expect("the file");
