Within shares no window only once figures are known, and not where the list tells of a crowd

Cause: the mean stress starts at 0 and an agent there hears six txns a second, so 'calm' held for some seconds with no answer behind it; and one agent's answers tell too late that servers are choked. The list's live weights tell it at once. Ruled out: a change of the list, restarts, the window beyond shares (it declines what is beyond, as it should). At fault: ease, `calm = pull > 0`.

--- a/src/book.rs
+++ b/src/book.rs
@@ -169,10 +169,10 @@
 }
 
 impl Gauge {
-    /// Windows at the start of a life: a little over their floor.
-    pub fn begin(&mut self) {
+    /// Windows at the start of a life: a little over their floor, `wider` times that within shares.
+    pub fn begin(&mut self, wider: f64) {
         self.window.size = 1.33 * self.least;
-        self.wide.size = self.window.size;
+        self.wide.size = wider * self.window.size;
     }
     /// What a backend of this size reports.
     pub fn hear(&mut self, report: Report, size: f64) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,7 @@
 const SLOW: f64 = 2.0; // a member this many times slower than its peers makes room for another
 const UNUSED: Micros = Micros::ms(10_000); // a member above those that got nothing for this long leaves
 const FAIR: f64 = 2.5; // the aim for txns within their tenants' shares is this many times that of the rest
+const CROWD: f64 = 3.0; // txns held a core by the list above which nobody is at ease
 const PATIENT: f64 = 0.9; // part of answers that come before one is overdue
 const SILENT: f64 = 3.0; // after so many times that wait, nothing is thought to come
 const HASTE: Micros = Micros::ms(10); // so long before its SLA time a txn is given up
@@ -154,7 +155,7 @@
         self.guard(&turned_gone, out);
         self.count();
         if how == Refresh::Restored {
-            self.gauge.begin();
+            self.gauge.begin(self.wider());
         }
     }
 
@@ -297,6 +298,11 @@
         self.gauge.ejecting = 2 * ill <= listed;
     }
 
+    /// How much more strain txns within shares may bring, unless the goal keeps promises.
+    fn wider(&self) -> f64 {
+        if self.terms.kept_promises > 0.0 { 1.0 } else { FAIR }
+    }
+
     /// Every posting that comes back moves the window: up while it is used and answers come with ease, down
     /// as they near the SLA time. Many agents doing so keep the backends' queues short without talking.
     fn ease(&mut self, scheme: SchemeId, fate: Fate, took: Micros) {
@@ -320,9 +326,10 @@
         let aim = (QUICK * self.gauge.rest).clamp(EASE, 1.5 * EASE) * (1.0 + ROOM * room);
         let (out, least) = (self.in_flight(), self.gauge.least);
         if self.terms.peers {
-            let wide = if self.terms.kept_promises > 0.0 { aim } else { FAIR * aim };
+            let wide = self.wider() * aim;
             let pull = ((wide - self.rates.stress()) / wide).clamp(-1.0, 1.0);
-            self.gauge.calm = pull > 0.0 && self.terms.kept_promises == 0.0;
+            let calm = pull > 0.0 && self.rates.known() && self.gauge.crowd < CROWD;
+            self.gauge.calm = calm && self.wider() > 1.0;
             self.gauge.wide.moves(out, 0.2, pull, least);
         }
         let pull = ((aim - self.gauge.stress) / aim).clamp(-1.0, 1.0);
--- a/src/rates.rs
+++ b/src/rates.rs
@@ -15,11 +15,12 @@
     own: Vec<f64>, // by tenant; then how often a second an unused connection ends, and the stress
     mean: Vec<f64>,
     heard: f64,
+    age: Micros,
 }
 
 impl Rates {
     pub fn of(tenants: usize) -> Rates {
-        Rates { own: vec![0.0; tenants + 2], mean: vec![0.0; tenants + 2], heard: 0.0 }
+        Rates { own: vec![0.0; tenants + 2], mean: vec![0.0; tenants + 2], heard: 0.0, age: Micros(0) }
     }
     /// One more txn of a tenant.
     pub fn add(&mut self, tenant: usize) {
@@ -29,6 +30,7 @@
     }
     /// Time passes; the stress is now this, and connections are not trusted that stood unused for `keep`.
     pub fn fade(&mut self, span: Micros, stress: f64, keep: Micros) {
+        self.age = self.age + span;
         let left = (-span.over(SPAN)).exp();
         self.own.iter_mut().for_each(|own| *own *= left);
         if let [.., ends, own] = &mut self.own[..] {
@@ -39,6 +41,10 @@
     pub fn keep(&self) -> Micros {
         Micros::ms(1_000).times(1.0 / self.mean(self.own.len() - 2).max(1e-6))
     }
+    /// Whether figures have had the time to come together.
+    pub fn known(&self) -> bool {
+        self.age >= SPAN
+    }
     pub fn stress(&self) -> f64 {
         self.mean(self.own.len() - 1)
     }
