--- a/src/logic.rs
+++ b/src/logic.rs
@@ -570,7 +570,7 @@
     /// Looks after what is out. A repeatable posting overdue on a connection in doubt is withdrawn, to go
     /// elsewhere; silence far beyond the usual, twice in a row, says how long unused connections last.
     fn overdue(&mut self, out: &mut dyn Outlet) {
-        let (now, elsewhere) = (self.now, self.terms.may_cancel && self.sound() > 1);
+        let now = self.now;
         let all: Vec<(TxnRef, SchemeId)> = self.txns.iter().map(|(&txn, s)| (txn, s.scheme)).collect();
         for (txn, scheme) in all {
             let (wait, row) = (self.patience(scheme), &self.terms.schemes[scheme.0]);
@@ -586,12 +586,6 @@
                 self.txn(txn).into_iter().for_each(|t| t.left(out));
             } else if !o.overdue && now - o.sent >= wait {
                 o.overdue = true;
-                let doubt = b.doubt > 0.1 || o.stood > Micros(0) && self.trust.silences > 0;
-                let may = elsewhere && s.postings < self.terms.max_postings && self.gauge.spare >= 1.0;
-                if mute && doubt && may && row.kind == Kind::Repeatable && b.crowd < 1.0 {
-                    out.count("withdrawn_silent");
-                    out.cancel(txn, o.number);
-                }
             } else if mute && !o.silent && now - o.sent >= wait.times(SILENT) {
                 (o.silent, b.stale, b.silent) = (true, true, o.stood);
                 if self.terms.live_weights && b.crowd < 2.0 {
