--- a/src/book.rs
+++ b/src/book.rs
@@ -1,5 +1,6 @@
 //! What a balancer keeps of each backend and of each txn in hand. No decisions here.
 use crate::units::*;
+use crate::window::{BURST, Window};
 
 /// One backend as this agent knows it.
 #[derive(Default)]
@@ -72,29 +73,11 @@
         self.out.retain(|o| o.0 != txn);
         self.active = now;
     }
-    /// It settled what was sent then.
-    pub fn settled(&mut self, sent: Micros, now: Micros) {
-        self.flow += 1.0;
-        self.answered = self.answered.max(sent);
-        self.doubt *= 0.6;
-        (self.shut_until, self.shut_for) = (now, Micros(0));
-    }
     /// Its pace with us, by one response time against the mean of all.
     pub fn paces(&mut self, ratio: f64, now: Micros) {
         self.pace += 0.2 * (ratio - self.pace);
         self.paced = now;
     }
-    /// A beat passed: whether it just turned warm. Lots are drawn anew each span.
-    pub fn beat(&mut self, terms: &Terms, now: Micros, fade: f64, dart: f64) -> bool {
-        self.flow *= fade;
-        if self.lot_until == Micros(0) {
-            // Agents hear of a newcomer together: each begins its spans at a moment of its own.
-            self.lot_until = now + terms.fall_span.times(dart);
-        } else if self.lot_until <= now {
-            (self.lot, self.lot_until) = (dart, now + terms.fall_span);
-        }
-        self.turned_warm(terms, now)
-    }
     /// What a posting to it counts as, besides.
     pub fn counts(&self, cold: bool, now: Micros) -> Vec<&'static str> {
         let standing = match self.entry.standing {
@@ -137,12 +120,6 @@
 pub const NEVER: Micros = Micros(i64::MAX);
 
 impl State {
-    /// Rule 2: a decline promises that asking again is harmless.
-    pub fn harmless(&self, row: &Scheme) -> bool {
-        self.ran.is_none() && self.out.is_none()
-            || row.kind == Kind::Repeatable
-            || (row.kind == Kind::Referenced && row.group == Group::All)
-    }
     pub fn new(scheme: SchemeId, expiry: Micros, taken: Micros) -> State {
         State { scheme, expiry, taken, ..State::default() }
     }
@@ -169,11 +146,6 @@
 }
 
 impl Gauge {
-    /// Windows at the start of a life: a little over their floor, `wider` times that within shares.
-    pub fn begin(&mut self, wider: f64) {
-        self.window.size = 1.33 * self.least;
-        self.wide.size = wider * self.window.size;
-    }
     /// What a backend of this size reports.
     pub fn hear(&mut self, report: Report, size: f64) {
         if let Some(n) = report.in_flight {
@@ -189,8 +161,6 @@
     }
 }
 
-const BURST: f64 = 3.0; // postings over a window that chance may bring at once
-
 /// Sizes where the list tells them over 1 + txns held a core: the largest seen of a machine type is its size.
 #[derive(Default)]
 pub struct Sizes(std::collections::BTreeMap<ModelId, f64>);
@@ -204,62 +174,6 @@
     }
 }
 
-/// What is known of connections that end unseen while they stand unused.
-#[derive(Clone, Copy, Debug)]
-pub struct Trust {
-    pub silences: u32, // in a row on connections that had stood unused
-    pub keep: Micros,  // those that stood for longer are not trusted
-}
-
-impl Trust {
-    pub fn open(idle_close: Micros) -> Trust {
-        let keep = if idle_close > Micros(0) { idle_close.times(0.8) } else { NEVER };
-        Trust { silences: 0, keep }
-    }
-    /// Nothing came on one that had stood for so long. Once is chance.
-    pub fn silent(&mut self, stood: Micros) {
-        self.silences += u32::from(stood > Micros(0));
-        if self.silences > 1 && stood > Micros(0) {
-            self.keep = self.keep.min(stood.times(0.7));
-        }
-    }
-    pub fn answered(&mut self, stood: Micros) {
-        if stood > Micros(0) {
-            self.silences = 0;
-        }
-        if stood > self.keep {
-            self.keep = stood.times(1.25);
-        }
-    }
-}
-
-/// How many own postings may be out, in the mean over some response times.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Window {
-    pub size: f64,
-    pub saved: f64, // postings by which it was lately under- or (below 0) overused
-}
-
-impl Window {
-    pub fn has_room(&self, out: f64) -> bool {
-        out < self.size + self.saved
-    }
-    /// Moves by `pull`, -1 to 1: down at any time, up while it is in use. A small one moves by smaller steps:
-    /// its agent hears little, and most of that is chance. False where it stayed.
-    pub fn moves(&mut self, out: f64, step: f64, pull: f64, least: f64) -> bool {
-        let moves = pull < 0.0 || out + 1.0 >= 0.7 * (self.size + self.saved);
-        if moves {
-            self.size = (self.size + step * self.size / (1.0 + self.size) * pull).max(least);
-        }
-        moves
-    }
-    /// A part of a response time passed. The mean counts, not the moment: few txns come in clusters, and
-    /// those are no overload.
-    pub fn pass(&mut self, out: f64, part: f64) {
-        self.saved = (self.saved + (self.size - out) * part).clamp(-BURST, BURST);
-    }
-}
-
 /// Where a dart in 0 to 1 lands among the weights.
 pub fn draw(weights: &[f64], dart: f64) -> Option<usize> {
     let mut left = dart * weights.iter().sum::<f64>();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,16 +3,12 @@
 //! load, `wake` when a timer is due, and `take` for a new txn, which gives a `Txn` handle; `of`, `route`,
 //! `returned` and `left` are all that can happen to it. What the balancer does goes out through the front's
 //! `Outlet`. Every posting passes `Balancer::post`, and there `may_post`, where the four rules are kept.
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-use oorandom::Rand64;
-
-use crate::asking::Asking;
 use crate::book::*;
-use crate::rates::Rates;
+pub use crate::desk::{Balancer, Txn};
 use crate::tally::Tally;
 use crate::units::*;
-use crate::watch::Watch;
 
 const GUARD_WINDOW: Micros = Micros::ms(10_000); // entries turning gone within this are judged together
 const GUARD_FRACTION: f64 = 0.15; // above this part of the list they are frozen instead of dropped
@@ -39,65 +35,10 @@
 const SILENT: f64 = 3.0; // after so many times that wait, nothing is thought to come
 const HASTE: Micros = Micros::ms(10); // so long before its SLA time a txn is given up
 const TRIAL: f64 = 0.03; // part of repeatable txns that try a connection which stood idle for long
+const TELLS: f64 = 10.0; // messages a second, each to one agent drawn at random
 const MARGIN: Micros = Micros::ms(50); // kept clear of every limit in time
 
-pub struct Balancer {
-    pub(crate) terms: Terms,
-    pub(crate) now: Micros,
-    pub(crate) chance: Rand64,
-    pub(crate) backends: Vec<Option<Backend>>,
-    members: Vec<BackendId>, // the few this agent sends to; one more whenever they are all busy
-    generation: Generation,
-    gone_lately: Vec<(Micros, BackendId)>,
-    pub(crate) watch: Watch,
-    asking: Asking,
-    txns: BTreeMap<TxnRef, State>,
-    pub(crate) took: Vec<Tally>, // by scheme: response times of settled postings
-    pub(crate) gauge: Gauge,
-    pub(crate) sizes: Sizes, // where weights are live
-    pub(crate) rates: Rates,
-    pub(crate) trust: Trust, // in connections that stand unused
-    beat_at: Micros,         // when it looks after itself next; 0 before the first list
-    wake_at: Micros,
-    ejections: u32, // since the last beat
-}
-
-/// A txn in hand. All that happens to it is a call on this handle.
-pub struct Txn<'a> {
-    desk: &'a mut Balancer,
-    txn: TxnRef,
-}
-
 impl Balancer {
-    pub fn open(terms: Terms, seed: u64, now: Micros) -> Balancer {
-        let mut chance = Rand64::new(seed as u128);
-        let watch = Watch::open(terms.list_on_request, now, terms.ask_within, chance.rand_float());
-        Balancer {
-            now,
-            chance,
-            backends: Vec::new(),
-            members: Vec::new(),
-            generation: Generation(0),
-            gone_lately: Vec::new(),
-            watch,
-            asking: Asking::default(),
-            txns: BTreeMap::new(),
-            took: vec![Tally::default(); terms.schemes.len()],
-            gauge: Gauge::start(),
-            sizes: Sizes::default(),
-            rates: Rates::of(terms.quotas.len()),
-            trust: Trust::open(terms.idle_close),
-            beat_at: Micros(0),
-            wake_at: NEVER,
-            ejections: 0,
-            terms,
-        }
-    }
-
-    pub fn clock(&mut self, now: Micros) {
-        self.now = now;
-    }
-
     pub fn take(&mut self, txn: TxnRef, scheme: SchemeId, expiry: Micros) -> Txn<'_> {
         self.txns.insert(txn, State::new(scheme, expiry, self.now));
         self.gauge.spare = (self.gauge.spare + 0.1).min(10.0);
@@ -105,11 +46,6 @@
         Txn { desk: self, txn }
     }
 
-    /// The handle of a txn that is still of interest.
-    pub fn txn(&mut self, txn: TxnRef) -> Option<Txn<'_>> {
-        self.txns.contains_key(&txn).then_some(Txn { desk: self, txn })
-    }
-
     // ---- The list ---------------------------------------------------------------------------------------
 
     /// A refresh arrived. An older version, or a full list without entries, changes nothing.
@@ -127,20 +63,13 @@
         let mut turned_gone = Vec::new();
         let (thin, grace, now) = (self.gauge.thin, self.terms.drain_grace.unwrap_or_default(), self.now);
         for entry in entries {
-            let at = entry.backend.0 as usize;
-            if self.backends.len() <= at {
-                self.backends.resize_with(at + 1, || None);
-            }
-            let b = self.backends[at].get_or_insert_with(|| Backend::new(entry.clone(), now));
-            b.relist(entry, now);
-            if self.terms.live_weights {
-                (b.entry.size, b.crowd) = self.sizes.of(entry);
-            }
+            // All hear of it at once: each goes at a moment of its own, while the grace lasts.
+            let spread = thin && entry.standing == Standing::Draining;
+            let part = if spread { 0.35 + 0.35 * self.chance.rand_float() } else { 0.0 };
+            let b = self.relist(entry);
             match entry.standing {
                 Standing::Ready => (b.told, b.frozen, b.dropped) = (None, None, false),
                 Standing::Draining if b.told.is_none() => {
-                    // All hear of it at once: each goes at a moment of its own, while the grace lasts.
-                    let part = if thin { 0.35 + 0.35 * self.chance.rand_float() } else { 0.0 };
                     (b.told, b.leaves) = (Some(now), now + grace.times(part));
                 }
                 Standing::Draining => {}
@@ -155,7 +84,9 @@
         self.guard(&turned_gone, out);
         self.count();
         if how == Refresh::Restored {
-            self.gauge.begin(self.wider());
+            // Windows begin a little over their floor.
+            self.gauge.window.size = 1.33 * self.gauge.least;
+            self.gauge.wide.size = self.wider() * self.gauge.window.size;
         }
     }
 
@@ -184,28 +115,6 @@
         }
     }
 
-    fn at(&mut self, id: BackendId) -> Option<&mut Backend> {
-        self.backends.get_mut(id.0 as usize)?.as_mut()
-    }
-
-    fn backend(&self, id: BackendId) -> Option<&Backend> {
-        self.backends.get(id.0 as usize)?.as_ref()
-    }
-
-    /// All that is still on the list, frozen entries too.
-    pub(crate) fn kept(&self) -> impl Iterator<Item = &Backend> {
-        self.backends.iter().flatten().filter(|b| !b.dropped)
-    }
-
-    pub fn reported(&mut self, id: BackendId, report: Option<Report>) {
-        let now = self.now;
-        if let (Some(b), Some(report)) = (self.at(id), report) {
-            b.report = Some((report, now));
-            let size = b.entry.size;
-            self.gauge.hear(report, size);
-        }
-    }
-
     pub fn probed(&mut self, id: BackendId, fate: Fate) {
         if matches!(fate, Fate::NoLink | Fate::Broken) {
             self.judge(id, 0.5);
@@ -243,7 +152,8 @@
         }
         match fate {
             Fate::Settled => {
-                b.settled(sent, now);
+                (b.flow, b.answered, b.doubt) = (b.flow + 1.0, b.answered.max(sent), b.doubt * 0.6);
+                (b.shut_until, b.shut_for) = (now, Micros(0));
                 self.took[scheme.0].add(took.0);
             }
             // Two in a row eject: a silent backend must not shut small windows for long (incident i4e8cc2).
@@ -598,7 +508,7 @@
     fn answer(&mut self, txn: TxnRef, out: &mut dyn Outlet) {
         let Some(s) = self.txns.get_mut(&txn).filter(|s| !s.closed) else { return };
         s.closed = true;
-        if s.harmless(&self.terms.schemes[s.scheme.0]) {
+        if harmless(s, &self.terms.schemes[s.scheme.0]) {
             out.decline(txn, self.terms.retry_after.map(|most| most.min(Micros::ms(50))));
         } else {
             out.reverse(txn);
@@ -618,14 +528,6 @@
         self.alarm(next.max(now + self.terms.tick), out);
     }
 
-    /// Hosts may keep one wake alone: it is asked for again only where it is to come sooner.
-    fn alarm(&mut self, at: Micros, out: &mut dyn Outlet) {
-        if at < self.wake_at {
-            self.wake_at = at;
-            out.wake_in(at - self.now);
-        }
-    }
-
     fn beat(&mut self, out: &mut dyn Outlet) {
         let now = self.now;
         if now < self.beat_at {
@@ -638,8 +540,10 @@
         }
         self.count();
         self.rates.fade(BEAT, self.gauge.stress, self.trust.keep);
-        if let Some((peer, told)) = self.rates.tell(&self.terms, BEAT, &mut self.chance) {
-            out.tell(peer, &told);
+        let others = self.terms.agents.saturating_sub(1);
+        if self.terms.peers && others > 0 && self.chance.rand_float() < TELLS * BEAT.over(Micros::ms(1_000)) {
+            let other = 1 + (self.chance.rand_float() * f64::from(others)) as u32;
+            out.tell(PeerId((self.terms.me.0 + other) % self.terms.agents), &self.rates.told());
         }
         let took = self.took.iter().filter_map(Tally::mean).fold(BEAT.0 as f64, f64::max);
         let (out_now, part) = (self.in_flight(), BEAT.0 as f64 / took);
@@ -654,7 +558,15 @@
         let fade = 1.0 - BEAT.over(self.terms.fall_span + self.terms.fall_span);
         let mut fresh = Vec::new();
         for b in self.backends.iter_mut().flatten() {
-            if b.beat(&self.terms, now, fade, self.chance.rand_float()) {
+            let dart = self.chance.rand_float();
+            b.flow *= fade;
+            if b.lot_until == Micros(0) {
+                // Agents hear of a newcomer together: each begins its spans at a moment of its own.
+                b.lot_until = now + self.terms.fall_span.times(dart);
+            } else if b.lot_until <= now {
+                (b.lot, b.lot_until) = (dart, now + self.terms.fall_span);
+            }
+            if b.turned_warm(&self.terms, now) {
                 fresh.push(b.entry.backend);
             }
             if b.frozen.is_some_and(|since| now - since > GUARD_HOLD) {
@@ -671,9 +583,15 @@
     }
 }
 
+/// Rule 2: a decline promises that asking again is harmless.
+fn harmless(s: &State, row: &Scheme) -> bool {
+    let untried = s.ran.is_none() && s.out.is_none();
+    untried || row.kind == Kind::Repeatable || (row.kind == Kind::Referenced && row.group == Group::All)
+}
+
 /// An answer after the SLA time may be worth nothing: then what has none is given up while that is early.
 fn given_up(s: &State, row: &Scheme) -> Micros {
-    let may = !s.closed && s.out.is_some() && row.overdue == 0.0 && s.harmless(row);
+    let may = !s.closed && s.out.is_some() && row.overdue == 0.0 && harmless(s, row);
     if may { s.taken + row.sla - HASTE } else { NEVER }
 }
 
--- a/src/rates.rs
+++ b/src/rates.rs
@@ -1,13 +1,10 @@
 //! How many txns a second each tenant sends, how near the SLA time answers come and how soon unused
 //! connections end, at this agent and in the mean of those it hears from. No decisions here.
-use oorandom::Rand64;
-
 use crate::logic::Balancer;
-use crate::units::{Micros, PeerId, Terms};
+use crate::units::Micros;
 
 const SPAN: Micros = Micros::ms(2_000); // what came longer ago than this counts little
 const SAMPLE: f64 = 0.05; // what one more agent's figures count, once many have been heard
-const TELLS: f64 = 10.0; // messages a second, each to one agent drawn at random
 const BODY: usize = 256; // bytes of a message
 
 #[derive(Default)]
@@ -54,14 +51,6 @@
         let of = if self.heard > 0.0 { &self.mean } else { &self.own };
         of.get(tenant).copied().unwrap_or(0.0)
     }
-    /// Whom to tell in a span, and what; none where agents send no messages.
-    pub fn tell(&self, terms: &Terms, span: Micros, chance: &mut Rand64) -> Option<(PeerId, String)> {
-        if !terms.peers || terms.agents < 2 || chance.rand_float() >= TELLS * span.over(Micros::ms(1_000)) {
-            return None;
-        }
-        let other = 1 + (chance.rand_float() * (terms.agents - 1) as f64) as u32;
-        Some((PeerId((terms.me.0 + other) % terms.agents), self.told()))
-    }
     /// This agent's figures as a message: hundredths of a txn a second, by tenant.
     pub fn told(&self) -> String {
         let figures: Vec<String> = self.own.iter().map(|own| format!("{:.0}", own * 100.0)).collect();
