--- a/src/logic.rs
+++ b/src/logic.rs
@@ -357,16 +357,22 @@
         let known = idle.iter().flatten().count().max(1) as f64;
         let mean = idle.iter().flatten().map(|x| x.0).sum::<f64>() / known;
         let (expected, usual) = (self.took[scheme.0].mean().unwrap_or(f64::MAX), self.gauge.crowd + 0.5);
+        // At equal response times a quick one holds a longer line, and a thin fleet drives it over. Where the
+        // goal keeps promises, what a slow one makes late costs more.
+        let (least, power) = match (self.terms.kept_promises > 0.0, self.gauge.thin) {
+            (true, _) => (0.6, 4),
+            (false, true) => (1.0, 2),
+            (false, false) => (0.6, 2),
+        };
         let weigh = |(b, idle): (&&Backend, &Option<(f64, f64)>)| {
             let left = idle.map_or(mean, |(idle, trust)| mean + (idle - mean) * trust).max(FLOOR);
             let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
             let faded = 1.0 + (b.pace - 1.0) / (1.0 + (self.now - b.paced).over(PACE_FADE));
             let near = if b.entry.zone == self.terms.zone { 1.0 } else { AFAR };
-            let least = if self.gauge.thin { 1.0 } else { 0.6 };
             let pace = faded.max(waiting / 3.0).clamp(least, 20.0);
             // Where weights move with load, they tell of all alike who holds more than the rest.
             let free = usual / (usual + b.crowd);
-            b.entry.size * left * near * free * ((1.0 - b.doubt) / pace).powi(2)
+            b.entry.size * left * near * free * ((1.0 - b.doubt) / pace).powi(power)
         };
         let weights: Vec<f64> = all.iter().zip(&idle).map(weigh).collect();
         let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
