Where promises are kept, what is beyond a share meets a lower aim than what is within

Checks: answers take 100 ms as before, nothing is ejected, the list is still; the two windows have one aim there, so what is beyond a share fills the room of what is within. At fault: ease, `wide = aim` where promises are kept. Other sites keep no promises.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -208,7 +208,8 @@
         self.gauge.ejecting = 2 * ill <= listed;
     }
 
-    /// How much more strain txns within shares may bring, unless the goal keeps promises.
+    /// How much more strain txns within shares may bring than an aim. Where the goal keeps promises they have
+    /// that aim itself, and what is beyond has less.
     fn wider(&self) -> f64 {
         if self.terms.kept_promises > 0.0 { 1.0 } else { FAIR }
     }
@@ -233,7 +234,7 @@
         // A thin agent knows few backends, and the slow among them mark its mean. What they report to have
         // left is told to all alike: as long as that is much, waiting is not why answers are late.
         let room = if self.gauge.thin { (1.0 - self.gauge.busy / FULL).max(0.0) } else { 0.0 };
-        let aim = (QUICK * self.gauge.rest).clamp(EASE, 1.5 * EASE) * (1.0 + ROOM * room);
+        let mut aim = (QUICK * self.gauge.rest).clamp(EASE, 1.5 * EASE) * (1.0 + ROOM * room);
         let (out, least) = (self.in_flight(), self.gauge.least);
         if self.terms.peers {
             let wide = self.wider() * aim;
@@ -241,6 +242,7 @@
             let calm = pull > 0.0 && self.rates.known() && self.gauge.crowd < CROWD;
             self.gauge.calm = calm && self.wider() > 1.0;
             self.gauge.wide.moves(out, 0.2, pull, least);
+            aim *= self.wider() / FAIR;
         }
         let pull = ((aim - self.gauge.stress) / aim).clamp(-1.0, 1.0);
         // While it opens, an answer that comes at once doubles it: waiting is then far off, and clients that
