The whole path of the mesh: ushers, prompters, keys, the operator's word, thin

The decision module draws the backend; where an agent stands beside each backend (`Terms::doors`) it keeps no window of its own and the guard alone decides about entries whose beats stopped; schemes may come later than the balancer; the weight of a far backend is by scheme.

--- a/crates/election/src/voter.rs
+++ b/crates/election/src/voter.rs
@@ -63,6 +63,11 @@
         Voter { id, terms, life: disk.life, lives: disk.lives, spaces }
     }
 
+    /// The life of its own disk, and those of the others as it was told.
+    pub fn lives(&self) -> (u64, &BTreeMap<VoterId, u64>) {
+        (self.life, &self.lives)
+    }
+
     pub fn kept(&self, space: &Space) -> Option<&Kept> {
         self.spaces.get(space)
     }
--- /dev/null
+++ b/crates/rigging/src/rope.rs
@@ -0,0 +1,162 @@
+//! One connection to another process of the mesh: frames in, frames out. Writes are gathered; a peer that reads nothing ends the
+//! connection once `MOST` bytes wait; silence ends it where `silence` is given.
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use notchspool_cues::{What, read, write};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Bytes that may wait for a peer.
+const MOST: usize = 48 << 20;
+/// A write or a connection that the other machine does not acknowledge ends after this.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Why a connection ended.
+#[derive(Debug, derive_more::Display)]
+pub enum End {
+    #[display("closed by the other side")]
+    Closed,
+    #[display("nothing heard for {_0:?}")]
+    Silent(Duration),
+    #[display("{_0}")]
+    Io(std::io::Error),
+    #[display("{_0}")]
+    Wrong(notchspool_cues::Wrong),
+    #[display("let go here")]
+    Dropped,
+}
+
+struct Inner {
+    out: RefCell<BytesMut>,
+    wake: Notify,
+    closed: Cell<bool>,
+    finish: Cell<bool>,
+}
+
+/// The sending end; clones send on the same connection.
+#[derive(Clone)]
+pub struct Rope(Rc<Inner>);
+
+impl Default for Rope {
+    fn default() -> Rope {
+        let (out, wake) = (RefCell::default(), Notify::new());
+        Rope(Rc::new(Inner { out, wake, closed: Cell::new(false), finish: Cell::new(false) }))
+    }
+}
+
+impl Rope {
+    /// False where the connection has ended: then not one byte of it leaves.
+    pub fn send(&self, what: What) -> bool {
+        if self.0.closed.get() {
+            return false;
+        }
+        let mut out = self.0.out.borrow_mut();
+        write(what, &mut out);
+        if out.len() > MOST {
+            self.0.closed.set(true);
+        }
+        self.0.wake.notify_one();
+        true
+    }
+    pub fn open(&self) -> bool {
+        !self.0.closed.get()
+    }
+    pub fn same(&self, other: &Rope) -> bool {
+        Rc::ptr_eq(&self.0, &other.0)
+    }
+    /// Ends the connection; what waits is lost.
+    pub fn cut(&self) {
+        self.0.closed.set(true);
+        self.0.wake.notify_one();
+    }
+    /// Ends it once all that waits is written.
+    pub fn finish(&self) {
+        self.0.finish.set(true);
+        self.0.wake.notify_one();
+    }
+}
+
+/// Options of every socket between our processes.
+pub fn tune(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+}
+
+/// A connection within `patience`.
+pub async fn dial(to: SocketAddr, patience: Duration) -> std::io::Result<TcpStream> {
+    let timed = tokio::time::timeout(patience, TcpStream::connect(to)).await;
+    let stream = timed.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    tune(&stream);
+    Ok(stream)
+}
+
+/// Carries a connection until it ends. `hear` is called with each message.
+pub async fn run(
+    mut stream: TcpStream,
+    rope: Rope,
+    silence: Option<Duration>,
+    mut hear: impl FnMut(What),
+) -> End {
+    let (mut reads, mut writes) = stream.split();
+    let reader = async {
+        let mut got = BytesMut::with_capacity(4096);
+        loop {
+            let more = reads.read_buf(&mut got);
+            let n = match silence {
+                Some(span) => match tokio::time::timeout(span, more).await {
+                    Ok(n) => n,
+                    Err(_) => return End::Silent(span),
+                },
+                None => more.await,
+            };
+            match n {
+                Ok(0) => return End::Closed,
+                Ok(_) => {}
+                Err(e) => return End::Io(e),
+            }
+            loop {
+                match read(&mut got) {
+                    Ok(Some(what)) => hear(what),
+                    Ok(None) => break,
+                    Err(e) => return End::Wrong(e),
+                }
+            }
+            if got.is_empty() && got.capacity() > 1 << 18 {
+                got = BytesMut::with_capacity(4096);
+            }
+        }
+    };
+    let writer = async {
+        loop {
+            if rope.0.closed.get() {
+                return End::Dropped;
+            }
+            let out = rope.0.out.take();
+            if out.is_empty() {
+                if rope.0.finish.get() {
+                    return End::Dropped;
+                }
+                rope.0.wake.notified().await;
+                continue;
+            }
+            if let Err(e) = writes.write_all(&out).await {
+                return End::Io(e);
+            }
+            // The buffer is used again where it stayed small.
+            let mut out = out;
+            out.clear();
+            if out.capacity() <= 1 << 16 && rope.0.out.borrow().is_empty() {
+                rope.0.out.replace(out);
+            }
+        }
+    };
+    let end = tokio::select! { end = reader => end, end = writer => end };
+    rope.0.closed.set(true);
+    end
+}
--- /dev/null
+++ b/crates/stage/src/dressing.rs
@@ -0,0 +1,385 @@
+//! The backend of this machine, over HTTP/1.1: connections kept for some time, one request at a time on each. An answer counts only where
+//! it carries the id of the request and comes whole; what else comes is left out, and ends the connection where it can't be told apart.
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use notchspool::units::Micros;
+use notchspool_cues::{Ask, MOST_PAIRS, Pair, Said};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::house::{House, within};
+
+pub const ATTEMPT: &str = "notchspool-attempt-id";
+pub const TIME_LEFT: &str = "notchspool-time-left-ms";
+pub const TARGET: &str = "notchspool-target-instance";
+pub const CALLER: &str = "notchspool-calling-service";
+pub const KEY: &str = "notchspool-operation-key";
+pub const SEAL: &str = "notchspool-server-seal";
+pub const NOT_RUN: &str = "notchspool-not-run";
+
+/// Connections that stand unused are kept for this long where the backend says nothing, less a margin.
+const KEEP: Micros = Micros::ms(8_000);
+const MARGIN: Micros = Micros::ms(1_000);
+/// Bytes of an answer's head, and of a whole answer.
+const MOST_HEAD: usize = 64 << 10;
+const MOST_BODY: usize = 64 << 20;
+/// A connection to the same machine is up by then.
+const CONNECT: Micros = Micros::ms(500);
+/// Answers to other requests that are passed over in the place of the one due.
+const MOST_ASTRAY: usize = 4;
+
+/// What came of a request at the backend.
+#[derive(Debug)]
+pub enum Outcome {
+    Answered(Said),
+    /// It said that it did not run it.
+    NotRun(String),
+    /// It took no connection: not a byte was sent.
+    NotReached(String),
+    /// Another backend has the address.
+    Elsewhere,
+    MayHaveRun(String),
+}
+
+struct Kept {
+    stream: TcpStream,
+    until: Micros,
+}
+
+#[derive(Default)]
+pub struct Dressing {
+    idle: RefCell<Vec<Kept>>,
+    open: Cell<usize>,
+}
+
+/// Counts an open connection till it is dropped.
+struct Held(Rc<House>);
+impl Drop for Held {
+    fn drop(&mut self) {
+        let open = &self.0.dressing.open;
+        open.set(open.get().saturating_sub(1));
+    }
+}
+
+/// Whether a header concerns one connection only, or is set anew at each step.
+pub fn of_one_connection(name: &str) -> bool {
+    const ALL: [&str; 10] = [
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "te",
+        "trailer",
+        "upgrade",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+    ];
+    ALL.contains(&name)
+}
+
+struct Answer {
+    said: Said,
+    attempt: Option<String>,
+    sealed: bool,
+    not_run: bool,
+    encoded: bool,
+    /// Till when the connection may be used again; none where it may not.
+    keep: Option<Micros>,
+}
+
+impl House {
+    /// A connection that stood unused and is sound: nothing came on it, and it has not ended.
+    fn unused(&self) -> Option<TcpStream> {
+        let now = self.now();
+        while let Some(kept) = self.dressing.idle.borrow_mut().pop() {
+            let mut byte = [0u8; 1];
+            let quiet = matches!(kept.stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+            if quiet && now < kept.until {
+                return Some(kept.stream);
+            }
+        }
+        None
+    }
+
+    /// Lets connections go that stood unused for long.
+    pub fn tidy(&self) {
+        let now = self.now();
+        self.dressing.idle.borrow_mut().retain(|k| now < k.until);
+    }
+
+    pub async fn play(self: &Rc<House>, ask: &Ask, until: Micros) -> Outcome {
+        let Some(app) = self.told.borrow().app else {
+            return Outcome::NotReached("no backend is told".into());
+        };
+        let left = until - self.now();
+        let (stream, reused) = match self.unused() {
+            Some(stream) => (stream, true),
+            None => match within(CONNECT.min(left), TcpStream::connect(app)).await {
+                Some(Ok(stream)) => (stream, false),
+                Some(Err(e)) => return Outcome::NotReached(format!("the backend takes no connection: {e}")),
+                None => return Outcome::NotReached("the backend takes no connection".into()),
+            },
+        };
+        self.dressing.open.set(self.dressing.open.get() + 1);
+        let held = Held(self.clone());
+        let _ = stream.set_nodelay(true);
+        let left = until - self.now();
+        let outcome = within(left, self.exchange(stream, ask, left, reused)).await;
+        drop(held);
+        outcome.unwrap_or_else(|| Outcome::MayHaveRun("no answer in time".into()))
+    }
+
+    async fn exchange(
+        self: &Rc<House>,
+        mut stream: TcpStream,
+        ask: &Ask,
+        left: Micros,
+        reused: bool,
+    ) -> Outcome {
+        let head = request(ask, left);
+        let sent = async {
+            stream.write_all(&head).await?;
+            if !ask.body.is_empty() {
+                stream.write_all(&ask.body).await?;
+            }
+            Ok::<(), std::io::Error>(())
+        };
+        if let Err(e) = sent.await {
+            return Outcome::MayHaveRun(format!("writing: {e}"));
+        }
+        let mut got = BytesMut::with_capacity(4096);
+        for _ in 0..MOST_ASTRAY {
+            let answer = match read_answer(&mut stream, &mut got, ask.method == "HEAD", self.now()).await {
+                Ok(answer) => answer,
+                Err(why) => {
+                    if reused {
+                        self.count("reused_broke");
+                    }
+                    return Outcome::MayHaveRun(why);
+                }
+            };
+            if answer.attempt.as_deref() != Some(&ask.attempt) {
+                if answer.not_run && answer.attempt.is_none() {
+                    return Outcome::NotRun(format!("status {}", answer.said.status));
+                }
+                // An answer to an earlier request, in the place of this one's.
+                self.count("answers_astray");
+                if answer.keep.is_none() {
+                    return Outcome::MayHaveRun("an answer to another request, and the end".into());
+                }
+                continue;
+            }
+            if let Some(keep) = answer.keep.filter(|_| got.is_empty()) {
+                let mut idle = self.dressing.idle.borrow_mut();
+                if idle.len() < 64 {
+                    idle.push(Kept { stream, until: keep });
+                }
+            }
+            let status = answer.said.status;
+            return match status {
+                421 => Outcome::Elsewhere,
+                _ if answer.not_run => Outcome::NotRun(format!("status {status}")),
+                200..=299 if !answer.sealed => Outcome::MayHaveRun("a success without the seal".into()),
+                200..=299 if answer.encoded => Outcome::MayHaveRun("an encoded body".into()),
+                _ => Outcome::Answered(answer.said),
+            };
+        }
+        Outcome::MayHaveRun("too many answers to other requests".into())
+    }
+}
+
+fn request(ask: &Ask, left: Micros) -> BytesMut {
+    let mut head = BytesMut::with_capacity(512);
+    let mut put = |parts: &[&[u8]]| parts.iter().for_each(|p| head.extend_from_slice(p));
+    put(&[
+        ask.method.as_bytes(),
+        b" ",
+        ask.target.as_bytes(),
+        b" HTTP/1.1\r\nhost: ",
+        ask.host.as_bytes(),
+        b"\r\n",
+    ]);
+    for pair in &ask.headers {
+        put(&[pair.name.as_bytes(), b": ", &pair.value, b"\r\n"]);
+    }
+    let left = (left.0 / 1000).max(1).to_string();
+    put(&[TIME_LEFT.as_bytes(), b": ", left.as_bytes(), b"\r\n"]);
+    put(&[TARGET.as_bytes(), b": ", ask.instance.as_bytes(), b"\r\n"]);
+    put(&[CALLER.as_bytes(), b": ", ask.caller.as_bytes(), b"\r\n"]);
+    if !ask.body.is_empty() || matches!(ask.method.as_str(), "POST" | "PUT" | "PATCH") {
+        put(&[b"content-length: ", ask.body.len().to_string().as_bytes(), b"\r\n"]);
+    }
+    put(&[b"\r\n"]);
+    head
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+    ToEnd,
+}
+
+async fn more(stream: &mut TcpStream, got: &mut BytesMut) -> Result<(), String> {
+    match stream.read_buf(got).await {
+        Ok(0) => Err("the backend closed".into()),
+        Ok(_) => Ok(()),
+        Err(e) => Err(format!("reading: {e}")),
+    }
+}
+
+async fn read_answer(
+    stream: &mut TcpStream,
+    got: &mut BytesMut,
+    head_only: bool,
+    now: Micros,
+) -> Result<Answer, String> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_PAIRS];
+        let mut response = httparse::Response::new(&mut headers);
+        let parsed = response.parse(got).map_err(|e| format!("no answer: {e}"))?;
+        let httparse::Status::Complete(length) = parsed else {
+            if got.len() > MOST_HEAD {
+                return Err("a head without an end".into());
+            }
+            more(stream, got).await?;
+            continue;
+        };
+        let status = response.code.unwrap_or(0);
+        if (100..200).contains(&status) {
+            let _ = got.split_to(length);
+            continue;
+        }
+        let (mut answer, framing) = read_head(&response, status, now)?;
+        let _ = got.split_to(length);
+        let framing = if head_only || status == 204 || status == 304 { Framing::Length(0) } else { framing };
+        if matches!(framing, Framing::ToEnd) {
+            answer.keep = None;
+        }
+        answer.said.body = read_body(stream, got, framing).await?;
+        return Ok(answer);
+    }
+}
+
+fn read_head(
+    response: &httparse::Response<'_, '_>,
+    status: u16,
+    now: Micros,
+) -> Result<(Answer, Framing), String> {
+    let mut answer = Answer {
+        said: Said { status: u32::from(status), ..Said::default() },
+        attempt: None,
+        sealed: false,
+        not_run: status == 421,
+        encoded: false,
+        keep: (response.version == Some(1)).then_some(now + KEEP),
+    };
+    let (mut length, mut chunked) = (None, false);
+    for header in response.headers.iter() {
+        let name = header.name.to_ascii_lowercase();
+        let text =
+            || std::str::from_utf8(header.value).map(str::trim).map_err(|_| format!("{name} is no text"));
+        match name.as_str() {
+            "content-length" => {
+                let n: usize = text()?.parse().map_err(|_| "no length".to_string())?;
+                if length.is_some_and(|old| old != n) || n > MOST_BODY {
+                    return Err("no length that can be".into());
+                }
+                length = Some(n);
+            }
+            "transfer-encoding" => {
+                chunked = text()?.eq_ignore_ascii_case("chunked");
+                if !chunked {
+                    return Err("an encoding that is not known".into());
+                }
+            }
+            "connection" if text()?.to_ascii_lowercase().contains("close") => answer.keep = None,
+            "keep-alive" => {
+                let span =
+                    text()?.split(',').find_map(|p| p.trim().strip_prefix("timeout=")?.parse::<i64>().ok());
+                if let (Some(span), true) = (span, answer.keep.is_some()) {
+                    answer.keep = Some(now + Micros::ms(span.clamp(0, 3_600) * 1_000) - MARGIN);
+                }
+            }
+            ATTEMPT => answer.attempt = Some(text()?.to_string()),
+            SEAL => answer.sealed = true,
+            NOT_RUN => answer.not_run = true,
+            "content-encoding" => answer.encoded = !text()?.eq_ignore_ascii_case("identity"),
+            _ => {}
+        }
+        if !of_one_connection(&name) {
+            answer.said.headers.push(Pair { name, value: Bytes::copy_from_slice(header.value) });
+        }
+    }
+    let framing = match (chunked, length) {
+        (true, Some(_)) => return Err("a length and chunks".into()),
+        (true, None) => Framing::Chunked,
+        (false, Some(n)) => Framing::Length(n),
+        (false, None) => Framing::ToEnd,
+    };
+    Ok((answer, framing))
+}
+
+async fn read_body(stream: &mut TcpStream, got: &mut BytesMut, framing: Framing) -> Result<Bytes, String> {
+    match framing {
+        Framing::Length(n) => {
+            got.reserve(n.saturating_sub(got.len()).min(1 << 20));
+            while got.len() < n {
+                more(stream, got).await.map_err(|e| format!("the body was cut short: {e}"))?;
+            }
+            Ok(got.split_to(n).freeze())
+        }
+        Framing::ToEnd => loop {
+            if got.len() > MOST_BODY {
+                return Err("a body without an end".into());
+            }
+            match stream.read_buf(got).await {
+                Ok(0) => return Ok(got.split().freeze()),
+                Ok(_) => {}
+                Err(e) => return Err(format!("reading: {e}")),
+            }
+        },
+        Framing::Chunked => {
+            let mut body = BytesMut::new();
+            loop {
+                let (start, size) = loop {
+                    match httparse::parse_chunk_size(got) {
+                        Ok(httparse::Status::Complete(found)) => break found,
+                        Ok(httparse::Status::Partial) => more(stream, got).await?,
+                        Err(_) => return Err("no chunk".into()),
+                    }
+                };
+                let size = usize::try_from(size).ok().filter(|s| body.len() + s <= MOST_BODY);
+                let Some(size) = size else { return Err("a chunk too large".into()) };
+                while got.len() < start + size + 2 {
+                    more(stream, got).await?;
+                }
+                let _ = got.split_to(start);
+                body.extend_from_slice(&got.split_to(size));
+                if size == 0 {
+                    // Trailers, up to an empty line.
+                    while got.first_chunk::<2>() != Some(b"\r\n") {
+                        let Some(end) = got.windows(2).position(|w| w == b"\r\n") else {
+                            if got.len() > MOST_HEAD {
+                                return Err("trailers without an end".into());
+                            }
+                            more(stream, got).await?;
+                            continue;
+                        };
+                        let _ = got.split_to(end + 2);
+                        while got.len() < 2 {
+                            more(stream, got).await?;
+                        }
+                    }
+                    let _ = got.split_to(2);
+                    return Ok(body.freeze());
+                }
+                if got.split_to(2)[..] != *b"\r\n" {
+                    return Err("no end of a chunk".into());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stage/src/house.rs
@@ -0,0 +1,238 @@
+//! What all parts of one usher share. Parts borrow for a moment and never across a wait.
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use notchspool::units::Micros;
+use notchspool_callboard::beats::{Beats, Event};
+use notchspool_callboard::playbill::{Changes, Playbill};
+use notchspool_cloakroom::coats::Coats;
+use notchspool_cues::{Bill, Said, State, Station, What};
+use notchspool_promptbook::script::Script;
+use notchspool_rigging::Clock;
+use notchspool_rigging::told::Told;
+use oorandom::Rand64;
+use tokio::sync::oneshot;
+
+use crate::callboy::Voters;
+use crate::company::{Company, Order};
+use crate::door::Door;
+use crate::dressing::Dressing;
+use crate::links::Links;
+use crate::purse::Purse;
+
+/// Bytes of answers to keyed operations that are kept, as a part of the memory.
+const KEPT_PART: u64 = 5;
+
+pub struct House {
+    pub told: RefCell<Told>,
+    pub clock: Clock,
+    pub life: u64,
+    pub own: String,
+    pub chance: RefCell<Rand64>,
+    pub script: RefCell<Option<Rc<Script>>>,
+    pub playbill: RefCell<Playbill>,
+    pub companies: RefCell<BTreeMap<String, Company>>,
+    pub links: Links,
+    pub voters: Voters,
+    pub beats: RefCell<Beats>,
+    pub door: RefCell<Door>,
+    pub waiting: RefCell<HashMap<u64, oneshot::Sender<()>>>,
+    pub dressing: Dressing,
+    pub coats: RefCell<Coats<Rc<Said>>>,
+    pub stopping: Cell<Option<Micros>>,
+    pub in_hand: Cell<usize>,
+    pub counts: RefCell<BTreeMap<&'static str, u64>>,
+    number: Cell<u64>,
+}
+
+impl House {
+    pub fn open(told: Told, life: u64) -> Rc<House> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let window = Micros(told.bounds.key_window.0 + 2_000_000);
+        let kept = (told.memory_mb / KEPT_PART).max(4) as usize * (1 << 20);
+        Rc::new(House {
+            own: told.inner(),
+            clock,
+            life,
+            chance: RefCell::new(Rand64::new(u128::from(life))),
+            script: RefCell::default(),
+            playbill: RefCell::default(),
+            companies: RefCell::default(),
+            links: Links::default(),
+            voters: Voters::default(),
+            beats: RefCell::new(Beats::open(told.beat_interval, now)),
+            door: RefCell::new(Door::open(now)),
+            waiting: RefCell::default(),
+            dressing: Dressing::default(),
+            coats: RefCell::new(Coats::open(window, kept)),
+            stopping: Cell::new(None),
+            in_hand: Cell::new(0),
+            counts: RefCell::default(),
+            number: Cell::new(0),
+            told: RefCell::new(told),
+        })
+    }
+
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    pub fn number(&self) -> u64 {
+        self.number.set(self.number.get() + 1);
+        self.number.get()
+    }
+
+    pub fn dart(&self) -> f64 {
+        self.chance.borrow_mut().rand_float()
+    }
+
+    pub fn count(&self, what: &'static str) {
+        *self.counts.borrow_mut().entry(what).or_default() += 1;
+    }
+
+    /// The company of a service, opened when it is first named.
+    pub fn company<T>(&self, service: &str, then: impl FnOnce(&mut Company) -> T) -> T {
+        let mut all = self.companies.borrow_mut();
+        if !all.contains_key(service) {
+            let company = self.new_company(service);
+            all.insert(service.to_string(), company);
+        }
+        match all.get_mut(service) {
+            Some(company) => then(company),
+            None => unreachable!("it was put there"),
+        }
+    }
+
+    fn new_company(&self, service: &str) -> Company {
+        let (told, now) = (self.told.borrow(), self.now());
+        let bounds = &told.bounds;
+        let agents = self.agents();
+        let purse = Purse::open(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window, agents, now);
+        let seed = (self.dart() * 1e15) as u64;
+        let mut company = Company::open(&told.zone, bounds.drain, seed, purse, now);
+        let playbill = self.playbill.borrow();
+        let stations = playbill.stations().filter(|s| s.service == service && s.state() != State::Left);
+        let changes = Changes { stations: stations.cloned().collect(), absent: Vec::new() };
+        if !changes.stations.is_empty() {
+            company.listed(now, playbill.version(), &changes);
+        }
+        company
+    }
+
+    /// Agents that may spend further tries: all on the list, and half as many for those that it does not hold.
+    fn agents(&self) -> usize {
+        let here = self.playbill.borrow().stations().filter(|s| s.state() != State::Left).count();
+        (here + here / 2).max(8)
+    }
+
+    /// A list came from the board that is followed.
+    pub fn listed(&self, bill: Bill) {
+        let version = bill.version;
+        let Some(changes) = self.playbill.borrow_mut().take(bill) else {
+            self.count("lists_older");
+            return;
+        };
+        let mut by_service: BTreeMap<String, Changes> = BTreeMap::new();
+        for station in changes.absent {
+            by_service.entry(station.service.clone()).or_default().absent.push(station);
+        }
+        for station in changes.stations {
+            by_service.entry(station.service.clone()).or_default().stations.push(station);
+        }
+        let (agents, slack, now) = (self.agents(), self.told.borrow().bounds.retry_slack, self.now());
+        for (service, changes) in by_service {
+            let known = self.companies.borrow().contains_key(&service);
+            let orders =
+                if known { self.company(&service, |c| c.listed(now, version, &changes)) } else { Vec::new() };
+            self.notes(&service, orders);
+        }
+        self.companies.borrow_mut().values_mut().for_each(|c| c.purse.agents(slack, agents));
+    }
+
+    pub fn notes(&self, service: &str, orders: Vec<Order>) {
+        for order in orders {
+            if let Order::Note(line) = order {
+                log::info!(target: "company", "{service}: {line}");
+            }
+        }
+    }
+
+    /// A chosen configuration; an older one changes nothing.
+    pub fn word(&self, version: u64, body: &[u8]) {
+        if self.script.borrow().as_ref().is_some_and(|s| s.version >= version) {
+            return;
+        }
+        match Script::check(body) {
+            Ok(script) => {
+                log::info!(target: "promptbook", "version {version} is in force, {} routes", script.routes.len());
+                *self.script.borrow_mut() = Some(Rc::new(script));
+            }
+            // It was checked before it was acknowledged: the two programs differ.
+            Err(refusal) => log::warn!(target: "promptbook", "version {version} is not taken: {refusal}"),
+        }
+    }
+
+    /// Something happened to the backend here; the prompters are told where it changes what others have to know.
+    pub fn backend(&self, event: Event) {
+        let now = self.now();
+        let changed = self.beats.borrow_mut().turn(now, event);
+        let slots = self.beats.borrow().own.as_ref().map(|o| o.beat.slots);
+        if let Some(slots) = slots {
+            self.door.borrow_mut().slots(slots);
+        }
+        if changed {
+            self.tell_station();
+        }
+    }
+
+    /// The backend here as the others are to know it.
+    pub fn station(&self) -> Option<Station> {
+        let (beats, now) = (self.beats.borrow(), self.now());
+        let own = beats.own.as_ref()?;
+        let state = match own.state {
+            // While this usher ends nobody reaches the backend through it.
+            State::Ready | State::Draining if self.stopping.get().is_some() => State::Missed,
+            state => state,
+        };
+        Some(Station {
+            instance: own.beat.instance.clone(),
+            service: own.beat.service.clone(),
+            usher: self.own.clone(),
+            life: self.life,
+            number: 0,
+            zone: own.beat.zone.clone(),
+            slots: own.beat.slots,
+            state: state.into(),
+            cold_ms: ((own.cold_until - now).0 / 1000).clamp(0, 600_000) as u32,
+            address: own.beat.address.clone(),
+            calls: own.beat.calls,
+        })
+    }
+
+    pub fn tell_station(&self) {
+        if let Some(station) = self.station() {
+            self.voters.send_all(What::Station(station));
+        }
+    }
+
+    /// Whether clients may be sent here: a configuration, a list, and nothing newer known.
+    pub fn ready(&self) -> bool {
+        if self.stopping.get().is_some() || self.playbill.borrow().version() == 0 {
+            return false;
+        }
+        let Some(version) = self.script.borrow().as_ref().map(|s| s.version) else { return false };
+        let waited = self.now() >= Micros::ms(4_000);
+        match self.voters.newest() {
+            Some(newest) => version >= newest,
+            None => waited,
+        }
+    }
+}
+
+/// A wait that ends with `None` once the time is over.
+pub async fn within<T>(span: Micros, wait: impl Future<Output = T>) -> Option<T> {
+    tokio::time::timeout(Duration::from_micros(span.0.max(0) as u64), wait).await.ok()
+}
--- /dev/null
+++ b/crates/stage/src/links.rs
@@ -0,0 +1,236 @@
+//! Connections to other ushers: one each way a pair, many requests at once. What was sent and not answered when a connection ends may have
+//! run; what never left has not.
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use notchspool::units::Micros;
+use notchspool_cues::{Ask, Cancel, Fetch, Hello, Ping, Said, Verdict, What};
+use notchspool_rigging::rope::{self, Rope};
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+use crate::house::House;
+
+/// A machine that does not take a connection by then is not there.
+const DIAL: Duration = Duration::from_millis(300);
+/// Something is out and nothing heard for this long: the other side is asked whether it lives.
+const DOUBT: Micros = Micros::ms(250);
+/// And after this the connection is given up.
+const LOST: Micros = Micros::ms(1_000);
+/// Requests out on one link at most.
+const MOST_OUT: usize = 4_096;
+/// Links at most, each way.
+const MOST_LINKS: usize = 1_000;
+/// A link unused for this long is let go.
+const UNUSED: Micros = Micros::ms(60_000);
+
+pub struct Link {
+    rope: Rope,
+    out: RefCell<HashMap<u64, oneshot::Sender<Said>>>,
+    /// Up: what is written may have left.
+    up: std::cell::Cell<bool>,
+    heard: std::cell::Cell<Micros>,
+    asked: std::cell::Cell<Micros>,
+    used: std::cell::Cell<Micros>,
+}
+
+#[derive(Default)]
+pub struct Links {
+    all: RefCell<BTreeMap<String, Rc<Link>>>,
+    accepted: std::cell::Cell<usize>,
+}
+
+/// An answer of this kind, with nothing in it but why.
+pub fn only(id: u64, verdict: Verdict, why: &str) -> Said {
+    Said { id, verdict: verdict.into(), why: why.to_string(), ..Said::default() }
+}
+
+/// Gives a request up where its wait is dropped: the other side is told.
+struct Out {
+    link: Rc<Link>,
+    id: u64,
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        if self.link.out.borrow_mut().remove(&self.id).is_some() {
+            self.link.rope.send(What::Cancel(Cancel { id: self.id }));
+        }
+    }
+}
+
+impl House {
+    fn link(self: &Rc<House>, address: &str) -> Option<Rc<Link>> {
+        if let Some(link) = self.links.all.borrow().get(address).filter(|l| l.rope.open()) {
+            return Some(link.clone());
+        }
+        if self.links.all.borrow().len() >= MOST_LINKS {
+            return None;
+        }
+        let to: SocketAddr = address.parse().ok()?;
+        let now = self.now();
+        let link = Rc::new(Link {
+            rope: Rope::default(),
+            out: RefCell::default(),
+            up: std::cell::Cell::new(false),
+            heard: std::cell::Cell::new(now),
+            asked: std::cell::Cell::new(Micros(0)),
+            used: std::cell::Cell::new(now),
+        });
+        link.rope.send(What::Hello(Hello {
+            node: self.told.borrow().node.clone(),
+            life: self.life,
+            address: self.own.clone(),
+            role: 1,
+            ..Hello::default()
+        }));
+        self.links.all.borrow_mut().insert(address.to_string(), link.clone());
+        let (house, held, address) = (self.clone(), link.clone(), address.to_string());
+        tokio::task::spawn_local(async move {
+            let end = match rope::dial(to, DIAL).await {
+                Ok(stream) => {
+                    held.up.set(true);
+                    held.heard.set(house.now());
+                    let (link, at) = (held.clone(), house.clone());
+                    let end = rope::run(stream, held.rope.clone(), None, move |what| {
+                        link.heard.set(at.now());
+                        link.asked.set(Micros(0));
+                        if let What::Said(said) = what
+                            && let Some(done) = link.out.borrow_mut().remove(&said.id)
+                        {
+                            // Whoever waited may have given up.
+                            let _ = done.send(said);
+                        }
+                    });
+                    end.await.to_string()
+                }
+                Err(e) => {
+                    held.rope.cut();
+                    e.to_string()
+                }
+            };
+            log::debug!(target: "links", "lose {address}: {end}");
+            let verdict = if held.up.get() { Verdict::MayHaveRun } else { Verdict::NotRun };
+            for (id, done) in held.out.take() {
+                let _ = done.send(only(id, verdict, "the link ended"));
+            }
+            let mut all = house.links.all.borrow_mut();
+            if all.get(&address).is_some_and(|l| Rc::ptr_eq(l, &held)) {
+                all.remove(&address);
+            }
+        });
+        Some(link)
+    }
+
+    async fn out(self: &Rc<House>, address: &str, id: u64, what: What) -> Said {
+        let Some(link) = self.link(address) else { return only(id, Verdict::NotRun, "no link") };
+        let (done, wait) = oneshot::channel();
+        if link.out.borrow().len() >= MOST_OUT {
+            return only(id, Verdict::NotRun, "too many requests on the link");
+        }
+        link.used.set(self.now());
+        if link.out.borrow().is_empty() {
+            link.heard.set(self.now());
+        }
+        link.out.borrow_mut().insert(id, done);
+        let out = Out { link: link.clone(), id };
+        if !link.rope.send(what) {
+            link.out.borrow_mut().remove(&id);
+            return only(id, Verdict::NotRun, "the link has ended");
+        }
+        let said = wait.await.unwrap_or_else(|_| only(id, Verdict::MayHaveRun, "the link ended"));
+        drop(out);
+        said
+    }
+
+    /// Sends a request to the usher beside a backend. Dropped, it is taken back there where that can still be done.
+    pub async fn ask(self: &Rc<House>, usher: &str, ask: Ask) -> Said {
+        if usher == self.own {
+            return self.clone().perform(ask).await;
+        }
+        self.out(usher, ask.id, What::Ask(ask)).await
+    }
+
+    /// The answer to a key that another usher holds.
+    pub async fn fetch(self: &Rc<House>, holder: &str, key: &str, holder_life: u64) -> Said {
+        let id = self.number();
+        if holder == self.own {
+            return self.held(id, key, holder_life);
+        }
+        self.out(holder, id, What::Fetch(Fetch { id, key: key.to_string(), holder_life })).await
+    }
+
+    /// Looks after links on which something is out.
+    pub fn look_at_links(&self) {
+        let now = self.now();
+        let all: Vec<Rc<Link>> = self.links.all.borrow().values().cloned().collect();
+        for link in all {
+            let idle = link.out.borrow().is_empty();
+            if idle && now - link.used.get() > UNUSED {
+                link.rope.finish();
+            }
+            if idle || !link.up.get() || now - link.heard.get() < DOUBT {
+                continue;
+            }
+            if link.asked.get() == Micros(0) {
+                link.asked.set(now);
+                link.rope.send(What::Ping(Ping { number: 0 }));
+            } else if now - link.asked.get() >= LOST - DOUBT {
+                self.count("links_silent");
+                link.rope.cut();
+            }
+        }
+    }
+
+    /// Carries a connection that another usher opened: requests for the backend here.
+    pub async fn carry(self: Rc<House>, stream: tokio::net::TcpStream) {
+        if self.links.accepted.get() >= MOST_LINKS {
+            return;
+        }
+        self.links.accepted.set(self.links.accepted.get() + 1);
+        rope::tune(&stream);
+        let rope = Rope::default();
+        let running: Rc<RefCell<HashMap<u64, AbortHandle>>> = Rc::default();
+        let (house, answers, mine) = (self.clone(), rope.clone(), running.clone());
+        let end = rope::run(stream, rope, None, move |what| match what {
+            What::Ask(ask) => {
+                let id = ask.id;
+                let (house, rope, mine_too) = (house.clone(), answers.clone(), mine.clone());
+                if mine.borrow().len() >= MOST_OUT {
+                    rope.send(What::Said(only(id, Verdict::NotRun, "too many requests on the link")));
+                    return;
+                }
+                let task = tokio::task::spawn_local(async move {
+                    let mut said = house.perform(ask).await;
+                    said.id = id;
+                    mine_too.borrow_mut().remove(&id);
+                    rope.send(What::Said(said));
+                });
+                if !task.is_finished() {
+                    mine.borrow_mut().insert(id, task.abort_handle());
+                }
+            }
+            What::Cancel(cancel) => {
+                if let Some(task) = mine.borrow_mut().remove(&cancel.id) {
+                    task.abort();
+                }
+            }
+            What::Fetch(fetch) => {
+                let said = house.held(fetch.id, &fetch.key, fetch.holder_life);
+                answers.send(What::Said(said));
+            }
+            What::Ping(ping) => {
+                answers.send(What::Pong(ping));
+            }
+            What::Hello(_) => {}
+            _ => house.count("messages_unknown"),
+        });
+        let end = end.await;
+        log::debug!(target: "links", "a link from outside ends: {end}");
+        running.borrow().values().for_each(AbortHandle::abort);
+        self.links.accepted.set(self.links.accepted.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/stage/src/perform.rs
@@ -0,0 +1,260 @@
+//! A request at the usher beside its backend: the life that was meant, the door, the key, the backend. What is turned away here has not
+//! run and never will.
+use std::rc::Rc;
+
+use notchspool::units::Micros;
+use notchspool_cloakroom::coats::{Coat, Event};
+use notchspool_cloakroom::round::Verdict as Claimed;
+use notchspool_cues::{Ask, Said, State, Ticket, Verdict};
+use tokio::sync::oneshot;
+
+use crate::door::Admit;
+use crate::dressing::Outcome;
+use crate::house::House;
+use crate::links::only;
+
+/// Part of the drain's span after which nothing new begins at a backend that drains.
+const DRAINED: f64 = 0.6;
+/// Kept clear of the end of a request's time.
+const MARGIN: Micros = Micros::ms(2);
+
+/// A place in work; given back whatever becomes of the request.
+struct Place {
+    house: Rc<House>,
+    took: Option<Micros>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let next = self.house.door.borrow_mut().done(self.house.now(), self.took);
+        self.house.let_in(next);
+    }
+}
+
+/// A place in the queue, left whatever becomes of the request.
+struct Stand {
+    house: Rc<House>,
+    number: u64,
+    called: bool,
+}
+
+impl Drop for Stand {
+    fn drop(&mut self) {
+        let waits = self.house.waiting.borrow_mut().remove(&self.number).is_some();
+        if waits {
+            self.house.door.borrow_mut().left(self.house.now(), self.number);
+        } else if !self.called {
+            // It was called and nobody came: the place goes to the next.
+            drop(Place { house: self.house.clone(), took: None });
+        }
+    }
+}
+
+/// A claim that is not yet known to have led to anything; taken back where the request is dropped before it began.
+struct Claim {
+    house: Rc<House>,
+    key: String,
+    ticket: Ticket,
+    open: bool,
+}
+
+impl Claim {
+    fn not_run(&mut self) {
+        if std::mem::take(&mut self.open) {
+            let now = self.house.now();
+            self.house.coats.borrow_mut().turn(now, &self.key, Event::NotRun);
+            self.house.withdraw(&self.key, self.ticket);
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.not_run();
+    }
+}
+
+impl House {
+    fn let_in(&self, next: Option<u64>) {
+        let mut next = next;
+        while let Some(number) = next {
+            let called = self.waiting.borrow_mut().remove(&number).is_some_and(|wait| wait.send(()).is_ok());
+            next = match called {
+                true => self.door.borrow_mut().next_one(self.now()),
+                false => self.door.borrow_mut().done(self.now(), None),
+            };
+        }
+    }
+
+    /// Why this request may not begin here now.
+    fn astray(&self, ask: &Ask) -> Option<(Verdict, &'static str)> {
+        let beats = self.beats.borrow();
+        let Some(own) = &beats.own else { return Some((Verdict::NotRun, "no backend is known here yet")) };
+        if own.beat.instance != ask.instance || own.beat.service != ask.service {
+            return Some((Verdict::Elsewhere, "another backend is here"));
+        }
+        let ends = own.drains_since.map(|since| since + self.told.borrow().bounds.drain.times(DRAINED));
+        match own.state {
+            State::Left => Some((Verdict::Elsewhere, "it has left")),
+            _ if ends.is_some_and(|ends| self.now() >= ends) => Some((Verdict::Elsewhere, "it drains")),
+            _ => None,
+        }
+    }
+
+    fn marked(&self, mut said: Said) -> Said {
+        let (mut door, now) = (self.door.borrow_mut(), self.now());
+        said.busy = 1 + (door.busy(now).clamp(0.0, 1.0) * 1_000.0) as u32;
+        said.in_flight = door.in_work() as u32;
+        said.queue = door.waiting() as u32;
+        said
+    }
+
+    fn turned_away(&self, id: u64, why: &str, retry: Micros) -> Said {
+        self.count("turned_away");
+        let retry_ms = (retry.0 / 1000).clamp(0, 60_000) as u32;
+        self.marked(Said { retry_ms, ..only(id, Verdict::NotRun, why) })
+    }
+
+    /// What is known here of a key that this life of the process holds.
+    pub fn held(&self, id: u64, key: &str, holder_life: u64) -> Said {
+        if holder_life != self.life {
+            return only(id, Verdict::Lost, "the process that held it has ended");
+        }
+        match self.coats.borrow().get(key) {
+            Some(Coat::Claiming | Coat::Working) => only(id, Verdict::Working, "it works"),
+            Some(Coat::Kept(said)) => Said { id, arrived: false, ..(**said).clone() },
+            Some(Coat::Lost) => only(id, Verdict::Lost, "it broke off"),
+            None => only(id, Verdict::NotRun, "it has not run here"),
+        }
+    }
+
+    /// Runs a request at the backend here, or says why not.
+    pub async fn perform(self: Rc<House>, ask: Ask) -> Said {
+        let id = ask.id;
+        let until = self.now() + Micros::ms(i64::from(ask.left_ms));
+        if let Some((verdict, why)) = self.astray(&ask) {
+            self.count("astray");
+            return self.marked(only(id, verdict, why));
+        }
+        let mut claim = None;
+        if let (false, Some(ticket)) = (ask.key.is_empty(), ask.ticket) {
+            let known = self.coats.borrow().get(&ask.key).is_some();
+            if known {
+                return self.held(id, &ask.key, self.life);
+            }
+            if !self.coats.borrow_mut().turn(self.now(), &ask.key, Event::Claim) {
+                return self.turned_away(id, "too many keys", Micros::ms(200));
+            }
+            let mut own = Claim { house: self.clone(), key: ask.key.clone(), ticket, open: true };
+            match self.claim(&ask.key, ticket).await {
+                Claimed::Ours => {}
+                Claimed::Theirs { ticket: other, holder, holder_life } => {
+                    own.not_run();
+                    // The same request at another backend, later than here: this one is not wanted any more.
+                    if (other.life, other.number) == (ticket.life, ticket.number) {
+                        return self.turned_away(id, "it went elsewhere", Micros(0));
+                    }
+                    return Said { holder, holder_life, ..only(id, Verdict::Held, "another has the key") };
+                }
+                Claimed::Nobody | Claimed::Open => {
+                    own.not_run();
+                    self.count("claims_without_majority");
+                    return self.turned_away(id, "no majority for the key", Micros::ms(100));
+                }
+            }
+            claim = Some(own);
+        }
+        let place = match self.enter(ask.rank, until).await {
+            Ok(place) => place,
+            Err(retry) => return self.turned_away(id, "full", retry),
+        };
+        // It may have changed while this one waited.
+        if let Some((verdict, why)) = self.astray(&ask) {
+            return self.marked(only(id, verdict, why));
+        }
+        if until - self.now() <= MARGIN {
+            return self.turned_away(id, "its time is over", Micros(0));
+        }
+        if let Some(claim) = &mut claim {
+            if !self.coats.borrow_mut().turn(self.now(), &ask.key, Event::Granted) {
+                return self.turned_away(id, "the key is gone", Micros::ms(50));
+            }
+            // From here on it goes to its end, whether anybody waits or not: its answer is kept.
+            claim.open = false;
+            let (house, task) = (self.clone(), ask.clone());
+            let (done, wait) = oneshot::channel();
+            tokio::task::spawn_local(async move {
+                let said = house.clone().at_backend(place, &task, until).await;
+                house.keep(&task, &said);
+                // Whoever waited may have left.
+                let _ = done.send(said);
+            });
+            return wait.await.unwrap_or_else(|_| only(id, Verdict::MayHaveRun, "it was dropped"));
+        }
+        self.at_backend(place, &ask, until).await
+    }
+
+    fn keep(&self, ask: &Ask, said: &Said) {
+        let event = match said.verdict() {
+            Verdict::Answered => {
+                let size = said.body.len() + 512;
+                Event::Answer(Rc::new(said.clone()), size)
+            }
+            Verdict::NotRun | Verdict::Elsewhere => Event::NotRun,
+            _ => Event::BrokeOff,
+        };
+        if event == Event::NotRun
+            && let Some(ticket) = ask.ticket
+        {
+            self.withdraw(&ask.key, ticket);
+        }
+        self.coats.borrow_mut().turn(self.now(), &ask.key, event);
+    }
+
+    async fn enter(self: &Rc<House>, rank: u32, until: Micros) -> Result<Place, Micros> {
+        let now = self.now();
+        let admit = self.door.borrow_mut().admit(now, rank, until);
+        match admit {
+            Admit::Now => Ok(Place { house: self.clone(), took: None }),
+            Admit::No(retry) => Err(retry),
+            Admit::Wait(number) => {
+                let (called, wait) = oneshot::channel();
+                self.waiting.borrow_mut().insert(number, called);
+                let mut stand = Stand { house: self.clone(), number, called: false };
+                match crate::house::within(until - now, wait).await {
+                    Some(Ok(())) => {
+                        stand.called = true;
+                        Ok(Place { house: self.clone(), took: None })
+                    }
+                    _ => Err(Micros(0)),
+                }
+            }
+        }
+    }
+
+    async fn at_backend(self: Rc<House>, mut place: Place, ask: &Ask, until: Micros) -> Said {
+        let began = self.now();
+        let outcome = self.play(ask, until).await;
+        let took = self.now() - began;
+        let said = match outcome {
+            Outcome::Answered(answer) => {
+                place.took = Some(took);
+                Said {
+                    verdict: Verdict::Answered.into(),
+                    arrived: true,
+                    took_us: took.0.max(0) as u64,
+                    ..answer
+                }
+            }
+            Outcome::NotRun(why) => only(ask.id, Verdict::NotRun, &why),
+            Outcome::NotReached(why) => only(ask.id, Verdict::NotRun, &why),
+            Outcome::Elsewhere => only(ask.id, Verdict::Elsewhere, "another backend has the address"),
+            Outcome::MayHaveRun(why) => {
+                self.count("broke_off");
+                Said { arrived: true, ..only(ask.id, Verdict::MayHaveRun, &why) }
+            }
+        };
+        drop(place);
+        self.marked(Said { id: ask.id, ..said })
+    }
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -98,6 +98,7 @@
             .collect::<Read<_>>()?,
         probe_price: number(costs, "probe", Some(0.0))?,
         tick: time(settings, "tickMs", Some(1.0))?,
+        ..Terms::default()
     };
     let allowed = [
         (
--- a/src/book.rs
+++ b/src/book.rs
@@ -11,6 +11,7 @@
     pub leaves: Micros,         // till when one that drains still takes its part
     pub frozen: Option<Micros>, // gone, but held on the list by the guard since then
     pub dropped: bool,
+    pub turned: bool,               // turned gone: the guard decides about it
     pub out: Vec<(TxnRef, Micros)>, // own postings not yet back
     pub report: Option<(Report, Micros)>,
     pub pace: f64, // own response times against those of all backends, smoothed
--- a/src/desk.rs
+++ b/src/desk.rs
@@ -11,6 +11,8 @@
 use crate::units::*;
 use crate::watch::Watch;
 
+const AFAR: f64 = 0.2; // weight of a backend in another zone
+
 pub struct Balancer {
     pub(crate) terms: Terms,
     pub(crate) now: Micros,
@@ -68,6 +70,25 @@
         self.now = now;
     }
 
+    /// A row more of the scheme table: routes may come later than the balancer.
+    pub fn scheme(&mut self, scheme: Scheme, afar: f64) -> SchemeId {
+        self.terms.afar.resize(self.terms.schemes.len(), AFAR);
+        self.terms.schemes.push(scheme);
+        self.terms.afar.push(afar);
+        self.took.push(Tally::default());
+        SchemeId(self.terms.schemes.len() - 1)
+    }
+
+    /// It said that it left: no guard holds it.
+    pub fn dropped(&mut self, id: BackendId) {
+        self.at(id).into_iter().for_each(|b| b.dropped = true);
+    }
+
+    /// Weight of a backend in another zone.
+    pub(crate) fn afar(&self, scheme: SchemeId) -> f64 {
+        self.terms.afar.get(scheme.0).copied().unwrap_or(AFAR)
+    }
+
     /// The handle of a txn that is still of interest.
     pub fn txn(&mut self, txn: TxnRef) -> Option<Txn<'_>> {
         self.txns.contains_key(&txn).then_some(Txn { desk: self, txn })
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,7 +22,6 @@
 const EASE: f64 = 0.12; // square of response time over SLA time aimed at when the window is full
 const PACE_FADE: Micros = Micros::ms(4_000); // a pace not measured for this long counts half
 const AT_ONCE: f64 = 0.02; // an answer within this part of the SLA time shows no work worth a window
-const AFAR: f64 = 0.2; // weight of a backend in another zone
 const QUICK: f64 = 4.0; // the aim is this many times the square of the quicker quarter, where that is more
 const FULL: f64 = 0.9; // reported utilisation from which a thin agent lets nothing more through
 const ROOM: f64 = 3.0; // how far what is left below that raises its aim
@@ -68,7 +67,7 @@
             let part = if spread { 0.35 + 0.35 * self.chance.rand_float() } else { 0.0 };
             let b = self.relist(entry);
             match entry.standing {
-                Standing::Ready => (b.told, b.frozen, b.dropped) = (None, None, false),
+                Standing::Ready => (b.told, b.frozen, b.dropped, b.turned) = (None, None, false, false),
                 Standing::Draining if b.told.is_none() => {
                     (b.told, b.leaves) = (Some(now), now + grace.times(part));
                 }
@@ -92,10 +91,12 @@
 
     /// The expiry guard: few entries turning gone leave the list, many at once are frozen on it.
     fn guard(&mut self, turned_gone: &[BackendId], out: &mut dyn Outlet) {
-        let now = self.now;
+        let (now, doors) = (self.now, self.terms.doors);
         for &id in turned_gone {
-            if let Some(b) = self.at(id).filter(|b| !b.dropped && b.frozen.is_none()) {
-                b.told = b.told.or(Some(now));
+            if let Some(b) = self.at(id).filter(|b| !b.dropped && b.frozen.is_none() && !(doors && b.turned))
+            {
+                b.turned = true;
+                b.told = b.told.or((!doors).then_some(now));
                 self.gone_lately.push((now, id));
             }
         }
@@ -104,7 +105,7 @@
         let listed = self.kept().count();
         let freeze = lately.len() as f64 > GUARD_FRACTION * listed as f64;
         for &(_, id) in &lately {
-            match self.at(id).filter(|b| b.told.is_some() && !b.dropped) {
+            match self.at(id).filter(|b| b.turned && !b.dropped) {
                 Some(b) if freeze => b.frozen = b.frozen.or(Some(now)),
                 Some(b) => b.dropped = true,
                 None => {}
@@ -292,7 +293,7 @@
     /// multiple (the rest is for chance). One of a thousand agents has far less than one posting: it posts by
     /// lot, drawn anew each span. The parts of all agents add up to the budget, however uneven their traffic.
     fn cold_room(&self, b: &Backend) -> bool {
-        if b.warmth(&self.terms, self.now) >= 1.0 {
+        if self.terms.doors || b.warmth(&self.terms, self.now) >= 1.0 {
             return true;
         }
         let since = self.now - self.terms.fall_span - MARGIN;
@@ -370,7 +371,7 @@
             let left = idle.map_or(mean, |(idle, trust)| mean + (idle - mean) * trust).max(FLOOR);
             let waiting = b.out.iter().map(|o| (self.now - o.1).0).max().unwrap_or(0) as f64 / expected;
             let faded = 1.0 + (b.pace - 1.0) / (1.0 + (self.now - b.paced).over(PACE_FADE));
-            let near = if b.entry.zone == self.terms.zone { 1.0 } else { AFAR };
+            let near = if b.entry.zone == self.terms.zone { 1.0 } else { self.afar(scheme) };
             let pace = faded.max(waiting / 3.0).clamp(least, 20.0);
             // Where weights move with load, they tell of all alike who holds more than the rest.
             let free = usual / (usual + b.crowd);
@@ -390,13 +391,14 @@
         let stays =
             |b: &Backend| !b.dropped && (b.told.is_none() || b.frozen.is_some() || b.leaves > self.now);
         let mut members = std::mem::take(&mut self.members);
-        members.retain(|&id| self.backend(id).is_some_and(|b| stays(b) && b.pace < SLOW));
+        let keeps = |b: &Backend| stays(b) && (self.terms.few.is_some() || b.pace < SLOW);
+        members.retain(|&id| self.backend(id).is_some_and(keeps));
         let free = |id: &BackendId| {
             let free = self.backend(*id).is_some_and(|b| b.out.is_empty() && !b.shut(self.now));
             free && Some(*id) != last && self.may_post(txn, *id)
         };
         let mut found = None;
-        if members.len() < FEW || !members.iter().any(free) {
+        if members.len() < self.terms.few.unwrap_or(FEW) || !members.iter().any(free) {
             let dart = self.chance.rand_float();
             let open = |b: &&Backend| {
                 let id = b.entry.backend;
@@ -559,7 +561,7 @@
         self.gauge.window.pass(out_now, part);
         self.gauge.wide.pass(out_now, part);
         let unused = |b: &Backend| b.out.is_empty() && now - b.used > UNUSED;
-        if self.members.len() > FEW
+        if self.members.len() > self.terms.few.unwrap_or(FEW)
             && let Some(at) = self.members.iter().position(|&id| self.backend(id).is_none_or(unused))
         {
             self.members.remove(at);
@@ -624,7 +626,7 @@
         let Txn { desk, txn } = self;
         let fair = desk.txns.get(&txn).is_some_and(|s| s.fair);
         let window = if fair { desk.gauge.wide } else { desk.gauge.window };
-        if !(fair && desk.gauge.calm || window.has_room(desk.in_flight())) {
+        if !(desk.terms.doors || fair && desk.gauge.calm || window.has_room(desk.in_flight())) {
             out.count("unserved_window");
             return desk.answer(txn, out);
         }
--- a/src/units.rs
+++ b/src/units.rs
@@ -120,6 +120,14 @@
     pub quotas: Vec<f64>,
     /// Price of one probe a txn, as a share of the value.
     pub probe_price: f64,
+    /// Another agent stands beside each backend and has the last word on what begins there: no window here, no
+    /// part of a cold backend's budget. Entries come from beats: whose beats stopped is gone, and the guard alone
+    /// decides about it; a frozen one is drawn till its hold is over, and no grace binds it.
+    pub doors: bool,
+    /// Weight of a backend in another zone, by scheme; the usual one where there is none.
+    pub afar: Vec<f64>,
+    /// Members an agent starts with; the usual number where there is none.
+    pub few: Option<usize>,
     pub tick: Micros,
 }
 
