A full door is load, not illness; inner checks displace others, late ones hold up nobody

And the queue was full of repeat orders, so that checks of a higher rank found no place.

Change: "full" comes back as never sent, without doubt; a request of a higher rank takes the place of the last of a lower one; it waits only as long as it can still be in time, or a tenth of what is left.

--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -162,6 +162,9 @@
     pub caller: String,
     #[prost(string, tag = "15")]
     pub host: String,
+    /// Milliseconds in which an answer has its full worth; 0: that is over.
+    #[prost(uint32, tag = "16")]
+    pub aim_ms: u32,
 }
 
 /// Who claims: the first usher's life, its number for the request, and which backend in turn it is tried at.
--- a/crates/stage/src/door.rs
+++ b/crates/stage/src/door.rs
@@ -7,8 +7,9 @@
 
 /// Requests that wait at most, for each slot.
 const QUEUE: f64 = 4.0;
-/// Part of what is left of a request's time that it may wait.
+/// Part of what is left of a request's time that it may wait, at most and where it will be late.
 const WAIT: f64 = 0.4;
+const LATE: f64 = 0.1;
 /// Smoothing of the time that the backend takes.
 const FADE: f64 = 0.1;
 /// Utilisation is a mean over about this span.
@@ -62,22 +63,32 @@
         self.at = now;
     }
 
-    /// A request of this rank whose time is over at `until`.
-    pub fn admit(&mut self, now: Micros, rank: u32, until: Micros) -> Admit {
+    /// A request of this rank. It is of full worth till `aim`, and its time is over at `until`. Where too many wait, the last of a
+    /// lower rank goes: its number is given beside.
+    pub fn admit(&mut self, now: Micros, rank: u32, aim: Micros, until: Micros) -> (Admit, Option<u64>) {
         self.pass(now);
         if self.room() && self.queue.is_empty() {
             self.in_work += 1;
-            return Admit::Now;
+            return (Admit::Now, None);
         }
         let ahead = self.queue.range(..(rank, u64::MAX)).count();
         let wait = Micros(((ahead + 1) as f64 * self.took / self.slots as f64) as i64);
+        // In time, or late by little: who waits for long keeps those behind from being in time.
+        let most = (aim - now - Micros(self.took as i64)).max((until - now).times(LATE));
+        let most = most.min((until - now).times(WAIT));
         let full = self.queue.len() as f64 >= QUEUE * self.slots as f64;
-        if full || wait > (until - now).times(WAIT) {
-            return Admit::No(wait.max(Micros::ms(20)));
+        let lower =
+            self.queue.last_key_value().filter(|(key, _)| key.0 > rank).map(|(key, w)| (*key, w.number));
+        if wait > most || (full && lower.is_none()) {
+            return (Admit::No(wait.max(Micros::ms(20))), None);
+        }
+        let out = lower.filter(|_| full);
+        if let Some((key, _)) = out {
+            self.queue.remove(&key);
         }
         self.next += 1;
         self.queue.insert((rank, self.next), Waiting { number: self.next, until });
-        Admit::Wait(self.next)
+        (Admit::Wait(self.next), out.map(|o| o.1))
     }
 
     /// One that waited left.
--- a/crates/stage/src/lobby.rs
+++ b/crates/stage/src/lobby.rs
@@ -32,6 +32,8 @@
     body: Bytes,
     attempt: String,
     key: String,
+    /// Till when an answer has its full worth.
+    aim: Micros,
 }
 
 /// A txn in hand; where it is dropped the client has left.
@@ -141,7 +143,8 @@
         };
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string();
         let method = head.method.to_string();
-        let asked = Asked { method, target, host, headers, body, attempt, key };
+        let aim = began + route.target;
+        let asked = Asked { method, target, host, headers, body, attempt, key, aim };
         let route = route.clone();
         self.route(&route, asked, until).await
     }
@@ -222,9 +225,13 @@
                     if said.retry_ms > 0 {
                         retry = Micros::ms(i64::from(said.retry_ms));
                     }
-                    let link = said.busy == 0;
                     let over = refusals >= 6 || now >= until;
-                    let fate = if link { Fate::NoLink } else { Fate::TurnedAway };
+                    // A door that is full speaks of load, which it reports, and not of illness.
+                    let fate = match verdict {
+                        Verdict::Elsewhere => Fate::TurnedAway,
+                        _ if said.busy == 0 => Fate::NoLink,
+                        _ => Fate::NeverSent,
+                    };
                     orders = back(fate, over);
                     if over && may_have_run {
                         return self.unanswered(route, &why, now >= until);
@@ -300,6 +307,7 @@
             headers: asked.headers.clone(),
             body: asked.body.clone(),
             left_ms: (left.0 / 1000).clamp(1, 600_000) as u32,
+            aim_ms: ((asked.aim - self.now()).0 / 1000).clamp(0, 600_000) as u32,
             rank: route.priority,
             repeatable: route.kind.repeatable(),
             key: if keyed { asked.key.clone() } else { String::new() },
--- a/crates/stage/src/perform.rs
+++ b/crates/stage/src/perform.rs
@@ -164,7 +164,8 @@
             }
             claim = Some(own);
         }
-        let place = match self.enter(ask.rank, until).await {
+        let aim = self.now() + Micros::ms(i64::from(ask.aim_ms));
+        let place = match self.enter(ask.rank, aim, until).await {
             Ok(place) => place,
             Err(retry) => return self.turned_away(id, "full", retry),
         };
@@ -211,9 +212,14 @@
         self.coats.borrow_mut().turn(self.now(), &ask.key, event);
     }
 
-    async fn enter(self: &Rc<House>, rank: u32, until: Micros) -> Result<Place, Micros> {
+    async fn enter(self: &Rc<House>, rank: u32, aim: Micros, until: Micros) -> Result<Place, Micros> {
         let now = self.now();
-        let admit = self.door.borrow_mut().admit(now, rank, until);
+        let (admit, out) = self.door.borrow_mut().admit(now, rank, aim, until);
+        if let Some(out) = out {
+            // Its wait ends without a call.
+            drop(self.waiting.borrow_mut().remove(&out));
+            self.count("displaced");
+        }
         match admit {
             Admit::Now => Ok(Place { house: self.clone(), took: None }),
             Admit::No(retry) => Err(retry),
