The door counts work by kind and calls by nearest aim; a refusal at a door costs nothing

Change: means by kind of work (the route's aim), those ahead counted with theirs, order by rank, in time, nearest aim; behind doors what has not run is posted again without a price, four doors at most.

--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -165,6 +165,9 @@
     /// Milliseconds in which an answer has its full worth; 0: that is over.
     #[prost(uint32, tag = "16")]
     pub aim_ms: u32,
+    /// The route's whole aim, by which the door tells kinds of work apart.
+    #[prost(uint32, tag = "17")]
+    pub target_ms: u32,
 }
 
 /// Who claims: the first usher's life, its number for the request, and which backend in turn it is tried at.
--- a/crates/stage/src/lobby.rs
+++ b/crates/stage/src/lobby.rs
@@ -22,6 +22,8 @@
 const USUAL: Micros = Micros::ms(30_000);
 /// Requests in hand at most.
 const MOST: usize = 4_000;
+/// Doors that may turn one request away before it is given up.
+const MOST_REFUSALS: u32 = 4;
 
 /// A request read whole.
 struct Asked {
@@ -183,6 +185,7 @@
                 _ if may_have_run => return self.unanswered(route, &why, self.now() >= until),
                 _ => {
                     self.count("declined");
+                    log::debug!(target: "lobby", "decline {} {} after {posting}: {why}, {:?} left", route.name, asked.attempt, until - self.now());
                     return refused(&why, retry);
                 }
             };
@@ -225,7 +228,7 @@
                     if said.retry_ms > 0 {
                         retry = Micros::ms(i64::from(said.retry_ms));
                     }
-                    let over = refusals >= 6 || now >= until;
+                    let over = refusals >= MOST_REFUSALS || now >= until;
                     // A door that is full speaks of load, which it reports, and not of illness.
                     let fate = match verdict {
                         Verdict::Elsewhere => Fate::TurnedAway,
@@ -266,7 +269,7 @@
     /// It may have run, and there is no answer.
     fn unanswered(&self, route: &Route, why: &str, over: bool) -> Answer {
         self.count("unanswered");
-        let _ = route;
+        log::debug!(target: "lobby", "unanswered {}: {why}", route.name);
         plain(if over { 504 } else { 502 }, why)
     }
 
@@ -307,6 +310,7 @@
             headers: asked.headers.clone(),
             body: asked.body.clone(),
             left_ms: (left.0 / 1000).clamp(1, 600_000) as u32,
+            target_ms: (route.target.0 / 1000).clamp(1, 600_000) as u32,
             aim_ms: ((asked.aim - self.now()).0 / 1000).clamp(0, 600_000) as u32,
             rank: route.priority,
             repeatable: route.kind.repeatable(),
--- a/crates/stage/src/perform.rs
+++ b/crates/stage/src/perform.rs
@@ -8,7 +8,7 @@
 use notchspool_cues::{Ask, Said, State, Ticket, Verdict};
 use tokio::sync::oneshot;
 
-use crate::door::Admit;
+use crate::door::{Admit, Comer};
 use crate::dressing::Outcome;
 use crate::house::House;
 use crate::links::only;
@@ -21,12 +21,13 @@
 /// A place in work; given back whatever becomes of the request.
 struct Place {
     house: Rc<House>,
+    kind: u32,
     took: Option<Micros>,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let next = self.house.door.borrow_mut().done(self.house.now(), self.took);
+        let next = self.house.door.borrow_mut().done(self.house.now(), self.kind, self.took);
         self.house.let_in(next);
     }
 }
@@ -45,7 +46,7 @@
             self.house.door.borrow_mut().left(self.house.now(), self.number);
         } else if !self.called {
             // It was called and nobody came: the place goes to the next.
-            drop(Place { house: self.house.clone(), took: None });
+            drop(Place { house: self.house.clone(), kind: 0, took: None });
         }
     }
 }
@@ -81,7 +82,7 @@
             let called = self.waiting.borrow_mut().remove(&number).is_some_and(|wait| wait.send(()).is_ok());
             next = match called {
                 true => self.door.borrow_mut().next_one(self.now()),
-                false => self.door.borrow_mut().done(self.now(), None),
+                false => self.door.borrow_mut().done(self.now(), 0, None),
             };
         }
     }
@@ -165,7 +166,7 @@
             claim = Some(own);
         }
         let aim = self.now() + Micros::ms(i64::from(ask.aim_ms));
-        let place = match self.enter(ask.rank, aim, until).await {
+        let place = match self.enter(Comer { rank: ask.rank, kind: ask.target_ms, aim, until }).await {
             Ok(place) => place,
             Err(retry) => return self.turned_away(id, "full", retry),
         };
@@ -212,16 +213,16 @@
         self.coats.borrow_mut().turn(self.now(), &ask.key, event);
     }
 
-    async fn enter(self: &Rc<House>, rank: u32, aim: Micros, until: Micros) -> Result<Place, Micros> {
-        let now = self.now();
-        let (admit, out) = self.door.borrow_mut().admit(now, rank, aim, until);
+    async fn enter(self: &Rc<House>, comer: Comer) -> Result<Place, Micros> {
+        let (now, until, kind) = (self.now(), comer.until, comer.kind);
+        let (admit, out) = self.door.borrow_mut().admit(now, comer);
         if let Some(out) = out {
             // Its wait ends without a call.
             drop(self.waiting.borrow_mut().remove(&out));
             self.count("displaced");
         }
         match admit {
-            Admit::Now => Ok(Place { house: self.clone(), took: None }),
+            Admit::Now => Ok(Place { house: self.clone(), kind, took: None }),
             Admit::No(retry) => Err(retry),
             Admit::Wait(number) => {
                 let (called, wait) = oneshot::channel();
@@ -230,7 +231,7 @@
                 match crate::house::within(until - now, wait).await {
                     Some(Ok(())) => {
                         stand.called = true;
-                        Ok(Place { house: self.clone(), took: None })
+                        Ok(Place { house: self.clone(), kind, took: None })
                     }
                     _ => Err(Micros(0)),
                 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -681,7 +681,12 @@
             desk.ease(scheme, fate, took);
         }
         // Another posting is paid for from what the traffic saved up, so that failures feed no overload.
-        let price = if matches!(fate, Fate::TimedOut | Fate::TurnedAway) { 1.0 } else { 0.3 };
+        // What a door turned away has cost no backend anything.
+        let price = match fate {
+            _ if desk.terms.doors && fate.never_ran() => 0.0,
+            Fate::TimedOut | Fate::TurnedAway => 1.0,
+            _ => 0.3,
+        };
         if over {
             desk.txns.remove(&txn);
         } else if fate.ends() || desk.gauge.spare < price {
