--- a/crates/prompter/src/office.rs
+++ b/crates/prompter/src/office.rs
@@ -50,8 +50,9 @@
     usher: bool,
     voter: Option<usize>,
     instance: String,
-    /// The version it has of this board, where it follows.
+    /// The version it has of this board, where it follows; it held no list when it came.
     follows: Option<u64>,
+    bare: bool,
     heard: Micros,
 }
 
@@ -394,19 +395,22 @@
         let since = if watch.line == self.life { watch.have } else { 0 };
         if let Some(guest) = self.guests.get_mut(&conn) {
             guest.follows = Some(since);
+            guest.bare = watch.have == 0;
         }
         // One that comes for the first time is told all, though that may be nothing: it knows then that it is told.
         self.tell_board(now, acts);
     }
 
     fn tell_board(&mut self, now: Micros, acts: &mut Vec<Act>) {
-        if now - self.started < GATHER {
-            return;
-        }
+        // Who holds nothing is told what there is; who holds a list waits till this board knows most.
+        let young = now - self.started < GATHER;
         let version = self.board.version();
         let mut bills = BTreeMap::new();
         for (conn, guest) in &mut self.guests {
-            let Some(since) = guest.follows.filter(|s| *s < version || *s == 0) else { continue };
+            let bare = guest.bare;
+            let Some(since) = guest.follows.filter(|s| (*s < version || *s == 0) && (bare || !young)) else {
+                continue;
+            };
             if version == 0 {
                 continue;
             }
--- a/crates/stage/src/house.rs
+++ b/crates/stage/src/house.rs
@@ -171,9 +171,6 @@
         match Script::check(body) {
             Ok(script) => {
                 log::info!(target: "promptbook", "version {version} is in force, {} routes", script.routes.len());
-                for r in &script.routes {
-                    log::debug!(target: "promptbook", "{} {}{} {:?} rank {} within {:?} attempts {}", r.name, r.host, r.prefix, r.kind, r.priority, r.timeout, r.attempts);
-                }
                 *self.script.borrow_mut() = Some(Rc::new(script));
             }
             // It was checked before it was acknowledged: the two programs differ.
