Timelines of the mesh in virtual time, and the three faults that they found

A voter without its disk was told ticket T1 by one and T2 by the other, kept only the first, and when that was taken back granted the key anew though T2 had run. Now both stand (rack.rs, claims.rs; office.rs `all` took `claim` for `put`). - A wiped prompter that learnt who votes from a connection that it had opened before never asked to be admitted (office.rs `peer` dropped what it could not place): connections are remembered and met again. - Prompters told each other whom they heard and got no word back, so each counted itself alone 1.6 s after every connection, marked nobody as missed and cut its links each 2.2 s. `Heard` is answered.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -31,11 +31,41 @@
     Report(Report),
     /// Keepers and agents as many real processes, faults between them, and the figures of who owns.
     Fleet(crate::ground::Ground),
+    /// The mesh in virtual time: prompters and ushers, drawn faults of links, disks and processes, judged by what was promised. Ends with
+    /// 0, or with 1 and the seeds that broke something.
+    Mesh {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// How many.
+        #[arg(long, default_value_t = 200)]
+        seeds: u64,
+    },
     /// A plain agent: a baseline, told what any agent is told. The lab starts it by itself.
     #[command(hide = true)]
     Plain { policy: String },
 }
 
+/// Plays drawn days of the mesh, on all cores.
+fn mesh(from: u64, seeds: u64) -> ExitCode {
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get()).min(64) as u64;
+    let broken: Vec<(u64, Vec<String>)> = std::thread::scope(|scope| {
+        let part = move |nth: u64| -> Vec<(u64, Vec<String>)> {
+            let all = (from..from.saturating_add(seeds)).filter(move |seed| seed % threads == nth);
+            all.map(|seed| (seed, notchspool_lab::mesh::drawn(seed)))
+                .filter(|(_, wrong)| !wrong.is_empty())
+                .collect()
+        };
+        let hands: Vec<_> = (0..threads).map(|nth| scope.spawn(move || part(nth))).collect();
+        hands.into_iter().filter_map(|hand| hand.join().ok()).flatten().collect()
+    });
+    for (seed, wrong) in &broken {
+        wrong.iter().for_each(|w| println!("seed {seed}: {w}"));
+    }
+    println!("{} of {seeds} seeds broke something", broken.len());
+    if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 #[derive(Args)]
 pub struct Run {
     /// A file, or the name of one that ships.
@@ -81,6 +111,7 @@
         Lab::Audit { books } => judge(&books),
         Lab::Report(asked) => report(&asked),
         Lab::Fleet(asked) => crate::ground::run(&asked),
+        Lab::Mesh { from, seeds } => Ok(mesh(from, seeds)),
         Lab::Plain { policy } => {
             let policy = Policy::named(&policy).ok_or_else(|| format!("no policy `{policy}`"))?;
             agent::run(policy).map(|()| ExitCode::SUCCESS)
--- a/crates/cloakroom/src/rack.rs
+++ b/crates/cloakroom/src/rack.rs
@@ -25,13 +25,19 @@
     Full,
 }
 
+/// Of a key there is one peg, but where this voter lost its disk and two others told it different tickets: then neither is forgotten
+/// before it is taken back or its window is over, since either may have run.
 #[derive(Clone, Debug, Default)]
 pub struct Rack {
-    pegs: HashMap<String, Peg>,
+    pegs: HashMap<String, Vec<Peg>>,
     order: VecDeque<(Micros, String)>,
     window: Micros,
 }
 
+fn same(a: Ticket, b: Ticket) -> bool {
+    (a.life, a.number) == (b.life, b.number)
+}
+
 impl Rack {
     /// `window`: for how long a claim is kept at least.
     pub fn open(window: Micros) -> Rack {
@@ -40,44 +46,45 @@
 
     pub fn claim(&mut self, now: Micros, claim: &Claim) -> Vote {
         let ticket = claim.ticket.unwrap_or_default();
-        let same = |t: Ticket| (t.life, t.number) == (ticket.life, ticket.number);
-        match self.pegs.get(&claim.key) {
-            // The same request at its next backend: the one before is known not to have run.
-            Some(peg) if same(peg.ticket) && ticket.turn >= peg.ticket.turn => {}
-            Some(peg) => {
-                let (ticket, holder) = (peg.ticket, peg.holder.clone());
-                return Vote::Taken { ticket, holder, holder_life: peg.holder_life };
-            }
-            None if self.pegs.len() >= MOST => return Vote::Full,
-            None => {}
+        let pegs = self.pegs.get(&claim.key).map_or(&[][..], Vec::as_slice);
+        // The same request at its next backend goes on: the one before is known not to have run.
+        let others = |p: &&Peg| !same(p.ticket, ticket) || ticket.turn < p.ticket.turn;
+        if let Some(peg) = pegs.iter().find(others) {
+            let (ticket, holder) = (peg.ticket, peg.holder.clone());
+            return Vote::Taken { ticket, holder, holder_life: peg.holder_life };
+        }
+        if pegs.is_empty() && self.pegs.len() >= MOST {
+            return Vote::Full;
         }
         self.put(now, claim);
         Vote::Granted
     }
 
-    /// Read from a disk, or told by another voter.
+    /// Read from a disk, or told by another voter: it stands beside what is there.
     pub fn put(&mut self, now: Micros, claim: &Claim) {
-        let peg = Peg {
-            ticket: claim.ticket.unwrap_or_default(),
-            holder: claim.holder.clone(),
-            holder_life: claim.holder_life,
-            since: now,
-        };
-        if self.pegs.insert(claim.key.clone(), peg).is_none() {
+        let ticket = claim.ticket.unwrap_or_default();
+        let peg = Peg { ticket, holder: claim.holder.clone(), holder_life: claim.holder_life, since: now };
+        let pegs = self.pegs.entry(claim.key.clone()).or_default();
+        if pegs.is_empty() {
             self.order.push_back((now, claim.key.clone()));
         }
+        match pegs.iter_mut().find(|p| same(p.ticket, ticket)) {
+            Some(old) if old.ticket.turn > ticket.turn => old.since = now,
+            Some(old) => *old = peg,
+            None => pegs.push(peg),
+        }
     }
 
     /// Its holder knows that it has not run and never will. True where it was there.
     pub fn withdraw(&mut self, key: &str, ticket: Ticket) -> bool {
-        let own = |p: &&Peg| {
-            (p.ticket.life, p.ticket.number) == (ticket.life, ticket.number) && p.ticket.turn <= ticket.turn
-        };
-        let here = self.pegs.get(key).filter(own).is_some();
-        if here {
+        let Some(pegs) = self.pegs.get_mut(key) else { return false };
+        let before = pegs.len();
+        pegs.retain(|p| !same(p.ticket, ticket) || p.ticket.turn > ticket.turn);
+        let gone = pegs.len() < before;
+        if pegs.is_empty() {
             self.pegs.remove(key);
         }
-        here
+        gone
     }
 
     /// Forgets what is past its window.
@@ -87,10 +94,12 @@
                 break;
             }
             let Some((_, key)) = self.order.pop_front() else { break };
-            match self.pegs.get(&key) {
-                Some(peg) if now - peg.since <= self.window => self.order.push_back((peg.since, key)),
-                Some(_) => drop(self.pegs.remove(&key)),
-                None => {}
+            let Some(pegs) = self.pegs.get_mut(&key) else { continue };
+            let window = self.window;
+            pegs.retain(|p| now - p.since <= window);
+            match pegs.iter().map(|p| p.since).min() {
+                Some(since) => self.order.push_back((since, key)),
+                None => drop(self.pegs.remove(&key)),
             }
         }
     }
@@ -105,13 +114,46 @@
 
     /// All claims, for a snapshot or for a voter without its disk.
     pub fn all(&self) -> Vec<Claim> {
-        let claim = |(key, peg): (&String, &Peg)| Claim {
+        let claim = |key: &String, peg: &Peg| Claim {
             id: 0,
             key: key.clone(),
             ticket: Some(peg.ticket),
             holder: peg.holder.clone(),
             holder_life: peg.holder_life,
         };
-        self.pegs.iter().map(claim).collect()
+        self.pegs.iter().flat_map(|(key, pegs)| pegs.iter().map(move |p| claim(key, p))).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn claim(key: &str, life: u64, turn: u32) -> Claim {
+        let ticket = Some(Ticket { life, number: 1, turn });
+        Claim { key: key.into(), ticket, holder: format!("h-{life}"), holder_life: life, ..Claim::default() }
+    }
+
+    #[test]
+    fn two_tickets_told_by_others_both_stand_till_taken_back_or_past() {
+        let mut rack = Rack::open(Micros::ms(1_000));
+        rack.put(Micros::ms(1), &claim("k", 1, 0));
+        rack.put(Micros::ms(1), &claim("k", 2, 0));
+        assert!(rack.withdraw("k", claim("k", 1, 0).ticket.unwrap_or_default()));
+        assert!(matches!(rack.claim(Micros::ms(2), &claim("k", 3, 0)), Vote::Taken { holder_life: 2, .. }));
+        rack.wake(Micros::ms(900));
+        assert_eq!(rack.len(), 1);
+        rack.wake(Micros::ms(1_100));
+        assert_eq!(rack.claim(Micros::ms(1_100), &claim("k", 3, 0)), Vote::Granted);
+    }
+
+    #[test]
+    fn a_request_goes_on_to_its_next_backend_and_never_back() {
+        let mut rack = Rack::open(Micros::ms(1_000));
+        assert_eq!(rack.claim(Micros::ms(1), &claim("k", 1, 0)), Vote::Granted);
+        assert_eq!(rack.claim(Micros::ms(2), &claim("k", 1, 1)), Vote::Granted);
+        assert!(matches!(rack.claim(Micros::ms(3), &claim("k", 1, 0)), Vote::Taken { .. }));
+        assert!(!rack.withdraw("k", claim("k", 1, 0).ticket.unwrap_or_default()));
+        assert!(rack.withdraw("k", claim("k", 1, 1).ticket.unwrap_or_default()));
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,10 +1,12 @@
 //! The lab: fleets on sockets, load, faults, an auditor of the four rules, and reports.
 //!
 //! `core` knows no socket and no clock; `plan` reads experiments; `sockets` plays them on loopback against real
-//! agents, `seeded` in virtual time against the decision module; `plain` are agents with plain policies, as baselines; `report` tells what came of it.
+//! agents, `seeded` in virtual time against the decision module; `mesh` plays the
+//! whole mesh in virtual time; `plain` are agents with plain policies, as baselines; `report` tells what came of it.
 pub mod core;
 pub mod ground;
 pub mod http;
+pub mod mesh;
 pub mod plain;
 pub mod plan;
 pub mod report;
--- /dev/null
+++ b/crates/lab/src/mesh/player.rs
@@ -0,0 +1,674 @@
+//! Prompters and ushers in virtual time. Links carry messages in order after a delay, hold them while cut and end after silence; a disk has
+//! what was synced, and after a loss of power each later write or not.
+use std::collections::{BTreeMap, BTreeSet};
+
+use notchspool::units::Micros;
+use notchspool_callboard::beats::Event as Call;
+use notchspool_cloakroom::coats::Event as Turn;
+use notchspool_cloakroom::round::Verdict;
+use notchspool_cues::{Claim, Hello, Ping, Want, Watch, What, Withdraw};
+use notchspool_promptbook::script::Script;
+use notchspool_prompter::office::{Act, Office};
+use notchspool_trapdoor::{Deed, Found, Seat};
+use oorandom::Rand64;
+
+use super::usher::{BEAT, Usher};
+
+/// A link that hears nothing ends after this.
+const SILENCE: Micros = Micros::ms(2_200);
+const WINDOW: Micros = Micros::ms(62_000);
+/// How long a keyed operation runs.
+const RUN: Micros = Micros::ms(100);
+
+/// What is on a disk.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    found: Found,
+    claims: BTreeMap<(String, u64, u64), Claim>,
+}
+
+impl Store {
+    fn apply(&mut self, deed: &Deed) {
+        match deed {
+            Deed::Promise(ballot) => self.found.promised = self.found.promised.max(*ballot),
+            Deed::Word(_, entry) => {
+                if self.found.entry.as_ref().is_none_or(|old| (old.at, old.nth) < (entry.at, entry.nth)) {
+                    self.found.entry = Some(entry.clone());
+                }
+            }
+            Deed::Seat(seat) => self.found.seat = Some(seat.clone()),
+            Deed::Claim(claim) => {
+                let ticket = claim.ticket.unwrap_or_default();
+                self.claims.insert((claim.key.clone(), ticket.life, ticket.number), claim.clone());
+            }
+            Deed::Withdraw(key, ticket) => {
+                let at = (key.clone(), ticket.life, ticket.number);
+                if self.claims.get(&at).is_some_and(|c| c.ticket.unwrap_or_default().turn <= ticket.turn) {
+                    self.claims.remove(&at);
+                }
+            }
+        }
+    }
+    fn found(&self) -> Found {
+        Found { claims: self.claims.values().cloned().collect(), ..self.found.clone() }
+    }
+}
+
+struct Core {
+    address: String,
+    office: Option<Office>,
+    store: Store,
+    /// Handed to the disk and not yet synced: number, when it is done.
+    pending: Vec<(Micros, u64, Vec<Deed>)>,
+    sync: Micros,
+    /// The disk refuses.
+    full: bool,
+}
+
+/// One end of a link: core or usher, by place, and its number of the connection.
+type End = (bool, usize, u64);
+
+struct Link {
+    ends: [End; 2],
+    /// Messages on their way: when they arrive, to which end.
+    way: Vec<(Micros, usize, What)>,
+    heard: Micros,
+}
+
+/// What a put or read of an operator came to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    pub status: u16,
+    pub body: String,
+}
+
+pub struct Player {
+    pub now: Micros,
+    chance: Rand64,
+    cores: Vec<Core>,
+    pub ushers: Vec<Usher>,
+    links: Vec<Link>,
+    /// Pairs of names that are cut from each other; `*` stands for all.
+    pub cuts: BTreeSet<(String, String)>,
+    next: u64,
+    lives: u64,
+    dial_at: Micros,
+    pub replies: BTreeMap<u64, Reply>,
+    /// Versions acknowledged, bodies sent, runs of each key: what the checker goes by.
+    puts: BTreeMap<u64, (usize, u64)>,
+    pub acked: BTreeSet<u64>,
+    sent: BTreeMap<u64, BTreeSet<String>>,
+    told: BTreeMap<u64, String>,
+    pub ran: BTreeMap<String, Vec<Micros>>,
+    pub wrong: Vec<String>,
+    /// Without this a wiped core forgets that it was one: what the checker has to notice.
+    pub careful: bool,
+}
+
+pub fn body(version: u64, note: &str) -> String {
+    format!(r#"{{"version":{version},"routes":{{}},"services":{{}},"note":"{note}"}}"#)
+}
+
+impl Player {
+    pub fn new(cores: usize, ushers: usize, seed: u64) -> Player {
+        let address = |at: usize| format!("10.0.0.{}:1", at + 1);
+        let mut player = Player {
+            now: Micros(1),
+            chance: Rand64::new(u128::from(seed)),
+            cores: Vec::new(),
+            ushers: Vec::new(),
+            links: Vec::new(),
+            cuts: BTreeSet::new(),
+            next: 0,
+            lives: 0,
+            dial_at: Micros(0),
+            replies: BTreeMap::new(),
+            puts: BTreeMap::new(),
+            acked: BTreeSet::new(),
+            sent: BTreeMap::new(),
+            told: BTreeMap::new(),
+            ran: BTreeMap::new(),
+            wrong: Vec::new(),
+            careful: true,
+        };
+        let seeds: Vec<String> = (0..cores).map(address).collect();
+        for at in 0..cores {
+            let core = Core {
+                address: address(at),
+                office: None,
+                store: Store::default(),
+                pending: Vec::new(),
+                sync: Micros::ms(1),
+                full: false,
+            };
+            player.cores.push(core);
+            player.open(at, true, &seeds);
+        }
+        for at in 0..ushers {
+            player.lives += 1;
+            let name = format!("usher-{}", (b'a' + at as u8) as char);
+            player.ushers.push(Usher::new(&name, address(100 + at), player.lives, player.now));
+        }
+        player
+    }
+
+    fn open(&mut self, at: usize, first: bool, seeds: &[String]) {
+        self.lives += 1;
+        let core = &self.cores[at];
+        let (own, found) = (core.address.clone(), core.store.found());
+        let (office, acts) =
+            Office::open((&own, "a"), self.lives * 7919, found, first, seeds, WINDOW, self.now);
+        self.cores[at].office = Some(office);
+        self.act(at, acts);
+    }
+
+    pub fn core_name(at: usize) -> String {
+        format!("core-{}", at + 1)
+    }
+
+    fn name(&self, end: &End) -> String {
+        if end.0 { Player::core_name(end.1) } else { self.ushers[end.1].name.clone() }
+    }
+
+    fn cut(&self, a: &str, b: &str) -> bool {
+        self.cuts.iter().any(|(x, y)| {
+            let is = |p: &str, n: &str| p == "*" || p == n;
+            (is(x, a) && is(y, b)) || (is(x, b) && is(y, a))
+        })
+    }
+
+    fn up(&self, end: &End) -> bool {
+        if end.0 { self.cores[end.1].office.is_some() } else { self.ushers[end.1].up }
+    }
+
+    // ---- What agents do ---------------------------------------------------------------------------------
+
+    fn act(&mut self, at: usize, acts: Vec<Act>) {
+        for act in acts {
+            match act {
+                Act::Send(conn, what) => self.send((true, at, conn), what),
+                Act::Save(number, deeds) => {
+                    let core = &mut self.cores[at];
+                    let after = core.pending.last().map_or(self.now, |p| p.0).max(self.now);
+                    core.pending.push((after + core.sync, number, deeds));
+                }
+                Act::Reply(id, status, body) => {
+                    if let Some((_, version)) = self.puts.remove(&id).filter(|_| status == 200) {
+                        self.acked.insert(version);
+                    }
+                    self.replies.insert(id, Reply { status, body });
+                }
+                Act::Voters(_) | Act::Log(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: End, what: What) {
+        let delay = Micros(200 + (self.chance.rand_float() * 2_000.0) as i64);
+        let now = self.now;
+        if let Some(link) = self.links.iter_mut().find(|l| l.ends.contains(&from)) {
+            let to = usize::from(link.ends[0] == from);
+            let last = link.way.iter().filter(|w| w.1 == to).map(|w| w.0).max().unwrap_or(now);
+            link.way.push((last.max(now + delay), to, what));
+        }
+    }
+
+    /// Sends to all prompters that an usher is connected with.
+    fn tell(&mut self, usher: usize, what: What) {
+        let ends: Vec<End> =
+            self.links.iter().flat_map(|l| l.ends).filter(|e| !e.0 && e.1 == usher).collect();
+        ends.into_iter().for_each(|end| self.send(end, what.clone()));
+    }
+
+    fn deliver(&mut self, to: End, from: End, what: What) {
+        if to.0 {
+            let now = self.now;
+            if let Some(office) = self.cores[to.1].office.as_mut() {
+                let acts = office.hear(now, to.2, what);
+                self.act(to.1, acts);
+            }
+            return;
+        }
+        let (at, now) = (to.1, self.now);
+        match what {
+            What::Welcome(welcome) => {
+                if let Some(station) = self.ushers[at].station() {
+                    self.send(to, What::Station(station));
+                }
+                if welcome.chosen > self.ushers[at].version {
+                    self.send(to, What::Want(Want { version: welcome.chosen }));
+                }
+            }
+            What::Holding(holding) if holding.chosen > self.ushers[at].version => {
+                self.send(to, What::Want(Want { version: holding.chosen }));
+            }
+            What::Word(word) => self.word(at, word.version, &String::from_utf8_lossy(&word.body)),
+            What::Bill(bill) if self.ushers[at].followed == Some(from.1) => {
+                let usher = &mut self.ushers[at];
+                let (before, version) = (usher.playbill.version(), bill.version);
+                usher.line = bill.line;
+                if let Some(changes) = usher.playbill.take(bill) {
+                    usher.company.listed(now, version, &changes);
+                }
+                if usher.playbill.version() < before {
+                    self.wrong.push(format!("{now:?}: the list of an usher went back from {before}"));
+                }
+            }
+            What::Claimed(claimed) => {
+                if let Some(hand) = self.ushers[at].hands.get_mut(&claimed.id) {
+                    hand.round.hear(claimed);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn word(&mut self, at: usize, version: u64, body: &str) {
+        let usher = &mut self.ushers[at];
+        if version <= usher.version {
+            return;
+        }
+        (usher.version, usher.body) = (version, body.to_string());
+        if !self.sent.get(&version).is_some_and(|all| all.contains(body)) {
+            self.wrong
+                .push(format!("{:?}: version {version} is told with a body that nobody sent", self.now));
+        }
+        let first = self.told.entry(version).or_insert_with(|| body.to_string());
+        if first != body {
+            self.wrong.push(format!("{:?}: two bodies under version {version}", self.now));
+        }
+    }
+
+    fn ran(&mut self, key: &str) -> u64 {
+        let now = self.now;
+        let runs = self.ran.entry(key.to_string()).or_default();
+        if runs.last().is_some_and(|last| now - *last < Micros::ms(60_000)) {
+            self.wrong.push(format!("{now:?}: {key} runs again"));
+        }
+        runs.push(now);
+        runs.len() as u64
+    }
+
+    fn verdict(&mut self, at: usize, key: &str, ticket: notchspool_cues::Ticket, verdict: Verdict) {
+        let now = self.now;
+        if verdict == Verdict::Ours {
+            self.ushers[at].coats.turn(now, key, Turn::Granted);
+            self.ran(key);
+            self.ushers[at].runs.push((now + RUN, key.to_string()));
+            return;
+        }
+        self.ushers[at].coats.turn(now, key, Turn::NotRun);
+        self.tell(at, What::Withdraw(Withdraw { key: key.to_string(), ticket: Some(ticket) }));
+        let answer = match verdict {
+            Verdict::Theirs { holder, holder_life, .. } => {
+                let holder = self.ushers.iter().find(|u| u.address == holder && u.up);
+                match holder.filter(|u| u.life == holder_life && !self.cut(&u.name, &self.ushers[at].name)) {
+                    Some(holder) => holder.coats.get(key).map_or("503".into(), |coat| holder.coat(coat)),
+                    None => "502".into(),
+                }
+            }
+            _ => "503".into(),
+        };
+        self.ushers[at].answers.insert(key.to_string(), answer);
+    }
+
+    // ---- What is done to them ---------------------------------------------------------------------------
+
+    /// An operator's put at a core; the number of its reply.
+    pub fn put(&mut self, core: usize, version: u64, note: &str) -> u64 {
+        self.next += 1;
+        let (id, body, now) = (self.next, body(version, note), self.now);
+        assert!(Script::check(body.as_bytes()).is_ok());
+        self.sent.entry(version).or_default().insert(body.clone());
+        if let Some(office) = self.cores[core].office.as_mut() {
+            self.puts.insert(id, (core, version));
+            let acts = office.put(now, id, body.as_bytes());
+            self.act(core, acts);
+        }
+        id
+    }
+
+    pub fn read(&mut self, core: usize) -> u64 {
+        self.next += 1;
+        let (id, now) = (self.next, self.now);
+        if let Some(office) = self.cores[core].office.as_mut() {
+            let acts = office.read(now, id);
+            self.act(core, acts);
+        }
+        id
+    }
+
+    /// Cuts a core from another agent, `*` for all.
+    pub fn cut_off(&mut self, core: usize, other: &str) {
+        self.cuts.insert((Player::core_name(core), other.to_string()));
+    }
+
+    /// Cuts an usher from another agent, `*` for all.
+    pub fn cut_usher(&mut self, usher: usize, other: &str) {
+        self.cuts.insert((self.ushers[usher].name.clone(), other.to_string()));
+    }
+
+    pub fn core_up(&self, at: usize) -> bool {
+        self.cores[at].office.is_some()
+    }
+
+    pub fn votes(&self, at: usize) -> bool {
+        self.cores[at].office.as_ref().is_some_and(Office::votes)
+    }
+
+    pub fn set_disk(&mut self, core: usize, full: bool, sync: Micros) {
+        (self.cores[core].full, self.cores[core].sync) = (full, sync);
+    }
+
+    /// Its process ends; with `power` what was not synced is there or not, each by chance.
+    pub fn kill_core(&mut self, at: usize, power: bool) {
+        let pending = std::mem::take(&mut self.cores[at].pending);
+        let mut kept = true;
+        for (_, _, deeds) in pending {
+            for deed in deeds {
+                kept &= !power || self.chance.rand_float() < 0.5;
+                if kept && !self.cores[at].full {
+                    self.cores[at].store.apply(&deed);
+                }
+            }
+        }
+        self.cores[at].office = None;
+        self.close((true, at));
+    }
+
+    pub fn wipe(&mut self, at: usize) {
+        self.kill_core(at, true);
+        let seat = self.cores[at].store.found.seat.clone();
+        self.cores[at].store = Store::default();
+        if !self.careful {
+            let lives = BTreeMap::new();
+            self.cores[at].store.found.seat = seat.map(|s| Seat { lives, ..s });
+        }
+    }
+
+    pub fn start_core(&mut self, at: usize) {
+        if self.cores[at].office.is_none() {
+            let seeds: Vec<String> = self.cores.iter().map(|c| c.address.clone()).collect();
+            self.open(at, false, &seeds);
+        }
+    }
+
+    pub fn kill_usher(&mut self, at: usize) {
+        self.ushers[at].up = false;
+        self.close((false, at));
+    }
+
+    pub fn start_usher(&mut self, at: usize) {
+        if !self.ushers[at].up {
+            self.lives += 1;
+            let old = &self.ushers[at];
+            let mut new = Usher::new(&old.name, old.address.clone(), self.lives, self.now);
+            new.backend.clone_from(&old.backend);
+            self.ushers[at] = new;
+        }
+    }
+
+    fn close(&mut self, (core, at): (bool, usize)) {
+        let mut closed = Vec::new();
+        self.links.retain(|link| {
+            let ends = link.ends.iter().any(|e| (e.0, e.1) == (core, at));
+            if ends {
+                closed.extend(link.ends);
+            }
+            !ends
+        });
+        for pair in closed.chunks(2) {
+            self.unlinked([pair[0], pair[1]]);
+        }
+    }
+
+    /// A link has ended; who followed the board at its end follows it no more.
+    fn unlinked(&mut self, ends: [End; 2]) {
+        if !ends[0].0 && self.ushers[ends[0].1].followed == Some(ends[1].1) {
+            let usher = &mut self.ushers[ends[0].1];
+            usher.followed = None;
+            // Resumed elsewhere after a jittered backoff.
+            usher.follow_at = self.now + Micros((self.chance.rand_float() * 100_000.0) as i64);
+        }
+        ends.into_iter().for_each(|end| self.closed(end));
+    }
+
+    fn closed(&mut self, end: End) {
+        if end.0 {
+            self.cores[end.1].office.iter_mut().for_each(|o| o.closed(end.2));
+        }
+    }
+
+    pub fn claim(&mut self, usher: usize, key: &str) {
+        let (now, voters) = (self.now, self.cores.len());
+        if self.ushers[usher].up
+            && let Some(what) = self.ushers[usher].claim(now, key, voters)
+        {
+            self.tell(usher, what);
+        }
+    }
+
+    /// What the backend of an usher says next: it beats from now on, drains, leaves or falls silent.
+    pub fn backend(&mut self, usher: usize, instance: &str, state: &str) {
+        let now = self.now;
+        let u = &mut self.ushers[usher];
+        let calls = u.backend.as_ref().filter(|b| b.0 == instance).map_or(0, |b| b.2);
+        let what = match state {
+            "leave" => {
+                u.backend = None;
+                u.event(now, Call::Leave(instance.into()))
+            }
+            "silent" => {
+                u.backend = None;
+                None
+            }
+            _ => {
+                u.backend = Some((instance.into(), state == "drain", calls));
+                u.beat_at = now + BEAT;
+                u.beat(now)
+            }
+        };
+        what.into_iter().for_each(|what| self.tell(usher, what));
+    }
+
+    // ---- Time -------------------------------------------------------------------------------------------
+
+    fn dial(&mut self) {
+        let mut wanted: Vec<(End, usize)> = Vec::new();
+        for to in 0..self.cores.len() {
+            wanted.extend((0..self.cores.len()).filter(|from| *from != to).map(|from| ((true, from, 0), to)));
+            wanted.extend((0..self.ushers.len()).map(|from| ((false, from, 0), to)));
+        }
+        for (from, to) in wanted {
+            let linked = self.links.iter().any(|l| {
+                (l.ends[0].0, l.ends[0].1) == (from.0, from.1) && (l.ends[1].0, l.ends[1].1) == (true, to)
+            });
+            let (a, b) = (self.name(&from), Player::core_name(to));
+            if linked || !self.up(&from) || !self.up(&(true, to, 0)) || self.cut(&a, &b) {
+                continue;
+            }
+            self.next += 2;
+            let ends = [(from.0, from.1, self.next), (true, to, self.next + 1)];
+            self.links.push(Link { ends, way: Vec::new(), heard: self.now });
+            let (role, address) = match from.0 {
+                true => (2, self.cores[from.1].address.clone()),
+                false => (1, self.ushers[from.1].address.clone()),
+            };
+            self.send(ends[0], What::Hello(Hello { role, address, ..Hello::default() }));
+            if from.0 {
+                let (now, address) = (self.now, self.cores[to].address.clone());
+                if let Some(office) = self.cores[from.1].office.as_mut() {
+                    let acts = office.peer(now, ends[0].2, &address);
+                    self.act(from.1, acts);
+                }
+            }
+        }
+    }
+
+    fn follow(&mut self, at: usize) {
+        let linked: Vec<End> =
+            self.links.iter().filter(|l| !l.ends[0].0 && l.ends[0].1 == at).map(|l| l.ends[1]).collect();
+        let usher = &mut self.ushers[at];
+        if usher.followed.is_some() || linked.is_empty() {
+            return;
+        }
+        if self.now >= usher.follow_at {
+            let pick = linked[(self.chance.rand_float() * linked.len() as f64) as usize % linked.len()];
+            usher.followed = Some(pick.1);
+            let watch = Watch { have: usher.playbill.version(), line: usher.line };
+            let end = self.links.iter().find(|l| l.ends[1] == pick).map(|l| l.ends[0]);
+            end.into_iter().for_each(|end| self.send(end, What::Watch(watch)));
+        }
+    }
+
+    fn links(&mut self) {
+        let now = self.now;
+        for n in 0..self.links.len() {
+            let ends = self.links[n].ends;
+            let cut = self.cut(&self.name(&ends[0]), &self.name(&ends[1]));
+            if !cut {
+                self.links[n].heard = now;
+            }
+        }
+        let mut closed = Vec::new();
+        self.links.retain(|l| {
+            let lost = now - l.heard >= SILENCE;
+            if lost {
+                closed.extend(l.ends);
+            }
+            !lost
+        });
+        for pair in closed.chunks(2) {
+            self.unlinked([pair[0], pair[1]]);
+        }
+        // Messages that are due, in the order in which they arrive.
+        let mut due = Vec::new();
+        for n in 0..self.links.len() {
+            let ends = self.links[n].ends;
+            if self.cut(&self.name(&ends[0]), &self.name(&ends[1])) {
+                continue;
+            }
+            let link = &mut self.links[n];
+            let (now_due, later): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut link.way).into_iter().partition(|w| w.0 <= now);
+            link.way = later;
+            due.extend(now_due.into_iter().map(|(at, to, what)| (at, ends[to], ends[1 - to], what)));
+        }
+        due.sort_by_key(|d| d.0);
+        due.into_iter().for_each(|(_, to, from, what)| self.deliver(to, from, what));
+    }
+
+    /// Plays on till then, in steps of a millisecond.
+    pub fn play(&mut self, until: Micros) {
+        while self.now < until {
+            self.now = self.now + Micros::ms(1);
+            let now = self.now;
+            self.links();
+            for at in 0..self.cores.len() {
+                let (done, later): (Vec<_>, Vec<_>) =
+                    std::mem::take(&mut self.cores[at].pending).into_iter().partition(|p| p.0 <= now);
+                self.cores[at].pending = later;
+                for (_, number, deeds) in done {
+                    let full = self.cores[at].full;
+                    if !full {
+                        deeds.iter().for_each(|d| self.cores[at].store.apply(d));
+                    }
+                    if let Some(office) = self.cores[at].office.as_mut().filter(|_| number > 0) {
+                        let acts = office.saved(now, number, !full);
+                        self.act(at, acts);
+                    }
+                }
+            }
+            if (now.0 / 1_000) % 50 == 0 {
+                for at in 0..self.cores.len() {
+                    if let Some(office) = self.cores[at].office.as_mut() {
+                        let acts = office.wake(now);
+                        self.act(at, acts);
+                    }
+                }
+            }
+            if now >= self.dial_at {
+                self.dial_at = now + Micros::ms(100);
+                self.dial();
+            }
+            for at in 0..self.ushers.len() {
+                self.usher(at);
+            }
+        }
+    }
+
+    fn usher(&mut self, at: usize) {
+        let now = self.now;
+        if !self.ushers[at].up {
+            return;
+        }
+        let mut told = Vec::new();
+        if now >= self.ushers[at].beat_at {
+            self.ushers[at].beat_at = now + BEAT;
+            told.extend(self.ushers[at].beat(now));
+        }
+        if (now.0 / 1_000) % 100 == 0 {
+            let usher = &mut self.ushers[at];
+            told.extend(usher.event(now, Call::Time));
+            drop(usher.company.wake(now));
+            usher.coats.wake(now);
+            self.follow(at);
+        }
+        if (now.0 / 1_000) % 500 == 0 {
+            told.push(What::Ping(Ping { number: 1 }));
+        }
+        told.into_iter().for_each(|what| self.tell(at, what));
+        for (hand, verdict) in self.ushers[at].verdicts(now) {
+            self.verdict(at, &hand.key, hand.ticket, verdict);
+        }
+        let usher = &mut self.ushers[at];
+        let (done, on): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut usher.runs).into_iter().partition(|r| r.0 <= now);
+        usher.runs = on;
+        for (_, key) in done {
+            let nth = self.ran.get(&key).map_or(0, Vec::len) as u64;
+            let usher = &mut self.ushers[at];
+            usher.coats.turn(now, &key, Turn::Answer(nth, 100));
+            usher.answers.insert(key, format!("run-{nth}"));
+        }
+    }
+
+    /// All are joined and started; what was acknowledged has to be found, and one word has to hold everywhere.
+    pub fn settle(&mut self) {
+        self.cuts.clear();
+        for at in 0..self.cores.len() {
+            self.set_disk(at, false, Micros::ms(1));
+            self.start_core(at);
+        }
+        (0..self.ushers.len()).for_each(|at| self.start_usher(at));
+        let until = self.now + Micros::ms(8_000);
+        self.play(until);
+        let newest = self.acked.last().copied().unwrap_or(0);
+        for at in 0..self.cores.len() {
+            let id = self.read(at);
+            let until = self.now + Micros::ms(1_000);
+            self.play(until);
+            let reply = self.replies.get(&id).cloned();
+            let version = reply
+                .as_ref()
+                .filter(|r| r.status == 200)
+                .and_then(|r| Script::check(r.body.as_bytes()).ok());
+            match version {
+                Some(script) if script.version >= newest => {}
+                None if newest == 0 && self.sent.is_empty() => {}
+                found => {
+                    let found = found.map(|s| s.version);
+                    self.wrong.push(format!(
+                        "core-{} reads {found:?}, {newest} was acknowledged: {reply:?}",
+                        at + 1
+                    ));
+                }
+            }
+        }
+        let held: BTreeSet<(u64, String)> = self.ushers.iter().map(|u| (u.version, u.body.clone())).collect();
+        if held.len() > 1 {
+            let versions: Vec<u64> = held.iter().map(|h| h.0).collect();
+            self.wrong.push(format!("ushers hold different words: {versions:?}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/mesh/timeline.rs
@@ -0,0 +1,141 @@
+//! Timelines drawn as text, one column an agent. The first line names the columns; each further line is a time in seconds and a cell a column, cells
+//! apart by two spaces or more, `.` for nothing. A cell does something to its agent, or says what has to be seen there then.
+use notchspool::units::Micros;
+
+use super::player::Player;
+
+/// A timeline as it was read.
+pub struct Timeline {
+    columns: Vec<String>,
+    rows: Vec<(Micros, Vec<String>)>,
+}
+
+impl Timeline {
+    /// Reads it; what can't be read names its line.
+    pub fn read(text: &str) -> Result<Timeline, String> {
+        let mut lines = text
+            .lines()
+            .enumerate()
+            .filter(|(_, l)| !l.trim().is_empty() && !l.trim_start().starts_with('#'));
+        let cells = |line: &str| -> Vec<String> {
+            line.split("  ").map(str::trim).filter(|c| !c.is_empty()).map(str::to_string).collect()
+        };
+        let (_, head) = lines.next().ok_or("line 1: there are no columns")?;
+        let mut columns = cells(head);
+        if columns.is_empty() || columns.remove(0) != "time" {
+            return Err("line 1: the first column is `time`".into());
+        }
+        let mut rows = Vec::new();
+        for (at, line) in lines {
+            let mut row = cells(line);
+            if row.len() != columns.len() + 1 {
+                return Err(format!("line {}: {} cells, {} columns", at + 1, row.len(), columns.len() + 1));
+            }
+            let time: f64 = row.remove(0).parse().map_err(|e| format!("line {}: no time: {e}", at + 1))?;
+            rows.push((Micros((time * 1e6) as i64 + 1), row));
+        }
+        Ok(Timeline { columns, rows })
+    }
+}
+
+/// Plays a timeline, heals all, and gives what was not as it has to be.
+pub fn play(timeline: &Timeline, seed: u64, careful: bool) -> Vec<String> {
+    let ushers = timeline.columns.iter().filter(|c| c.starts_with("usher-")).count();
+    let cores = timeline.columns.iter().filter(|c| c.starts_with("core-")).count();
+    let mut player = Player::new(cores, ushers, seed);
+    player.careful = careful;
+    let mut replies = std::collections::BTreeMap::new();
+    let start = Micros::ms(3_000);
+    for (time, row) in &timeline.rows {
+        player.play(start + *time);
+        for (column, cell) in timeline.columns.iter().zip(row) {
+            for command in cell.split(';').map(str::trim).filter(|c| *c != ".") {
+                let words: Vec<&str> = command.split_whitespace().collect();
+                let wrong = match column.strip_prefix("core-").and_then(|n| n.parse::<usize>().ok()) {
+                    Some(n) => core(&mut player, n - 1, &words, &mut replies),
+                    None => usher(&mut player, column, &words),
+                };
+                if let Err(why) = wrong {
+                    let at = time.over(Micros::ms(1_000));
+                    player.wrong.push(format!("{at:.1} {column} `{command}`: {why}"));
+                }
+            }
+        }
+    }
+    player.settle();
+    player.wrong
+}
+
+type Replies = std::collections::BTreeMap<(usize, u64), u64>;
+
+fn core(player: &mut Player, at: usize, words: &[&str], replies: &mut Replies) -> Result<(), String> {
+    let version = |word: &str| word.parse::<u64>().map_err(|e| format!("no version: {e}"));
+    match words {
+        ["kill"] => player.kill_core(at, false),
+        ["power"] => player.kill_core(at, true),
+        ["wipe"] => player.wipe(at),
+        ["start"] => player.start_core(at),
+        ["cut"] => player.cut_off(at, "*"),
+        ["cut", other] => player.cut_off(at, other),
+        ["join"] => player.cuts.retain(|(a, _)| *a != Player::core_name(at)),
+        ["full"] => player.set_disk(at, true, Micros::ms(1)),
+        ["slow"] => player.set_disk(at, false, Micros::ms(3_000)),
+        ["room"] => player.set_disk(at, false, Micros::ms(1)),
+        ["put", v, note] => {
+            let id = player.put(at, version(v)?, note);
+            replies.insert((at, version(v)?), id);
+        }
+        ["acked", v] => {
+            let status =
+                replies.get(&(at, version(v)?)).and_then(|id| player.replies.get(id)).map(|r| r.status);
+            if status != Some(200) {
+                return Err(format!("answered {status:?}"));
+            }
+        }
+        ["not", "acked", v] => {
+            let status =
+                replies.get(&(at, version(v)?)).and_then(|id| player.replies.get(id)).map(|r| r.status);
+            if status == Some(200) {
+                return Err("was acknowledged".into());
+            }
+        }
+        ["votes"] if !player.votes(at) => return Err("it does not vote".into()),
+        ["votes"] => {}
+        ["not", "votes"] if player.votes(at) => return Err("it votes".into()),
+        ["not", "votes"] => {}
+        _ => return Err("is no command".into()),
+    }
+    Ok(())
+}
+
+fn usher(player: &mut Player, name: &str, words: &[&str]) -> Result<(), String> {
+    let at = player.ushers.iter().position(|u| u.name == name).ok_or("there is no such usher")?;
+    let now = player.now;
+    let is = |found: &str, wanted: &str| {
+        if found == wanted { Ok(()) } else { Err(format!("found {found}")) }
+    };
+    match words {
+        ["kill"] => player.kill_usher(at),
+        ["start"] => player.start_usher(at),
+        ["cut"] => player.cut_usher(at, "*"),
+        ["cut", other] => player.cut_usher(at, other),
+        ["join"] => player.cuts.retain(|(a, _)| a != name),
+        ["beat", instance] => player.backend(at, instance, "beat"),
+        ["drain", instance] => player.backend(at, instance, "drain"),
+        ["leave", instance] => player.backend(at, instance, "leave"),
+        ["silent", instance] => player.backend(at, instance, "silent"),
+        ["claim", key] => player.claim(at, key),
+        ["answer", key, wanted] => {
+            let found = player.ushers[at].answers.get(*key).cloned().unwrap_or_default();
+            return is(&found, wanted);
+        }
+        ["sees", instance, wanted] => return is(player.ushers[at].sees(instance), wanted),
+        ["holds", wanted] => return is(&player.ushers[at].version.to_string(), wanted),
+        ["draws", wanted] => {
+            let found = player.ushers[at].draws(now).join(",");
+            return is(&found, wanted);
+        }
+        _ => return Err("is no command".into()),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/mesh/usher.rs
@@ -0,0 +1,193 @@
+//! An usher's decisions without its sockets: beats, list, companies, claims and coats.
+use std::collections::BTreeMap;
+
+use notchspool::units::Micros;
+use notchspool_callboard::beats::{Beat, Beats, Event};
+use notchspool_callboard::playbill::Playbill;
+use notchspool_cloakroom::coats::{Coat, Coats};
+use notchspool_cloakroom::round::{Round, Verdict};
+use notchspool_cues::{Claim, State, Station, Ticket, What};
+use notchspool_stage::company::{Company, Order};
+use notchspool_stage::purse::Purse;
+
+/// A claim that is waited for.
+pub struct Hand {
+    pub key: String,
+    pub ticket: Ticket,
+    pub round: Round,
+    pub until: Micros,
+}
+
+pub struct Usher {
+    pub name: String,
+    pub address: String,
+    pub up: bool,
+    pub life: u64,
+    pub version: u64,
+    pub body: String,
+    pub beats: Beats,
+    /// The backend goes on beating: id, draining, count of calls.
+    pub backend: Option<(String, bool, u64)>,
+    pub beat_at: Micros,
+    pub playbill: Playbill,
+    pub company: Company,
+    pub coats: Coats<u64>,
+    pub hands: BTreeMap<u64, Hand>,
+    pub followed: Option<usize>,
+    pub line: u64,
+    pub follow_at: Micros,
+    /// Claims that run: when they are done.
+    pub runs: Vec<(Micros, String)>,
+    /// What the last request for a key was answered.
+    pub answers: BTreeMap<String, String>,
+    next: u64,
+}
+
+pub const BEAT: Micros = Micros::ms(1_500);
+const WINDOW: Micros = Micros::ms(62_000);
+
+impl Usher {
+    pub fn new(name: &str, address: String, life: u64, now: Micros) -> Usher {
+        let purse = Purse::open(0.2, 60.0, Micros::ms(10_000), 8, now);
+        Usher {
+            name: name.into(),
+            address,
+            up: true,
+            life,
+            version: 0,
+            body: String::new(),
+            beats: Beats::open(BEAT, now),
+            backend: None,
+            beat_at: now,
+            playbill: Playbill::default(),
+            company: Company::open("a", Micros::ms(2_000), life, purse, now),
+            coats: Coats::open(WINDOW, 1 << 20),
+            hands: BTreeMap::new(),
+            followed: None,
+            line: 0,
+            follow_at: now,
+            runs: Vec::new(),
+            answers: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Its backend calls, and the prompters are told where that changes something.
+    pub fn event(&mut self, now: Micros, event: Event) -> Option<What> {
+        self.beats.turn(now, event).then(|| self.station()).flatten().map(What::Station)
+    }
+
+    pub fn beat(&mut self, now: Micros) -> Option<What> {
+        let (instance, draining, calls) = self.backend.as_mut()?;
+        *calls += 1;
+        let beat = Beat {
+            instance: instance.clone(),
+            service: "s".into(),
+            address: format!("{}:1", self.address),
+            zone: "a".into(),
+            slots: 6,
+            draining: *draining,
+            cold: Micros(0),
+            calls: *calls,
+        };
+        self.event(now, Event::Beat(beat))
+    }
+
+    pub fn station(&self) -> Option<Station> {
+        let own = self.beats.own.as_ref()?;
+        Some(Station {
+            instance: own.beat.instance.clone(),
+            service: own.beat.service.clone(),
+            usher: self.address.clone(),
+            life: self.life,
+            zone: own.beat.zone.clone(),
+            slots: own.beat.slots,
+            state: own.state.into(),
+            address: own.beat.address.clone(),
+            calls: own.beat.calls,
+            ..Station::default()
+        })
+    }
+
+    /// How an instance stands on its list.
+    pub fn sees(&self, instance: &str) -> &'static str {
+        match self.playbill.get(instance).map(Station::state) {
+            None | Some(State::Unknown) => "none",
+            Some(State::Ready) => "ready",
+            Some(State::Draining) => "draining",
+            Some(State::Left) => "left",
+            Some(State::Missed) => "missed",
+            Some(State::Away) => "away",
+        }
+    }
+
+    /// The instances that a hundred draws come upon.
+    pub fn draws(&mut self, now: Micros) -> Vec<String> {
+        use notchspool_promptbook::script::{Route, RouteKind};
+        let route = Route {
+            name: "r".into(),
+            host: "h".into(),
+            prefix: "/".into(),
+            kind: RouteKind::Safe,
+            timeout: Micros::ms(1_000),
+            target: Micros::ms(200),
+            priority: 1,
+            attempts: 2,
+            split: vec![("s".into(), 1.0)],
+        };
+        let mut found = std::collections::BTreeSet::new();
+        for _ in 0..100 {
+            self.next += 1;
+            let txn = notchspool::units::TxnRef(self.next);
+            let orders = self.company.take(now, txn, &route, now + Micros::ms(1_000));
+            if let Some(Order::Post(_, to)) = orders.iter().find(|o| matches!(o, Order::Post(..))) {
+                found.insert(self.company.station(*to).map_or(String::new(), |s| s.instance.clone()));
+                let fate = notchspool::units::Fate::Settled;
+                self.company.returned(now, txn, 0, fate, Micros::ms(20), true);
+            }
+        }
+        found.into_iter().collect()
+    }
+
+    /// Claims a key; none where it is known here.
+    pub fn claim(&mut self, now: Micros, key: &str, voters: usize) -> Option<What> {
+        if let Some(coat) = self.coats.get(key) {
+            let answer = self.coat(coat);
+            self.answers.insert(key.into(), answer);
+            return None;
+        }
+        self.next += 1;
+        let ticket = Ticket { life: self.life, number: self.next, turn: 0 };
+        self.coats.turn(now, key, notchspool_cloakroom::coats::Event::Claim);
+        let hand =
+            Hand { key: key.into(), ticket, round: Round::begin(voters), until: now + Micros::ms(400) };
+        self.hands.insert(self.next, hand);
+        self.answers.insert(key.into(), "open".into());
+        Some(What::Claim(Claim {
+            id: self.next,
+            key: key.into(),
+            ticket: Some(ticket),
+            holder: self.address.clone(),
+            holder_life: self.life,
+        }))
+    }
+
+    pub fn coat(&self, coat: &Coat<u64>) -> String {
+        match coat {
+            Coat::Claiming | Coat::Working => "409".into(),
+            Coat::Kept(run) => format!("run-{run}"),
+            Coat::Lost => "502".into(),
+        }
+    }
+
+    /// Claims that have a verdict by now.
+    pub fn verdicts(&mut self, now: Micros) -> Vec<(Hand, Verdict)> {
+        let due: Vec<(u64, Verdict)> = self
+            .hands
+            .iter()
+            .map(|(id, hand)| (*id, hand.round.verdict(now >= hand.until)))
+            .filter(|(_, verdict)| *verdict != Verdict::Open)
+            .collect();
+        due.into_iter().filter_map(|(id, verdict)| Some((self.hands.remove(&id)?, verdict))).collect()
+    }
+}
--- a/crates/prompter/src/office.rs
+++ b/crates/prompter/src/office.rs
@@ -94,7 +94,8 @@
     unsure: Option<Micros>,
     sure: bool,
     guests: BTreeMap<Conn, Guest>,
-    /// Connections that this prompter opened to other voters, by place.
+    /// Connections that this prompter opened, and where to; among them those to other voters, by place.
+    dialed: BTreeMap<Conn, String>,
     peers: BTreeMap<usize, (Conn, Micros)>,
     pending: BTreeMap<u64, Pending>,
     next: u64,
@@ -160,6 +161,7 @@
             unsure: None,
             sure: false,
             guests: BTreeMap::new(),
+            dialed: BTreeMap::new(),
             peers: BTreeMap::new(),
             pending: BTreeMap::new(),
             next: 1,
@@ -218,7 +220,7 @@
     }
 
     /// Who votes, told by another: this one has lost its disk, or never voted.
-    fn learn(&mut self, voters: Vec<String>, acts: &mut Vec<Act>) {
+    fn learn(&mut self, now: Micros, voters: Vec<String>, acts: &mut Vec<Act>) {
         if !matches!(self.place, Place::Unknown) || voters.is_empty() || voters.len() > 9 {
             return;
         }
@@ -226,6 +228,9 @@
         if let Some(own) = self.own_place() {
             self.place = Place::Asking(Readmission::begin(own, self.terms), BTreeMap::new());
         }
+        // Connections that stand by now were opened before it was known who votes.
+        let conns: Vec<Conn> = self.dialed.keys().copied().collect();
+        conns.into_iter().for_each(|conn| self.meet(now, conn, acts));
     }
 
     pub fn voters(&self) -> &[String] {
@@ -284,19 +289,27 @@
     /// Another voter, connected from here; `hello` has been sent.
     pub fn peer(&mut self, now: Micros, conn: Conn, address: &str) -> Vec<Act> {
         let mut acts = Vec::new();
-        if let Some(at) = self.voters.iter().position(|v| v == address) {
-            self.peers.insert(at, (conn, now));
-            self.guests.insert(conn, Guest { voter: Some(at), heard: now, ..Guest::default() });
-            self.readmit(&mut acts);
-            if let Some(held) = &self.chosen {
-                acts.push(Act::Send(conn, What::Holding(Holding { chosen: held.version, sure: self.sure })));
-            }
-        }
+        self.dialed.insert(conn, address.to_string());
+        self.meet(now, conn, &mut acts);
         acts
     }
 
+    /// A connection from here leads to a voter: it is a peer from now on.
+    fn meet(&mut self, now: Micros, conn: Conn, acts: &mut Vec<Act>) {
+        let Some(at) = self.dialed.get(&conn).and_then(|a| self.voters.iter().position(|v| v == a)) else {
+            return;
+        };
+        self.peers.insert(at, (conn, now));
+        self.guests.insert(conn, Guest { voter: Some(at), heard: now, ..Guest::default() });
+        self.readmit(acts);
+        if let Some(held) = &self.chosen {
+            acts.push(Act::Send(conn, What::Holding(Holding { chosen: held.version, sure: self.sure })));
+        }
+    }
+
     pub fn closed(&mut self, conn: Conn) {
         self.guests.remove(&conn);
+        self.dialed.remove(&conn);
         self.peers.retain(|_, p| p.0 != conn);
     }
 
@@ -321,7 +334,7 @@
                 acts.push(Act::Send(conn, What::Welcome(welcome)));
             }
             What::Welcome(welcome) => {
-                self.learn(welcome.voters, &mut acts);
+                self.learn(now, welcome.voters, &mut acts);
                 if welcome.chosen > self.chosen.as_ref().map_or(0, |h| h.version) {
                     acts.push(Act::Send(conn, What::Want(Want { version: welcome.chosen })));
                 }
@@ -379,6 +392,8 @@
                     let ago = Micros::ms(age.ms.min(1 << 30) as i64);
                     self.board.heard(now, &age.instance, ago);
                 }
+                // Who told it reaches this one: without a word back it would count itself alone.
+                acts.push(Act::Send(conn, What::Pong(cues::Ping { number: 0 })));
             }
             What::Readmit(readmit) => self.readmitted(now, conn, readmit, &mut acts),
             What::All(all) => self.all(now, all, &mut acts),
@@ -679,10 +694,9 @@
         let told = std::mem::take(claims);
         let mut deeds = Vec::new();
         for claim in told.into_values().flatten() {
-            // Two tickets for one key, told by two: neither is given up before its window is over.
-            if self.rack.claim(now, &claim) == Vote::Granted {
-                deeds.push(Deed::Claim(claim));
-            }
+            // Two tickets for one key, told by two: either may have run, so both stand.
+            self.rack.put(now, &claim);
+            deeds.push(Deed::Claim(claim));
         }
         let lives = disk.lives.iter().map(|(v, l)| (v.0, *l)).collect();
         let seat = Seat { voters: self.voters.clone(), life: disk.life, lives };
--- a/crates/trapdoor/src/claims.rs
+++ b/crates/trapdoor/src/claims.rs
@@ -13,7 +13,13 @@
 use crate::shelf::Shelf;
 use crate::{Broken, Deed, broken};
 
-type Table = HashMap<String, (Claim, Instant)>;
+/// By key and ticket: after a lost disk two tickets may stand for one key.
+type Table = HashMap<(String, u64, u64), (Claim, Instant)>;
+
+fn place(key: &str, ticket: Option<notchspool_cues::Ticket>) -> (String, u64, u64) {
+    let ticket = ticket.unwrap_or_default();
+    (key.to_string(), ticket.life, ticket.number)
+}
 
 #[derive(Clone, Debug)]
 struct Keeper {
@@ -39,16 +45,13 @@
     fn apply(&self, line: Line) {
         self.with(|table| {
             if let Some(claim) = line.claim {
-                table.insert(claim.key.clone(), (claim, Instant::now()));
+                table.insert(place(&claim.key, claim.ticket), (claim, Instant::now()));
             }
             if let Some(withdraw) = line.withdraw {
-                let ticket = withdraw.ticket.unwrap_or_default();
-                let own = |c: &Claim| {
-                    let held = c.ticket.unwrap_or_default();
-                    (held.life, held.number) == (ticket.life, ticket.number) && held.turn <= ticket.turn
-                };
-                if table.get(&withdraw.key).is_some_and(|(c, _)| own(c)) {
-                    table.remove(&withdraw.key);
+                let (at, turn) =
+                    (place(&withdraw.key, withdraw.ticket), withdraw.ticket.unwrap_or_default().turn);
+                if table.get(&at).is_some_and(|(c, _)| c.ticket.unwrap_or_default().turn <= turn) {
+                    table.remove(&at);
                 }
             }
         });
