--- a/crates/stage/src/links.rs
+++ b/crates/stage/src/links.rs
@@ -17,9 +17,9 @@
 /// A machine that does not take a connection by then is not there.
 const DIAL: Duration = Duration::from_millis(300);
 /// Something is out and nothing heard for this long: the other side is asked whether it lives.
-const DOUBT: Micros = Micros::ms(250);
+const DOUBT: Micros = Micros::ms(150);
 /// And after this the connection is given up.
-const LOST: Micros = Micros::ms(1_000);
+const LOST: Micros = Micros::ms(500);
 /// Requests out on one link at most.
 const MOST_OUT: usize = 4_096;
 /// Links at most, each way.
