--- a/crates/stage/src/company.rs
+++ b/crates/stage/src/company.rs
@@ -12,8 +12,8 @@
 /// Part of its worth that an answer past its target still has for a client: it is waited for.
 const OVERDUE: f64 = 0.3;
 /// Weight of a backend in another zone; that of one for large answers, which cost on the way.
-const AFAR: f64 = 0.15;
-const AFAR_LARGE: f64 = 0.03;
+const AFAR: f64 = 0.06;
+const AFAR_LARGE: f64 = 0.01;
 /// Schemes of one service at most; routes beyond share the last.
 const MOST_SCHEMES: usize = 32;
 /// A backend that reports to be slow for some time yet is taken to warm up over this.
