Who is refused while many are is told to come back later, and not all at once

Change: Retry-After grows with the part of requests refused here lately, by chance between 0.4 and 1 of up to 0.9 s.

--- a/crates/stage/src/house.rs
+++ b/crates/stage/src/house.rs
@@ -45,6 +45,8 @@
     pub stopping: Cell<Option<Micros>>,
     pub away: Cell<bool>,
     pub in_hand: Cell<usize>,
+    /// Part of requests that were refused lately, smoothed.
+    pub refusing: Cell<f64>,
     pub counts: RefCell<BTreeMap<&'static str, u64>>,
     number: Cell<u64>,
 }
@@ -73,6 +75,7 @@
             stopping: Cell::new(None),
             away: Cell::new(false),
             in_hand: Cell::new(0),
+            refusing: Cell::new(0.0),
             counts: RefCell::default(),
             number: Cell::new(0),
             told: RefCell::new(told),
@@ -92,6 +95,20 @@
         self.chance.borrow_mut().rand_float()
     }
 
+    /// A request ended, refused or not.
+    pub fn ended(&self, refused: bool) {
+        let old = self.refusing.get();
+        self.refusing.set(old + 0.03 * (f64::from(u8::from(refused)) - old));
+    }
+
+    /// When a refused request is to come back: soon where refusals are rare, later and spread where they are many, so that those who
+    /// come back do not press on what is short already.
+    pub fn come_back(&self, least: Micros) -> Micros {
+        let many = (self.refusing.get() - 0.02).max(0.0) * 2.0;
+        let span = Micros::ms(900).times(many.min(1.0) * (0.4 + 0.6 * self.dart()));
+        least.max(Micros::ms(30)) + span
+    }
+
     pub fn count(&self, what: &'static str) {
         *self.counts.borrow_mut().entry(what).or_default() += 1;
     }
--- a/crates/stage/src/lobby.rs
+++ b/crates/stage/src/lobby.rs
@@ -186,7 +186,8 @@
                 _ => {
                     self.count("declined");
                     log::debug!(target: "lobby", "decline {} {} after {posting}: {why}, {:?} left", route.name, asked.attempt, until - self.now());
-                    return refused(&why, retry);
+                    self.ended(true);
+                    return refused(&why, self.come_back(retry));
                 }
             };
             let number = posting;
@@ -220,6 +221,7 @@
                 }
                 Verdict::Answered => {
                     back(if said.status >= 500 { Fate::Errored } else { Fate::Settled }, true);
+                    self.ended(false);
                     return relayed(said);
                 }
                 Verdict::NotRun | Verdict::Elsewhere => {
