A key that can't be claimed is given up at once; a link's end is cleared up by a fence

And where a link to an usher ended, a keyed request was answered 502 though mostly it had not been claimed there.

Change: "no majority for the key" ends the request (250 ms at most), 503 with when to come back. After a link's end the first usher claims the key with another ticket: granted, the first has not run and never will, and it goes elsewhere under the new one; the fence stands, and nothing is promised if nobody takes it. A connection that is given up is reset, so that what is still on its way does not arrive later.

--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -240,6 +240,9 @@
     /// Microseconds that the backend took.
     #[prost(uint64, tag = "16")]
     pub took_us: u64,
+    /// Not run, and no other backend would do better now.
+    #[prost(bool, tag = "17")]
+    pub ends: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/rigging/src/rope.rs
+++ b/crates/rigging/src/rope.rs
@@ -158,5 +158,9 @@
     };
     let end = tokio::select! { end = reader => end, end = writer => end };
     rope.0.closed.set(true);
+    if !rope.0.finish.get() {
+        // What is still on its way must not arrive when nobody waits for it any more.
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
     end
 }
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -17,7 +17,7 @@
 const PULSE: Duration = Duration::from_millis(500);
 const SILENCE: Duration = Duration::from_millis(2_200);
 /// A claim that has no majority by then has none.
-const CLAIM: Micros = Micros::ms(400);
+const CLAIM: Micros = Micros::ms(250);
 /// Claims in hand at most.
 const MOST: usize = 10_000;
 /// Who does not follow this board waits so long for its own before it asks.
--- a/crates/stage/src/lobby.rs
+++ b/crates/stage/src/lobby.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use notchspool::units::{BackendId, Fate, Micros, TxnRef};
+use notchspool_cloakroom::round::Verdict as Claimed;
 use notchspool_cues::{Ask, Pair, Said, Ticket, Verdict};
 use notchspool_promptbook::script::{Route, RouteKind};
 
@@ -22,6 +23,8 @@
 const USUAL: Micros = Micros::ms(30_000);
 /// Requests in hand at most.
 const MOST: usize = 4_000;
+/// With less time left nobody asks whether a key was claimed.
+const FENCE: Micros = Micros::ms(60);
 /// Doors that may turn one request away before it is given up.
 const MOST_REFUSALS: u32 = 4;
 
@@ -176,6 +179,7 @@
         // What may have run without an answer, and the last reason why there was none.
         let (mut may_have_run, mut why) = (false, String::from("no backend is in reach"));
         let mut retry = Micros::ms(60);
+        let mut ticket = Ticket { life: self.life, number: txn.0, turn: 0 };
         loop {
             let order = orders.iter().find(
                 |o| matches!(o, Order::Post(t, _) | Order::Decline(t, _) | Order::Reverse(t) if *t == txn),
@@ -193,12 +197,25 @@
             let number = posting;
             posting += 1;
             let began = self.now();
-            let said = self.post(route, service, to, txn, &asked, until, (number, keyed)).await;
+            ticket.turn = number;
+            let said = self.post(route, service, to, &asked, until, keyed.then_some(ticket)).await;
             let (now, took) = (self.now(), self.now() - began);
             let said =
                 said.unwrap_or_else(|| crate::links::only(0, Verdict::MayHaveRun, "no answer in time"));
-            let verdict = said.verdict();
+            let mut verdict = said.verdict();
             self.company(service, |c| c.reported(now, to, said.busy));
+            // A link that ended leaves open whether the key was claimed there. Who claims it now with another ticket knows: where that is
+            // granted the first one has not run and never will.
+            if keyed && verdict == Verdict::MayHaveRun && !said.arrived && until - now > FENCE {
+                let fence = Ticket { number: self.number(), ..ticket };
+                if self.claim(&asked.key, fence).await == Claimed::Ours {
+                    self.count("fenced");
+                    // Where nobody takes it after all this is not promised to the client: the fence has to stand.
+                    may_have_run = true;
+                    (ticket, verdict) = (fence, Verdict::NotRun);
+                }
+            }
+            let now = self.now();
             arrivals += u32::from(said.arrived || verdict == Verdict::MayHaveRun);
             let back = |fate: Fate, closed: bool| {
                 self.company(service, |c| c.returned(now, txn, number, fate, took, closed))
@@ -230,7 +247,7 @@
                     if said.retry_ms > 0 {
                         retry = Micros::ms(i64::from(said.retry_ms));
                     }
-                    let over = refusals >= MOST_REFUSALS || now >= until;
+                    let over = refusals >= MOST_REFUSALS || now >= until || said.ends;
                     // A door that is full speaks of load, which it reports, and not of illness.
                     let fate = match verdict {
                         Verdict::Elsewhere => Fate::TurnedAway,
@@ -294,15 +311,13 @@
         route: &Route,
         service: &str,
         to: BackendId,
-        txn: TxnRef,
         asked: &Asked,
         until: Micros,
-        (number, keyed): (u32, bool),
+        ticket: Option<Ticket>,
     ) -> Option<Said> {
         let found = self.company(service, |c| c.station(to).map(|s| (s.instance.clone(), s.usher.clone())));
         let (instance, usher) = found?;
         let left = until - self.now();
-        let ticket = Ticket { life: self.life, number: txn.0, turn: number };
         let ask = Ask {
             id: self.number(),
             service: service.to_string(),
@@ -316,8 +331,8 @@
             aim_ms: ((asked.aim - self.now()).0 / 1000).clamp(0, 600_000) as u32,
             rank: route.priority,
             repeatable: route.kind.repeatable(),
-            key: if keyed { asked.key.clone() } else { String::new() },
-            ticket: keyed.then_some(ticket),
+            key: if ticket.is_some() { asked.key.clone() } else { String::new() },
+            ticket,
             attempt: asked.attempt.clone(),
             caller: self.told.borrow().service.clone(),
             host: asked.host.clone(),
--- a/crates/stage/src/perform.rs
+++ b/crates/stage/src/perform.rs
@@ -160,7 +160,8 @@
                 Claimed::Nobody | Claimed::Open => {
                     own.not_run();
                     self.count("claims_without_majority");
-                    return self.turned_away(id, "no majority for the key", Micros::ms(100));
+                    let said = self.turned_away(id, "no majority for the key", Micros::ms(150));
+                    return Said { ends: true, ..said };
                 }
             }
             claim = Some(own);
