--- a/crates/stage/src/desk.rs
+++ b/crates/stage/src/desk.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use notchspool::units::Micros;
@@ -10,12 +10,13 @@
 use serde_json::Value;
 
 use crate::house::House;
+use crate::pipe;
 
 /// A beat may be this large.
 const MOST_BODY: usize = 64 << 10;
 
-fn answer(status: u16, body: &str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(Bytes::from(body.to_string())));
+fn answer(status: u16, body: &str) -> Response<pipe::Answer> {
+    let mut answer = Response::new(pipe::Answer::Whole(Some(Bytes::from(body.to_string()))));
     *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let kind = if body.starts_with('{') { "application/json" } else { "text/plain" };
     answer.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(kind));
@@ -50,7 +51,7 @@
 }
 
 impl House {
-    pub async fn attend_desk(self: Rc<House>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    pub async fn attend_desk(self: Rc<House>, request: Request<Incoming>) -> Response<pipe::Answer> {
         let path = request.uri().path().to_string();
         if path == "/notchspool/ready" {
             return if self.ready() { answer(200, "ready\n") } else { answer(503, "not ready\n") };
--- a/crates/stage/src/dressing.rs
+++ b/crates/stage/src/dressing.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use crate::house::{House, within};
+use crate::pipe::{End, Pipe};
 
 pub const ATTEMPT: &str = "notchspool-attempt-id";
 pub const TIME_LEFT: &str = "notchspool-time-left-ms";
@@ -27,13 +28,16 @@
 const MOST_BODY: usize = 64 << 20;
 /// A connection to the same machine is up by then.
 const CONNECT: Micros = Micros::ms(500);
+/// Bodies from this size on are passed on in pieces, but those that are kept for their keys.
+const LARGE: usize = 256 << 10;
 /// Answers to other requests that are passed over in the place of the one due.
 const MOST_ASTRAY: usize = 4;
 
 /// What came of a request at the backend.
-#[derive(Debug)]
 pub enum Outcome {
     Answered(Said),
+    /// A large answer: its head and first part, and the rest by a pipe.
+    Pieces(Said, Pipe),
     /// It said that it did not run it.
     NotRun(String),
     /// It took no connection: not a byte was sent.
@@ -88,6 +92,8 @@
     encoded: bool,
     /// Till when the connection may be used again; none where it may not.
     keep: Option<Micros>,
+    /// Bytes of a large body, of which none has been read yet.
+    rest: Option<usize>,
 }
 
 impl House {
@@ -127,8 +133,7 @@
         let held = Held(self.clone());
         let _ = stream.set_nodelay(true);
         let left = until - self.now();
-        let outcome = within(left, self.exchange(stream, ask, left, reused)).await;
-        drop(held);
+        let outcome = within(left, self.exchange(stream, ask, left, reused, held, until)).await;
         outcome.unwrap_or_else(|| Outcome::MayHaveRun("no answer in time".into()))
     }
 
@@ -138,6 +143,8 @@
         ask: &Ask,
         left: Micros,
         reused: bool,
+        held: Held,
+        until: Micros,
     ) -> Outcome {
         let head = request(ask, left);
         let sent = async {
@@ -152,15 +159,17 @@
         }
         let mut got = BytesMut::with_capacity(4096);
         for _ in 0..MOST_ASTRAY {
-            let answer = match read_answer(&mut stream, &mut got, ask.method == "HEAD", self.now()).await {
-                Ok(answer) => answer,
-                Err(why) => {
-                    if reused {
-                        self.count("reused_broke");
+            let large = ask.key.is_empty().then_some(ask.attempt.as_str());
+            let answer =
+                match read_answer(&mut stream, &mut got, ask.method == "HEAD", self.now(), large).await {
+                    Ok(answer) => answer,
+                    Err(why) => {
+                        if reused {
+                            self.count("reused_broke");
+                        }
+                        return Outcome::MayHaveRun(why);
                     }
-                    return Outcome::MayHaveRun(why);
-                }
-            };
+                };
             if answer.attempt.as_deref() != Some(&ask.attempt) {
                 if answer.not_run && answer.attempt.is_none() {
                     return Outcome::NotRun(format!("status {}", answer.said.status));
@@ -172,6 +181,18 @@
                 }
                 continue;
             }
+            if let Some(length) = answer.rest {
+                let first = got.split_to(got.len().min(length)).freeze();
+                let (pipe, left) = (Pipe::default(), length - first.len());
+                let keep = answer.keep.filter(|_| got.is_empty());
+                let (house, filled) = (self.clone(), pipe.clone());
+                tokio::task::spawn_local(async move {
+                    pass_on(house, stream, left, filled, keep, until).await;
+                    drop(held);
+                });
+                let said = Said { body: first, more: true, length: length as u64, ..answer.said };
+                return Outcome::Pieces(said, pipe);
+            }
             if let Some(keep) = answer.keep.filter(|_| got.is_empty()) {
                 let mut idle = self.dressing.idle.borrow_mut();
                 if idle.len() < 64 {
@@ -235,6 +256,7 @@
     got: &mut BytesMut,
     head_only: bool,
     now: Micros,
+    large: Option<&str>,
 ) -> Result<Answer, String> {
     loop {
         let mut headers = [httparse::EMPTY_HEADER; MOST_PAIRS];
@@ -258,11 +280,58 @@
         if matches!(framing, Framing::ToEnd) {
             answer.keep = None;
         }
+        if let Framing::Length(n) = framing
+            && n >= LARGE
+            && large.is_some()
+            && answer.attempt.as_deref() == large
+            && (200..300).contains(&status)
+            && answer.sealed
+            && !answer.encoded
+        {
+            // The caller passes the rest on as it comes.
+            answer.rest = Some(n);
+            return Ok(answer);
+        }
         answer.said.body = read_body(stream, got, framing).await?;
         return Ok(answer);
     }
 }
 
+/// Reads the rest of a large answer into its pipe. The connection is kept where it came whole and nothing after it.
+async fn pass_on(
+    house: Rc<House>,
+    mut stream: TcpStream,
+    mut left: usize,
+    pipe: Pipe,
+    keep: Option<Micros>,
+    until: Micros,
+) {
+    let mut got = BytesMut::new();
+    while left > 0 {
+        got.reserve(left.min(32 << 10));
+        let wait = until - house.now();
+        let read = async { if pipe.room().await { stream.read_buf(&mut got).await } else { Ok(0) } };
+        match within(wait, read).await {
+            Some(Ok(n)) if n > 0 => {
+                let part = got.split_to(got.len().min(left));
+                left -= part.len();
+                pipe.put(part.freeze());
+            }
+            _ => {
+                house.count("pieces_broke");
+                return pipe.end(End::Broken);
+            }
+        }
+    }
+    pipe.end(End::Whole);
+    if let Some(until) = keep.filter(|_| got.is_empty()) {
+        let mut idle = house.dressing.idle.borrow_mut();
+        if idle.len() < 64 {
+            idle.push(Kept { stream, until });
+        }
+    }
+}
+
 fn read_head(
     response: &httparse::Response<'_, '_>,
     status: u16,
@@ -275,6 +344,7 @@
         not_run: status == 421,
         encoded: false,
         keep: (response.version == Some(1)).then_some(now + KEEP),
+        rest: None,
     };
     let (mut length, mut chunked) = (None, false);
     for header in response.headers.iter() {
--- a/crates/stage/src/links.rs
+++ b/crates/stage/src/links.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use notchspool::units::Micros;
-use notchspool_cues::{Ask, Cancel, Fetch, Hello, Ping, Said, Verdict, What};
+use notchspool_cues::{Ask, Cancel, Fetch, Hello, Part, Ping, Said, Taken, Verdict, What};
 use notchspool_rigging::rope::{self, Rope};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
 use crate::house::House;
+use crate::pipe::{End, Pipe};
 
 /// A machine that does not take a connection by then is not there.
 const DIAL: Duration = Duration::from_millis(300);
@@ -27,9 +28,33 @@
 /// A link unused for this long is let go.
 const UNUSED: Micros = Micros::ms(60_000);
 
+/// An answer, and the rest of it where it comes in pieces; `taken` tells who sends them that so many bytes were passed on.
+pub struct Told {
+    pub said: Said,
+    pub pipe: Option<Pipe>,
+    pub taken: Box<dyn Fn(usize)>,
+}
+
+impl From<Said> for Told {
+    fn from(said: Said) -> Told {
+        Told { said, pipe: None, taken: Box::new(|_| ()) }
+    }
+}
+
+/// Bytes of an answer in pieces that may be on their way.
+const ON_WAY: usize = 256 << 10;
+
+/// How much of an answer in pieces was sent and taken.
+#[derive(Default)]
+struct Credit {
+    way: std::cell::Cell<usize>,
+    wake: tokio::sync::Notify,
+}
+
 pub struct Link {
     rope: Rope,
-    out: RefCell<HashMap<u64, oneshot::Sender<Said>>>,
+    out: RefCell<HashMap<u64, oneshot::Sender<Told>>>,
+    pieces: RefCell<HashMap<u64, Pipe>>,
     /// Up: what is written may have left.
     up: std::cell::Cell<bool>,
     heard: std::cell::Cell<Micros>,
@@ -62,6 +87,43 @@
     }
 }
 
+impl Link {
+    fn heard(link: &Rc<Link>, what: What) {
+        match what {
+            What::Said(said) => {
+                let Some(done) = link.out.borrow_mut().remove(&said.id) else { return };
+                let id = said.id;
+                let mut told = Told::from(said);
+                if told.said.more {
+                    let pipe = Pipe::default();
+                    link.pieces.borrow_mut().insert(id, pipe.clone());
+                    let rope = link.rope.clone();
+                    told.pipe = Some(pipe);
+                    told.taken = Box::new(move |n| {
+                        rope.send(What::Taken(Taken { id, bytes: n as u64 }));
+                    });
+                }
+                // Whoever waited may have given up.
+                let _ = done.send(told);
+            }
+            What::Part(part) => {
+                let mut all = link.pieces.borrow_mut();
+                let Some(pipe) = all.get(&part.id) else { return };
+                pipe.put(part.bytes);
+                if part.last {
+                    pipe.end(if part.broken { End::Broken } else { End::Whole });
+                } else if pipe.left() {
+                    link.rope.send(What::Cancel(Cancel { id: part.id }));
+                } else {
+                    return;
+                }
+                all.remove(&part.id);
+            }
+            _ => {}
+        }
+    }
+}
+
 impl House {
     fn link(self: &Rc<House>, address: &str) -> Option<Rc<Link>> {
         if let Some(link) = self.links.all.borrow().get(address).filter(|l| l.rope.open()) {
@@ -75,6 +137,7 @@
         let link = Rc::new(Link {
             rope: Rope::default(),
             out: RefCell::default(),
+            pieces: RefCell::default(),
             up: std::cell::Cell::new(false),
             heard: std::cell::Cell::new(now),
             asked: std::cell::Cell::new(Micros(0)),
@@ -98,12 +161,7 @@
                     let end = rope::run(stream, held.rope.clone(), None, move |what| {
                         link.heard.set(at.now());
                         link.asked.set(Micros(0));
-                        if let What::Said(said) = what
-                            && let Some(done) = link.out.borrow_mut().remove(&said.id)
-                        {
-                            // Whoever waited may have given up.
-                            let _ = done.send(said);
-                        }
+                        Link::heard(&link, what);
                     });
                     end.await.to_string()
                 }
@@ -115,8 +173,9 @@
             log::debug!(target: "links", "lose {address}: {end}");
             let verdict = if held.up.get() { Verdict::MayHaveRun } else { Verdict::NotRun };
             for (id, done) in held.out.take() {
-                let _ = done.send(only(id, verdict, "the link ended"));
+                let _ = done.send(only(id, verdict, "the link ended").into());
             }
+            held.pieces.take().values().for_each(|pipe| pipe.end(End::Broken));
             let mut all = house.links.all.borrow_mut();
             if all.get(&address).is_some_and(|l| Rc::ptr_eq(l, &held)) {
                 all.remove(&address);
@@ -125,11 +184,11 @@
         Some(link)
     }
 
-    async fn out(self: &Rc<House>, address: &str, id: u64, what: What) -> Said {
-        let Some(link) = self.link(address) else { return only(id, Verdict::NotRun, "no link") };
+    async fn out(self: &Rc<House>, address: &str, id: u64, what: What) -> Told {
+        let Some(link) = self.link(address) else { return only(id, Verdict::NotRun, "no link").into() };
         let (done, wait) = oneshot::channel();
         if link.out.borrow().len() >= MOST_OUT {
-            return only(id, Verdict::NotRun, "too many requests on the link");
+            return only(id, Verdict::NotRun, "too many requests on the link").into();
         }
         link.used.set(self.now());
         if link.out.borrow().is_empty() {
@@ -139,15 +198,15 @@
         let out = Out { link: link.clone(), id };
         if !link.rope.send(what) {
             link.out.borrow_mut().remove(&id);
-            return only(id, Verdict::NotRun, "the link has ended");
+            return only(id, Verdict::NotRun, "the link has ended").into();
         }
-        let said = wait.await.unwrap_or_else(|_| only(id, Verdict::MayHaveRun, "the link ended"));
+        let told = wait.await.unwrap_or_else(|_| only(id, Verdict::MayHaveRun, "the link ended").into());
         drop(out);
-        said
+        told
     }
 
     /// Sends a request to the usher beside a backend. Dropped, it is taken back there where that can still be done.
-    pub async fn ask(self: &Rc<House>, usher: &str, ask: Ask) -> Said {
+    pub async fn ask(self: &Rc<House>, usher: &str, ask: Ask) -> Told {
         if usher == self.own {
             return self.clone().perform(ask).await;
         }
@@ -160,7 +219,7 @@
         if holder == self.own {
             return self.held(id, key, holder_life);
         }
-        self.out(holder, id, What::Fetch(Fetch { id, key: key.to_string(), holder_life })).await
+        self.out(holder, id, What::Fetch(Fetch { id, key: key.to_string(), holder_life })).await.said
     }
 
     /// Looks after links on which something is out.
@@ -168,7 +227,7 @@
         let now = self.now();
         let all: Vec<Rc<Link>> = self.links.all.borrow().values().cloned().collect();
         for link in all {
-            let idle = link.out.borrow().is_empty();
+            let idle = link.out.borrow().is_empty() && link.pieces.borrow().is_empty();
             if idle && now - link.used.get() > UNUSED {
                 link.rope.finish();
             }
@@ -195,29 +254,43 @@
         let rope = Rope::default();
         let running: Rc<RefCell<HashMap<u64, AbortHandle>>> = Rc::default();
         let (house, answers, mine) = (self.clone(), rope.clone(), running.clone());
+        let credits: Rc<RefCell<HashMap<u64, Rc<Credit>>>> = Rc::default();
         let end = rope::run(stream, rope, None, move |what| match what {
             What::Ask(ask) => {
                 let id = ask.id;
                 let (house, rope, mine_too) = (house.clone(), answers.clone(), mine.clone());
+                let credits = credits.clone();
                 if mine.borrow().len() >= MOST_OUT {
                     rope.send(What::Said(only(id, Verdict::NotRun, "too many requests on the link")));
                     return;
                 }
                 let task = tokio::task::spawn_local(async move {
-                    let mut said = house.perform(ask).await;
-                    said.id = id;
+                    let told = house.perform(ask).await;
+                    rope.send(What::Said(Said { id, ..told.said }));
+                    if let Some(pipe) = told.pipe {
+                        let credit = Rc::new(Credit::default());
+                        credits.borrow_mut().insert(id, credit.clone());
+                        pump(&rope, id, &pipe, &credit).await;
+                        credits.borrow_mut().remove(&id);
+                    }
                     mine_too.borrow_mut().remove(&id);
-                    rope.send(What::Said(said));
                 });
                 if !task.is_finished() {
                     mine.borrow_mut().insert(id, task.abort_handle());
                 }
             }
             What::Cancel(cancel) => {
+                credits.borrow_mut().remove(&cancel.id);
                 if let Some(task) = mine.borrow_mut().remove(&cancel.id) {
                     task.abort();
                 }
             }
+            What::Taken(taken) => {
+                if let Some(credit) = credits.borrow().get(&taken.id) {
+                    credit.way.set(credit.way.get().saturating_sub(taken.bytes as usize));
+                    credit.wake.notify_one();
+                }
+            }
             What::Fetch(fetch) => {
                 let said = house.held(fetch.id, &fetch.key, fetch.holder_life);
                 answers.send(What::Said(said));
@@ -234,3 +307,31 @@
         self.links.accepted.set(self.links.accepted.get() - 1);
     }
 }
+
+/// Sends an answer piece by piece, as fast as the other side passes it on.
+async fn pump(rope: &Rope, id: u64, pipe: &Pipe, credit: &Credit) {
+    let gone = Leaving(pipe);
+    loop {
+        while credit.way.get() >= ON_WAY {
+            credit.wake.notified().await;
+        }
+        let part = match pipe.next().await {
+            Ok(bytes) => Part { id, bytes, ..Part::default() },
+            Err(end) => Part { id, last: true, broken: end == End::Broken, ..Part::default() },
+        };
+        credit.way.set(credit.way.get() + part.bytes.len());
+        let last = part.last;
+        if !rope.send(What::Part(part)) || last {
+            break;
+        }
+    }
+    drop(gone);
+}
+
+/// Where the sending is given up, who fills the pipe stops.
+struct Leaving<'a>(&'a Pipe);
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        self.0.leave();
+    }
+}
--- a/crates/stage/src/lobby.rs
+++ b/crates/stage/src/lobby.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -16,8 +16,10 @@
 use crate::company::Order;
 use crate::dressing::{ATTEMPT, CALLER, KEY, TARGET, TIME_LEFT, of_one_connection};
 use crate::house::{House, within};
+use crate::links::Told;
+use crate::pipe;
 
-type Answer = Response<Full<Bytes>>;
+type Answer = Response<pipe::Answer>;
 
 /// A client that names no time waits for this.
 const USUAL: Micros = Micros::ms(30_000);
@@ -66,7 +68,7 @@
 }
 
 fn plain(status: u16, why: &str) -> Answer {
-    let mut answer = Response::new(Full::new(Bytes::from(format!("{why}\n"))));
+    let mut answer = Response::new(pipe::Answer::Whole(Some(Bytes::from(format!("{why}\n")))));
     *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     answer.headers_mut().insert("content-type", HeaderValue::from_static("text/plain"));
     answer
@@ -82,8 +84,13 @@
     answer
 }
 
-fn relayed(said: Said) -> Answer {
-    let mut answer = Response::new(Full::new(said.body));
+fn relayed(told: Told) -> Answer {
+    let Told { said, pipe, taken } = told;
+    let first = Some(said.body).filter(|b| !b.is_empty());
+    let mut answer = Response::new(match pipe {
+        None => pipe::Answer::Whole(first),
+        Some(pipe) => pipe::Answer::Pieces { first, pipe, left: said.length, taken },
+    });
     *answer.status_mut() = StatusCode::from_u16(said.status as u16).unwrap_or(StatusCode::BAD_GATEWAY);
     for pair in said.headers {
         let name = HeaderName::from_bytes(pair.name.as_bytes());
@@ -198,10 +205,11 @@
             posting += 1;
             let began = self.now();
             ticket.turn = number;
-            let said = self.post(route, service, to, &asked, until, keyed.then_some(ticket)).await;
+            let told = self.post(route, service, to, &asked, until, keyed.then_some(ticket)).await;
             let (now, took) = (self.now(), self.now() - began);
-            let said =
-                said.unwrap_or_else(|| crate::links::only(0, Verdict::MayHaveRun, "no answer in time"));
+            let told = told
+                .unwrap_or_else(|| crate::links::only(0, Verdict::MayHaveRun, "no answer in time").into());
+            let said = &told.said;
             let mut verdict = said.verdict();
             self.company(service, |c| c.reported(now, to, said.busy));
             // A link that ended leaves open whether the key was claimed there. Who claims it now with another ticket knows: where that is
@@ -233,13 +241,13 @@
                     orders = back(Fate::Errored, false);
                     let goes_on = orders.iter().any(|o| matches!(o, Order::Post(t, _) if *t == txn));
                     if !goes_on {
-                        return relayed(said);
+                        return relayed(told);
                     }
                 }
                 Verdict::Answered => {
                     back(if said.status >= 500 { Fate::Errored } else { Fate::Settled }, true);
                     self.ended(false);
-                    return relayed(said);
+                    return relayed(told);
                 }
                 Verdict::NotRun | Verdict::Elsewhere => {
                     refusals += 1;
@@ -269,7 +277,7 @@
                 }
                 Verdict::Held => {
                     back(Fate::NeverSent, true);
-                    return self.from_holder(&said, &asked.key, until).await;
+                    return self.from_holder(said, &asked.key, until).await;
                 }
                 Verdict::MayHaveRun => {
                     (may_have_run, why) = (true, said.why.clone());
@@ -297,7 +305,7 @@
         let said = within(until - self.now(), self.fetch(&held.holder, key, held.holder_life)).await;
         let Some(said) = said else { return plain(504, "the holder of the key does not answer") };
         match said.verdict() {
-            Verdict::Answered => relayed(said),
+            Verdict::Answered => relayed(said.into()),
             Verdict::Working => plain(409, "the operation is at work"),
             // It has not run there in that life, and is taken back: the next try claims it anew.
             Verdict::NotRun if said.why == "it has not run here" => refused(&said.why, Micros::ms(50)),
@@ -314,7 +322,7 @@
         asked: &Asked,
         until: Micros,
         ticket: Option<Ticket>,
-    ) -> Option<Said> {
+    ) -> Option<Told> {
         let found = self.company(service, |c| c.station(to).map(|s| (s.instance.clone(), s.usher.clone())));
         let (instance, usher) = found?;
         let left = until - self.now();
--- a/crates/stage/src/perform.rs
+++ b/crates/stage/src/perform.rs
@@ -11,7 +11,7 @@
 use crate::door::{Admit, Comer};
 use crate::dressing::Outcome;
 use crate::house::House;
-use crate::links::only;
+use crate::links::{Told, only};
 
 /// Part of the drain's span after which nothing new begins at a backend that drains.
 const DRAINED: f64 = 0.6;
@@ -130,21 +130,21 @@
     }
 
     /// Runs a request at the backend here, or says why not.
-    pub async fn perform(self: Rc<House>, ask: Ask) -> Said {
+    pub async fn perform(self: Rc<House>, ask: Ask) -> Told {
         let id = ask.id;
         let until = self.now() + Micros::ms(i64::from(ask.left_ms));
         if let Some((verdict, why)) = self.astray(&ask) {
             self.count("astray");
-            return self.marked(only(id, verdict, why));
+            return self.marked(only(id, verdict, why)).into();
         }
         let mut claim = None;
         if let (false, Some(ticket)) = (ask.key.is_empty(), ask.ticket) {
             let known = self.coats.borrow().get(&ask.key).is_some();
             if known {
-                return self.held(id, &ask.key, self.life);
+                return self.held(id, &ask.key, self.life).into();
             }
             if !self.coats.borrow_mut().turn(self.now(), &ask.key, Event::Claim) {
-                return self.turned_away(id, "too many keys", Micros::ms(200));
+                return self.turned_away(id, "too many keys", Micros::ms(200)).into();
             }
             let mut own = Claim { house: self.clone(), key: ask.key.clone(), ticket, open: true };
             match self.claim(&ask.key, ticket).await {
@@ -153,15 +153,16 @@
                     own.not_run();
                     // The same request at another backend, later than here: this one is not wanted any more.
                     if (other.life, other.number) == (ticket.life, ticket.number) {
-                        return self.turned_away(id, "it went elsewhere", Micros(0));
+                        return self.turned_away(id, "it went elsewhere", Micros(0)).into();
                     }
-                    return Said { holder, holder_life, ..only(id, Verdict::Held, "another has the key") };
+                    return Said { holder, holder_life, ..only(id, Verdict::Held, "another has the key") }
+                        .into();
                 }
                 Claimed::Nobody | Claimed::Open => {
                     own.not_run();
                     self.count("claims_without_majority");
                     let said = self.turned_away(id, "no majority for the key", Micros::ms(150));
-                    return Said { ends: true, ..said };
+                    return Said { ends: true, ..said }.into();
                 }
             }
             claim = Some(own);
@@ -169,30 +170,30 @@
         let aim = self.now() + Micros::ms(i64::from(ask.aim_ms));
         let place = match self.enter(Comer { rank: ask.rank, kind: ask.target_ms, aim, until }).await {
             Ok(place) => place,
-            Err(retry) => return self.turned_away(id, "full", retry),
+            Err(retry) => return self.turned_away(id, "full", retry).into(),
         };
         // It may have changed while this one waited.
         if let Some((verdict, why)) = self.astray(&ask) {
-            return self.marked(only(id, verdict, why));
+            return self.marked(only(id, verdict, why)).into();
         }
         if until - self.now() <= MARGIN {
-            return self.turned_away(id, "its time is over", Micros(0));
+            return self.turned_away(id, "its time is over", Micros(0)).into();
         }
         if let Some(claim) = &mut claim {
             if !self.coats.borrow_mut().turn(self.now(), &ask.key, Event::Granted) {
-                return self.turned_away(id, "the key is gone", Micros::ms(50));
+                return self.turned_away(id, "the key is gone", Micros::ms(50)).into();
             }
             // From here on it goes to its end, whether anybody waits or not: its answer is kept.
             claim.open = false;
             let (house, task) = (self.clone(), ask.clone());
             let (done, wait) = oneshot::channel();
             tokio::task::spawn_local(async move {
-                let said = house.clone().at_backend(place, &task, until).await;
+                let said = house.clone().at_backend(place, &task, until).await.said;
                 house.keep(&task, &said);
                 // Whoever waited may have left.
                 let _ = done.send(said);
             });
-            return wait.await.unwrap_or_else(|_| only(id, Verdict::MayHaveRun, "it was dropped"));
+            return wait.await.unwrap_or_else(|_| only(id, Verdict::MayHaveRun, "it was dropped")).into();
         }
         self.at_backend(place, &ask, until).await
     }
@@ -240,11 +241,21 @@
         }
     }
 
-    async fn at_backend(self: Rc<House>, mut place: Place, ask: &Ask, until: Micros) -> Said {
+    async fn at_backend(self: Rc<House>, mut place: Place, ask: &Ask, until: Micros) -> Told {
         let began = self.now();
         let outcome = self.play(ask, until).await;
         let took = self.now() - began;
+        let mut rest = None;
         let said = match outcome {
+            Outcome::Pieces(answer, pipe) => {
+                (place.took, rest) = (Some(took), Some(pipe));
+                Said {
+                    verdict: Verdict::Answered.into(),
+                    arrived: true,
+                    took_us: took.0.max(0) as u64,
+                    ..answer
+                }
+            }
             Outcome::Answered(answer) => {
                 place.took = Some(took);
                 Said {
@@ -263,6 +274,6 @@
             }
         };
         drop(place);
-        self.marked(Said { id: ask.id, ..said })
+        Told { pipe: rest, ..self.marked(Said { id: ask.id, ..said }).into() }
     }
 }
--- a/crates/stage/src/run.rs
+++ b/crates/stage/src/run.rs
@@ -6,8 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -20,6 +18,7 @@
 use tokio::sync::watch;
 
 use crate::house::House;
+use crate::pipe::Answer;
 
 /// How often the usher looks after its links and companies.
 const TICK: Duration = Duration::from_millis(100);
@@ -74,7 +73,7 @@
     house: Rc<House>,
     side: Side,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<Answer>, Infallible> {
     Ok(match side {
         Side::Lobby => house.serve(request).await,
         Side::Desk => house.attend_desk(request).await,
