Five may vote where three are named: the first seed founds; all core machines take part

Cause (grown house): five core machines, two disks may be lost at once, and processes are told three seeds. With three voters two lost disks lose what was acknowledged; with one prompter a zone only four of the five ran.

Change: at the first start of all the lowest seed waits 1.2 s for who else serves control and says who votes, an odd number; the others begin with empty disks, as none has promised anything.

--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -131,7 +131,8 @@
             wrong: Vec::new(),
             careful: true,
         };
-        let seeds: Vec<String> = (0..cores).map(address).collect();
+        // At the first start all are told the same three.
+        let seeds: Vec<String> = (0..cores.min(3)).map(address).collect();
         for at in 0..cores {
             let core = Core {
                 address: address(at),
@@ -388,7 +389,7 @@
 
     pub fn start_core(&mut self, at: usize) {
         if self.cores[at].office.is_none() {
-            let seeds: Vec<String> = self.cores.iter().map(|c| c.address.clone()).collect();
+            let seeds: Vec<String> = self.cores.iter().take(3).map(|c| c.address.clone()).collect();
             self.open(at, false, &seeds);
         }
     }
--- a/crates/prompter/src/office.rs
+++ b/crates/prompter/src/office.rs
@@ -24,6 +24,10 @@
 const TELL: Micros = Micros::ms(500);
 /// A prompter not heard for this long is not reached.
 const REACH: Micros = Micros::ms(1_600);
+/// At the first start of all one founder waits for so long for who else serves control.
+const FOUND: Micros = Micros::ms(1_200);
+/// Voters at most.
+const MOST_VOTERS: usize = 9;
 /// A young board is not told: most ushers have not spoken yet.
 const GATHER: Micros = Micros::ms(1_200);
 /// What was accepted and not known to be chosen is looked into after this, and as much again by chance.
@@ -69,6 +73,8 @@
 enum Place {
     /// Who votes is not known yet.
     Unknown,
+    /// The first start of all: it founds, with whoever has said hello by then, or (none) waits for who does.
+    First(Option<Micros>),
     /// It votes, or it does not belong to the voters at all (`None`).
     Seated(Option<Voter>),
     /// Its disk was lost: it asks the others.
@@ -83,6 +89,8 @@
     life: u64,
     chance: Rand64,
     started: Micros,
+    /// Who will vote, gathered at the first start of all.
+    founding: Vec<String>,
     voters: Vec<String>,
     terms: Terms,
     place: Place,
@@ -151,6 +159,7 @@
             life,
             chance: Rand64::new(u128::from(life)),
             started: now,
+            founding: Vec::new(),
             voters: Vec::new(),
             terms: terms(1),
             place: Place::Unknown,
@@ -190,23 +199,61 @@
                 office.own_read(now, &mut acts);
             }
             _ if first_start => {
-                let mut voters = seeds.to_vec();
-                voters.sort();
-                voters.dedup();
-                office.seat(voters, &mut acts);
-                if let Some(own) = office.own_place() {
-                    let disk = Disk::default();
-                    office.place = Place::Seated(Some(Voter::open(own, office.terms, disk, now)));
-                    office.save_seat(&mut acts, 0);
-                }
-                acts.push(Act::Log("first start".into()));
-                office.own_read(now, &mut acts);
+                // All are told the same seeds then: the first of them says who votes.
+                let founds = seeds.iter().min().is_none_or(|first| first == own);
+                office.founding = seeds.to_vec();
+                office.founding.push(own.to_string());
+                office.place = Place::First(founds.then_some(now + FOUND));
+                acts.push(Act::Log(if founds {
+                    "first start, it founds".into()
+                } else {
+                    "first start".into()
+                }));
             }
             _ => acts.push(Act::Log("start without a disk: others are asked".into())),
         }
         (office, acts)
     }
 
+    /// The founder's time is over: seeds and who else has said hello vote, an odd number of them.
+    fn found(&mut self, now: Micros, acts: &mut Vec<Act>) {
+        let mut voters = std::mem::take(&mut self.founding);
+        let mut known = std::collections::BTreeSet::new();
+        voters.retain(|v| known.insert(v.clone()));
+        voters.truncate(MOST_VOTERS);
+        if voters.len() % 2 == 0 {
+            voters.truncate(voters.len() - 1);
+        }
+        voters.sort();
+        self.begin(now, voters, acts);
+    }
+
+    /// The first voters: their disks are empty, and nothing was ever promised.
+    fn begin(&mut self, now: Micros, voters: Vec<String>, acts: &mut Vec<Act>) {
+        self.seat(voters, acts);
+        if let Some(own) = self.own_place() {
+            self.place = Place::Seated(Some(Voter::open(own, self.terms, Disk::default(), now)));
+            self.save_seat(acts, 0);
+        }
+        self.meet_all(now, acts);
+        self.own_read(now, acts);
+        let guests: Vec<Conn> = self.guests.keys().copied().collect();
+        guests.into_iter().for_each(|conn| acts.push(Act::Send(conn, self.welcome(None))));
+    }
+
+    fn welcome(&self, recalled: Option<cues::Station>) -> What {
+        let own = self.own_place().map_or(u32::MAX, |v| u32::from(v.0));
+        let chosen = self.chosen.as_ref().map_or(0, |h| h.version);
+        let (voters, zone) = (self.voters.clone(), self.zone.clone());
+        What::Welcome(Welcome { voters, own, chosen, sure: self.sure, zone, recalled })
+    }
+
+    fn meet_all(&mut self, now: Micros, acts: &mut Vec<Act>) {
+        // Connections that stand by now were opened before it was known who votes.
+        let conns: Vec<Conn> = self.dialed.keys().copied().collect();
+        conns.into_iter().for_each(|conn| self.meet(now, conn, acts));
+    }
+
     fn own_place(&self) -> Option<VoterId> {
         self.voters.iter().position(|v| *v == self.own).map(|at| VoterId(at as u16))
     }
@@ -221,16 +268,20 @@
 
     /// Who votes, told by another: this one has lost its disk, or never voted.
     fn learn(&mut self, now: Micros, voters: Vec<String>, acts: &mut Vec<Act>) {
-        if !matches!(self.place, Place::Unknown) || voters.is_empty() || voters.len() > 9 {
+        if voters.is_empty() || voters.len() > MOST_VOTERS {
             return;
         }
-        self.seat(voters, acts);
-        if let Some(own) = self.own_place() {
-            self.place = Place::Asking(Readmission::begin(own, self.terms), BTreeMap::new());
+        match self.place {
+            Place::First(_) => self.begin(now, voters, acts),
+            Place::Unknown => {
+                self.seat(voters, acts);
+                if let Some(own) = self.own_place() {
+                    self.place = Place::Asking(Readmission::begin(own, self.terms), BTreeMap::new());
+                }
+                self.meet_all(now, acts);
+            }
+            _ => {}
         }
-        // Connections that stand by now were opened before it was known who votes.
-        let conns: Vec<Conn> = self.dialed.keys().copied().collect();
-        conns.into_iter().for_each(|conn| self.meet(now, conn, acts));
     }
 
     pub fn voters(&self) -> &[String] {
@@ -326,12 +377,11 @@
             What::Hello(hello) => {
                 let usher = hello.role == 1;
                 self.guests.insert(conn, Guest { usher, heard: now, ..Guest::default() });
-                let own = self.own_place().map_or(u32::MAX, |v| u32::from(v.0));
-                let chosen = self.chosen.as_ref().map_or(0, |h| h.version);
-                let (voters, zone) = (self.voters.clone(), self.zone.clone());
+                if !usher && matches!(self.place, Place::First(_)) && self.founding.len() < 64 {
+                    self.founding.push(hello.address.clone());
+                }
                 let recalled = self.board.beside(&hello.address).filter(|_| usher).cloned();
-                let welcome = Welcome { voters, own, chosen, sure: self.sure, zone, recalled };
-                acts.push(Act::Send(conn, What::Welcome(welcome)));
+                acts.push(Act::Send(conn, self.welcome(recalled)));
             }
             What::Welcome(welcome) => {
                 self.learn(now, welcome.voters, &mut acts);
@@ -768,6 +818,11 @@
         let dart = self.chance.rand_float();
         let steps = self.pen.wake(now, dart);
         self.steps(now, steps, &mut acts);
+        if let Place::First(Some(at)) = self.place
+            && at <= now
+        {
+            self.found(now, &mut acts);
+        }
         let reaches = self.reaches_most(now);
         self.sure &= reaches || self.voters.len() == 1;
         self.board.wake(now, reaches);
