--- a/crates/cli/tests/owner.rs
+++ b/crates/cli/tests/owner.rs
@@ -173,16 +173,23 @@
     assert_eq!(judge(&played.history), Vec::<String>::new());
 }
 
+fn drawn(seed: u64) {
+    let mut ground = started(&format!("drawn{seed}"), 5, 8);
+    let text = timetable::drawn(seed, 5, 8, LEASE, 6_000);
+    let table = timetable::read(&text).expect("a table");
+    let played = play(&mut ground.field, &table, Duration::from_millis(6_000), seed).expect("played");
+    assert_eq!(judge(&played.history), Vec::<String>::new(), "seed {seed}:\n{text}");
+}
+
 #[test]
 fn drawn_faults_leave_sound_histories() {
-    // Seed 0 once came to no end, with its cause not found (docs/ROADMAP.md): `lab fleet play` plays it.
-    for seed in 1..4 {
-        let mut ground = started(&format!("drawn{seed}"), 5, 8);
-        let text = timetable::drawn(seed, 5, 8, LEASE, 6_000);
-        let table = timetable::read(&text).expect("a table");
-        let played = play(&mut ground.field, &table, Duration::from_millis(6_000), seed).expect("played");
-        assert_eq!(judge(&played.history), Vec::<String>::new(), "seed {seed}:\n{text}");
-    }
+    (1..4).for_each(drawn);
+}
+
+/// In KNOWN-RED.txt: in one of some ten runs nobody outside got the owner's book for 60 s after all was healed.
+#[test]
+fn drawn_seed_0_comes_to_an_end() {
+    drawn(0);
 }
 
 /// Stopped by itself at a point, the first time it comes there as owner; then another takes over, then it wakes.
--- a/crates/prompter/src/office.rs
+++ b/crates/prompter/src/office.rs
@@ -221,7 +221,7 @@
         let mut known = std::collections::BTreeSet::new();
         voters.retain(|v| known.insert(v.clone()));
         voters.truncate(MOST_VOTERS);
-        if voters.len() % 2 == 0 {
+        if voters.len().is_multiple_of(2) {
             voters.truncate(voters.len() - 1);
         }
         voters.sort();
