--- /dev/null
+++ b/crates/stage/tests/draw.rs
@@ -0,0 +1,166 @@
+//! The design on the ordinary path of a caller: weights from what doors report, means for who is unreported, newcomers that rise, lists whose
+//! versions only go up.
+use std::collections::BTreeMap;
+
+use notchspool::units::{Fate, Micros, TxnRef};
+use notchspool_callboard::playbill::{Changes, Playbill};
+use notchspool_cues::{Bill, State, Station};
+use notchspool_promptbook::script::{Route, RouteKind};
+use notchspool_stage::company::{Company, Order};
+use notchspool_stage::purse::Purse;
+
+fn station(instance: &str, slots: u32, cold_ms: u32, state: State, calls: u64) -> Station {
+    Station {
+        instance: instance.into(),
+        service: "s".into(),
+        usher: format!("{instance}:1"),
+        zone: "a".into(),
+        slots,
+        state: state.into(),
+        cold_ms,
+        calls,
+        ..Station::default()
+    }
+}
+
+fn route(kind: RouteKind) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        kind,
+        timeout: Micros::ms(1_000),
+        target: Micros::ms(200),
+        priority: 1,
+        attempts: 2,
+        split: vec![("s".into(), 1.0)],
+    }
+}
+
+struct Caller {
+    company: Company,
+    now: Micros,
+    next: u64,
+}
+
+impl Caller {
+    fn with(stations: Vec<Station>) -> Caller {
+        let now = Micros::ms(10_000);
+        let purse = Purse::open(0.2, 60.0, Micros::ms(10_000), 8, now);
+        let mut company = Company::open("a", Micros::ms(2_000), 7, purse, now);
+        company.listed(now, 1, &Changes { stations, absent: Vec::new() });
+        Caller { company, now, next: 0 }
+    }
+    /// Where so many requests go; each is settled at once, and `busy` says what each door reports, in thousandths.
+    fn draws(&mut self, n: usize, busy: &[(&str, u32)]) -> BTreeMap<String, usize> {
+        let mut found = BTreeMap::new();
+        for _ in 0..n {
+            self.next += 1;
+            let txn = TxnRef(self.next);
+            let route = route(RouteKind::Safe);
+            let orders = self.company.take(self.now, txn, &route, self.now + Micros::ms(1_000));
+            let Some(Order::Post(_, to)) = orders.first() else { continue };
+            let name = self.company.station(*to).map_or(String::new(), |s| s.instance.clone());
+            let told = busy.iter().find(|b| b.0 == name).map_or(0, |b| b.1 + 1);
+            self.company.reported(self.now, *to, told);
+            self.company.returned(self.now, txn, 0, Fate::Settled, Micros::ms(20), true);
+            *found.entry(name).or_insert(0) += 1;
+        }
+        found
+    }
+}
+
+fn ready(instance: &str) -> Station {
+    station(instance, 6, 0, State::Ready, 1)
+}
+
+#[test]
+fn what_is_left_of_a_backend_decides_and_a_floor_keeps_the_full_one_in() {
+    let mut caller = Caller::with(vec![ready("a"), ready("b"), ready("c")]);
+    let busy = [("a", 1_000), ("b", 500), ("c", 0)];
+    caller.draws(300, &busy);
+    let found = caller.draws(3_000, &busy);
+    let part = |name: &str| found[name] as f64 / 3_000.0;
+    // 0.1 : 0.5 : 1
+    assert!((part("a") - 0.0625).abs() < 0.03, "{found:?}");
+    assert!((part("b") - 0.3125).abs() < 0.04, "{found:?}");
+}
+
+#[test]
+fn without_reports_weights_follow_the_slots() {
+    let mut caller =
+        Caller::with(vec![station("a", 2, 0, State::Ready, 1), station("b", 6, 0, State::Ready, 1)]);
+    let found = caller.draws(4_000, &[]);
+    assert!((found["b"] as f64 / 4_000.0 - 0.75).abs() < 0.04, "{found:?}");
+}
+
+#[test]
+fn who_is_unreported_takes_the_mean() {
+    let mut caller = Caller::with(vec![ready("a"), ready("b"), ready("c")]);
+    let busy = [("a", 800), ("b", 0)];
+    caller.draws(300, &busy);
+    let found = caller.draws(3_000, &busy);
+    // 0.2 : 1 : 0.6
+    assert!((found["c"] as f64 / 3_000.0 - 0.333).abs() < 0.04, "{found:?}");
+}
+
+#[test]
+fn a_newcomer_is_capped_at_the_mean_and_rises() {
+    let cold = station("c", 6, 3_500, State::Ready, 1);
+    let mut caller = Caller::with(vec![ready("a"), ready("b"), cold]);
+    let busy = [("a", 900), ("b", 900), ("c", 0)];
+    caller.draws(300, &busy);
+    let young = caller.draws(2_000, &busy)["c"];
+    caller.now = caller.now + Micros::ms(2_000);
+    caller.draws(300, &busy);
+    let older = caller.draws(2_000, &busy)["c"];
+    caller.now = caller.now + Micros::ms(3_000);
+    caller.draws(300, &busy);
+    let warm = caller.draws(2_000, &busy)["c"];
+    // 0.1 : 0.1 : 1. Cold, it has the mean of the three at most (0.4, two thirds of all), less the younger it is; then its own part.
+    assert!(young < older && older <= 1_380 && warm > 1_550, "{young} {older} {warm}");
+}
+
+#[test]
+fn who_drains_or_is_away_gets_nothing_while_another_stands() {
+    let mut caller = Caller::with(vec![ready("a"), ready("b"), ready("c")]);
+    let gone = vec![station("b", 6, 0, State::Draining, 2), station("c", 6, 0, State::Away, 2)];
+    caller.company.listed(caller.now, 2, &Changes { stations: gone, absent: Vec::new() });
+    assert_eq!(caller.draws(200, &[]).keys().collect::<Vec<_>>(), ["a"]);
+    let back = vec![station("c", 6, 0, State::Ready, 3)];
+    caller.company.listed(caller.now, 3, &Changes { stations: back, absent: Vec::new() });
+    assert_eq!(caller.draws(200, &[]).keys().collect::<Vec<_>>(), ["a", "c"]);
+}
+
+#[test]
+fn an_address_taken_over_by_another_instance_is_another_backend() {
+    let mut caller = Caller::with(vec![ready("a"), ready("b")]);
+    for n in 0..50 {
+        let left = station(&format!("x{}", n), 6, 0, State::Left, 9);
+        let next = ready(&format!("x{}", n + 1));
+        caller.company.listed(caller.now, 2 + n, &Changes { stations: vec![left, next], absent: Vec::new() });
+        let found = caller.draws(60, &[]);
+        assert_eq!(
+            found.keys().cloned().collect::<Vec<_>>(),
+            ["a".to_string(), "b".into(), format!("x{}", n + 1)]
+        );
+    }
+}
+
+#[test]
+fn an_older_list_changes_nothing_and_an_older_word_on_one_neither() {
+    let mut list = Playbill::default();
+    let bill = |version, whole, stations| Bill { version, whole, stations, line: 1 };
+    let take = list.take(bill(5, true, vec![ready("a"), station("b", 6, 0, State::Draining, 7)])).unwrap();
+    assert_eq!(take.stations.len(), 2);
+    assert_eq!(list.take(bill(4, true, vec![])), None);
+    // Another prompter, a later number, but what it says of b is older.
+    let take = list.take(bill(6, false, vec![station("b", 6, 0, State::Ready, 3)])).unwrap();
+    assert_eq!((take.stations.len(), list.get("b").map(Station::state)), (0, Some(State::Draining)));
+    let take = list.take(bill(7, true, vec![ready("a")])).unwrap();
+    assert_eq!(
+        take.absent.iter().map(|s| (s.instance.as_str(), s.state())).collect::<Vec<_>>(),
+        [("b", State::Missed)]
+    );
+    assert_eq!(list.version(), 7);
+}
