Thin links: pieces let small answers by, part messages show life, backlog turns away

What holds was asked of all five prompters 60 ms after it was told, so that each usher was sent a large configuration five times. And large answers filled the links of their service's machines, so that its internal checks missed their 600 ms.

Change: bytes, not whole messages, are signs of life; the wait grows with the link's slowness and is 2.5 s where a part of an answer is out; pieces of 16 kB wait until what stands before them is written, and no more than 50 ms of the link is on its way; bodies that hold up the link for 10 ms go in pieces; a large answer is begun only while those before it are worked off within 0.3 of its aim; one prompter is asked at a time, after 0.5 s.

--- a/crates/rigging/src/rope.rs
+++ b/crates/rigging/src/rope.rs
@@ -33,7 +33,13 @@
 
 struct Inner {
     out: RefCell<BytesMut>,
+    /// Bytes handed to the socket's write and not yet taken by it.
+    writing: Cell<usize>,
     wake: Notify,
+    /// Something was written.
+    drained: Notify,
+    /// How often bytes have come, whole messages or not.
+    reads: Cell<u64>,
     closed: Cell<bool>,
     finish: Cell<bool>,
 }
@@ -44,8 +50,15 @@
 
 impl Default for Rope {
     fn default() -> Rope {
-        let (out, wake) = (RefCell::default(), Notify::new());
-        Rope(Rc::new(Inner { out, wake, closed: Cell::new(false), finish: Cell::new(false) }))
+        Rope(Rc::new(Inner {
+            out: RefCell::default(),
+            writing: Cell::new(0),
+            wake: Notify::new(),
+            drained: Notify::new(),
+            reads: Cell::new(0),
+            closed: Cell::new(false),
+            finish: Cell::new(false),
+        }))
     }
 }
 
@@ -63,6 +76,18 @@
         self.0.wake.notify_one();
         true
     }
+    /// Waits till no more than this many bytes stand before what is sent next: large answers let small ones go between. False where the
+    /// connection has ended.
+    pub async fn below(&self, bytes: usize) -> bool {
+        while self.open() && self.0.out.borrow().len() + self.0.writing.get() > bytes {
+            self.0.drained.notified().await;
+        }
+        self.open()
+    }
+    /// How often bytes have come on it.
+    pub fn reads(&self) -> u64 {
+        self.0.reads.get()
+    }
     pub fn open(&self) -> bool {
         !self.0.closed.get()
     }
@@ -117,7 +142,7 @@
             };
             match n {
                 Ok(0) => return End::Closed,
-                Ok(_) => {}
+                Ok(_) => rope.0.reads.set(rope.0.reads.get() + 1),
                 Err(e) => return End::Io(e),
             }
             loop {
@@ -145,7 +170,11 @@
                 rope.0.wake.notified().await;
                 continue;
             }
-            if let Err(e) = writes.write_all(&out).await {
+            rope.0.writing.set(out.len());
+            let written = writes.write_all(&out).await;
+            rope.0.writing.set(0);
+            rope.0.drained.notify_waiters();
+            if let Err(e) = written {
                 return End::Io(e);
             }
             // The buffer is used again where it stayed small.
@@ -158,6 +187,7 @@
     };
     let end = tokio::select! { end = reader => end, end = writer => end };
     rope.0.closed.set(true);
+    rope.0.drained.notify_waiters();
     if !rope.0.finish.get() {
         // What is still on its way must not arrive when nobody waits for it any more.
         let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
--- a/crates/rigging/src/told.rs
+++ b/crates/rigging/src/told.rs
@@ -43,6 +43,8 @@
     pub beat_interval: Micros,
     pub bounds: Bounds,
     pub memory_mb: u64,
+    /// Speed of the machine's link, millions of bits a second.
+    pub link_mbps: f64,
     pub app: Option<SocketAddr>,
     pub service: String,
 }
@@ -132,7 +134,14 @@
         };
         let service = r.value.get("service").and_then(Value::as_str).unwrap_or_default().to_string();
         let memory_mb = r.value.pointer("/limits/memoryMb").and_then(Value::as_f64).unwrap_or(128.0) as u64;
+        let link_mbps = r
+            .value
+            .pointer("/limits/linkMbps")
+            .and_then(Value::as_f64)
+            .filter(|m| *m > 0.0)
+            .unwrap_or(1_000.0);
         Ok(Told {
+            link_mbps,
             node: r.text("node")?,
             zone: r.text("zone")?,
             ip: r.text("ipAddress")?,
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -20,8 +20,10 @@
 const CLAIM: Micros = Micros::ms(250);
 /// Claims in hand at most.
 const MOST: usize = 10_000;
-/// Who does not follow this board waits so long for its own before it asks.
-const BEFORE_ASKING: Duration = Duration::from_millis(60);
+/// What holds comes by itself from the board that is followed: another prompter is asked for it only after this, one at a time. Where none
+/// is followed, sooner.
+const BEFORE_ASKING: Duration = Duration::from_millis(500);
+const UNFOLLOWED: Duration = Duration::from_millis(40);
 
 #[derive(Clone)]
 struct Voter {
@@ -47,6 +49,8 @@
     followed: RefCell<Option<String>>,
     line: Cell<u64>,
     failures: Cell<u32>,
+    /// The version that is waited for before somebody is asked.
+    awaited: Cell<u64>,
 }
 
 impl Voters {
@@ -185,14 +189,15 @@
                         rope.send(What::Station(station));
                     }
                     self.follow();
-                    self.holding(rope, welcome.chosen, Duration::ZERO);
+                    let bare = self.script.borrow().is_none();
+                    self.holding(rope, welcome.chosen, bare);
                 }
             }
             What::Holding(holding) => {
                 if let Some(voter) = self.voters.open.borrow_mut().get_mut(address) {
                     voter.holds = Some((holding.chosen, holding.sure));
                 }
-                self.holding(rope, holding.chosen, BEFORE_ASKING);
+                self.holding(rope, holding.chosen, false);
             }
             What::Word(word) => self.word(word.version, &word.body),
             What::Bill(bill) => {
@@ -209,16 +214,37 @@
     }
 
     /// That a version holds: where it does not come by itself it is asked for.
-    fn holding(self: &Rc<House>, rope: &Rope, chosen: u64, wait: Duration) {
+    fn holding(self: &Rc<House>, rope: &Rope, chosen: u64, at_once: bool) {
         let lacks = move |house: &House| house.script.borrow().as_ref().map_or(0, |s| s.version) < chosen;
-        if chosen == 0 || !lacks(self) {
+        if chosen <= self.voters.awaited.get() || !lacks(self) {
             return;
         }
+        let wait = match (at_once, self.voters.followed.borrow().is_some()) {
+            (true, _) => Duration::ZERO,
+            (false, true) => BEFORE_ASKING,
+            (false, false) => UNFOLLOWED,
+        };
+        self.voters.awaited.set(chosen);
         let (house, rope) = (self.clone(), rope.clone());
         tokio::task::spawn_local(async move {
             tokio::time::sleep(wait).await;
             if lacks(&house) {
                 rope.send(What::Want(Want { version: chosen }));
+                tokio::time::sleep(BEFORE_ASKING).await;
+            }
+            if house.voters.awaited.get() == chosen {
+                // Whoever says next that it holds may be asked.
+                house.voters.awaited.set(0);
+            }
+            if lacks(&house) {
+                let other = house
+                    .voters
+                    .open
+                    .borrow()
+                    .values()
+                    .find(|v| v.holds.is_some_and(|h| h.0 >= chosen))
+                    .cloned();
+                other.into_iter().for_each(|v| house.holding(&v.rope, chosen, false));
             }
         });
     }
--- a/crates/stage/src/dressing.rs
+++ b/crates/stage/src/dressing.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use crate::house::{House, within};
+use crate::links::PIECE;
 use crate::pipe::{End, Pipe};
 
 pub const ATTEMPT: &str = "notchspool-attempt-id";
@@ -28,8 +29,10 @@
 const MOST_BODY: usize = 64 << 20;
 /// A connection to the same machine is up by then.
 const CONNECT: Micros = Micros::ms(500);
-/// Bodies from this size on are passed on in pieces, but those that are kept for their keys.
-const LARGE: usize = 256 << 10;
+/// Bodies that hold up the machine's link for longer than this are passed on in pieces, but those that are kept for their keys. The bounds
+/// of that size: whole ones can be asked for again where they break off, so pieces are for what needs them.
+const HOLDS_UP: f64 = 0.01;
+const LARGE: (usize, usize) = (16 << 10, 256 << 10);
 /// Answers to other requests that are passed over in the place of the one due.
 const MOST_ASTRAY: usize = 4;
 
@@ -159,7 +162,9 @@
         }
         let mut got = BytesMut::with_capacity(4096);
         for _ in 0..MOST_ASTRAY {
-            let large = ask.key.is_empty().then_some(ask.attempt.as_str());
+            let speed = self.told.borrow().link_mbps * 1e6 / 8.0;
+            let least = ((speed * HOLDS_UP) as usize).clamp(LARGE.0, LARGE.1);
+            let large = ask.key.is_empty().then_some((ask.attempt.as_str(), least));
             let answer =
                 match read_answer(&mut stream, &mut got, ask.method == "HEAD", self.now(), large).await {
                     Ok(answer) => answer,
@@ -185,6 +190,7 @@
                 let first = got.split_to(got.len().min(length)).freeze();
                 let (pipe, left) = (Pipe::default(), length - first.len());
                 let keep = answer.keep.filter(|_| got.is_empty());
+                self.large(ask.target_ms, length);
                 let (house, filled) = (self.clone(), pipe.clone());
                 tokio::task::spawn_local(async move {
                     pass_on(house, stream, left, filled, keep, until).await;
@@ -256,7 +262,7 @@
     got: &mut BytesMut,
     head_only: bool,
     now: Micros,
-    large: Option<&str>,
+    large: Option<(&str, usize)>,
 ) -> Result<Answer, String> {
     loop {
         let mut headers = [httparse::EMPTY_HEADER; MOST_PAIRS];
@@ -281,9 +287,9 @@
             answer.keep = None;
         }
         if let Framing::Length(n) = framing
-            && n >= LARGE
-            && large.is_some()
-            && answer.attempt.as_deref() == large
+            && let Some((attempt, least)) = large
+            && n >= least
+            && answer.attempt.as_deref() == Some(attempt)
             && (200..300).contains(&status)
             && answer.sealed
             && !answer.encoded
@@ -308,12 +314,20 @@
 ) {
     let mut got = BytesMut::new();
     while left > 0 {
-        got.reserve(left.min(32 << 10));
         let wait = until - house.now();
-        let read = async { if pipe.room().await { stream.read_buf(&mut got).await } else { Ok(0) } };
+        let read = async {
+            if !pipe.room().await {
+                return Ok(0);
+            }
+            if !got.is_empty() {
+                return Ok(got.len());
+            }
+            got.reserve(left.min(PIECE));
+            stream.read_buf(&mut got).await
+        };
         match within(wait, read).await {
             Some(Ok(n)) if n > 0 => {
-                let part = got.split_to(got.len().min(left));
+                let part = got.split_to(got.len().min(left).min(PIECE));
                 left -= part.len();
                 pipe.put(part.freeze());
             }
--- a/crates/stage/src/house.rs
+++ b/crates/stage/src/house.rs
@@ -45,6 +45,9 @@
     pub stopping: Cell<Option<Micros>>,
     pub away: Cell<bool>,
     pub in_hand: Cell<usize>,
+    /// Bytes of large answers that this machine has yet to send, and the usual size of those of a kind.
+    pub to_send: Cell<usize>,
+    pub sizes: RefCell<BTreeMap<u32, f64>>,
     /// Part of requests that were refused lately, smoothed.
     pub refusing: Cell<f64>,
     pub counts: RefCell<BTreeMap<&'static str, u64>>,
@@ -75,6 +78,8 @@
             stopping: Cell::new(None),
             away: Cell::new(false),
             in_hand: Cell::new(0),
+            to_send: Cell::new(0),
+            sizes: RefCell::default(),
             refusing: Cell::new(0.0),
             counts: RefCell::default(),
             number: Cell::new(0),
@@ -95,6 +100,26 @@
         self.chance.borrow_mut().rand_float()
     }
 
+    /// How long this machine's link has to work off large answers, with one more of this kind; nothing for kinds that are small.
+    pub fn backlog(&self, kind: u32) -> Micros {
+        let speed = self.told.borrow().link_mbps * 1e6 / 8.0;
+        let usual = self.sizes.borrow().get(&kind).copied().unwrap_or(0.0);
+        if usual < 1.0 {
+            Micros(0)
+        } else {
+            Micros(((self.to_send.get() as f64 + usual) / speed * 1e6) as i64)
+        }
+    }
+
+    /// A large answer of this kind came from the backend.
+    pub fn large(&self, kind: u32, bytes: usize) {
+        let mut sizes = self.sizes.borrow_mut();
+        if sizes.len() < 64 || sizes.contains_key(&kind) {
+            let usual = sizes.entry(kind).or_insert(bytes as f64);
+            *usual += 0.1 * (bytes as f64 - *usual);
+        }
+    }
+
     /// A request ended, refused or not.
     pub fn ended(&self, refused: bool) {
         let old = self.refusing.get();
--- a/crates/stage/src/links.rs
+++ b/crates/stage/src/links.rs
@@ -21,6 +21,9 @@
 const DOUBT: Micros = Micros::ms(150);
 /// And after this the connection is given up.
 const LOST: Micros = Micros::ms(500);
+/// On thin links answers wait behind others: so many milliseconds more for a speed of 1 Mbit/s, less for faster ones, but no more than this.
+const THIN: f64 = 20_000.0;
+const LONGEST: Micros = Micros::ms(2_500);
 /// Requests out on one link at most.
 const MOST_OUT: usize = 4_096;
 /// Links at most, each way.
@@ -41,8 +44,10 @@
     }
 }
 
-/// Bytes of an answer in pieces that may be on their way.
-const ON_WAY: usize = 256 << 10;
+/// Bytes of an answer in pieces that may be on their way: what the link carries in this time, within bounds; and bytes of one piece.
+const ON_WAY: (usize, usize) = (32 << 10, 256 << 10);
+const ON_WAY_TIME: f64 = 0.05;
+pub const PIECE: usize = 16 << 10;
 
 /// How much of an answer in pieces was sent and taken.
 #[derive(Default)]
@@ -58,6 +63,7 @@
     /// Up: what is written may have left.
     up: std::cell::Cell<bool>,
     heard: std::cell::Cell<Micros>,
+    reads: std::cell::Cell<u64>,
     asked: std::cell::Cell<Micros>,
     used: std::cell::Cell<Micros>,
 }
@@ -140,6 +146,7 @@
             pieces: RefCell::default(),
             up: std::cell::Cell::new(false),
             heard: std::cell::Cell::new(now),
+            reads: std::cell::Cell::new(0),
             asked: std::cell::Cell::new(Micros(0)),
             used: std::cell::Cell::new(now),
         });
@@ -225,9 +232,20 @@
     /// Looks after links on which something is out.
     pub fn look_at_links(&self) {
         let now = self.now();
+        let thin = Micros::ms((THIN / self.told.borrow().link_mbps.max(1.0)) as i64);
+        let lost = (LOST + thin).min(LONGEST);
         let all: Vec<Rc<Link>> = self.links.all.borrow().values().cloned().collect();
         for link in all {
-            let idle = link.out.borrow().is_empty() && link.pieces.borrow().is_empty();
+            let pieces = !link.pieces.borrow().is_empty();
+            let idle = link.out.borrow().is_empty() && !pieces;
+            let reads = link.rope.reads();
+            if link.reads.replace(reads) != reads {
+                // Part of a message is a sign of life, too.
+                link.heard.set(now);
+                link.asked.set(Micros(0));
+            }
+            // An answer of which the client has a part is not given up for a short silence.
+            let lost = if pieces { LONGEST } else { lost };
             if idle && now - link.used.get() > UNUSED {
                 link.rope.finish();
             }
@@ -237,7 +255,7 @@
             if link.asked.get() == Micros(0) {
                 link.asked.set(now);
                 link.rope.send(What::Ping(Ping { number: 0 }));
-            } else if now - link.asked.get() >= LOST - DOUBT {
+            } else if now - link.asked.get() >= lost - DOUBT {
                 self.count("links_silent");
                 link.rope.cut();
             }
@@ -265,12 +283,16 @@
                     return;
                 }
                 let task = tokio::task::spawn_local(async move {
-                    let told = house.perform(ask).await;
+                    let told = house.clone().perform(ask).await;
+                    let length = told.said.length as usize;
                     rope.send(What::Said(Said { id, ..told.said }));
                     if let Some(pipe) = told.pipe {
                         let credit = Rc::new(Credit::default());
                         credits.borrow_mut().insert(id, credit.clone());
-                        pump(&rope, id, &pipe, &credit).await;
+                        let to_send = ToSend::begin(&house, length);
+                        let window = house.on_way();
+                        pump(&rope, id, &pipe, &credit, window, &to_send).await;
+                        drop(to_send);
                         credits.borrow_mut().remove(&id);
                     }
                     mine_too.borrow_mut().remove(&id);
@@ -309,17 +331,22 @@
 }
 
 /// Sends an answer piece by piece, as fast as the other side passes it on.
-async fn pump(rope: &Rope, id: u64, pipe: &Pipe, credit: &Credit) {
+async fn pump(rope: &Rope, id: u64, pipe: &Pipe, credit: &Credit, window: usize, to_send: &ToSend) {
     let gone = Leaving(pipe);
     loop {
-        while credit.way.get() >= ON_WAY {
+        while credit.way.get() >= window {
             credit.wake.notified().await;
         }
+        // Small answers go between the pieces.
+        if !rope.below(PIECE).await {
+            break;
+        }
         let part = match pipe.next().await {
             Ok(bytes) => Part { id, bytes, ..Part::default() },
             Err(end) => Part { id, last: true, broken: end == End::Broken, ..Part::default() },
         };
         credit.way.set(credit.way.get() + part.bytes.len());
+        to_send.sent(part.bytes.len());
         let last = part.last;
         if !rope.send(What::Part(part)) || last {
             break;
@@ -335,3 +362,34 @@
         self.0.leave();
     }
 }
+
+/// Bytes that this machine has yet to send; what is not sent after all is taken off with it.
+struct ToSend {
+    house: Rc<House>,
+    left: std::cell::Cell<usize>,
+}
+
+impl ToSend {
+    fn begin(house: &Rc<House>, bytes: usize) -> ToSend {
+        house.to_send.set(house.to_send.get() + bytes);
+        ToSend { house: house.clone(), left: std::cell::Cell::new(bytes) }
+    }
+    fn sent(&self, bytes: usize) {
+        let bytes = bytes.min(self.left.get());
+        self.left.set(self.left.get() - bytes);
+        self.house.to_send.set(self.house.to_send.get().saturating_sub(bytes));
+    }
+}
+
+impl Drop for ToSend {
+    fn drop(&mut self) {
+        self.sent(self.left.get());
+    }
+}
+
+impl House {
+    fn on_way(&self) -> usize {
+        let speed = self.told.borrow().link_mbps * 1e6 / 8.0;
+        ((speed * ON_WAY_TIME) as usize).clamp(ON_WAY.0, ON_WAY.1)
+    }
+}
--- a/crates/stage/src/perform.rs
+++ b/crates/stage/src/perform.rs
@@ -15,6 +15,8 @@
 
 /// Part of the drain's span after which nothing new begins at a backend that drains.
 const DRAINED: f64 = 0.6;
+/// Part of its aim for which a large answer may find the link at work.
+const BACKLOG: f64 = 0.3;
 /// Kept clear of the end of a request's time.
 const MARGIN: Micros = Micros::ms(2);
 
@@ -137,6 +139,12 @@
             self.count("astray");
             return self.marked(only(id, verdict, why)).into();
         }
+        // Large answers stand before all else on a thin link: one more is begun only while they are soon worked off.
+        let backlog = self.backlog(ask.target_ms);
+        if backlog > Micros::ms(i64::from(ask.target_ms)).times(BACKLOG) {
+            self.count("link_full");
+            return self.turned_away(id, "the link is full", backlog).into();
+        }
         let mut claim = None;
         if let (false, Some(ticket)) = (ask.key.is_empty(), ask.ticket) {
             let known = self.coats.borrow().get(&ask.key).is_some();
