Configurations go over links deflated

Change: a chosen version is packed once and sent so (a tenth and less); what is no such thing, or over 16 MB unpacked, is refused. Test with a body that unpacks beyond the bound.

--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -528,6 +528,27 @@
     pub version: u64,
 }
 
+/// Bytes of a configuration at most, unpacked.
+pub const MOST_WORD: usize = 16 << 20;
+
+/// A configuration as it goes over links, thin ones too: deflated.
+pub fn pack(version: u64, body: &[u8]) -> Word {
+    use std::io::Write;
+    let mut packed = flate2::write::DeflateEncoder::new(Vec::new(), flate2::Compression::default());
+    // A vector takes all that is written to it.
+    let _ = packed.write_all(body);
+    Word { version, body: packed.finish().unwrap_or_default().into() }
+}
+
+/// What was packed; none where it is no such thing, or too large.
+pub fn unpack(word: &Word) -> Option<Vec<u8>> {
+    use std::io::Read;
+    let mut body = Vec::new();
+    let read =
+        flate2::read::DeflateDecoder::new(&word.body[..]).take(MOST_WORD as u64 + 1).read_to_end(&mut body);
+    (read.is_ok() && body.len() <= MOST_WORD).then_some(body)
+}
+
 /// Appends one frame.
 pub fn write(what: What, into: &mut BytesMut) {
     let cue = Cue { what: Some(what) };
@@ -580,6 +601,17 @@
         assert_eq!(seen, [What::Ping(Ping { number: 7 }), What::Want(Want { version: 9 })]);
     }
 
+    #[test]
+    fn a_word_is_packed_and_unpacked_and_what_is_none_is_refused() {
+        let body = "a route like the others ".repeat(4_000);
+        let word = pack(7, body.as_bytes());
+        assert!(word.body.len() * 20 < body.len());
+        assert_eq!(unpack(&word).as_deref(), Some(body.as_bytes()));
+        let bomb = pack(8, &vec![0; MOST_WORD + 1]);
+        assert_eq!(unpack(&bomb), None);
+        assert_eq!(unpack(&Word { version: 9, body: Bytes::from_static(b"\xff\xff\xff") }), None);
+    }
+
     #[test]
     fn any_bytes_are_a_message_an_error_or_not_yet_whole() {
         fn holds(bytes: Vec<u8>) -> bool {
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -243,7 +243,10 @@
             What::Holding(holding) if holding.chosen > self.ushers[at].version => {
                 self.send(to, What::Want(Want { version: holding.chosen }));
             }
-            What::Word(word) => self.word(at, word.version, &String::from_utf8_lossy(&word.body)),
+            What::Word(word) => {
+                let body = notchspool_cues::unpack(&word).unwrap_or_default();
+                self.word(at, word.version, &String::from_utf8_lossy(&body));
+            }
             What::Bill(bill) if self.ushers[at].followed == Some(from.1) => {
                 let usher = &mut self.ushers[at];
                 let (before, version) = (usher.playbill.version(), bill.version);
--- a/crates/prompter/src/office.rs
+++ b/crates/prompter/src/office.rs
@@ -98,6 +98,8 @@
     pub board: Board,
     pub rack: Rack,
     chosen: Option<Held>,
+    /// The same as it is sent.
+    packed: Word,
     /// The version accepted here and not known to be chosen, and when it is looked into.
     unsure: Option<Micros>,
     sure: bool,
@@ -167,6 +169,7 @@
             board: Board::default(),
             rack,
             chosen: None,
+            packed: Word::default(),
             unsure: None,
             sure: false,
             guests: BTreeMap::new(),
@@ -413,9 +416,8 @@
                 }
             }
             What::Want(want) => {
-                if let Some(held) = self.chosen.as_ref().filter(|h| h.version >= want.version) {
-                    let (version, body) = (held.version, held.body.clone().into_bytes().into());
-                    acts.push(Act::Send(conn, What::Word(Word { version, body })));
+                if self.chosen.as_ref().is_some_and(|h| h.version >= want.version) {
+                    acts.push(Act::Send(conn, What::Word(self.packed.clone())));
                 }
             }
             What::Holding(holding) => {
@@ -424,7 +426,7 @@
                 }
             }
             What::Word(word) => {
-                if let Ok(body) = String::from_utf8(word.body.to_vec()) {
+                if let Some(body) = cues::unpack(&word).and_then(|b| String::from_utf8(b).ok()) {
                     self.choose(Held { version: word.version, body }, &mut acts);
                 }
             }
@@ -597,7 +599,8 @@
         }
         acts.push(Act::Log(format!("version {} holds", held.version)));
         let holding = What::Holding(Holding { chosen: held.version, sure: self.sure });
-        let word = What::Word(Word { version: held.version, body: held.body.clone().into_bytes().into() });
+        self.packed = cues::pack(held.version, held.body.as_bytes());
+        let word = What::Word(self.packed.clone());
         for (conn, guest) in &self.guests {
             // Who follows this board gets it whole; the others have it from theirs, or ask.
             let what = if guest.follows.is_some() { word.clone() } else { holding.clone() };
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -199,7 +199,10 @@
                 }
                 self.holding(rope, holding.chosen, false);
             }
-            What::Word(word) => self.word(word.version, &word.body),
+            What::Word(word) => match notchspool_cues::unpack(&word) {
+                Some(body) => self.word(word.version, &body),
+                None => self.count("messages_unknown"),
+            },
             What::Bill(bill) => {
                 if self.voters.followed.borrow().as_deref() == Some(address) {
                     self.voters.failures.set(0);
