--- a/crates/stage/src/run.rs
+++ b/crates/stage/src/run.rs
@@ -200,11 +200,13 @@
     while house.now() < (told + TELLING).min(last) {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    while house.now() < last
-        && (*open.borrow() > 0 || house.in_hand.get() > 0 || house.door.borrow().in_work() > 0)
-    {
+    // Also what others are being sent from the backend here goes to its end.
+    let busy = |h: &House| h.in_hand.get() > 0 || h.door.borrow().in_work() > 0 || h.to_send.get() > 0;
+    while house.now() < last && (*open.borrow() > 0 || busy(&house)) {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    // What was written last has to leave.
+    tokio::time::sleep(Duration::from_millis(60)).await;
     let _ = end_desk.send(true);
     log::info!(target: "usher", "ended");
     Ok(())
