A disk that was full votes again: after a failed write the log of claims is opened anew

Change: a failed write drops the log; the next opens it anew, at most ten times a second; what stands in memory is what was claimed, so that nothing is granted twice meanwhile. Said once in the log, and once when it writes again. Test: after_a_failed_write_the_log_is_opened_anew_and_nothing_is_lost.

--- a/crates/prompter/src/house.rs
+++ b/crates/prompter/src/house.rs
@@ -181,14 +181,19 @@
     jobs: std::sync::mpsc::Receiver<Job>,
     done: mpsc::UnboundedSender<(u64, bool)>,
 ) {
+    let mut sick = false;
     while let Ok(first) = jobs.recv() {
         let mut all = vec![first];
         all.extend(jobs.try_iter().take(512));
         let deeds: Vec<Deed> = all.iter().flat_map(|(_, deeds)| deeds.iter().cloned()).collect();
         let written = trapdoor.write(&deeds);
-        if let Err(e) = &written {
-            warn!(target: "trapdoor", "can't write: {e}");
+        // Said once, and once when it is over.
+        match &written {
+            Err(e) if !sick => warn!(target: "trapdoor", "can't write: {e}"),
+            Ok(()) if sick => info!(target: "trapdoor", "writes again"),
+            _ => {}
         }
+        sick = written.is_err();
         for (number, _) in all {
             if number > 0 && done.send((number, written.is_ok())).is_err() {
                 return;
--- a/crates/trapdoor/src/claims.rs
+++ b/crates/trapdoor/src/claims.rs
@@ -89,10 +89,17 @@
 }
 
 pub struct Claims {
-    log: WriteAheadLog,
+    /// None after a failed write: what the log then holds in its hands may never come back (it waits for its own file for ever), so
+    /// it is opened anew.
+    log: Option<WriteAheadLog>,
+    at: PathBuf,
     keeper: Keeper,
+    failed: Option<Instant>,
 }
 
+/// A disk that refused is asked again after this.
+const AGAIN: Duration = Duration::from_millis(100);
+
 impl Claims {
     /// The log, and all that it holds. Each claim's window begins anew.
     pub fn open(folder: &Path, window: Duration) -> Result<(Claims, Vec<Claim>), Broken> {
@@ -105,9 +112,23 @@
         }
         let at = folder.join("log");
         std::fs::create_dir_all(&at).map_err(broken("claims"))?;
-        let log = Configuration::default_for(&at).open(keeper.clone()).map_err(broken("claims"))?;
+        let log = Some(Configuration::default_for(&at).open(keeper.clone()).map_err(broken("claims"))?);
         let read = keeper.with(|table| table.values().map(|(c, _)| c.clone()).collect());
-        Ok((Claims { log, keeper }, read))
+        Ok((Claims { log, at, keeper, failed: None }, read))
+    }
+
+    /// The log, opened anew where a write to it failed.
+    fn log(&mut self) -> Result<&WriteAheadLog, Broken> {
+        if self.log.is_none() {
+            if self.failed.is_some_and(|at| at.elapsed() < AGAIN) {
+                return Err(broken("claims")(std::io::Error::other("the disk has just refused")));
+            }
+            self.failed = Some(Instant::now());
+            self.log = Some(
+                Configuration::default_for(&self.at).open(self.keeper.clone()).map_err(broken("claims"))?,
+            );
+        }
+        self.log.as_ref().ok_or_else(|| broken("claims")(std::io::Error::other("no log")))
     }
 
     pub fn write(&mut self, deeds: &[Deed]) -> Result<(), Broken> {
@@ -117,8 +138,20 @@
         }
         // The table first: a checkpoint that comes between has it all.
         lines.iter().cloned().for_each(|l| self.keeper.apply(l));
-        let mut entry = self.log.begin_entry().map_err(broken("claims"))?;
-        for line in &lines {
+        let written = self.append(&lines);
+        if written.is_err() {
+            self.log = None;
+            self.failed = self.failed.or(Some(Instant::now()));
+        } else {
+            self.failed = None;
+        }
+        written
+    }
+
+    fn append(&mut self, lines: &[Line]) -> Result<(), Broken> {
+        let log = self.log()?;
+        let mut entry = log.begin_entry().map_err(broken("claims"))?;
+        for line in lines {
             entry.write_chunk(&line.encode_to_vec()).map_err(broken("claims"))?;
         }
         entry.commit().map_err(broken("claims")).map(drop)
@@ -135,3 +168,42 @@
         _ => None,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use notchspool_cues::Ticket;
+
+    fn claim(key: &str) -> Deed {
+        let ticket = Some(Ticket { life: 1, number: 1, turn: 0 });
+        Deed::Claim(Claim { key: key.into(), ticket, holder: "h".into(), holder_life: 1, ..Claim::default() })
+    }
+
+    fn keys(claims: &[Claim]) -> Vec<String> {
+        let mut keys: Vec<String> = claims.iter().map(|c| c.key.clone()).collect();
+        keys.sort();
+        keys
+    }
+
+    #[test]
+    fn after_a_failed_write_the_log_is_opened_anew_and_nothing_is_lost() {
+        let folder = std::env::temp_dir().join(format!("notchspool-claims-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let (mut claims, read) = Claims::open(&folder, Duration::from_secs(60)).unwrap();
+        assert!(read.is_empty());
+        claims.write(&[claim("a")]).unwrap();
+        // As after a write that found no room: the place of the log can't be opened, then it can.
+        claims.log = None;
+        claims.failed = Some(Instant::now());
+        assert!(claims.write(&[claim("b")]).is_err());
+        claims.failed = Instant::now().checked_sub(AGAIN);
+        claims.write(&[claim("b")]).unwrap();
+        claims
+            .write(&[claim("c"), Deed::Withdraw("a".into(), Ticket { life: 1, number: 1, turn: 0 })])
+            .unwrap();
+        drop(claims);
+        let (_, read) = Claims::open(&folder, Duration::from_secs(60)).unwrap();
+        assert_eq!(keys(&read), ["b", "c"]);
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+}
