SIGHUP no longer ends a prompter: signals are taken before all else

Cause: the prompter waited for SIGTERM alone, so SIGHUP did what it does by default. Change: `rigging::signals` holds SIGTERM, SIGHUP and the look at the settings file for both programs; it is taken in the first line of `main`. A prompter that reads changed settings calls the new seeds; senseless ones change nothing and are told.

--- a/crates/prompter/src/house.rs
+++ b/crates/prompter/src/house.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info, warn};
 use notchspool_cues::{Hello, What};
+use notchspool_rigging::signals::{Event as Signalled, Signals};
 use notchspool_rigging::told::Told;
 use notchspool_rigging::{Clock, rope, seed};
 use notchspool_trapdoor::{Deed, Trapdoor};
@@ -36,7 +37,7 @@
 struct House {
     office: RefCell<Office>,
     clock: Clock,
-    told: Told,
+    told: RefCell<Told>,
     life: u64,
     ropes: RefCell<BTreeMap<Conn, rope::Rope>>,
     next: std::cell::Cell<u64>,
@@ -52,7 +53,7 @@
     }
 
     fn hello(&self) -> What {
-        let told = &self.told;
+        let told = self.told.borrow();
         What::Hello(Hello {
             node: told.node.clone(),
             life: self.life,
@@ -94,7 +95,7 @@
 
     /// Keeps a connection to another prompter, for as long as this process lives.
     fn dial(self: &Rc<House>, address: String) {
-        if address == self.told.inner() || !self.dialed.borrow_mut().insert(address.clone()) {
+        if address == self.told.borrow().inner() || !self.dialed.borrow_mut().insert(address.clone()) {
             return;
         }
         let house = self.clone();
@@ -119,6 +120,20 @@
         });
     }
 
+    /// Reads the settings file again; one that makes no sense changes nothing. New seeds are called; all else counts at the next start.
+    fn reread(self: &Rc<House>, file: &Path) {
+        match Told::read(file) {
+            Ok(told) if *self.told.borrow() != told => {
+                info!(target: "prompter", "settings have changed");
+                let seeds: Vec<String> = told.seeds.iter().map(|s| told.inner_of(s)).collect();
+                self.told.replace(told);
+                seeds.into_iter().for_each(|seed| self.dial(seed));
+            }
+            Ok(_) => {}
+            Err(e) => warn!(target: "prompter", "settings stay as they were: {e}"),
+        }
+    }
+
     async fn carry(self: &Rc<House>, stream: TcpStream, conn: Conn, rope: rope::Rope) -> rope::End {
         let end = rope::run(stream, rope, Some(SILENCE), |what| {
             let acts = self.office.borrow_mut().hear(self.clock.now(), conn, what);
@@ -203,7 +218,13 @@
 }
 
 /// Runs a prompter till SIGTERM.
-pub async fn run(told: Told, control: SocketAddr) -> Result<(), Box<dyn std::error::Error>> {
+pub async fn run(
+    told: Told,
+    file: PathBuf,
+    control: SocketAddr,
+    signals: Signals,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let mut signals = signals.watch(&file);
     let clock = Clock::start();
     let life = seed();
     let window = told.bounds.key_window;
@@ -233,13 +254,16 @@
         disk: jobs,
         calls: RefCell::default(),
         dialed: RefCell::default(),
-        told,
+        told: RefCell::new(told),
     });
     house.act(acts);
     if house.office.borrow().voters().is_empty() {
         seeds.iter().for_each(|s| house.dial(s.clone()));
     }
-    info!(target: "prompter", "{} listens at {} and {control}", house.told.node, house.told.inner());
+    {
+        let told = house.told.borrow();
+        info!(target: "prompter", "{} listens at {} and {control}", told.node, told.inner());
+    }
 
     let (mesh, conns) = (house.clone(), Rc::new(std::cell::Cell::new(0usize)));
     tokio::task::spawn_local(async move {
@@ -302,8 +326,9 @@
             ticks.act(acts);
         }
     });
-    let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
-    term.recv().await;
+    while signals.next().await == Signalled::Reread {
+        house.reread(&file);
+    }
     info!(target: "prompter", "ends on SIGTERM");
     // Calls in hand get their answers, then the process ends; what others lack they ask elsewhere.
     for _ in 0..20 {
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::{Parser, construct, long};
+use notchspool_rigging::signals::Signals;
 use notchspool_rigging::told::Told;
 
 struct Opts {
@@ -24,6 +25,22 @@
 }
 
 fn main() -> ExitCode {
+    // Before all else: a signal that comes early must not end the process.
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("prompter: no runtime: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let taken = runtime.block_on(async { Signals::take() });
+    let signals = match taken {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("prompter: no signals: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     let opts = opts().run();
     notchspool_rigging::logs(if opts.verbose { log::LevelFilter::Debug } else { log::LevelFilter::Info });
     let file = opts.settings.or_else(|| std::env::var_os("NOTCHSPOOL_SETTINGS").map(PathBuf::from));
@@ -43,15 +60,8 @@
         println!("{} is sound", file.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            eprintln!("prompter: no runtime: {e}");
-            return ExitCode::FAILURE;
-        }
-    };
     let local = tokio::task::LocalSet::new();
-    match local.block_on(&runtime, notchspool_prompter::house::run(told, control)) {
+    match local.block_on(&runtime, notchspool_prompter::house::run(told, file, control, signals)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("prompter: {e}");
--- a/crates/rigging/src/lib.rs
+++ b/crates/rigging/src/lib.rs
@@ -1,6 +1,7 @@
-//! What the mesh's processes have in common: what they are told (`told`), their connections to one another (`rope`), the steady clock
-//! and logs.
+//! What the mesh's processes have in common: what they are told (`told`), their connections to one another (`rope`), the signals they
+//! bear (`signals`), the steady clock and logs.
 pub mod rope;
+pub mod signals;
 pub mod told;
 
 use std::time::Instant;
--- a/crates/stage/src/run.rs
+++ b/crates/stage/src/run.rs
@@ -12,9 +12,9 @@
 use notchspool::units::Micros;
 use notchspool_callboard::beats::Event;
 use notchspool_rigging::seed;
+use notchspool_rigging::signals::{Event as Signalled, Signals};
 use notchspool_rigging::told::Told;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::house::House;
@@ -122,7 +122,13 @@
 }
 
 /// Runs an usher till SIGTERM.
-pub async fn run(told: Told, file: PathBuf, at: [SocketAddr; 3]) -> Result<(), Box<dyn std::error::Error>> {
+pub async fn run(
+    told: Told,
+    file: PathBuf,
+    at: [SocketAddr; 3],
+    signals: Signals,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let mut signals = signals.watch(&file);
     let [outbound, readiness, control] = at;
     let grace = told.bounds.grace;
     let inner = TcpListener::bind(told.inner()).await?;
@@ -168,21 +174,8 @@
         }
     });
     log::info!(target: "usher", "{} listens at {outbound}", house.told.borrow().node);
-    let mut term = signal(SignalKind::terminate())?;
-    let mut hup = signal(SignalKind::hangup())?;
-    let mut seen = modified(&file);
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => reread(&house, &file),
-            () = tokio::time::sleep(Duration::from_secs(2)) => {
-                let now = modified(&file);
-                if now != seen {
-                    seen = now;
-                    reread(&house, &file);
-                }
-            }
-        }
+    while signals.next().await == Signalled::Reread {
+        reread(&house, &file);
     }
     let began = house.now();
     house.stopping.set(Some(began));
@@ -211,7 +204,3 @@
     log::info!(target: "usher", "ended");
     Ok(())
 }
-
-fn modified(file: &Path) -> Option<std::time::SystemTime> {
-    std::fs::metadata(file).and_then(|m| m.modified()).ok()
-}
--- a/crates/usher/src/main.rs
+++ b/crates/usher/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::{Parser, construct, long};
+use notchspool_rigging::signals::Signals;
 use notchspool_rigging::told::{Senseless, Told};
 
 struct Opts {
@@ -40,6 +41,22 @@
 }
 
 fn main() -> ExitCode {
+    // Before all else: a signal that comes early must not end the process.
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("usher: no runtime: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let taken = runtime.block_on(async { Signals::take() });
+    let signals = match taken {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("usher: no signals: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     let opts = opts().run();
     notchspool_rigging::logs(if opts.verbose { log::LevelFilter::Debug } else { log::LevelFilter::Info });
     let file = opts.settings.or_else(|| std::env::var_os("NOTCHSPOOL_SETTINGS").map(PathBuf::from));
@@ -58,15 +75,8 @@
         println!("{} is sound", file.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            eprintln!("usher: no runtime: {e}");
-            return ExitCode::FAILURE;
-        }
-    };
     let local = tokio::task::LocalSet::new();
-    match local.block_on(&runtime, notchspool_stage::run::run(told, file, at)) {
+    match local.block_on(&runtime, notchspool_stage::run::run(told, file, at, signals)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("usher: {e}");
--- a/crates/usher/tests/whole.rs
+++ b/crates/usher/tests/whole.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use notchspool_rigging::signals::Signals;
 use notchspool_rigging::told::Told;
 
 const BOUND: Duration = Duration::from_secs(30);
@@ -165,14 +166,19 @@
     let core = "127.77.1.1";
     let (file, of_core) = told(core, Some(&folder), core, "");
     let control = of_core.listener(&file, "controlPlane").unwrap();
-    on_a_thread(move || async move { notchspool_prompter::house::run(of_core, control).await.unwrap() });
+    on_a_thread(move || async move {
+        let signals = Signals::take().unwrap();
+        notchspool_prompter::house::run(of_core, file, control, signals).await.unwrap()
+    });
     let ushers = ["127.77.2.1", "127.77.2.2"];
     let seen: Vec<Seen> =
         ushers.iter().zip(["i-1", "i-2"]).map(|(ip, id)| backend(&format!("{ip}:8301"), id)).collect();
     for ip in ushers {
         let (file, told) = told(ip, None, core, "s");
         let at = ["outbound", "readiness", "controlPlane"].map(|name| told.listener(&file, name).unwrap());
-        on_a_thread(move || async move { notchspool_stage::run::run(told, file, at).await.unwrap() });
+        on_a_thread(move || async move {
+            notchspool_stage::run::run(told, file, at, Signals::take().unwrap()).await.unwrap()
+        });
     }
     let runs = |path: &str| -> usize {
         seen.iter().map(|s| s.lock().unwrap().iter().filter(|r| r.0 == path).count()).sum()
