--- /dev/null
+++ b/crates/prompter/src/office/config.rs
@@ -0,0 +1,162 @@
+//! The operator's configurations: calls, votes, what is chosen.
+use super::*;
+
+impl Office {
+    /// An operator's call `config.replace`, by the host's number.
+    pub fn put(&mut self, now: Micros, id: u64, body: &[u8]) -> Vec<Act> {
+        let mut acts = Vec::new();
+        let script = match Script::check(body) {
+            Ok(script) => script,
+            Err(refusal) => {
+                self.counts.refused += 1;
+                acts.push(Act::Log(format!("refuse a configuration: {refusal}")));
+                acts.push(Act::Reply(id, 400, refusal.to_string()));
+                return acts;
+            }
+        };
+        self.counts.puts += 1;
+        if self.chosen.as_ref().is_some_and(|h| h.version >= script.version) {
+            acts.push(Act::Reply(id, 200, String::new()));
+            return acts;
+        }
+        let Ok(body) = String::from_utf8(body.to_vec()) else { return acts };
+        self.call(now, Call::Put(id), Order::Put(Held { version: script.version, body }), &mut acts);
+        acts
+    }
+
+    /// An operator's call `config.read`.
+    pub fn read(&mut self, now: Micros, id: u64) -> Vec<Act> {
+        let mut acts = Vec::new();
+        self.call(now, Call::Read(id), Order::Read, &mut acts);
+        acts
+    }
+
+    pub(super) fn call(&mut self, now: Micros, call: Call, order: Order, acts: &mut Vec<Act>) {
+        if let Call::Put(id) | Call::Read(id) = call
+            && (self.voters.is_empty() || self.calls.len() >= MOST)
+        {
+            acts.push(Act::Reply(id, 503, "no voters are known yet".into()));
+            return;
+        }
+        self.next += 1;
+        self.calls.insert(self.next, call);
+        let steps = self.pen.call(now, self.next, order);
+        self.steps(now, steps, acts);
+    }
+
+    pub(super) fn steps(&mut self, now: Micros, steps: Vec<Step>, acts: &mut Vec<Act>) {
+        for step in steps {
+            match step {
+                Step::Ask(voter, number, ask) => {
+                    let Some(vote) = seats::vote(number, &ask) else { continue };
+                    if Some(voter) == self.own_place() {
+                        self.vote(now, None, &vote, acts);
+                    } else if let Some((conn, _)) = self.peers.get(&(voter.0 as usize)) {
+                        acts.push(Act::Send(*conn, What::Vote(vote)));
+                    }
+                }
+                Step::Chosen(held) => {
+                    self.sure = true;
+                    self.choose(held, acts);
+                }
+                Step::End(number, end) => {
+                    self.sure |= end == End::Empty;
+                    match (self.calls.remove(&number), end) {
+                        (Some(Call::Read(id)), End::Held(held)) => acts.push(Act::Reply(id, 200, held.body)),
+                        (Some(Call::Put(id)), End::Held(_)) => acts.push(Act::Reply(id, 200, String::new())),
+                        (Some(Call::Read(id)), End::Empty) => {
+                            acts.push(Act::Reply(id, 503, "there is none yet".into()))
+                        }
+                        (Some(Call::Put(id) | Call::Read(id)), _) => {
+                            let why = "more than half of the prompters are not in reach";
+                            acts.push(Act::Reply(id, 503, why.into()));
+                        }
+                        (Some(Call::Own), End::NoMajority) => self.unsure = Some(now + UNSURE),
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// This one is held by more than half: it can be told.
+    pub(super) fn choose(&mut self, held: Held, acts: &mut Vec<Act>) {
+        if self.chosen.as_ref().is_some_and(|h| h.version >= held.version) {
+            return;
+        }
+        acts.push(Act::Log(format!("version {} holds", held.version)));
+        let holding = What::Holding(Holding { chosen: held.version, sure: self.sure });
+        self.packed = cues::pack(held.version, held.body.as_bytes());
+        let word = What::Word(self.packed.clone());
+        for (conn, guest) in &self.guests {
+            // Who follows this board gets it whole; the others have it from theirs, or ask.
+            let what = if guest.follows.is_some() { word.clone() } else { holding.clone() };
+            acts.push(Act::Send(*conn, what));
+        }
+        self.chosen = Some(held);
+    }
+
+    pub(super) fn vote(&mut self, now: Micros, conn: Option<Conn>, vote: &cues::Vote, acts: &mut Vec<Act>) {
+        let (voters, owed) = (self.voters.len(), self.owed);
+        let Place::Seated(Some(voter)) = &mut self.place else {
+            if let Some(conn) = conn {
+                let said = cues::Voted { number: vote.number, voter: u32::MAX, ..cues::Voted::default() };
+                acts.push(Act::Send(conn, What::Voted(said)));
+            }
+            return;
+        };
+        let (answer, writes) = voter.hear(now, &seats::asked(vote));
+        let yes = matches!(answer.said, Said::Promised { .. } | Said::Accepted);
+        if yes && (!writes.is_empty() || owed) {
+            // What was handed to the disk and is not known to be there goes with it once more.
+            let mut deeds = Vec::new();
+            if let Some(kept) = voter.kept(&pen::space()) {
+                deeds.push(Deed::Promise(kept.promised));
+                if let Some(entry) = kept.entries.get(KEY).filter(|_| owed || vote.body.is_some()) {
+                    let version = Held::read(&entry.value).map_or(0, |h| h.version);
+                    deeds.push(Deed::Word(version, entry.clone()));
+                }
+            }
+            self.owed = true;
+            if vote.body.is_some() {
+                let span = UNSURE.times(1.0 + self.chance.rand_float());
+                self.unsure = self.unsure.or(Some(now + span));
+            }
+            self.save(Pending::Voted(conn, vote.number, Box::new(answer)), deeds, acts);
+        } else {
+            let own = voter.id;
+            self.voted(now, conn, vote.number, own, voters, answer, acts);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn voted(
+        &mut self,
+        now: Micros,
+        conn: Option<Conn>,
+        number: u64,
+        own: VoterId,
+        voters: usize,
+        answer: Answer,
+        acts: &mut Vec<Act>,
+    ) {
+        match conn {
+            Some(conn) => {
+                acts.push(Act::Send(conn, What::Voted(seats::voted(number, own, voters, &answer))));
+            }
+            None => {
+                let dart = self.chance.rand_float();
+                let steps = self.pen.hear(now, own, number, answer, dart);
+                self.steps(now, steps, acts);
+            }
+        }
+    }
+
+    /// What is accepted here is newer than what is known to be chosen.
+    pub(super) fn lags(&self) -> bool {
+        let Place::Seated(Some(voter)) = &self.place else { return true };
+        let entry = voter.kept(&pen::space()).and_then(|k| k.entries.get(KEY).cloned());
+        let accepted = entry.and_then(|e| Held::read(&e.value)).map_or(0, |h| h.version);
+        accepted > self.chosen.as_ref().map_or(0, |h| h.version)
+    }
+}
