Whoever looks for the owner follows a keeper's word once and then asks the next in turn

Cause: a keeper that owns nothing names the last owner it heard of, which may be long ago. Client and agents followed every such word and went on from there. Each keeper said the same directly and through its relay, so the relays are ruled out.

Change: `talk::search` keeps whose turn it is apart from who is asked. A name is followed only from who is asked in its turn; each of n keepers is asked within 2 n tries.

--- a/crates/agent/src/control/link.rs
+++ b/crates/agent/src/control/link.rs
@@ -7,6 +7,7 @@
 use notchspool_election::{Ask, OWNER, Owned, Said, Space, Token};
 use notchspool_orders::obey::{Hear, Obey};
 use notchspool_orders::{Act, Epoch, InstanceId, Outcome, Revision};
+use notchspool_talk::search::Search;
 use notchspool_talk::{Body, Message, SHORT};
 use notchspool_terms::file::Fleet;
 use oorandom::Rand64;
@@ -39,8 +40,8 @@
 
 /// Why a session is over, and when the next one may begin.
 enum Over {
-    /// Try there at once.
-    There(usize),
+    /// The owner is not there; whom it named, if anybody.
+    Elsewhere(Option<u16>),
     /// Try the next one, soon.
     Next,
     /// Another life has this name.
@@ -51,6 +52,7 @@
 
 pub struct Control {
     fleet: Fleet,
+    search: Search,
     name: String,
     tokens: Tokens,
     counts: Arc<Counts>,
@@ -85,8 +87,11 @@
         if no_fence {
             log::warn!("fleet: the fence is taken out: a test");
         }
+        let keepers = fleet.keepers.len();
+        let first = chance.rand_range(0..keepers as u64) as usize;
         Control {
             life: chance.rand_u64(),
+            search: Search::new(keepers, first),
             fleet,
             name,
             tokens,
@@ -105,25 +110,20 @@
 
     /// As long as the process lives. Whatever keepers do, it tries on, jittered, and the agent routes.
     pub async fn run(mut self) {
-        let keepers = self.fleet.keepers.len();
-        let mut next = self.chance.rand_range(0..keepers as u64) as usize;
         let mut wait = SOONEST;
         loop {
             let began = Instant::now();
-            let over = match timeout(CONNECT, TcpStream::connect(self.fleet.keepers[next])).await {
+            let at = self.fleet.keepers[self.search.at()];
+            let over = match timeout(CONNECT, TcpStream::connect(at)).await {
                 Ok(Ok(io)) => self.session(io).await,
                 _ => Over::Next,
             };
             if began.elapsed() > LATEST {
                 wait = SOONEST;
             }
-            match over {
-                Over::There(place) if place < keepers && place != next => {
-                    next = place;
-                    // The last word may be old: two that name each other are not asked in a ring without a pause.
-                    sleep(SOONEST.mul_f64(self.chance.rand_float())).await;
-                    continue;
-                }
+            let named = match over {
+                Over::Elsewhere(named) => named,
+                Over::Next => None,
                 Over::Fenced => {
                     log::error!(
                         "fleet: another instance registered as `{}`: this one obeys no more",
@@ -132,11 +132,15 @@
                     return;
                 }
                 Over::Ended => return,
-                _ => next = (next + 1) % keepers,
+            };
+            if self.search.not_there(named) {
+                // All agents are sent there by the same word: not at once.
+                sleep(SOONEST.mul_f64(self.chance.rand_float())).await;
+                continue;
             }
             sleep(wait.mul_f64(0.5 + self.chance.rand_float())).await;
             // Through all keepers once at the same pace, then slower.
-            if next == 0 {
+            if self.search.at() == 0 {
                 wait = (wait * 2).min(LATEST);
             }
         }
@@ -235,11 +239,15 @@
         match message.body {
             Body::Registered { id, epoch, token, again_us } => {
                 log::info!("fleet: registered as {} in epoch {} under token {}", id.0, epoch.0, token.0);
+                self.search.found();
                 self.own = Some((id, epoch));
                 self.obey = Obey::new(epoch);
                 *renew_at = Instant::now() + after(again_us);
             }
-            Body::Renewed { again_us, .. } => *renew_at = Instant::now() + after(again_us),
+            Body::Renewed { again_us, .. } => {
+                self.search.found();
+                *renew_at = Instant::now() + after(again_us);
+            }
             Body::Anew { fenced: true } => return Err(Over::Fenced),
             Body::Anew { fenced: false } => {
                 self.own = None;
@@ -248,7 +256,7 @@
             }
             Body::Later { after_us } => *renew_at = Instant::now() + after(after_us),
             Body::Elsewhere { place } => {
-                return Err(place.map_or(Over::Next, |place| Over::There(usize::from(place))));
+                return Err(Over::Elsewhere(place));
             }
             Body::Do { token, job, epoch, revision, act } if job == JOB && self.queue.len() < WAITING => {
                 self.queue.push_back(Order { token, epoch, revision, act });
--- a/crates/cli/tests/owner.rs
+++ b/crates/cli/tests/owner.rs
@@ -3,6 +3,8 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use notchspool_lab::ground::field::{End, Field, Plan, clear, folder};
@@ -443,6 +445,41 @@
     ground.sound();
 }
 
+/// Two keepers that name each other, as those do that last heard of one another; the third owns once both were asked twice.
+#[test]
+fn an_agent_finds_the_owner_though_two_others_name_each_other() {
+    let mut ground = laid("ring", 3, 1);
+    let asked: std::sync::Arc<[AtomicUsize; 2]> = Default::default();
+    let registers = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    for n in 0..3 {
+        let listener = TcpListener::bind(ground.field.keeper_at(n)).expect("a keeper's place");
+        let (asked, registers) = (asked.clone(), registers.clone());
+        std::thread::spawn(move || {
+            for mut io in listener.incoming().flatten() {
+                let mut line = String::new();
+                let Ok(read) = io.try_clone() else { return };
+                let _ = (read.set_read_timeout(Some(PATIENCE)), BufReader::new(read).read_line(&mut line));
+                let Ok(message) = Message::read(line.as_bytes(), "lab") else { continue };
+                let owns = n == 2 && asked.iter().all(|a| a.load(Relaxed) >= 2);
+                if owns && matches!(message.body, Body::Register { .. }) {
+                    registers.store(true, Relaxed);
+                    return;
+                }
+                if let Some(asked) = asked.get(n) {
+                    asked.fetch_add(1, Relaxed);
+                }
+                let place = Some([1, 0, 0][n]);
+                let line = Message::new("lab", "keeper", message.no, Body::Elsewhere { place }).written();
+                let _ = io.write_all(line.as_bytes());
+            }
+        });
+    }
+    ground.field.agents[0].start(&[]).expect("an agent");
+    wait("it comes to the owner", PATIENCE, || registers.load(Relaxed)).unwrap_or_else(|why| {
+        panic!("{why}; the others were asked {asked:?} times");
+    });
+}
+
 #[test]
 fn messages_without_sense_are_refused_counted_and_change_nothing() {
     let ground = started("sense", 3, 1);
--- a/crates/talk/src/client.rs
+++ b/crates/talk/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use crate::search::Search;
 use crate::{Body, LONGEST, Message};
 
 /// A fleet, as its keepers' addresses in their order.
@@ -11,7 +12,7 @@
     pub fleet: String,
     pub keepers: Vec<SocketAddr>,
     pub name: String,
-    next: usize,
+    search: Search,
     no: u64,
 }
 
@@ -20,7 +21,8 @@
 
 impl Client {
     pub fn new(fleet: &str, keepers: &[SocketAddr], name: &str) -> Client {
-        Client { fleet: fleet.into(), keepers: keepers.to_vec(), name: name.into(), next: 0, no: 0 }
+        let search = Search::new(keepers.len(), 0);
+        Client { fleet: fleet.into(), keepers: keepers.to_vec(), name: name.into(), search, no: 0 }
     }
 
     /// One question to one keeper.
@@ -55,28 +57,27 @@
             if left.is_zero() {
                 return Err(last);
             }
-            let at = self.keepers[self.next % self.keepers.len()];
+            let Some(at) = self.keepers.get(self.search.at()).copied() else { return Err(last) };
             match self.ask_at(at, body, left.min(ONE)) {
-                Ok(Body::Elsewhere { place: Some(place) })
-                    if usize::from(place) != self.next % self.keepers.len()
-                        && usize::from(place) < self.keepers.len() =>
-                {
-                    last = format!("{at}: the owner is keeper {}", place + 1);
-                    self.next = usize::from(place);
-                }
-                Ok(Body::Elsewhere { .. }) => {
-                    last = "no keeper owns the orders now".into();
-                    self.next += 1;
-                    std::thread::sleep(PAUSE);
+                Ok(Body::Elsewhere { place }) => {
+                    if self.search.not_there(place) {
+                        last = format!("{at}: the owner is keeper {}", self.search.at() + 1);
+                    } else {
+                        last = "no keeper owns the orders now".into();
+                        std::thread::sleep(PAUSE);
+                    }
                 }
                 Ok(Body::Later { after_us }) => {
                     last = "the keepers are busy".into();
                     std::thread::sleep(Duration::from_micros(after_us.clamp(0, 500_000) as u64));
                 }
-                Ok(body) => return Ok(body),
+                Ok(body) => {
+                    self.search.found();
+                    return Ok(body);
+                }
                 Err(why) => {
                     last = why;
-                    self.next += 1;
+                    self.search.not_there(None);
                     std::thread::sleep(PAUSE);
                 }
             }
--- a/crates/talk/src/lib.rs
+++ b/crates/talk/src/lib.rs
@@ -5,6 +5,7 @@
 //! A message of another fleet, of a form that is not known here, or that makes no sense is refused with its reason, and whoever
 //! reads it counts that. Nothing of it takes effect.
 pub mod client;
+pub mod search;
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/crates/talk/tests/client.rs
@@ -0,0 +1,43 @@
+//! Who asks finds the owner, whatever the keepers that are none say of where it is.
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use notchspool_talk::client::Client;
+use notchspool_talk::{Body, Message};
+use rstest::rstest;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A keeper that answers one question a connection: the owner with its orders, another with the place that it last heard of.
+fn keeper(owns: bool, names: Option<u16>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a place");
+    let at = listener.local_addr().expect("its address");
+    std::thread::spawn(move || {
+        for mut io in listener.incoming().flatten() {
+            let mut line = String::new();
+            let _ = io.set_read_timeout(Some(PATIENCE));
+            let _ = io.try_clone().map(|io| BufReader::new(io).read_line(&mut line));
+            let Ok(message) = Message::read(line.as_bytes(), "lab") else { continue };
+            let body =
+                if owns { Body::OrdersAre { orders: vec![] } } else { Body::Elsewhere { place: names } };
+            let _ = io.write_all(Message::new("lab", "keeper", message.no, body).written().as_bytes());
+        }
+    });
+    at
+}
+
+#[rstest]
+#[case::as_it_was_met([None, None, Some(0), None, None], 4)]
+#[case::two_that_name_each_other([Some(1), Some(0), None, None, None], 4)]
+#[case::a_ring_of_all_others([Some(1), Some(2), Some(3), Some(0), None], 4)]
+#[case::all_back_to_the_first([Some(2), Some(0), Some(0), None, Some(0)], 3)]
+#[case::a_place_that_there_is_not([Some(9), Some(9), Some(9), Some(9), Some(9)], 4)]
+fn an_owner_is_found_though_others_name_old_ones(#[case] names: [Option<u16>; 5], #[case] owner: usize) {
+    let keepers: Vec<_> = (0..5).map(|n| keeper(n == owner, names[n])).collect();
+    let mut client = Client::new("lab", &keepers, "test");
+    for _ in 0..3 {
+        let said = client.ask(&Body::Orders { last: 1 }, PATIENCE);
+        assert_eq!(said, Ok(Body::OrdersAre { orders: vec![] }));
+    }
+}
