A keeper names the owner whose record its voter was asked to accept last

Cause: a keeper that owns nothing learnt of an owner only when its own prepare went through, which a running lease prevents. So it named nobody, or one long over, as long as the lease ran; `docs/design/owner.md` says that who is none names the owner's place.

Change: the record in an accept of the owner's space is overheard, as the orders' deadlines are already; the one with the newest token stays. It is a hint for who looks for the owner and for whose turn it is after a lease; nobody owns by it, voters decide as ever.

`crates/election/tests/overheard.rs` holds that an older record does not overwrite a newer.

--- a/crates/cli/tests/owner.rs
+++ b/crates/cli/tests/owner.rs
@@ -445,6 +445,23 @@
     ground.sound();
 }
 
+#[test]
+fn every_keeper_names_the_owner_that_there_is() {
+    let mut ground = started("names", 3, 1);
+    let all_name = |ground: &Ground, token: u64| {
+        let named = |n| ground.keeper(n).and_then(|k| k.owner).map(|o| o.2.0);
+        wait("every keeper names the owner", PATIENCE, || (0..3).all(|n| named(n) >= Some(token)))
+            .unwrap_or_else(|why| panic!("{why}: {:?}", [named(0), named(1), named(2)]));
+    };
+    all_name(&ground, 1);
+    // The next one too: also at whom it follows, and at who was away when it began.
+    let (first, token) = owner(&ground.field).expect("an owner");
+    ground.field.keepers[first].kill();
+    ground.other_owner(first);
+    ground.field.keepers[first].start(&[]).expect("it starts");
+    all_name(&ground, token + 1);
+}
+
 /// Two keepers that name each other, as those do that last heard of one another; the third owns once both were asked twice.
 #[test]
 fn an_agent_finds_the_owner_though_two_others_name_each_other() {
--- a/crates/election/src/owner.rs
+++ b/crates/election/src/owner.rs
@@ -213,13 +213,22 @@
 
     fn lose(&mut self, now: Micros, why: Why, draw: f64, out: &mut Out) {
         if let Stage::Owner(own) = &self.stage {
-            self.seen = Some(own.record.clone());
+            let record = own.record.clone();
             out.events.push(Event::Lost(why));
+            self.overhear(record);
         }
         let rest = if why == Why::LetGo { Some(self.terms.lease) } else { None };
         self.wait(now, rest, draw);
     }
 
+    /// A record that a contender writes came by. Only a hint for who looks for the owner, and for whose turn it is; the voters decide
+    /// as ever.
+    pub fn overhear(&mut self, record: Owned) {
+        if self.seen.as_ref().is_none_or(|seen| seen.token <= record.token) {
+            self.seen = Some(record);
+        }
+    }
+
     /// The owner was heard to let go: who waits for its lease need not. Only a hint; the voters decide as ever.
     pub fn let_go(&mut self, now: Micros, draw: f64) {
         if let Stage::Waiting(at) = &mut self.stage {
--- /dev/null
+++ b/crates/election/tests/overheard.rs
@@ -0,0 +1,27 @@
+//! Who owns, as one knows that only heard of it: the newest record stays, whatever order they come in.
+use notchspool::units::Micros;
+use notchspool_election::owner::Contender;
+use notchspool_election::{ContenderId, Owned, Terms, Token};
+
+fn record(token: u64, by: u64, released: bool) -> Owned {
+    let by = ContenderId(by);
+    Owned { token: Token(token), by, name: format!("k{}", by.0), at: by.0.to_string(), released }
+}
+
+#[test]
+fn the_newest_record_that_came_by_stays_and_gives_no_right_to_own() {
+    let terms = Terms::of(3, Micros::ms(400));
+    let mut contender = Contender::new(ContenderId(1), "k1", "1", "orders", terms, Micros(0), 0.5);
+    assert_eq!(contender.seen(), None);
+    contender.overhear(record(3, 2, false));
+    assert_eq!(contender.seen(), Some(&record(3, 2, false)));
+    // A late owner's, from before.
+    contender.overhear(record(2, 3, false));
+    assert_eq!(contender.seen(), Some(&record(3, 2, false)));
+    // The same owner lets go, and the next begins.
+    contender.overhear(record(3, 2, true));
+    assert_eq!(contender.seen(), Some(&record(3, 2, true)));
+    contender.overhear(record(4, 1, false));
+    assert_eq!(contender.seen(), Some(&record(4, 1, false)));
+    assert_eq!(contender.owns(Micros(0)), None);
+}
--- a/crates/keeper/src/core.rs
+++ b/crates/keeper/src/core.rs
@@ -5,7 +5,7 @@
 use notchspool::units::Micros;
 use notchspool_election::owner::{Contender, Event, Out};
 use notchspool_election::readmit::Readmission;
-use notchspool_election::{Ask, ContenderId, Space, VoterId};
+use notchspool_election::{Ask, ContenderId, OWNER, Owned, Space, VoterId};
 use notchspool_fleet::{Office, Tell, notes};
 use notchspool_members::leases::Renewal;
 use notchspool_orders::{InstanceId, Revision};
@@ -341,12 +341,16 @@
         }
     }
 
-    /// What another owner writes comes by here: its orders end at their time, whoever owns then.
+    /// What another owner writes comes by here: who it is, for those that ask; and its orders end at their time, whoever owns then.
     fn overheard(&mut self, ask: &Ask) {
-        let Ask::Accept { space: Space::State(job), changes, .. } = ask else { return };
+        let Ask::Accept { space: Space::Owner(job) | Space::State(job), changes, .. } = ask else { return };
         if job != JOB {
             return;
         }
+        if matches!(ask, Ask::Accept { space: Space::Owner(_), .. }) {
+            let record = changes.iter().find(|(key, _)| key == OWNER).and_then(|(_, text)| Owned::read(text));
+            return record.into_iter().for_each(|record| self.contender.overhear(record));
+        }
         let now = self.now();
         for (_, text) in changes.iter().filter(|(key, _)| key.starts_with("o/")) {
             if let Some(note) = notes::read::<notes::Order>(text) {
