One body for a number; a prompter that is cut off answers neither yes nor no

Cause: an order under a number that was held was answered 200 at once, for any body and without asking anyone; calls waited 2.5 s for a majority while callers leave after one; a prompter that had stood still went on vouching for its version. Every put and read ends by a write of its own to more than half, begun after it came, and is answered by what that write has chosen: 200 for the body under its number, 409 for another one, 503 for a number older than what is remembered. A number that nobody used, below the one held, is kept and acknowledged. Calls are given up after 0.65 s, at once where no majority is reached, with the addresses of the others. `sure` falls at a standstill of over 1 s and when reach is lost, and rises only by a round begun since; `GET /notchspool/ready` at the control address and two log lines say so. Tests: timelines know one-way cuts, freeze and thaw, reads, the status of each answer; the checker refuses two bodies under a number, a read older than what was acknowledged before it, an order acknowledged and refused, answers later than 1 s, an old version vouched for. Five breaches planted, each seen.

--- a/crates/lab/src/mesh/drawn.rs
+++ b/crates/lab/src/mesh/drawn.rs
@@ -4,7 +4,8 @@
 
 use super::Player;
 
-/// Troubles within what is to be borne: one core at a time, any ushers, and now and then all processes of the core at once.
+/// Troubles within what is to be borne: one core at a time, any ushers, and now and then all processes of the core at once. Meanwhile orders,
+/// two bodies under one number, orders sent again, reads and claims.
 pub fn drawn(seed: u64) -> Vec<String> {
     let mut player = Player::new(3, 4, seed);
     let mut chance = Rand64::new(u128::from(seed) * 31);
@@ -14,39 +15,69 @@
         player.backend(at, &format!("i-{at}"), "beat");
     }
     let (mut version, mut back, mut free_at) = (1, Vec::<(Micros, usize)>::new(), Micros(0));
+    let mut orders: Vec<(u64, String)> = Vec::new();
     for _ in 0..250 {
         let next = player.now + Micros::ms(20 + below(180) as i64);
         player.play(next);
         let now = player.now;
         for (_, core) in back.iter().filter(|b| b.0 <= now) {
             player.cuts.clear();
+            player.one_way.clear();
+            player.thaw(*core);
             player.set_disk(*core, false, Micros::ms(1));
             player.start_core(*core);
         }
         back.retain(|b| b.0 > now);
         let (core, usher) = (below(3) as usize, below(4) as usize);
-        match below(20) {
-            0..=4 => {
+        match below(24) {
+            0..=3 => {
                 version += below(3);
-                player.put(core, version, &format!("n{}", below(1_000)));
+                let note = format!("n{}", below(1_000));
+                player.put(core, version, &note);
+                orders.push((version, note));
             }
-            5 => {
-                // Two operators at once, one number, two bodies.
+            4 | 5 => {
+                // Two operators at once, one number, two bodies; sent again, each at any core.
                 version += 1;
                 player.put(core, version, "left");
                 player.put((core + 1) % 3, version, "right");
+                orders.extend([(version, "left".to_string()), (version, "right".to_string())]);
+            }
+            20..=21 if !orders.is_empty() => {
+                let near = 1 + below(orders.len().min(12) as u64) as usize;
+                let (version, note) = orders[orders.len() - near].clone();
+                player.put(core, version, &note);
+            }
+            22 => drop(player.read(core)),
+            23 if below(3) == 0 => {
+                // A number between those that were used.
+                let old = below(version);
+                player.put(core, old, "old");
+                orders.push((old, "old".to_string()));
             }
             6..=13 => player.claim(usher, &format!("k{}", below(40))),
             14 => player.kill_usher(usher),
             15 => player.start_usher(usher),
             16 if now >= free_at && back.is_empty() => {
-                let span = Micros::ms(300 + below(3_000) as i64);
-                match below(6) {
+                // Cuts and standstills last up to twenty seconds.
+                let long = below(4) == 0;
+                let span = Micros::ms(300 + below(if long { 20_000 } else { 3_000 }) as i64);
+                match below(10) {
                     0 => player.kill_core(core, false),
                     1 => player.kill_core(core, true),
                     2 => player.wipe(core),
                     3 => player.cut_off(core, "*"),
                     4 => player.set_disk(core, true, Micros::ms(1)),
+                    5 => player.freeze(core),
+                    6 => player.cut_to(core, "*"),
+                    7 => {
+                        // It hears nobody, and all hear it.
+                        let own = Player::core_name(core);
+                        player.one_way.insert(("*".into(), own));
+                    }
+                    8 => (0..3)
+                        .filter(|other| *other != core)
+                        .for_each(|other| player.cut_off(core, &Player::core_name(other))),
                     _ => player.cut_off(core, &Player::core_name((core + 1) % 3)),
                 }
                 back.push((now + span, core));
--- a/crates/lab/src/mesh/mod.rs
+++ b/crates/lab/src/mesh/mod.rs
@@ -6,5 +6,5 @@
 mod usher;
 
 pub use drawn::drawn;
-pub use player::{Player, Store};
+pub use player::{Breach, Player, Store};
 pub use timeline::{Timeline, play};
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -6,7 +6,10 @@
 use notchspool_callboard::beats::Event as Call;
 use notchspool_cloakroom::coats::Event as Turn;
 use notchspool_cloakroom::round::Verdict;
+use notchspool_cues as cues;
 use notchspool_cues::{Claim, Hello, Ping, Want, Watch, What, Withdraw};
+use notchspool_promptbook::digest::Digest;
+use notchspool_promptbook::register::{Held, Value};
 use notchspool_promptbook::script::Script;
 use notchspool_prompter::office::{Act, Office};
 use notchspool_trapdoor::{Deed, Found, Seat};
@@ -63,6 +66,9 @@
     sync: Micros,
     /// The disk refuses.
     full: bool,
+    /// The process stands still; what operators send meanwhile is read when it goes on.
+    frozen: bool,
+    waits: Vec<(u64, Option<String>)>,
 }
 
 /// One end of a link: core or usher, by place, and its number of the connection.
@@ -72,7 +78,8 @@
     ends: [End; 2],
     /// Messages on their way: when they arrive, to which end.
     way: Vec<(Micros, usize, What)>,
-    heard: Micros,
+    /// When each end last could hear the other.
+    heard: [Micros; 2],
 }
 
 /// What a put or read of an operator came to.
@@ -90,21 +97,58 @@
     links: Vec<Link>,
     /// Pairs of names that are cut from each other; `*` stands for all.
     pub cuts: BTreeSet<(String, String)>,
+    /// The first of these isn't heard by the second, though it hears it.
+    pub one_way: BTreeSet<(String, String)>,
     next: u64,
     lives: u64,
     dial_at: Micros,
     pub replies: BTreeMap<u64, Reply>,
     /// Versions acknowledged, bodies sent, runs of each key: what the checker goes by.
-    puts: BTreeMap<u64, (usize, u64)>,
+    calls: BTreeMap<u64, Called>,
     pub acked: BTreeSet<u64>,
+    /// When the highest version acknowledged rose, and to which.
+    rises: Vec<(Micros, u64)>,
+    /// How an order was answered, by number and body: acknowledged, refused for good.
+    word: BTreeMap<(u64, String), (bool, bool)>,
     sent: BTreeMap<u64, BTreeSet<String>>,
     told: BTreeMap<u64, String>,
     pub ran: BTreeMap<String, Vec<Micros>>,
     pub wrong: Vec<String>,
-    /// Without this a wiped core forgets that it was one: what the checker has to notice.
-    pub careful: bool,
+    pub breach: Breach,
 }
 
+/// One safeguard that is off: what the checker has to notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breach {
+    Nothing,
+    /// A wiped core forgets that it was one.
+    ForgetsItsDisk,
+    /// An order under a number that is held, and a read, are answered from what is held, without a majority.
+    AnswersFromHeld,
+    /// Which body was taken under an older number is not kept.
+    KeepsNoHistory,
+    /// That it is cut off or has stood still is not noticed: links seem to live, and time to go on.
+    StaysSure,
+    /// A call is not given up before its caller has left.
+    AnswersLate,
+}
+
+/// An operator's call that has no answer yet.
+#[derive(Clone, Debug)]
+struct Called {
+    core: usize,
+    /// The order's number and body; none for a read.
+    order: Option<(u64, String)>,
+    at: Micros,
+    /// The highest version acknowledged before it came.
+    acked: u64,
+}
+
+/// Callers go elsewhere after this.
+const CALLER: Micros = Micros::ms(1_000);
+/// Who vouches for a version may be wrong for so long: a cut is noticed by then.
+const UNNOTICED: Micros = Micros::ms(2_000);
+
 pub fn body(version: u64, note: &str) -> String {
     format!(r#"{{"version":{version},"routes":{{}},"services":{{}},"note":"{note}"}}"#)
 }
@@ -119,17 +163,20 @@
             ushers: Vec::new(),
             links: Vec::new(),
             cuts: BTreeSet::new(),
+            one_way: BTreeSet::new(),
             next: 0,
             lives: 0,
             dial_at: Micros(0),
             replies: BTreeMap::new(),
-            puts: BTreeMap::new(),
+            calls: BTreeMap::new(),
             acked: BTreeSet::new(),
+            rises: Vec::new(),
+            word: BTreeMap::new(),
             sent: BTreeMap::new(),
             told: BTreeMap::new(),
             ran: BTreeMap::new(),
             wrong: Vec::new(),
-            careful: true,
+            breach: Breach::Nothing,
         };
         // At the first start all are told the same three.
         let seeds: Vec<String> = (0..cores.min(3)).map(address).collect();
@@ -141,6 +188,8 @@
                 pending: Vec::new(),
                 sync: Micros::ms(1),
                 full: false,
+                frozen: false,
+                waits: Vec::new(),
             };
             player.cores.push(core);
             player.open(at, true, &seeds);
@@ -178,6 +227,15 @@
         })
     }
 
+    /// Whether what the first says reaches the second.
+    fn reaches(&self, from: &End, to: &End) -> bool {
+        let (a, b) = (self.name(from), self.name(to));
+        let is = |p: &str, n: &str| p == "*" || p == n;
+        let frozen = |e: &End| e.0 && self.cores[e.1].frozen;
+        let held = self.one_way.iter().any(|(x, y)| is(x, &a) && is(y, &b));
+        !held && !self.cut(&a, &b) && !frozen(from) && !frozen(to)
+    }
+
     fn up(&self, end: &End) -> bool {
         if end.0 { self.cores[end.1].office.is_some() } else { self.ushers[end.1].up }
     }
@@ -193,18 +251,81 @@
                     let after = core.pending.last().map_or(self.now, |p| p.0).max(self.now);
                     core.pending.push((after + core.sync, number, deeds));
                 }
-                Act::Reply(id, status, body) => {
-                    if let Some((_, version)) = self.puts.remove(&id).filter(|_| status == 200) {
-                        self.acked.insert(version);
+                Act::Reply(id, status, body) => self.replied(id, Reply { status, body }),
+                Act::Voters(_) | Act::Log(_) => {}
+            }
+        }
+    }
+
+    fn wrong(&mut self, why: String) {
+        if self.wrong.len() < 50 {
+            self.wrong.push(format!("{:?}: {why}", self.now));
+        }
+    }
+
+    /// An operator's call is answered: what that must not say.
+    fn replied(&mut self, id: u64, reply: Reply) {
+        if self.breach == Breach::AnswersLate && reply.status == 503 {
+            return;
+        }
+        let Some(called) = self.calls.remove(&id) else { return };
+        if self.now - called.at > CALLER {
+            let late = (self.now - called.at).over(Micros::ms(1_000));
+            self.wrong(format!("core-{} answers after {late:.2} s", called.core + 1));
+        }
+        match &called.order {
+            None => {
+                let read = Script::check(reply.body.as_bytes()).map_or(0, |s| s.version);
+                if reply.status == 200 && read < called.acked {
+                    let acked = called.acked;
+                    self.wrong(format!("a read gives {read}, {acked} was acknowledged before it came"));
+                }
+            }
+            Some(order) => {
+                let (taken, refused) = self.word.entry(order.clone()).or_default();
+                *taken |= reply.status == 200;
+                *refused |= (400..500).contains(&reply.status);
+                if *taken && *refused {
+                    self.wrong(format!("an order under {} is acknowledged and refused", order.0));
+                }
+                if reply.status == 200 {
+                    let bodies = self.bodies(order.0);
+                    if bodies > 1 {
+                        self.wrong(format!("{bodies} bodies are acknowledged under {}", order.0));
+                    }
+                    if self.acked.last().is_none_or(|last| order.0 > *last) {
+                        self.rises.push((self.now, order.0));
                     }
-                    self.replies.insert(id, Reply { status, body });
+                    self.acked.insert(order.0);
                 }
-                Act::Voters(_) | Act::Log(_) => {}
             }
         }
+        self.replies.insert(id, reply);
+    }
+
+    /// A core vouches that its version is the newest.
+    fn vouches(&mut self, at: usize, version: u64) {
+        let since = self.now - UNNOTICED;
+        let newest = self.rises.iter().rev().find(|r| r.0 < since).map_or(0, |r| r.1);
+        if version < newest {
+            self.wrong(format!("core-{} vouches for {version}, {newest} holds for long", at + 1));
+        }
     }
 
-    fn send(&mut self, from: End, what: What) {
+    fn send(&mut self, from: End, mut what: What) {
+        match &mut what {
+            What::Welcome(w) if from.0 && w.sure => self.vouches(from.1, w.chosen),
+            What::Holding(h) if from.0 && h.sure => self.vouches(from.1, h.chosen),
+            What::Vote(cues::Vote { body: Some(body), .. })
+            | What::Voted(cues::Voted { body: Some(body), .. })
+                if self.breach == Breach::KeepsNoHistory =>
+            {
+                if let Some(held) = Held::read(body) {
+                    *body = Value::first(held.clone(), Digest::of(held.body.as_bytes())).written();
+                }
+            }
+            _ => {}
+        }
         let delay = Micros(200 + (self.chance.rand_float() * 2_000.0) as i64);
         let now = self.now;
         if let Some(link) = self.links.iter_mut().find(|l| l.ends.contains(&from)) {
@@ -320,28 +441,82 @@
 
     /// An operator's put at a core; the number of its reply.
     pub fn put(&mut self, core: usize, version: u64, note: &str) -> u64 {
-        self.next += 1;
-        let (id, body, now) = (self.next, body(version, note), self.now);
+        let body = body(version, note);
         assert!(Script::check(body.as_bytes()).is_ok());
         self.sent.entry(version).or_default().insert(body.clone());
-        if let Some(office) = self.cores[core].office.as_mut() {
-            self.puts.insert(id, (core, version));
-            let acts = office.put(now, id, body.as_bytes());
-            self.act(core, acts);
-        }
-        id
+        self.call(core, Some((version, body)))
     }
 
     pub fn read(&mut self, core: usize) -> u64 {
+        self.call(core, None)
+    }
+
+    fn call(&mut self, core: usize, order: Option<(u64, String)>) -> u64 {
         self.next += 1;
-        let (id, now) = (self.next, self.now);
-        if let Some(office) = self.cores[core].office.as_mut() {
-            let acts = office.read(now, id);
-            self.act(core, acts);
+        let (id, at) = (self.next, self.now);
+        if self.cores[core].office.is_some() {
+            let acked = self.acked.last().copied().unwrap_or(0);
+            self.calls.insert(id, Called { core, order: order.clone(), at, acked });
+            match self.cores[core].frozen {
+                true => self.cores[core].waits.push((id, order.map(|o| o.1))),
+                false => self.called(core, id, order.map(|o| o.1)),
+            }
         }
         id
     }
 
+    fn called(&mut self, core: usize, id: u64, body: Option<String>) {
+        let (now, breach) = (self.now, self.breach);
+        let Some(office) = self.cores[core].office.as_mut() else { return };
+        if breach == Breach::AnswersFromHeld
+            && let Some(held) = office.chosen().cloned()
+        {
+            let order = self.calls.get(&id).and_then(|c| c.order.as_ref().map(|o| o.0));
+            if order.is_none_or(|version| version <= held.version) {
+                let body = if order.is_some() { String::new() } else { held.body };
+                return self.replied(id, Reply { status: 200, body });
+            }
+        }
+        let acts = match body {
+            Some(body) => office.put(now, id, body.as_bytes()),
+            None => office.read(now, id),
+        };
+        self.act(core, acts);
+    }
+
+    /// Its process stands still: nothing is read, written or sent.
+    pub fn freeze(&mut self, core: usize) {
+        self.cores[core].frozen = self.cores[core].office.is_some();
+    }
+
+    /// It goes on: operators' calls that came meanwhile are read first, in the order in which they came.
+    pub fn thaw(&mut self, core: usize) {
+        if std::mem::take(&mut self.cores[core].frozen) {
+            let now = self.now;
+            for (id, body) in std::mem::take(&mut self.cores[core].waits) {
+                // Its caller has left long ago; what it is told is judged all the same, but not how late.
+                if let Some(called) = self.calls.get_mut(&id) {
+                    called.at = now;
+                }
+                self.called(core, id, body);
+            }
+            // Calls from before have lost their callers.
+            for called in self.calls.values_mut().filter(|c| c.core == core) {
+                called.at = now;
+            }
+        }
+    }
+
+    /// Nothing of a core reaches another agent, `*` for all; what they say reaches it.
+    pub fn cut_to(&mut self, core: usize, other: &str) {
+        self.one_way.insert((Player::core_name(core), other.to_string()));
+    }
+
+    pub fn join(&mut self, name: &str) {
+        self.cuts.retain(|(a, _)| a != name);
+        self.one_way.retain(|(a, _)| a != name);
+    }
+
     /// Cuts a core from another agent, `*` for all.
     pub fn cut_off(&mut self, core: usize, other: &str) {
         self.cuts.insert((Player::core_name(core), other.to_string()));
@@ -356,6 +531,17 @@
         self.cores[at].office.is_some()
     }
 
+    /// How many bodies were acknowledged under a number.
+    pub fn bodies(&self, version: u64) -> usize {
+        self.word.iter().filter(|(order, said)| order.0 == version && said.0).count()
+    }
+
+    /// Whether it says that its version is the newest.
+    pub fn sure(&mut self, at: usize) -> bool {
+        let now = self.now;
+        self.cores[at].office.as_mut().is_some_and(|o| o.vouches(now).0)
+    }
+
     pub fn votes(&self, at: usize) -> bool {
         self.cores[at].office.as_ref().is_some_and(Office::votes)
     }
@@ -377,6 +563,9 @@
             }
         }
         self.cores[at].office = None;
+        self.cores[at].frozen = false;
+        self.cores[at].waits.clear();
+        self.calls.retain(|_, c| c.core != at);
         self.close((true, at));
     }
 
@@ -384,7 +573,7 @@
         self.kill_core(at, true);
         let seat = self.cores[at].store.found.seat.clone();
         self.cores[at].store = Store::default();
-        if !self.careful {
+        if self.breach == Breach::ForgetsItsDisk {
             let lives = BTreeMap::new();
             self.cores[at].store.found.seat = seat.map(|s| Seat { lives, ..s });
         }
@@ -487,13 +676,13 @@
             let linked = self.links.iter().any(|l| {
                 (l.ends[0].0, l.ends[0].1) == (from.0, from.1) && (l.ends[1].0, l.ends[1].1) == (true, to)
             });
-            let (a, b) = (self.name(&from), Player::core_name(to));
-            if linked || !self.up(&from) || !self.up(&(true, to, 0)) || self.cut(&a, &b) {
+            let (there, back) = (self.reaches(&from, &(true, to, 0)), self.reaches(&(true, to, 0), &from));
+            if linked || !self.up(&from) || !self.up(&(true, to, 0)) || !there || !back {
                 continue;
             }
             self.next += 2;
             let ends = [(from.0, from.1, self.next), (true, to, self.next + 1)];
-            self.links.push(Link { ends, way: Vec::new(), heard: self.now });
+            self.links.push(Link { ends, way: Vec::new(), heard: [self.now; 2] });
             let (role, address) = match from.0 {
                 true => (2, self.cores[from.1].address.clone()),
                 false => (1, self.ushers[from.1].address.clone()),
@@ -529,14 +718,16 @@
         let now = self.now;
         for n in 0..self.links.len() {
             let ends = self.links[n].ends;
-            let cut = self.cut(&self.name(&ends[0]), &self.name(&ends[1]));
-            if !cut {
-                self.links[n].heard = now;
+            for at in 0..2 {
+                let blind = self.breach == Breach::StaysSure && ends.iter().all(|e| e.0);
+                if blind || self.reaches(&ends[1 - at], &ends[at]) {
+                    self.links[n].heard[at] = now;
+                }
             }
         }
         let mut closed = Vec::new();
         self.links.retain(|l| {
-            let lost = now - l.heard >= SILENCE;
+            let lost = l.heard.iter().any(|heard| now - *heard >= SILENCE);
             if lost {
                 closed.extend(l.ends);
             }
@@ -549,12 +740,10 @@
         let mut due = Vec::new();
         for n in 0..self.links.len() {
             let ends = self.links[n].ends;
-            if self.cut(&self.name(&ends[0]), &self.name(&ends[1])) {
-                continue;
-            }
+            let open = [self.reaches(&ends[1], &ends[0]), self.reaches(&ends[0], &ends[1])];
             let link = &mut self.links[n];
             let (now_due, later): (Vec<_>, Vec<_>) =
-                std::mem::take(&mut link.way).into_iter().partition(|w| w.0 <= now);
+                std::mem::take(&mut link.way).into_iter().partition(|w| w.0 <= now && open[w.1]);
             link.way = later;
             due.extend(now_due.into_iter().map(|(at, to, what)| (at, ends[to], ends[1 - to], what)));
         }
@@ -572,6 +761,11 @@
                 let (done, later): (Vec<_>, Vec<_>) =
                     std::mem::take(&mut self.cores[at].pending).into_iter().partition(|p| p.0 <= now);
                 self.cores[at].pending = later;
+                if self.cores[at].frozen {
+                    // What the disk has done is read when it goes on.
+                    self.cores[at].pending.splice(0..0, done);
+                    continue;
+                }
                 for (_, number, deeds) in done {
                     let full = self.cores[at].full;
                     if !full {
@@ -584,13 +778,19 @@
                 }
             }
             if (now.0 / 1_000) % 50 == 0 {
+                self.blind();
                 for at in 0..self.cores.len() {
-                    if let Some(office) = self.cores[at].office.as_mut() {
+                    let seems = self.breach == Breach::StaysSure;
+                    let frozen = self.cores[at].frozen && !seems;
+                    if let Some(office) = self.cores[at].office.as_mut().filter(|_| !frozen) {
                         let acts = office.wake(now);
                         self.act(at, acts);
                     }
                 }
             }
+            if (now.0 / 1_000) % 50 == 0 {
+                self.unanswered();
+            }
             if now >= self.dial_at {
                 self.dial_at = now + Micros::ms(100);
                 self.dial();
@@ -601,6 +801,33 @@
         }
     }
 
+    /// Who does not notice that it is cut off hears from the others all the while.
+    fn blind(&mut self) {
+        if self.breach != Breach::StaysSure {
+            return;
+        }
+        let ends: Vec<End> = self.links.iter().map(|l| l.ends[0]).filter(|e| e.0).collect();
+        for end in ends {
+            let now = self.now;
+            if let Some(office) = self.cores[end.1].office.as_mut() {
+                let acts = office.hear(now, end.2, What::Pong(Ping { number: 0 }));
+                self.act(end.1, acts);
+            }
+        }
+    }
+
+    /// Calls whose callers have left.
+    fn unanswered(&mut self) {
+        let now = self.now;
+        let late = |c: &Called, cores: &[Core]| now - c.at > CALLER && !cores[c.core].frozen;
+        let all: Vec<(u64, usize)> =
+            self.calls.iter().filter(|(_, c)| late(c, &self.cores)).map(|(id, c)| (*id, c.core)).collect();
+        for (id, core) in all {
+            self.calls.remove(&id);
+            self.wrong(format!("core-{} has not answered an operator within a second", core + 1));
+        }
+    }
+
     fn usher(&mut self, at: usize) {
         let now = self.now;
         if !self.ushers[at].up {
@@ -640,7 +867,9 @@
     /// All are joined and started; what was acknowledged has to be found, and one word has to hold everywhere.
     pub fn settle(&mut self) {
         self.cuts.clear();
+        self.one_way.clear();
         for at in 0..self.cores.len() {
+            self.thaw(at);
             self.set_disk(at, false, Micros::ms(1));
             self.start_core(at);
         }
--- a/crates/lab/src/mesh/timeline.rs
+++ b/crates/lab/src/mesh/timeline.rs
@@ -1,8 +1,9 @@
 //! Timelines drawn as text, one column an agent. The first line names the columns; each further line is a time in seconds and a cell a column, cells
 //! apart by two spaces or more, `.` for nothing. A cell does something to its agent, or says what has to be seen there then.
 use notchspool::units::Micros;
+use notchspool_promptbook::script::Script;
 
-use super::player::Player;
+use super::player::{Breach, Player};
 
 /// A timeline as it was read.
 pub struct Timeline {
@@ -39,11 +40,11 @@
 }
 
 /// Plays a timeline, heals all, and gives what was not as it has to be.
-pub fn play(timeline: &Timeline, seed: u64, careful: bool) -> Vec<String> {
+pub fn play(timeline: &Timeline, seed: u64, breach: Breach) -> Vec<String> {
     let ushers = timeline.columns.iter().filter(|c| c.starts_with("usher-")).count();
     let cores = timeline.columns.iter().filter(|c| c.starts_with("core-")).count();
     let mut player = Player::new(cores, ushers, seed);
-    player.careful = careful;
+    player.breach = breach;
     let mut replies = std::collections::BTreeMap::new();
     let start = Micros::ms(3_000);
     for (time, row) in &timeline.rows {
@@ -77,7 +78,11 @@
         ["start"] => player.start_core(at),
         ["cut"] => player.cut_off(at, "*"),
         ["cut", other] => player.cut_off(at, other),
-        ["join"] => player.cuts.retain(|(a, _)| *a != Player::core_name(at)),
+        ["cut-to"] => player.cut_to(at, "*"),
+        ["cut-to", other] => player.cut_to(at, other),
+        ["join"] => player.join(&Player::core_name(at)),
+        ["freeze"] => player.freeze(at),
+        ["thaw"] => player.thaw(at),
         ["full"] => player.set_disk(at, true, Micros::ms(1)),
         ["slow"] => player.set_disk(at, false, Micros::ms(3_000)),
         ["room"] => player.set_disk(at, false, Micros::ms(1)),
@@ -85,20 +90,36 @@
             let id = player.put(at, version(v)?, note);
             replies.insert((at, version(v)?), id);
         }
-        ["acked", v] => {
-            let status =
-                replies.get(&(at, version(v)?)).and_then(|id| player.replies.get(id)).map(|r| r.status);
-            if status != Some(200) {
-                return Err(format!("answered {status:?}"));
+        ["read"] => {
+            let id = player.read(at);
+            replies.insert((at, 0), id);
+        }
+        // What the last put of this number at this core, or the last read there, was answered.
+        ["acked", v] => answered(player, replies, (at, version(v)?), &[200])?,
+        ["not", "acked", v] => answered(player, replies, (at, version(v)?), &[503, 409])?,
+        // Clearly and for good, yes or no.
+        ["clear", v] => answered(player, replies, (at, version(v)?), &[200, 409])?,
+        ["one", "body", v] => {
+            let bodies = player.bodies(version(v)?);
+            if bodies != 1 {
+                return Err(format!("{bodies} bodies are acknowledged"));
             }
         }
-        ["not", "acked", v] => {
-            let status =
-                replies.get(&(at, version(v)?)).and_then(|id| player.replies.get(id)).map(|r| r.status);
-            if status == Some(200) {
-                return Err("was acknowledged".into());
+        ["conflict", v] => answered(player, replies, (at, version(v)?), &[409])?,
+        ["sent", "on", v] => answered(player, replies, (at, version(v)?), &[503])?,
+        ["sent", "on"] => answered(player, replies, (at, 0), &[503])?,
+        ["reads", v] => {
+            answered(player, replies, (at, 0), &[200])?;
+            let reply = replies.get(&(at, 0)).and_then(|id| player.replies.get(id));
+            let found = reply.and_then(|r| Script::check(r.body.as_bytes()).ok()).map(|s| s.version);
+            if found != Some(version(v)?) {
+                return Err(format!("read {found:?}"));
             }
         }
+        ["sure"] if !player.sure(at) => return Err("it does not vouch for its version".into()),
+        ["sure"] => {}
+        ["unsure"] if player.sure(at) => return Err("it vouches for its version".into()),
+        ["unsure"] => {}
         ["votes"] if !player.votes(at) => return Err("it does not vote".into()),
         ["votes"] => {}
         ["not", "votes"] if player.votes(at) => return Err("it votes".into()),
@@ -108,6 +129,14 @@
     Ok(())
 }
 
+fn answered(player: &Player, replies: &Replies, call: (usize, u64), wanted: &[u16]) -> Result<(), String> {
+    let reply = replies.get(&call).and_then(|id| player.replies.get(id));
+    match reply {
+        Some(reply) if wanted.contains(&reply.status) => Ok(()),
+        _ => Err(format!("answered {reply:?}")),
+    }
+}
+
 fn usher(player: &mut Player, name: &str, words: &[&str]) -> Result<(), String> {
     let at = player.ushers.iter().position(|u| u.name == name).ok_or("there is no such usher")?;
     let now = player.now;
@@ -119,7 +148,7 @@
         ["start"] => player.start_usher(at),
         ["cut"] => player.cut_usher(at, "*"),
         ["cut", other] => player.cut_usher(at, other),
-        ["join"] => player.cuts.retain(|(a, _)| a != name),
+        ["join"] => player.join(name),
         ["beat", instance] => player.backend(at, instance, "beat"),
         ["drain", instance] => player.backend(at, instance, "drain"),
         ["leave", instance] => player.backend(at, instance, "leave"),
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -1,11 +1,11 @@
 //! Timelines of the mesh, and drawn ones. No bench, no sleep: virtual time.
-use notchspool_lab::mesh::{Timeline, drawn, play};
+use notchspool_lab::mesh::{Breach, Timeline, drawn, play};
 use rstest::rstest;
 
 fn holds(text: &str) {
     let timeline = Timeline::read(text).unwrap();
     for seed in 1..=3 {
-        let wrong = play(&timeline, seed, true);
+        let wrong = play(&timeline, seed, Breach::Nothing);
         assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
     }
 }
@@ -36,10 +36,84 @@
 7.6   .         .         .             join    .
 ";
     let timeline = Timeline::read(text).unwrap();
-    let seen = (1..=5).any(|seed| play(&timeline, seed, false).iter().any(|w| w.contains("runs again")));
+    let seen = (1..=5)
+        .any(|seed| play(&timeline, seed, Breach::ForgetsItsDisk).iter().any(|w| w.contains("runs again")));
     assert!(seen, "a second run was not noticed");
     for seed in 1..=5 {
-        let wrong = play(&timeline, seed, true);
+        let wrong = play(&timeline, seed, Breach::Nothing);
         assert!(!wrong.iter().any(|w| w.contains("runs again")), "seed {seed}: {wrong:#?}");
     }
 }
+
+/// One safeguard off: the checker sees it, and sees nothing with all on.
+#[rstest]
+#[case::answers_from_held(
+    Breach::AnswersFromHeld,
+    "a read gives",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 2 old                   .                 .
+0.5   .         cut core-2; cut core-3      put 6 new         .
+1.5   .         read                        .                 .
+"
+)]
+#[case::acknowledges_from_held(
+    Breach::AnswersFromHeld,
+    "bodies are acknowledged under 5",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 5 left                  .                 .
+0.5   .         .                           put 5 right       .
+"
+)]
+#[case::keeps_no_history(
+    Breach::KeepsNoHistory,
+    "bodies are acknowledged under 5",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 5 left                  .                 .
+0.5   .         .                           put 9 x           .
+1.0   .         .                           .                 put 5 right
+"
+)]
+#[case::cut_and_sure(
+    Breach::StaysSure,
+    "vouches for 2",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 2 old                   .                 .
+0.5   .         cut core-2; cut core-3      put 6 new         .
+4.0   kill      .                           .                 .
+4.5   start     .                           .                 .
+5.0   .         .                           .                 .
+"
+)]
+#[case::stood_still_and_sure(
+    Breach::StaysSure,
+    "vouches for 2",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 2 old                   .                 .
+0.5   .         freeze                      put 6 new         .
+3.5   kill      .                           .                 .
+4.0   start     thaw                        .                 .
+4.5   .         .                           .                 .
+"
+)]
+#[case::answers_late(
+    Breach::AnswersLate,
+    "has not answered",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 2 old                   .                 .
+0.5   .         cut core-2; cut core-3      .                 .
+0.6   .         put 4 new                   .                 .
+2.0   .         .                           .                 .
+"
+)]
+fn a_breach_of_the_word_is_noticed(#[case] breach: Breach, #[case] sign: &str, #[case] text: &str) {
+    let timeline = Timeline::read(text).unwrap();
+    let seen = (1..=5).any(|seed| play(&timeline, seed, breach).iter().any(|w| w.contains(sign)));
+    assert!(seen, "{breach:?} was not noticed");
+    holds(text);
+}
--- a/crates/promptbook/src/pen.rs
+++ b/crates/promptbook/src/pen.rs
@@ -1,22 +1,31 @@
 //! How a configuration becomes the one that holds. One register by ballots among the voters; its value is the configuration with the
-//! highest version. Writing it is reading it first: what is written is the higher of what was found and what is new, and of two
-//! bodies under one version the one found stays. So there is one body for a version, it never goes back, and what more than half have
-//! on disk is found by every later round (CASPaxos; `notchspool_election` has voters and rounds).
+//! highest version, and the digests of the bodies taken under numbers below it (`register`). Writing it is reading it first: what is
+//! written is what was found, with each new body under a number that is still free. So there is one body for a number, the version
+//! never goes back, and what more than half have on disk is found by every later round (CASPaxos; `notchspool_election` has voters and
+//! rounds).
+//!
+//! Every call, also one that changes nothing, ends by a write of its own to more than half, begun after the call came; what it is
+//! answered is read off the value that this write has chosen, never off one that was only proposed.
 //!
 //! Held always, tried to be broken by `tests/word.rs`: what was said to hold is held, or a higher version is, after any loss that leaves
-//! more than half of the disks; all who are told of a version are told the same body.
+//! more than half of the disks; all who are told of a version are told the same body; one body is acknowledged under a number, and no
+//! order is acknowledged and later refused.
 use std::collections::VecDeque;
 
 use notchspool::units::Micros;
 use notchspool_election::round::{Round, Verdict};
 use notchspool_election::{Answer, Ask, Ballot, ContenderId, Space, Terms, Token, VoterId};
 
+use crate::digest::Digest;
+pub use crate::register::Held;
+use crate::register::{Standing, Value};
+
 /// The register's one key.
 pub const KEY: &str = "word";
 /// Calls that wait at most.
 const MOST_WAITING: usize = 256;
-/// A call that found no majority is given up after this.
-pub const PATIENCE: Micros = Micros::ms(2_500);
+/// A call that found no majority is given up after this: callers go elsewhere after a second of silence.
+pub const PATIENCE: Micros = Micros::ms(650);
 /// Pause after a refused round, at least; up to three times that by chance, doubled for each in a row.
 const PAUSE: Micros = Micros::ms(4);
 
@@ -24,28 +33,11 @@
     Space::State("word".into())
 }
 
-/// A configuration with its version in front, as the register holds it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Held {
-    pub version: u64,
-    pub body: String,
-}
-
-impl Held {
-    pub fn written(&self) -> String {
-        format!("{}\n{}", self.version, self.body)
-    }
-    pub fn read(text: &str) -> Option<Held> {
-        let (version, body) = text.split_once('\n')?;
-        Some(Held { version: version.parse().ok()?, body: body.to_string() })
-    }
-}
-
 /// What is asked of the register.
 #[derive(Clone, Debug)]
 pub enum Order {
-    /// To hold this one unless a version as high is held.
-    Put(Held),
+    /// To take this body under its number, and to hold it unless a higher one is held.
+    Put(Held, Digest),
     /// What holds now.
     Read,
 }
@@ -56,25 +48,49 @@
     Ask(VoterId, u64, Ask),
     /// The call's end.
     End(u64, End),
-    /// More than half have it on disk.
-    Chosen(Held),
+    /// More than half have it on disk; none: more than half have nothing. The round that found this began then.
+    Chosen(Option<Held>, Micros),
 }
 
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
+    /// A read: what holds.
     Held(Held),
-    /// There is none yet.
+    /// A read: there is none yet.
     Empty,
+    /// A put: this body is the one under its number.
+    Taken,
+    /// A put: another body is, and will stay so. The version that holds.
+    Other(u64),
+    /// A put: the number is older than what is remembered. The version that holds.
+    Forgotten(u64),
     /// No majority was found in time: a body that was sent may come to hold, or not.
     NoMajority,
 }
 
+impl End {
+    /// What a call comes to, by the value that was chosen.
+    fn of(order: &Order, chosen: Option<&Value>) -> End {
+        match (order, chosen) {
+            (Order::Read, Some(value)) => End::Held(value.held.clone()),
+            (Order::Read, None) => End::Empty,
+            (Order::Put(new, digest), Some(value)) => match value.standing(new.version, *digest) {
+                Standing::Taken => End::Taken,
+                Standing::Other => End::Other(value.held.version),
+                Standing::Forgotten => End::Forgotten(value.held.version),
+                Standing::Free => End::NoMajority,
+            },
+            (Order::Put(..), None) => End::NoMajority,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Phase {
     Idle,
     Reading(Round, Ballot),
-    Writing(Round, Held),
+    Writing(Round, Value),
     /// Refused: not before this.
     Pausing(Micros),
 }
@@ -165,25 +181,29 @@
     fn won(&mut self, now: Micros) -> Vec<Step> {
         match std::mem::replace(&mut self.phase, Phase::Idle) {
             Phase::Reading(round, ballot) => {
-                let found = round.merged().get(KEY).and_then(|e| Held::read(&e.value));
-                // Who waits by now is served too: its body is one of those from which the highest is taken.
+                let mut value = round.merged().get(KEY).and_then(|e| Value::read(&e.value));
+                if value.is_none() && !self.served.iter().any(|(_, order, _)| matches!(order, Order::Put(..)))
+                {
+                    return self.end(now, None, round.began);
+                }
+                // Who waits by now is served too: it came before the write begins.
                 self.served.extend(self.waiting.drain(..));
-                let mut best = found;
                 for (_, order, _) in &self.served {
-                    if let Order::Put(new) = order
-                        && best.as_ref().is_none_or(|b| new.version > b.version)
-                    {
-                        best = Some(new.clone());
+                    if let Order::Put(new, digest) = order {
+                        match &mut value {
+                            Some(value) => value.take(new, *digest),
+                            None => value = Some(Value::first(new.clone(), *digest)),
+                        }
                     }
                 }
-                let Some(held) = best else { return self.end(now, None) };
-                let changes = vec![(KEY.to_string(), held.written())];
+                let Some(value) = value else { return self.end(now, None, round.began) };
+                let changes = vec![(KEY.to_string(), value.written())];
                 let ask = Ask::Accept { space: space(), ballot, nth: 1, changes, lease: None };
                 let (round, steps) = self.ask_all(now, ask);
-                self.phase = Phase::Writing(round, held);
+                self.phase = Phase::Writing(round, value);
                 steps
             }
-            Phase::Writing(_, held) => self.end(now, Some(held)),
+            Phase::Writing(round, value) => self.end(now, Some(value), round.began),
             phase => {
                 self.phase = phase;
                 Vec::new()
@@ -191,11 +211,12 @@
         }
     }
 
-    fn end(&mut self, now: Micros, held: Option<Held>) -> Vec<Step> {
+    fn end(&mut self, now: Micros, chosen: Option<Value>, began: Micros) -> Vec<Step> {
         self.refused = 0;
-        let mut steps: Vec<Step> = held.iter().cloned().map(Step::Chosen).collect();
-        let end = held.map_or(End::Empty, End::Held);
-        steps.extend(self.served.drain(..).map(|(id, ..)| Step::End(id, end.clone())));
+        let mut steps = vec![Step::Chosen(chosen.as_ref().map(|v| v.held.clone()), began)];
+        for (id, order, _) in self.served.drain(..) {
+            steps.push(Step::End(id, End::of(&order, chosen.as_ref())));
+        }
         self.phase = Phase::Idle;
         steps.extend(self.begin(now));
         steps
--- a/crates/prompter/src/house.rs
+++ b/crates/prompter/src/house.rs
@@ -37,6 +37,8 @@
 struct House {
     office: RefCell<Office>,
     clock: Clock,
+    /// Where operators call.
+    control: SocketAddr,
     told: RefCell<Told>,
     life: u64,
     ropes: RefCell<BTreeMap<Conn, rope::Rope>>,
@@ -156,6 +158,9 @@
     }
 
     async fn answer(self: &Rc<House>, request: Request<Incoming>) -> (u16, String) {
+        if request.uri().path() == "/notchspool/ready" {
+            return self.ready();
+        }
         let query = request.uri().query().unwrap_or_default().to_string();
         let call = query.split('&').find_map(|p| p.strip_prefix("call=")).unwrap_or_default().to_string();
         if request.uri().path() != "/notchspool/rpc" {
@@ -186,7 +191,32 @@
             }
         };
         self.act(acts);
-        wait.await.unwrap_or((503, "given up".into()))
+        match wait.await.unwrap_or((503, "given up".into())) {
+            (503, why) => (503, format!("{why}; ask {}", self.others())),
+            reply => reply,
+        }
+    }
+
+    /// Whether what this one says of the operator's configuration is the newest.
+    fn ready(&self) -> (u16, String) {
+        let vouches = self.office.borrow_mut().vouches(self.clock.now());
+        match vouches {
+            (true, version) => (200, format!("version {version} is the newest")),
+            (false, version) => (
+                503,
+                format!("it is not known whether version {version} is the newest; ask {}", self.others()),
+            ),
+        }
+    }
+
+    /// Where else an operator may call: the other voters, at the port where this one is called.
+    fn others(&self) -> String {
+        let (own, port) = (self.told.borrow().inner(), self.control.port());
+        let office = self.office.borrow();
+        let others = office.voters().iter().filter(|v| **v != own);
+        let hosts = others.filter_map(|v| v.parse::<SocketAddr>().ok());
+        let all: Vec<String> = hosts.map(|a| SocketAddr::new(a.ip(), port).to_string()).collect();
+        if all.is_empty() { "another prompter".into() } else { all.join(" or ") }
     }
 }
 
@@ -248,6 +278,7 @@
     let house = Rc::new(House {
         office: RefCell::new(office),
         clock,
+        control,
         life,
         ropes: RefCell::default(),
         next: std::cell::Cell::new(1),
--- a/crates/prompter/src/office/config.rs
+++ b/crates/prompter/src/office/config.rs
@@ -5,6 +5,7 @@
     /// An operator's call `config.replace`, by the host's number.
     pub fn put(&mut self, now: Micros, id: u64, body: &[u8]) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         let script = match Script::check(body) {
             Ok(script) => script,
             Err(refusal) => {
@@ -15,28 +16,34 @@
             }
         };
         self.counts.puts += 1;
-        if self.chosen.as_ref().is_some_and(|h| h.version >= script.version) {
-            acts.push(Act::Reply(id, 200, String::new()));
-            return acts;
-        }
         let Ok(body) = String::from_utf8(body.to_vec()) else { return acts };
-        self.call(now, Call::Put(id), Order::Put(Held { version: script.version, body }), &mut acts);
+        let digest = Digest::of(body.as_bytes());
+        let order = Order::Put(Held { version: script.version, body }, digest);
+        self.call(now, Call::Put(id, script.version), order, &mut acts);
         acts
     }
 
     /// An operator's call `config.read`.
     pub fn read(&mut self, now: Micros, id: u64) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         self.call(now, Call::Read(id), Order::Read, &mut acts);
         acts
     }
 
     pub(super) fn call(&mut self, now: Micros, call: Call, order: Order, acts: &mut Vec<Act>) {
-        if let Call::Put(id) | Call::Read(id) = call
-            && (self.voters.is_empty() || self.calls.len() >= MOST)
-        {
-            acts.push(Act::Reply(id, 503, "no voters are known yet".into()));
-            return;
+        if let Call::Put(id, _) | Call::Read(id) = call {
+            let alone = !self.reaches_most(now) && self.voters.len() != 1;
+            let why = match (self.voters.is_empty(), alone) {
+                (true, _) => "no voters are known yet",
+                (_, true) => "more than half of the prompters are not in reach: nothing was done",
+                _ if self.calls.len() >= MOST => "too many calls in hand",
+                _ => "",
+            };
+            if !why.is_empty() {
+                acts.push(Act::Reply(id, 503, why.into()));
+                return;
+            }
         }
         self.next += 1;
         self.calls.insert(self.next, call);
@@ -55,30 +62,51 @@
                         acts.push(Act::Send(*conn, What::Vote(vote)));
                     }
                 }
-                Step::Chosen(held) => {
-                    self.sure = true;
-                    self.choose(held, acts);
-                }
-                Step::End(number, end) => {
-                    self.sure |= end == End::Empty;
-                    match (self.calls.remove(&number), end) {
-                        (Some(Call::Read(id)), End::Held(held)) => acts.push(Act::Reply(id, 200, held.body)),
-                        (Some(Call::Put(id)), End::Held(_)) => acts.push(Act::Reply(id, 200, String::new())),
-                        (Some(Call::Read(id)), End::Empty) => {
-                            acts.push(Act::Reply(id, 503, "there is none yet".into()))
-                        }
-                        (Some(Call::Put(id) | Call::Read(id)), _) => {
-                            let why = "more than half of the prompters are not in reach";
-                            acts.push(Act::Reply(id, 503, why.into()));
-                        }
-                        (Some(Call::Own), End::NoMajority) => self.unsure = Some(now + UNSURE),
-                        _ => {}
-                    }
+                Step::Chosen(held, began) => {
+                    // An answer to what was asked before it stood still or was cut off says nothing of now.
+                    self.sure |= began >= self.doubted;
+                    held.into_iter().for_each(|held| self.choose(held, acts));
                 }
+                Step::End(number, end) => self.end(now, number, end, acts),
             }
         }
     }
 
+    fn end(&mut self, now: Micros, number: u64, end: End, acts: &mut Vec<Act>) {
+        let Some(call) = self.calls.remove(&number) else { return };
+        let (id, version) = match call {
+            Call::Put(id, version) => (id, version),
+            Call::Read(id) => (id, 0),
+            Call::Own => {
+                if end == End::NoMajority {
+                    self.unsure = Some(now + UNSURE);
+                }
+                return;
+            }
+        };
+        let (status, body) = match end {
+            End::Held(held) => (200, held.body),
+            End::Taken => (200, String::new()),
+            End::Empty => (503, "there is none yet".into()),
+            End::Other(holds) => {
+                let line =
+                    format!("not taken: another body holds under {version}; version {holds} is in force");
+                acts.push(Act::Log(line.clone()));
+                (409, line)
+            }
+            End::Forgotten(holds) => {
+                let why =
+                    "is older than what is remembered: whether this body was taken under it is not known";
+                (503, format!("version {version} {why}; version {holds} is in force"))
+            }
+            End::NoMajority => {
+                let why = "more than half of the prompters did not answer in time: what was sent may come to hold or not";
+                (503, why.into())
+            }
+        };
+        acts.push(Act::Reply(id, status, body));
+    }
+
     /// This one is held by more than half: it can be told.
     pub(super) fn choose(&mut self, held: Held, acts: &mut Vec<Act>) {
         if self.chosen.as_ref().is_some_and(|h| h.version >= held.version) {
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -10,6 +10,7 @@
 use notchspool_election::readmit::Readmission;
 use notchspool_election::voter::{Disk, Voter};
 use notchspool_election::{Answer, ContenderId, Said, Terms, VoterId};
+use notchspool_promptbook::digest::Digest;
 use notchspool_promptbook::pen::{self, End, Held, KEY, Order, Pen, Step};
 use notchspool_promptbook::script::Script;
 use notchspool_trapdoor::{Deed, Found, Seat};
@@ -38,6 +39,8 @@
 const GATHER: Micros = Micros::ms(1_200);
 /// What was accepted and not known to be chosen is looked into after this, and as much again by chance.
 const UNSURE: Micros = Micros::ms(150);
+/// Whose clock goes on by more than this between two wakes has stood still meanwhile.
+const STILL: Micros = Micros::ms(1_000);
 /// Operators' calls in hand, votes that wait for the disk.
 const MOST: usize = 8_192;
 
@@ -108,7 +111,11 @@
     packed: Word,
     /// The version accepted here and not known to be chosen, and when it is looked into.
     unsure: Option<Micros>,
+    /// What is chosen here was the newest at some moment since `doubted`.
     sure: bool,
+    /// When it last stood still, or was last without more than half: only a round begun since makes it sure.
+    doubted: Micros,
+    last: Micros,
     guests: BTreeMap<Conn, Guest>,
     /// Connections that this prompter opened, and where to; among them those to other voters, by place.
     dialed: BTreeMap<Conn, String>,
@@ -138,7 +145,8 @@
 /// Whose call it is, by the host's number.
 #[derive(Clone, Debug)]
 enum Call {
-    Put(u64),
+    /// With its version.
+    Put(u64, u64),
     Read(u64),
     Own,
 }
@@ -178,6 +186,8 @@
             packed: Word::default(),
             unsure: None,
             sure: false,
+            doubted: now,
+            last: now,
             guests: BTreeMap::new(),
             dialed: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -278,11 +288,31 @@
         !self.voters.is_empty() && reached + own >= self.terms.majority()
     }
 
+    /// Time as whoever calls in has it. After a standstill nothing is sure: the others have gone on.
+    fn tick(&mut self, now: Micros) {
+        if now - self.last > STILL {
+            self.doubt(now);
+        }
+        self.last = self.last.max(now);
+    }
+
+    fn doubt(&mut self, now: Micros) {
+        self.sure = false;
+        self.doubted = now;
+    }
+
+    /// Whether what is chosen here was the newest a moment ago, and the version.
+    pub fn vouches(&mut self, now: Micros) -> (bool, u64) {
+        self.tick(now);
+        (self.sure, self.chosen.as_ref().map_or(0, |h| h.version))
+    }
+
     // ---- Connections ------------------------------------------------------------------------------------
 
     /// Another voter, connected from here; `hello` has been sent.
     pub fn peer(&mut self, now: Micros, conn: Conn, address: &str) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         self.dialed.insert(conn, address.to_string());
         self.meet(now, conn, &mut acts);
         acts
@@ -310,6 +340,7 @@
     /// A message. One that makes no sense here is counted and dropped.
     pub fn hear(&mut self, now: Micros, conn: Conn, what: What) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         if let Some(guest) = self.guests.get_mut(&conn) {
             guest.heard = now;
             if let Some(peer) = guest.voter.and_then(|at| self.peers.get_mut(&at)).filter(|p| p.0 == conn) {
@@ -400,6 +431,7 @@
     /// The disk has done this, or could not.
     pub fn saved(&mut self, now: Micros, number: u64, done: bool) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         let Some(pending) = self.pending.remove(&number) else { return acts };
         match pending {
             Pending::Claimed(conn, mut said) => {
@@ -448,6 +480,7 @@
     /// To be called every 50 ms or so.
     pub fn wake(&mut self, now: Micros) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         let dart = self.chance.rand_float();
         let steps = self.pen.wake(now, dart);
         self.steps(now, steps, &mut acts);
@@ -457,7 +490,9 @@
             self.found(now, &mut acts);
         }
         let reaches = self.reaches_most(now);
-        self.sure &= reaches || self.voters.len() == 1;
+        if !reaches && self.voters.len() != 1 {
+            self.doubt(now);
+        }
         self.board.wake(now, reaches);
         self.tell_board(now, &mut acts);
         if self.unsure.is_some_and(|at| at <= now) && self.pen.idle() {
@@ -469,6 +504,17 @@
         if self.sure != self.told_sure {
             self.told_sure = self.sure;
             let chosen = self.chosen.as_ref().map_or(0, |h| h.version);
+            let line = match self.sure {
+                true => format!("is sure: version {chosen} is the newest"),
+                false => format!(
+                    "is not sure any more that version {chosen} is the newest: {}",
+                    match reaches {
+                        true => "it stood still",
+                        false => "more than half of the prompters are not in reach; operators are sent on",
+                    }
+                ),
+            };
+            acts.push(Act::Log(line));
             let holding = What::Holding(Holding { chosen, sure: self.sure });
             let ushers = self.guests.iter().filter(|(_, g)| g.usher);
             acts.extend(ushers.map(|(conn, _)| Act::Send(*conn, holding.clone())));
