--- a/crates/cues/src/difference.rs
+++ b/crates/cues/src/difference.rs
@@ -7,6 +7,8 @@
 /// The first half of a text's BLAKE3 sum.
 pub type Digest = [u8; 16];
 
+/// Bytes of anything that is packed at most.
+pub const MOST: usize = 48 << 20;
 /// How far back matches are looked for: a base and a text of the largest size.
 const WINDOW: u32 = 25;
 const LEVEL: i32 = 3;
@@ -22,6 +24,20 @@
     if base.len() > MOST_WORD || text.len() > MOST_WORD {
         return None;
     }
+    code(base, text)
+}
+
+/// Something larger than a text, packed by itself.
+pub fn pack(all: &[u8]) -> Option<Vec<u8>> {
+    if all.len() > MOST { None } else { code(b"", all) }
+}
+
+/// What was packed, of this length; none where it is no such thing.
+pub fn unpack(length: usize, made: &[u8]) -> Option<Vec<u8>> {
+    if length > MOST { None } else { decode(b"", length, made) }
+}
+
+fn code(base: &[u8], text: &[u8]) -> Option<Vec<u8>> {
     let mut made = Vec::with_capacity(zstd_safe::compress_bound(text.len()));
     let mut coder = CCtx::try_create()?;
     coder.set_parameter(CParameter::CompressionLevel(LEVEL)).ok()?;
@@ -40,6 +56,10 @@
     if base.len() > MOST_WORD || length > MOST_WORD {
         return None;
     }
+    decode(base, length, made)
+}
+
+fn decode(base: &[u8], length: usize, made: &[u8]) -> Option<Vec<u8>> {
     let mut text = Vec::with_capacity(length);
     let mut coder = DCtx::try_create()?;
     coder.set_parameter(DParameter::WindowLogMax(WINDOW + 1)).ok()?;
--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -2,6 +2,7 @@
 //! length (big end first) and one `Cue`. What is not of this form is an error, counted by the host, never a panic. Large texts go as
 //! differences (`difference`, `texts`).
 pub mod difference;
+pub mod snapshot;
 pub mod texts;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -109,6 +110,11 @@
     /// Usher to prompter: its board is followed no more.
     #[prost(message, tag = "42")]
     Unwatch(Unwatch),
+    /// A part of a snapshot, and what asks for one.
+    #[prost(message, tag = "43")]
+    Piece(Piece),
+    #[prost(message, tag = "44")]
+    More(More),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -592,6 +598,50 @@
     pub head: String,
 }
 
+/// All that one voter has in one set: what another begins with. `snapshot` has its form as a file and on its way.
+#[derive(Clone, PartialEq, Message)]
+pub struct Snapshot {
+    /// The number of the set.
+    #[prost(uint64, tag = "1")]
+    pub set: u64,
+    /// Who belongs to it, as the file `seat` has it.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub seat: Bytes,
+    #[prost(message, optional, tag = "3")]
+    pub promised: Option<Ballot>,
+    /// The configuration accepted, under which ballot, with its version in front.
+    #[prost(message, optional, tag = "4")]
+    pub under: Option<Ballot>,
+    #[prost(string, optional, tag = "5")]
+    pub body: Option<String>,
+    /// Claims inside their window.
+    #[prost(message, repeated, tag = "6")]
+    pub claims: Vec<Claim>,
+}
+
+/// Bytes of a snapshot from an offset.
+#[derive(Clone, PartialEq, Message)]
+pub struct Piece {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// Bytes of the whole.
+    #[prost(uint64, tag = "3")]
+    pub total: u64,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub bytes: Bytes,
+}
+
+/// Asks for the bytes of a snapshot from an offset on; without an id for any.
+#[derive(Clone, PartialEq, Message)]
+pub struct More {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub id: Bytes,
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+}
+
 /// Bytes of a configuration at most, unpacked.
 pub const MOST_WORD: usize = 16 << 20;
 
