--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -7,7 +7,8 @@
 use notchspool_cloakroom::coats::Event as Turn;
 use notchspool_cloakroom::round::Verdict;
 use notchspool_cues::texts::{Heard, Texts};
-use notchspool_cues::{Claim, Hello, Ping, Want, Watch, What, Withdraw};
+use notchspool_cues::{Claim, Hello, Ping, Snapshot, Want, Watch, What, Withdraw};
+use notchspool_election::{Ballot, ContenderId, Entry, Token};
 use notchspool_promptbook::script::Script;
 use notchspool_prompter::office::{Act, Office};
 use notchspool_trapdoor::{Deed, Found, Seat};
@@ -37,6 +38,7 @@
                     self.found.entry = Some(entry.clone());
                 }
             }
+            Deed::Install(snapshot) => self.install(snapshot),
             Deed::Seat(seat) => self.found.seat = Some(seat.clone()),
             Deed::Claim(claim) => {
                 let ticket = claim.ticket.unwrap_or_default();
@@ -50,6 +52,17 @@
             }
         }
     }
+    /// All of it at once, as the disk does it.
+    fn install(&mut self, snapshot: &Snapshot) {
+        let told = |b: Option<notchspool_cues::Ballot>| {
+            let b = b.unwrap_or_default();
+            Ballot { token: Token(0), round: b.round, by: ContenderId(b.by) }
+        };
+        let entry = snapshot.body.clone().map(|value| Entry { at: told(snapshot.under), nth: 1, value });
+        self.found.seat = serde_json::from_slice(&snapshot.seat).ok();
+        (self.found.promised, self.found.entry) = (told(snapshot.promised), entry);
+        snapshot.claims.iter().for_each(|c| self.apply(&Deed::Claim(c.clone())));
+    }
     fn found(&self) -> Found {
         Found { claims: self.claims.values().cloned().collect(), ..self.found.clone() }
     }
--- a/crates/trapdoor/src/lib.rs
+++ b/crates/trapdoor/src/lib.rs
@@ -1,18 +1,21 @@
 //! What a prompter keeps on its disk. `shelf`: plain files, each written aside, synced, renamed, the folder synced. `claims`: the log of
-//! keyed operations. `Trapdoor` puts both together for one thread that waits for the disk: a batch of deeds, durable when `write` returns.
+//! keyed operations. `state`: what else there is, and how a snapshot takes its place. `Trapdoor` puts both together for one thread that waits for the disk: a batch of deeds, durable when `write` returns.
 pub mod claims;
+pub mod drive;
 pub mod shelf;
+pub mod state;
 
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
-use notchspool_cues::{Claim, Ticket};
+use notchspool_cues::{Claim, Snapshot, Ticket};
 use notchspool_election::{Ballot, Entry};
 use serde::{Deserialize, Serialize};
 
 use claims::Claims;
 use shelf::Shelf;
+use state::State;
 
 /// What went wrong with the disk.
 #[derive(Debug, derive_more::Display, derive_more::Error)]
@@ -37,6 +40,8 @@
     Seat(Seat),
     Claim(Claim),
     Withdraw(String, Ticket),
+    /// All of this in place of what there is, whole or not at all.
+    Install(Box<Snapshot>),
 }
 
 /// This voter's place.
@@ -60,76 +65,48 @@
 }
 
 pub struct Trapdoor {
-    shelf: Shelf,
+    state: State,
     claims: Claims,
-    words: Vec<(Ballot, u64, String)>,
-}
-
-/// Versions of the operator's word that stay on the disk.
-const KEPT_WORDS: usize = 4;
-
-#[derive(Serialize, Deserialize)]
-struct WordFile {
-    version: u64,
-    entry: Entry,
 }
 
 impl Trapdoor {
     /// Opens the folder and reads what is there. `window`: for how long claims are kept at least.
     pub fn open(folder: &Path, window: Duration) -> Result<(Trapdoor, Found), Broken> {
-        let shelf = Shelf::open(folder)?;
-        let mut found = Found::default();
-        let mut words = Vec::new();
-        for name in shelf.names()? {
-            let Some(text) = shelf.get(&name)? else {
-                found.torn.push(name);
-                continue;
-            };
-            if name == "seat" {
-                found.seat = serde_json::from_slice(&text).ok();
-            } else if name == "promise" {
-                found.promised = serde_json::from_slice(&text).unwrap_or_default();
-            } else if name.starts_with("word-")
-                && let Ok(word) = serde_json::from_slice::<WordFile>(&text)
-            {
-                words.push((word.entry.at, word.version, name));
-                let newer = |old: &Entry| (old.at, old.nth) < (word.entry.at, word.entry.nth);
-                if found.entry.as_ref().is_none_or(newer) {
-                    found.entry = Some(word.entry);
-                }
-            }
-        }
-        words.sort();
-        // What was accepted had been promised, whatever became of that file.
-        found.promised = found.promised.max(found.entry.as_ref().map_or(Ballot::default(), |e| e.at));
+        let (state, mut found, owed) = State::open(Shelf::open(folder)?)?;
         let (claims, read) = Claims::open(&folder.join("claims"), window)?;
         found.claims = read;
-        Ok((Trapdoor { shelf, claims, words }, found))
+        let mut trapdoor = Trapdoor { state, claims };
+        trapdoor.finish()?;
+        found.claims.extend(owed);
+        Ok((trapdoor, found))
     }
 
     /// Writes a batch; what it holds is durable when this returns without an error, and may or may not be there with one.
     pub fn write(&mut self, deeds: &[Deed]) -> Result<(), Broken> {
-        let promise = deeds.iter().rev().find_map(|d| if let Deed::Promise(b) = d { Some(b) } else { None });
-        let word =
-            deeds.iter().rev().find_map(|d| if let Deed::Word(v, e) = d { Some((v, e)) } else { None });
-        let seat = deeds.iter().rev().find_map(|d| if let Deed::Seat(s) = d { Some(s) } else { None });
-        if let Some(seat) = seat {
-            self.shelf.put("seat", &serde_json::to_vec(seat).unwrap_or_default())?;
-        }
-        if let Some((version, entry)) = word {
-            let name = format!("word-{version}");
-            let file = WordFile { version: *version, entry: entry.clone() };
-            self.shelf.put(&name, &serde_json::to_vec(&file).unwrap_or_default())?;
-            self.words.retain(|w| w.2 != name);
-            self.words.push((entry.at, *version, name));
-            while self.words.len() > KEPT_WORDS {
-                let (.., old) = self.words.remove(0);
-                self.shelf.remove(&old);
+        self.finish()?;
+        let mut rest = deeds;
+        // What stands before a snapshot is replaced by it, what stands after it is not.
+        while let Some(at) = rest.iter().position(|d| matches!(d, Deed::Install(_))) {
+            self.plain(&rest[..at])?;
+            if let Deed::Install(snapshot) = &rest[at] {
+                self.state.install(snapshot)?;
+                self.finish()?;
             }
+            rest = &rest[at + 1..];
         }
-        if let Some(promise) = promise {
-            self.shelf.put("promise", &serde_json::to_vec(promise).unwrap_or_default())?;
-        }
+        self.plain(rest)
+    }
+
+    fn plain(&mut self, deeds: &[Deed]) -> Result<(), Broken> {
+        self.state.write(deeds)?;
         self.claims.write(deeds)
     }
+
+    /// Claims of a snapshot go to the log, beside those that are there: one more than need be holds a key that is over, one fewer runs a key
+    /// twice.
+    fn finish(&mut self) -> Result<(), Broken> {
+        let owed: Vec<Deed> = self.state.owed().iter().cloned().map(Deed::Claim).collect();
+        self.claims.write(&owed)?;
+        self.state.done()
+    }
 }
