--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -7,7 +7,9 @@
 use notchspool_cloakroom::coats::Event as Turn;
 use notchspool_cloakroom::round::Verdict;
 use notchspool_cues as cues;
-use notchspool_cues::{Claim, Hello, Ping, Want, Watch, What, Withdraw};
+use notchspool_cues::texts::{Heard, Texts};
+use notchspool_cues::{Claim, Hello, Ping, Snapshot, Want, Watch, What, Withdraw};
+use notchspool_election::{Ballot, ContenderId, Entry, Token};
 use notchspool_promptbook::digest::Digest;
 use notchspool_promptbook::register::{Held, Value};
 use notchspool_promptbook::script::Script;
@@ -39,6 +41,7 @@
                     self.found.entry = Some(entry.clone());
                 }
             }
+            Deed::Install(snapshot) => self.install(snapshot),
             Deed::Seat(seat) => self.found.seat = Some(seat.clone()),
             Deed::Claim(claim) => {
                 let ticket = claim.ticket.unwrap_or_default();
@@ -52,6 +55,17 @@
             }
         }
     }
+    /// All of it at once, as the disk does it.
+    fn install(&mut self, snapshot: &Snapshot) {
+        let told = |b: Option<notchspool_cues::Ballot>| {
+            let b = b.unwrap_or_default();
+            Ballot { token: Token(0), round: b.round, by: ContenderId(b.by) }
+        };
+        let entry = snapshot.body.clone().map(|value| Entry { at: told(snapshot.under), nth: 1, value });
+        self.found.seat = serde_json::from_slice(&snapshot.seat).ok();
+        (self.found.promised, self.found.entry) = (told(snapshot.promised), entry);
+        snapshot.claims.iter().for_each(|c| self.apply(&Deed::Claim(c.clone())));
+    }
     fn found(&self) -> Found {
         Found { claims: self.claims.values().cloned().collect(), ..self.found.clone() }
     }
@@ -69,8 +83,12 @@
     /// The process stands still; what operators send meanwhile is read when it goes on.
     frozen: bool,
     waits: Vec<(u64, Option<String>)>,
+    texts: Texts,
 }
 
+/// Configurations that a prompter and an usher hold, as in their processes.
+const TEXTS: (usize, usize) = (4, 2);
+
 /// One end of a link: core or usher, by place, and its number of the connection.
 type End = (bool, usize, u64);
 
@@ -115,6 +133,8 @@
     pub ran: BTreeMap<String, Vec<Micros>>,
     pub wrong: Vec<String>,
     pub breach: Breach,
+    /// A planted fault of those that start from now on: a text is taken whatever its digest says.
+    pub trusting: bool,
 }
 
 /// One safeguard that is off: what the checker has to notice.
@@ -177,6 +197,7 @@
             ran: BTreeMap::new(),
             wrong: Vec::new(),
             breach: Breach::Nothing,
+            trusting: false,
         };
         // At the first start all are told the same three.
         let seeds: Vec<String> = (0..cores.min(3)).map(address).collect();
@@ -190,6 +211,7 @@
                 full: false,
                 frozen: false,
                 waits: Vec::new(),
+                texts: Texts::open(TEXTS.0),
             };
             player.cores.push(core);
             player.open(at, true, &seeds);
@@ -206,6 +228,10 @@
         self.lives += 1;
         let core = &self.cores[at];
         let (own, found) = (core.address.clone(), core.store.found());
+        let mut texts = Texts::open(TEXTS.0);
+        texts.trusting = self.trusting;
+        found.entry.iter().for_each(|e| texts.hold(e.value.as_bytes()));
+        self.cores[at].texts = texts;
         let (office, acts) =
             Office::open((&own, "a"), self.lives * 7919, found, first, seeds, WINDOW, self.now);
         self.cores[at].office = Some(office);
@@ -312,6 +338,10 @@
         }
     }
 
+    fn texts(&mut self, end: &End) -> &mut Texts {
+        if end.0 { &mut self.cores[end.1].texts } else { &mut self.ushers[end.1].texts }
+    }
+
     fn send(&mut self, from: End, mut what: What) {
         match &mut what {
             What::Welcome(w) if from.0 && w.sure => self.vouches(from.1, w.chosen),
@@ -328,6 +358,10 @@
         }
         let delay = Micros(200 + (self.chance.rand_float() * 2_000.0) as i64);
         let now = self.now;
+        if !self.links.iter().any(|l| l.ends.contains(&from)) {
+            return;
+        }
+        let what = self.texts(&from).send(from.2, what);
         if let Some(link) = self.links.iter_mut().find(|l| l.ends.contains(&from)) {
             let to = usize::from(link.ends[0] == from);
             let last = link.way.iter().filter(|w| w.1 == to).map(|w| w.0).max().unwrap_or(now);
@@ -343,6 +377,11 @@
     }
 
     fn deliver(&mut self, to: End, from: End, what: What) {
+        let what = match self.texts(&to).hear(to.2, what) {
+            Heard::Says(what) => what,
+            Heard::Ask(back) => return self.send(to, back),
+            Heard::Done => return,
+        };
         if to.0 {
             let now = self.now;
             if let Some(office) = self.cores[to.1].office.as_mut() {
@@ -627,6 +666,7 @@
     }
 
     fn closed(&mut self, end: End) {
+        self.texts(&end).closed(end.2);
         if end.0 {
             self.cores[end.1].office.iter_mut().for_each(|o| o.closed(end.2));
         }
