--- a/crates/cloakroom/src/lib.rs
+++ b/crates/cloakroom/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Held always, tried to be broken by `tests/claims.rs`:
 //! - one voter grants a key to one ticket at a time, and says so only once that is on its disk;
-//! - a key runs only while more than half of the voters, in lives of their disks that are known to be the last, grant it to one ticket;
+//! - a key runs only while more than half of the voters of one set grant it to one ticket, all under the number of that set;
 //! - a claim is taken back only by who knows that it has not run and never will;
 //! - a voter forgets a claim only a whole window after it granted it, by its own steady clock, begun anew with each start.
 pub mod coats;
--- a/crates/cloakroom/src/rack.rs
+++ b/crates/cloakroom/src/rack.rs
@@ -25,7 +25,7 @@
     Full,
 }
 
-/// Of a key there is one peg, but where this voter lost its disk and two others told it different tickets: then neither is forgotten
+/// Of a key there is one peg, but where this voter installed a set and two others told it different tickets: then neither is forgotten
 /// before it is taken back or its window is over, since either may have run.
 #[derive(Clone, Debug, Default)]
 pub struct Rack {
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Whether this ticket, or a later turn of it, has the key.
+    pub fn has(&self, key: &str, ticket: Ticket) -> bool {
+        let pegs = self.pegs.get(key).map_or(&[][..], Vec::as_slice);
+        pegs.iter().any(|p| same(p.ticket, ticket) && p.ticket.turn >= ticket.turn)
+    }
+
     pub fn len(&self) -> usize {
         self.pegs.len()
     }
@@ -120,6 +126,7 @@
             ticket: Some(peg.ticket),
             holder: peg.holder.clone(),
             holder_life: peg.holder_life,
+            set: 0,
         };
         self.pegs.iter().flat_map(|(key, pegs)| pegs.iter().map(move |p| claim(key, p))).collect()
     }
--- a/crates/cloakroom/src/round.rs
+++ b/crates/cloakroom/src/round.rs
@@ -1,4 +1,4 @@
-//! One claim at all voters.
+//! One claim at all voters of a set. What is said under another set's number does not count.
 use std::collections::BTreeMap;
 
 use notchspool_cues::{Claimed, Ticket};
@@ -21,33 +21,54 @@
 
 #[derive(Clone, Debug)]
 pub struct Round {
+    set: u64,
     voters: usize,
     heard: BTreeMap<u32, Claimed>,
+    /// A voter said that the set is being changed: it is to be asked again.
+    again: bool,
 }
 
 impl Round {
-    pub fn begin(voters: usize) -> Round {
-        Round { voters, heard: BTreeMap::new() }
+    pub fn begin(set: u64, voters: usize) -> Round {
+        Round { set, voters, heard: BTreeMap::new(), again: false }
     }
 
     pub fn hear(&mut self, answer: Claimed) {
-        if (answer.voter as usize) < self.voters {
+        if answer.set != self.set || answer.voter as usize >= self.voters {
+            // It knows another set, or is none of the voters any more.
+            self.again |= answer.changing;
+        } else if answer.changing {
+            self.again = true;
+        } else {
             self.heard.insert(answer.voter, answer);
         }
     }
 
-    /// Whether a voter's word is of the last life of its disk, as far as any other that is counted knows.
-    fn counts(&self, voter: u32, answer: &Claimed) -> bool {
-        let at = voter as usize;
-        let own = answer.lives.get(at).copied().unwrap_or(0);
-        self.heard.values().all(|a| a.lives.get(at).copied().unwrap_or(0) <= own)
+    /// The set is another one now: all are asked anew, and nothing that was said counts.
+    pub fn change(&mut self, set: u64, voters: usize) {
+        if set > self.set {
+            *self = Round { again: true, ..Round::begin(set, voters) };
+        }
+    }
+
+    pub fn set(&self) -> u64 {
+        self.set
+    }
+
+    /// It waits for a change of the set: worth more patience.
+    pub fn waits(&self) -> bool {
+        self.again
+    }
+
+    /// Whether this voter has not answered.
+    pub fn open(&self, voter: usize) -> bool {
+        !self.heard.contains_key(&(voter as u32))
     }
 
     /// `over`: no more answers are waited for.
     pub fn verdict(&self, over: bool) -> Verdict {
         let (mut ours, mut theirs) = (0, BTreeMap::<(u64, u64), (usize, &Claimed)>::new());
-        for (voter, answer) in self.heard.iter().filter(|(v, a)| self.counts(**v, a)) {
-            let _ = voter;
+        for answer in self.heard.values() {
             match answer.vote {
                 1 => ours += 1,
                 2 => {
--- a/crates/cloakroom/tests/claims.rs
+++ b/crates/cloakroom/tests/claims.rs
@@ -46,9 +46,9 @@
         .quickcheck(holds as fn(Vec<(u8, u8, bool)>) -> bool);
 }
 
-fn said(voter: u32, vote: u32, ticket: u64, lives: [u64; 3]) -> Claimed {
+fn said(voter: u32, vote: u32, ticket: u64, set: u64) -> Claimed {
     let ticket = Some(Ticket { life: 1, number: ticket, turn: 0 });
-    Claimed { voter, vote, ticket, lives: lives.to_vec(), ..Claimed::default() }
+    Claimed { voter, vote, ticket, set, ..Claimed::default() }
 }
 
 #[test]
@@ -66,25 +66,43 @@
 }
 
 #[test]
-fn the_word_of_an_earlier_life_does_not_count_beside_one_that_knows_of_the_later() {
-    let mut round = Round::begin(3);
-    round.hear(said(0, 1, 7, [0, 0, 0]));
+fn the_word_of_another_set_does_not_count() {
+    let mut round = Round::begin(2, 3);
+    round.hear(said(0, 1, 7, 2));
+    // Voter 1 was one of an earlier set, whose voter 1 has lost its disk since; and one knows a later set.
+    round.hear(said(1, 1, 7, 1));
+    round.hear(said(2, 1, 7, 3));
     assert_eq!(round.verdict(false), Verdict::Open);
-    // Voter 1 knows that voter 0 has lost its disk since.
-    round.hear(said(1, 1, 7, [1, 0, 0]));
-    assert_eq!(round.verdict(false), Verdict::Open);
-    round.hear(said(2, 1, 7, [1, 0, 0]));
+    assert_eq!(round.verdict(true), Verdict::Nobody);
+    round.hear(said(1, 1, 7, 2));
+    assert_eq!(round.verdict(false), Verdict::Ours);
+}
+
+#[test]
+fn a_change_of_the_set_begins_the_round_anew() {
+    let mut round = Round::begin(1, 3);
+    round.hear(said(0, 1, 7, 1));
+    round.hear(Claimed { changing: true, ..said(1, 0, 7, 1) });
+    assert!(round.waits() && round.open(1));
+    round.change(2, 5);
+    round.change(1, 3);
+    for voter in 0..2 {
+        round.hear(said(voter, 1, 7, 2));
+        round.hear(said(voter + 2, 1, 7, 1));
+    }
+    assert_eq!((round.set(), round.verdict(false)), (2, Verdict::Open));
+    round.hear(said(4, 1, 7, 2));
     assert_eq!(round.verdict(false), Verdict::Ours);
 }
 
 #[test]
 fn split_votes_are_nobodys_and_a_majority_of_another_names_its_holder() {
-    let mut round = Round::begin(3);
-    round.hear(said(0, 2, 5, [0; 3]));
+    let mut round = Round::begin(1, 3);
+    round.hear(said(0, 2, 5, 1));
     assert_eq!(round.verdict(false), Verdict::Open);
     assert!(matches!(round.verdict(true), Verdict::Theirs { .. }));
-    let mut round = Round::begin(3);
-    round.hear(said(0, 0, 0, [0; 3]));
+    let mut round = Round::begin(1, 3);
+    round.hear(said(0, 0, 0, 1));
     assert_eq!(round.verdict(true), Verdict::Nobody);
 }
 
--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -25,7 +25,10 @@
 /// One message.
 #[derive(Clone, PartialEq, Message)]
 pub struct Cue {
-    #[prost(oneof = "What", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,22,23,24,25,26")]
+    #[prost(
+        oneof = "What",
+        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,22,24,25,26,40,41,42,43,44"
+    )]
     pub what: Option<What>,
 }
 
@@ -84,9 +87,7 @@
     /// How long ago each usher was heard, second opinions between prompters.
     #[prost(message, tag = "22")]
     Heard(Heard),
-    /// A voter without its disk asks for all there is.
-    #[prost(message, tag = "23")]
-    Readmit(Readmit),
+    /// What a voter has, for one that has to install it.
     #[prost(message, tag = "24")]
     All(All),
     /// Which versions a prompter has, and the answer to who lacks one.
@@ -94,6 +95,19 @@
     Holding(Holding),
     #[prost(message, tag = "26")]
     Want(Want),
+    /// On the successor of a set: to promise, or with one to accept it and be sealed.
+    #[prost(message, tag = "40")]
+    Change(Change),
+    #[prost(message, tag = "41")]
+    Changed(Changed),
+    /// A member of a set that has to install it asks for all there is.
+    #[prost(message, tag = "42")]
+    Transfer(Transfer),
+    /// One that leaves hands over what it has, and hears when that is on the disk there.
+    #[prost(message, tag = "43")]
+    Handover(All),
+    #[prost(message, tag = "44")]
+    Handed(Handed),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -111,9 +125,32 @@
     /// 1: usher, 2: prompter.
     #[prost(uint32, tag = "5")]
     pub role: u32,
-    /// The life of its disk, where it is a voter.
+    /// Prompter: which life of its disk.
     #[prost(uint64, tag = "6")]
-    pub disk_life: u64,
+    pub incarnation: u64,
+    /// Prompter: its loss counts, so that it may have a seat.
+    #[prost(bool, tag = "7")]
+    pub counted: bool,
+}
+
+/// A voter's machine in one life of its disk.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Member {
+    #[prost(string, tag = "1")]
+    pub address: String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(string, tag = "3")]
+    pub zone: String,
+}
+
+/// Who votes, by place.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Set {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub members: Vec<Member>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -306,6 +343,11 @@
     /// To an usher: what was last known of the backend beside it.
     #[prost(message, optional, tag = "6")]
     pub recalled: Option<Station>,
+    /// The set of voters that it knows, and the one before.
+    #[prost(message, optional, tag = "7")]
+    pub set: Option<Set>,
+    #[prost(message, optional, tag = "8")]
+    pub previous: Option<Set>,
 }
 
 /// The states of an instance on the board.
@@ -396,6 +438,9 @@
     pub holder: String,
     #[prost(uint64, tag = "5")]
     pub holder_life: u64,
+    /// The number of the set under which it is asked.
+    #[prost(uint64, tag = "6")]
+    pub set: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -413,9 +458,12 @@
     pub holder_life: u64,
     #[prost(uint32, tag = "6")]
     pub voter: u32,
-    /// Lives of all voters' disks as this one knows them, by place.
-    #[prost(uint64, repeated, tag = "7")]
-    pub lives: Vec<u64>,
+    /// The number of the set in which it counts.
+    #[prost(uint64, tag = "8")]
+    pub set: u64,
+    /// It does not vote now because the set is being changed, or the asker knows another: to be asked again.
+    #[prost(bool, tag = "9")]
+    pub changing: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -443,6 +491,9 @@
     pub ballot: Option<Ballot>,
     #[prost(string, optional, tag = "3")]
     pub body: Option<String>,
+    /// The number of the set under which it is asked.
+    #[prost(uint64, tag = "4")]
+    pub set: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -462,9 +513,9 @@
     pub body: Option<String>,
     #[prost(uint32, tag = "6")]
     pub voter: u32,
-    /// Lives of all voters' disks as this one knows them, by place.
-    #[prost(uint64, repeated, tag = "7")]
-    pub lives: Vec<u64>,
+    /// The number of the set in which it counts.
+    #[prost(uint64, tag = "8")]
+    pub set: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -473,6 +524,22 @@
     pub clock: u64,
     #[prost(message, repeated, tag = "2")]
     pub ushers: Vec<Age>,
+    /// How long ago it heard each other voter, by address.
+    #[prost(message, repeated, tag = "3")]
+    pub voters: Vec<Age>,
+    /// The teller's own state: it ends soon; it counts.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+    #[prost(bool, tag = "5")]
+    pub counted: bool,
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
+    /// The number of the set that it knows.
+    #[prost(uint64, tag = "7")]
+    pub set: u64,
+    /// The set in which it votes; 0: none.
+    #[prost(uint64, tag = "8")]
+    pub installed: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -483,25 +550,59 @@
     pub ms: u64,
 }
 
+#[derive(Clone, PartialEq, Message)]
+pub struct Change {
+    /// The number of the set whose successor this is about.
+    #[prost(uint64, tag = "1")]
+    pub set: u64,
+    #[prost(message, optional, tag = "2")]
+    pub ballot: Option<Ballot>,
+    #[prost(message, optional, tag = "3")]
+    pub next: Option<Set>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Changed {
+    #[prost(uint64, tag = "1")]
+    pub set: u64,
+    #[prost(message, optional, tag = "2")]
+    pub ballot: Option<Ballot>,
+    #[prost(uint32, tag = "3")]
+    pub voter: u32,
+    /// 1: promised, 2: accepted, 3: refused.
+    #[prost(uint32, tag = "4")]
+    pub vote: u32,
+    #[prost(message, optional, tag = "5")]
+    pub promised: Option<Ballot>,
+    /// What it had accepted, and under which ballot.
+    #[prost(message, optional, tag = "6")]
+    pub under: Option<Ballot>,
+    #[prost(message, optional, tag = "7")]
+    pub next: Option<Set>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Transfer {
+    /// The set that is to be installed, and the one before.
+    #[prost(message, optional, tag = "1")]
+    pub set: Option<Set>,
+    #[prost(message, optional, tag = "2")]
+    pub previous: Option<Set>,
+}
+
 #[derive(Clone, Copy, PartialEq, Message)]
-pub struct Readmit {
-    #[prost(uint32, tag = "1")]
+pub struct Handed {
+    #[prost(uint64, tag = "1")]
+    pub set: u64,
+    #[prost(uint32, tag = "2")]
     pub voter: u32,
-    #[prost(uint64, tag = "2")]
-    pub life: u64,
 }
 
-/// All that a voter has on its disk, for the new life that asked; `known`: not newer than this one, and nothing is told.
+/// All that a voter has under a set.
 #[derive(Clone, PartialEq, Message)]
 pub struct All {
     #[prost(uint32, tag = "1")]
     pub voter: u32,
-    #[prost(uint64, tag = "2")]
-    pub life: u64,
-    #[prost(uint64, tag = "3")]
-    pub known: u64,
-    #[prost(uint64, repeated, tag = "4")]
-    pub lives: Vec<u64>,
     #[prost(message, optional, tag = "5")]
     pub promised: Option<Ballot>,
     #[prost(message, optional, tag = "6")]
@@ -510,6 +611,9 @@
     pub body: Option<String>,
     #[prost(message, repeated, tag = "8")]
     pub claims: Vec<Claim>,
+    /// The set whose state this is. Of the one before that which is to be installed: the teller is sealed on its disk.
+    #[prost(uint64, tag = "9")]
+    pub set: u64,
 }
 
 /// The highest version that a prompter knows to be chosen.
--- a/crates/election/src/lib.rs
+++ b/crates/election/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod owner;
 pub mod readmit;
 pub mod round;
+pub mod sets;
 pub mod voter;
 
 use std::collections::BTreeMap;
--- a/crates/lab/src/mesh/drawn.rs
+++ b/crates/lab/src/mesh/drawn.rs
@@ -6,7 +6,7 @@
 
 /// Troubles within what is to be borne: one core at a time, any ushers, and now and then all processes of the core at once.
 pub fn drawn(seed: u64) -> Vec<String> {
-    let mut player = Player::new(3, 4, seed);
+    let mut player = Player::new(3, 4, seed, &[]);
     let mut chance = Rand64::new(u128::from(seed) * 31);
     let mut below = |n: u64| (chance.rand_float() * n as f64) as u64;
     player.play(Micros::ms(3_000));
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -7,9 +7,10 @@
 use notchspool_cloakroom::coats::Event as Turn;
 use notchspool_cloakroom::round::Verdict;
 use notchspool_cues::{Claim, Hello, Ping, Want, Watch, What, Withdraw};
+use notchspool_election::sets::VoterSet;
 use notchspool_promptbook::script::Script;
-use notchspool_prompter::office::{Act, Office};
-use notchspool_trapdoor::{Deed, Found, Seat};
+use notchspool_prompter::office::{Act, Office, Opening, Tolerate};
+use notchspool_trapdoor::{Deed, Found};
 use oorandom::Rand64;
 
 use super::usher::{BEAT, Usher};
@@ -30,6 +31,7 @@
 impl Store {
     fn apply(&mut self, deed: &Deed) {
         match deed {
+            Deed::Clear => *self = Store::default(),
             Deed::Promise(ballot) => self.found.promised = self.found.promised.max(*ballot),
             Deed::Word(_, entry) => {
                 if self.found.entry.as_ref().is_none_or(|old| (old.at, old.nth) < (entry.at, entry.nth)) {
@@ -63,6 +65,11 @@
     sync: Micros,
     /// The disk refuses.
     full: bool,
+    /// It is not there at the first start of all; it is gone for good; it is to end by itself.
+    absent: bool,
+    removed: bool,
+    ends: bool,
+    counted: bool,
 }
 
 /// One end of a link: core or usher, by place, and its number of the connection.
@@ -92,6 +99,9 @@
     pub cuts: BTreeSet<(String, String)>,
     next: u64,
     lives: u64,
+    /// Machines that may be lost at once.
+    bears: usize,
+    sets: BTreeMap<u64, VoterSet>,
     dial_at: Micros,
     pub replies: BTreeMap<u64, Reply>,
     /// Versions acknowledged, bodies sent, runs of each key: what the checker goes by.
@@ -101,6 +111,8 @@
     told: BTreeMap<u64, String>,
     pub ran: BTreeMap<String, Vec<Micros>>,
     pub wrong: Vec<String>,
+    /// What the cores say of their sets; shown with what is wrong.
+    logs: Vec<String>,
     /// Without this a wiped core forgets that it was one: what the checker has to notice.
     pub careful: bool,
 }
@@ -110,7 +122,9 @@
 }
 
 impl Player {
-    pub fn new(cores: usize, ushers: usize, seed: u64) -> Player {
+    /// Cores that are `absent` are not there at the first start of all: seeds that never come, or machines that are added later.
+    pub fn new(cores: usize, ushers: usize, seed: u64, absent: &[usize]) -> Player {
+        let there = (0..cores).filter(|at| *at < 3 || !absent.contains(at)).count();
         let address = |at: usize| format!("10.0.0.{}:1", at + 1);
         let mut player = Player {
             now: Micros(1),
@@ -121,6 +135,8 @@
             cuts: BTreeSet::new(),
             next: 0,
             lives: 0,
+            bears: there.saturating_sub(1) / 2,
+            sets: BTreeMap::new(),
             dial_at: Micros(0),
             replies: BTreeMap::new(),
             puts: BTreeMap::new(),
@@ -129,6 +145,7 @@
             told: BTreeMap::new(),
             ran: BTreeMap::new(),
             wrong: Vec::new(),
+            logs: Vec::new(),
             careful: true,
         };
         // At the first start all are told the same three.
@@ -141,9 +158,15 @@
                 pending: Vec::new(),
                 sync: Micros::ms(1),
                 full: false,
+                absent: absent.contains(&at),
+                removed: false,
+                ends: false,
+                counted: true,
             };
             player.cores.push(core);
-            player.open(at, true, &seeds);
+            if !absent.contains(&at) {
+                player.open(at, true, &seeds);
+            }
         }
         for at in 0..ushers {
             player.lives += 1;
@@ -156,9 +179,17 @@
     fn open(&mut self, at: usize, first: bool, seeds: &[String]) {
         self.lives += 1;
         let core = &self.cores[at];
-        let (own, found) = (core.address.clone(), core.store.found());
-        let (office, acts) =
-            Office::open((&own, "a"), self.lives * 7919, found, first, seeds, WINDOW, self.now);
+        let opening = Opening {
+            own: core.address.clone(),
+            zone: ["a", "b", "c"][at % 3].into(),
+            counted: core.counted,
+            tolerate: Tolerate { machines: self.bears, zones: 0 },
+            life: self.lives * 7919,
+            first_start: first,
+            seeds: seeds.to_vec(),
+            window: WINDOW,
+        };
+        let (office, acts) = Office::open(opening, core.store.found(), self.now);
         self.cores[at].office = Some(office);
         self.act(at, acts);
     }
@@ -199,6 +230,10 @@
                     }
                     self.replies.insert(id, Reply { status, body });
                 }
+                Act::Log(line) if line.starts_with("members: ") => {
+                    let time = self.now.over(Micros::ms(1_000));
+                    self.logs.push(format!("{time:.3} {}: {line}", Player::core_name(at)));
+                }
                 Act::Voters(_) | Act::Log(_) => {}
             }
         }
@@ -214,13 +249,20 @@
         }
     }
 
-    /// Sends to all prompters that an usher is connected with.
+    /// Sends to all voters that an usher is connected with.
     fn tell(&mut self, usher: usize, what: What) {
-        let ends: Vec<End> =
-            self.links.iter().flat_map(|l| l.ends).filter(|e| !e.0 && e.1 == usher).collect();
+        let ends = self.to_voters(usher);
         ends.into_iter().for_each(|end| self.send(end, what.clone()));
     }
 
+    /// An usher's ends of its links with voters.
+    fn to_voters(&self, usher: usize) -> Vec<End> {
+        let voters = &self.ushers[usher].voters;
+        let all = self.links.iter().filter(|l| !l.ends[0].0 && l.ends[0].1 == usher);
+        let all = all.filter(|l| voters.contains(&self.cores[l.ends[1].1].address));
+        all.map(|l| l.ends[0]).collect()
+    }
+
     fn deliver(&mut self, to: End, from: End, what: What) {
         if to.0 {
             let now = self.now;
@@ -233,6 +275,12 @@
         let (at, now) = (to.1, self.now);
         match what {
             What::Welcome(welcome) => {
+                if let Some(set) = &welcome.set
+                    && self.ushers[at].learns(set)
+                    && let Some(station) = self.ushers[at].station()
+                {
+                    self.tell(at, What::Station(station));
+                }
                 if let Some(station) = self.ushers[at].station() {
                     self.send(to, What::Station(station));
                 }
@@ -377,21 +425,53 @@
             }
         }
         self.cores[at].office = None;
+        self.cores[at].ends = false;
         self.close((true, at));
     }
 
+    /// SIGTERM: it ends once its office says so, or when the grace is nearly over.
+    pub fn term(&mut self, at: usize) {
+        let now = self.now;
+        if let Some(office) = self.cores[at].office.as_mut() {
+            let acts = office.leave(now, now + Micros::ms(4_800));
+            self.cores[at].ends = true;
+            self.act(at, acts);
+        }
+    }
+
+    /// The machine is gone for good, with its disk.
+    pub fn remove(&mut self, at: usize) {
+        self.wipe(at);
+        self.cores[at].removed = true;
+    }
+
+    /// Its settings say whether its loss counts.
+    pub fn counts(&mut self, at: usize, counted: bool) {
+        self.cores[at].counted = counted;
+        self.cores[at].office.iter_mut().for_each(|o| o.counts_now(counted));
+    }
+
+    /// The set that a core knows, in short: number and places.
+    pub fn members(&self, at: usize) -> String {
+        let Some(office) = &self.cores[at].office else { return "down".into() };
+        let place = |a: &String| self.cores.iter().position(|c| c.address == *a).map_or(0, |p| p + 1);
+        let mut places: Vec<usize> = office.set().addresses().iter().map(place).collect();
+        places.sort_unstable();
+        places.iter().map(usize::to_string).collect::<Vec<_>>().join(",")
+    }
+
     pub fn wipe(&mut self, at: usize) {
         self.kill_core(at, true);
         let seat = self.cores[at].store.found.seat.clone();
         self.cores[at].store = Store::default();
         if !self.careful {
-            let lives = BTreeMap::new();
-            self.cores[at].store.found.seat = seat.map(|s| Seat { lives, ..s });
+            self.cores[at].store.found.seat = seat;
         }
     }
 
     pub fn start_core(&mut self, at: usize) {
-        if self.cores[at].office.is_none() {
+        if self.cores[at].office.is_none() && !self.cores[at].removed {
+            self.cores[at].absent = false;
             let seeds: Vec<String> = self.cores.iter().take(3).map(|c| c.address.clone()).collect();
             self.open(at, false, &seeds);
         }
@@ -444,9 +524,9 @@
     }
 
     pub fn claim(&mut self, usher: usize, key: &str) {
-        let (now, voters) = (self.now, self.cores.len());
+        let now = self.now;
         if self.ushers[usher].up
-            && let Some(what) = self.ushers[usher].claim(now, key, voters)
+            && let Some(what) = self.ushers[usher].claim(now, key)
         {
             self.tell(usher, what);
         }
@@ -481,7 +561,12 @@
         let mut wanted: Vec<(End, usize)> = Vec::new();
         for to in 0..self.cores.len() {
             wanted.extend((0..self.cores.len()).filter(|from| *from != to).map(|from| ((true, from, 0), to)));
-            wanted.extend((0..self.ushers.len()).map(|from| ((false, from, 0), to)));
+            let address = &self.cores[to].address;
+            let calls = |at: &usize| match &self.ushers[*at].voters[..] {
+                [] => to < 3,
+                voters => voters.contains(address),
+            };
+            wanted.extend((0..self.ushers.len()).filter(calls).map(|from| ((false, from, 0), to)));
         }
         for (from, to) in wanted {
             let linked = self.links.iter().any(|l| {
@@ -498,7 +583,14 @@
                 true => (2, self.cores[from.1].address.clone()),
                 false => (1, self.ushers[from.1].address.clone()),
             };
-            self.send(ends[0], What::Hello(Hello { role, address, ..Hello::default() }));
+            let mut hello = Hello { role, address, life: 1, ..Hello::default() };
+            if let Some(core) = Some(from.1).filter(|_| from.0).map(|at| &self.cores[at]) {
+                hello.counted = core.counted;
+                hello.zone = ["a", "b", "c"][from.1 % 3].into();
+                let office = core.office.as_ref();
+                (hello.incarnation, hello.life) = office.map_or((0, 0), |o| (o.incarnation(), o.life()));
+            }
+            self.send(ends[0], What::Hello(hello));
             if from.0 {
                 let (now, address) = (self.now, self.cores[to].address.clone());
                 if let Some(office) = self.cores[from.1].office.as_mut() {
@@ -510,9 +602,14 @@
     }
 
     fn follow(&mut self, at: usize) {
+        let to_voters = self.to_voters(at);
         let linked: Vec<End> =
-            self.links.iter().filter(|l| !l.ends[0].0 && l.ends[0].1 == at).map(|l| l.ends[1]).collect();
+            self.links.iter().filter(|l| to_voters.contains(&l.ends[0])).map(|l| l.ends[1]).collect();
         let usher = &mut self.ushers[at];
+        if usher.followed.is_some_and(|core| !linked.iter().any(|e| e.1 == core)) {
+            // It has no seat any more: another is followed.
+            usher.followed = None;
+        }
         if usher.followed.is_some() || linked.is_empty() {
             return;
         }
@@ -585,11 +682,17 @@
             }
             if (now.0 / 1_000) % 50 == 0 {
                 for at in 0..self.cores.len() {
+                    let ends = self.cores[at].ends;
                     if let Some(office) = self.cores[at].office.as_mut() {
                         let acts = office.wake(now);
+                        let left = ends && office.left(now);
                         self.act(at, acts);
+                        if left {
+                            self.kill_core(at, false);
+                        }
                     }
                 }
+                self.compare_sets();
             }
             if now >= self.dial_at {
                 self.dial_at = now + Micros::ms(100);
@@ -601,6 +704,17 @@
         }
     }
 
+    /// Of one number there is one set.
+    fn compare_sets(&mut self) {
+        for office in self.cores.iter().filter_map(|c| c.office.as_ref()) {
+            let set = office.set();
+            let first = self.sets.entry(set.number).or_insert_with(|| set.clone());
+            if first != set && set.number > 0 {
+                self.wrong.push(format!("{:?}: two sets under one number: {first}, {set}", self.now));
+            }
+        }
+    }
+
     fn usher(&mut self, at: usize) {
         let now = self.now;
         if !self.ushers[at].up {
@@ -622,6 +736,12 @@
             told.push(What::Ping(Ping { number: 1 }));
         }
         told.into_iter().for_each(|what| self.tell(at, what));
+        for (address, claim) in self.ushers[at].again(now) {
+            let ends = self.to_voters(at);
+            let to = |l: &&Link| ends.contains(&l.ends[0]) && self.cores[l.ends[1].1].address == address;
+            let end = self.links.iter().find(to).map(|l| l.ends[0]);
+            end.into_iter().for_each(|end| self.send(end, What::Claim(claim.clone())));
+        }
         for (hand, verdict) in self.ushers[at].verdicts(now) {
             self.verdict(at, &hand.key, hand.ticket, verdict);
         }
@@ -642,13 +762,19 @@
         self.cuts.clear();
         for at in 0..self.cores.len() {
             self.set_disk(at, false, Micros::ms(1));
-            self.start_core(at);
+            if !self.cores[at].absent {
+                self.start_core(at);
+            }
         }
         (0..self.ushers.len()).for_each(|at| self.start_usher(at));
         let until = self.now + Micros::ms(8_000);
         self.play(until);
         let newest = self.acked.last().copied().unwrap_or(0);
         for at in 0..self.cores.len() {
+            let Some(office) = &self.cores[at].office else { continue };
+            if office.set().place(&self.cores[at].address).is_some() && !office.votes() {
+                self.wrong.push(format!("core-{} has a seat in {} and does not vote", at + 1, office.set()));
+            }
             let id = self.read(at);
             let until = self.now + Micros::ms(1_000);
             self.play(until);
@@ -674,5 +800,8 @@
             let versions: Vec<u64> = held.iter().map(|h| h.0).collect();
             self.wrong.push(format!("ushers hold different words: {versions:?}"));
         }
+        if !self.wrong.is_empty() {
+            self.wrong.append(&mut self.logs);
+        }
     }
 }
--- a/crates/lab/src/mesh/timeline.rs
+++ b/crates/lab/src/mesh/timeline.rs
@@ -41,8 +41,10 @@
 /// Plays a timeline, heals all, and gives what was not as it has to be.
 pub fn play(timeline: &Timeline, seed: u64, careful: bool) -> Vec<String> {
     let ushers = timeline.columns.iter().filter(|c| c.starts_with("usher-")).count();
-    let cores = timeline.columns.iter().filter(|c| c.starts_with("core-")).count();
-    let mut player = Player::new(cores, ushers, seed);
+    let cores: Vec<&String> = timeline.columns.iter().filter(|c| c.starts_with("core-")).collect();
+    // `core-4-` is not there at the first start of all.
+    let absent: Vec<usize> = (0..cores.len()).filter(|at| cores[*at].ends_with('-')).collect();
+    let mut player = Player::new(cores.len(), ushers, seed, &absent);
     player.careful = careful;
     let mut replies = std::collections::BTreeMap::new();
     let start = Micros::ms(3_000);
@@ -51,7 +53,10 @@
         for (column, cell) in timeline.columns.iter().zip(row) {
             for command in cell.split(';').map(str::trim).filter(|c| *c != ".") {
                 let words: Vec<&str> = command.split_whitespace().collect();
-                let wrong = match column.strip_prefix("core-").and_then(|n| n.parse::<usize>().ok()) {
+                let wrong = match column
+                    .strip_prefix("core-")
+                    .and_then(|n| n.trim_end_matches('-').parse::<usize>().ok())
+                {
                     Some(n) => core(&mut player, n - 1, &words, &mut replies),
                     None => usher(&mut player, column, &words),
                 };
@@ -75,6 +80,18 @@
         ["power"] => player.kill_core(at, true),
         ["wipe"] => player.wipe(at),
         ["start"] => player.start_core(at),
+        ["term"] => player.term(at),
+        ["remove"] => player.remove(at),
+        ["uncounted"] => player.counts(at, false),
+        ["counted"] => player.counts(at, true),
+        ["down"] if player.core_up(at) => return Err("it runs".into()),
+        ["down"] => {}
+        ["members", wanted] => {
+            let found = player.members(at);
+            if found != *wanted {
+                return Err(format!("found {found}"));
+            }
+        }
         ["cut"] => player.cut_off(at, "*"),
         ["cut", other] => player.cut_off(at, other),
         ["join"] => player.cuts.retain(|(a, _)| *a != Player::core_name(at)),
--- a/crates/lab/src/mesh/usher.rs
+++ b/crates/lab/src/mesh/usher.rs
@@ -16,6 +16,7 @@
     pub ticket: Ticket,
     pub round: Round,
     pub until: Micros,
+    again_at: Micros,
 }
 
 pub struct Usher {
@@ -33,6 +34,9 @@
     pub company: Company,
     pub coats: Coats<u64>,
     pub hands: BTreeMap<u64, Hand>,
+    /// Who votes, and the number of that set.
+    pub set: u64,
+    pub voters: Vec<String>,
     pub followed: Option<usize>,
     pub line: u64,
     pub follow_at: Micros,
@@ -63,6 +67,8 @@
             company: Company::open("a", Micros::ms(2_000), life, purse, now),
             coats: Coats::open(WINDOW, 1 << 20),
             hands: BTreeMap::new(),
+            set: 0,
+            voters: Vec::new(),
             followed: None,
             line: 0,
             follow_at: now,
@@ -149,8 +155,39 @@
         found.into_iter().collect()
     }
 
+    /// Told of a set: true where it is a later one.
+    pub fn learns(&mut self, set: &notchspool_cues::Set) -> bool {
+        let later = set.number > self.set;
+        if later {
+            self.set = set.number;
+            self.voters = set.members.iter().map(|m| m.address.clone()).collect();
+            let (number, voters) = (self.set, self.voters.len());
+            self.hands.values_mut().for_each(|h| h.round.change(number, voters));
+        }
+        later
+    }
+
+    /// Claims that are asked anew under the set that is known now: of whom, and what.
+    pub fn again(&mut self, now: Micros) -> Vec<(String, Claim)> {
+        let mut again = Vec::new();
+        for (id, hand) in self.hands.iter_mut().filter(|(_, h)| h.round.waits() && h.again_at <= now) {
+            hand.again_at = now + Micros::ms(40);
+            let claim = Claim {
+                id: *id,
+                key: hand.key.clone(),
+                ticket: Some(hand.ticket),
+                holder: self.address.clone(),
+                holder_life: self.life,
+                set: self.set,
+            };
+            let open = self.voters.iter().enumerate().filter(|(at, _)| hand.round.open(*at));
+            again.extend(open.map(|(_, address)| (address.clone(), claim.clone())));
+        }
+        again
+    }
+
     /// Claims a key; none where it is known here.
-    pub fn claim(&mut self, now: Micros, key: &str, voters: usize) -> Option<What> {
+    pub fn claim(&mut self, now: Micros, key: &str) -> Option<What> {
         if let Some(coat) = self.coats.get(key) {
             let answer = self.coat(coat);
             self.answers.insert(key.into(), answer);
@@ -159,8 +196,9 @@
         self.next += 1;
         let ticket = Ticket { life: self.life, number: self.next, turn: 0 };
         self.coats.turn(now, key, notchspool_cloakroom::coats::Event::Claim);
-        let hand =
-            Hand { key: key.into(), ticket, round: Round::begin(voters), until: now + Micros::ms(400) };
+        let round = Round::begin(self.set, self.voters.len());
+        let until = now + Micros::ms(400);
+        let hand = Hand { key: key.into(), ticket, round, until, again_at: now };
         self.hands.insert(self.next, hand);
         self.answers.insert(key.into(), "open".into());
         Some(What::Claim(Claim {
@@ -169,6 +207,7 @@
             ticket: Some(ticket),
             holder: self.address.clone(),
             holder_life: self.life,
+            set: self.set,
         }))
     }
 
@@ -185,7 +224,11 @@
         let due: Vec<(u64, Verdict)> = self
             .hands
             .iter()
-            .map(|(id, hand)| (*id, hand.round.verdict(now >= hand.until)))
+            .map(|(id, hand)| {
+                // A change of the set is worth more patience.
+                let more = Micros::ms(if hand.round.waits() { 800 } else { 0 });
+                (*id, hand.round.verdict(now >= hand.until + more))
+            })
             .filter(|(_, verdict)| *verdict != Verdict::Open)
             .collect();
         due.into_iter().filter_map(|(id, verdict)| Some((self.hands.remove(&id)?, verdict))).collect()
--- a/crates/promptbook/src/pen.rs
+++ b/crates/promptbook/src/pen.rs
@@ -111,6 +111,15 @@
         matches!(self.phase, Phase::Idle) && self.waiting.is_empty()
     }
 
+    /// The voters are others now: what was asked of the old ones is asked of these, from its beginning.
+    pub fn change(&mut self, terms: Terms) {
+        self.terms = terms;
+        for call in self.served.drain(..).rev() {
+            self.waiting.push_front(call);
+        }
+        self.phase = Phase::Idle;
+    }
+
     /// A call, by the host's number. Where too many wait it ends at once.
     pub fn call(&mut self, now: Micros, id: u64, order: Order) -> Vec<Step> {
         if self.waiting.len() >= MOST_WAITING {
--- a/crates/prompter/src/house.rs
+++ b/crates/prompter/src/house.rs
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::office::{Act, Conn, Office};
+use crate::office::{Act, Conn, Office, Opening};
 
 /// A configuration may be this large.
 const MOST_BODY: usize = 16 << 20;
@@ -30,6 +30,8 @@
 const MOST_CONNS: usize = 2_000;
 /// Nothing heard for so long ends a connection of the mesh.
 const SILENCE: Duration = Duration::from_millis(2_200);
+/// So much of the grace one that leaves waits for the others.
+const LEAVES: f64 = 0.8;
 const TICK: Duration = Duration::from_millis(50);
 
 type Job = (u64, Vec<Deed>);
@@ -60,7 +62,8 @@
             zone: told.zone.clone(),
             address: told.inner(),
             role: 2,
-            disk_life: 0,
+            incarnation: self.office.borrow().incarnation(),
+            counted: told.counted,
         })
     }
 
@@ -85,7 +88,6 @@
                     }
                 }
                 Act::Voters(voters) => {
-                    info!(target: "prompter", "voters are {}", voters.join(" "));
                     voters.into_iter().for_each(|v| self.dial(v));
                 }
                 Act::Log(line) => info!(target: "prompter", "{line}"),
@@ -113,6 +115,10 @@
                     let end = house.carry(stream, conn, rope).await;
                     debug!(target: "prompter", "lose {address}: {end}");
                 }
+                if !house.office.borrow().wants(&address) {
+                    house.dialed.borrow_mut().remove(&address);
+                    return;
+                }
                 let jitter = 0.5 + (seed() % 1000) as f64 / 1000.0;
                 tokio::time::sleep(Duration::from_millis((f64::from(pause) * jitter) as u64)).await;
                 pause = (pause * 2).min(800);
@@ -126,6 +132,7 @@
             Ok(told) if *self.told.borrow() != told => {
                 info!(target: "prompter", "settings have changed");
                 let seeds: Vec<String> = told.seeds.iter().map(|s| told.inner_of(s)).collect();
+                self.office.borrow_mut().counts_now(told.counted);
                 self.told.replace(told);
                 seeds.into_iter().for_each(|seed| self.dial(seed));
             }
@@ -235,8 +242,17 @@
     found.torn.iter().for_each(|name| warn!(target: "trapdoor", "{name} was torn and is left out"));
     let seeds: Vec<String> = told.seeds.iter().map(|s| told.inner_of(s)).collect();
     let window = notchspool::units::Micros(window.0 + 2_000_000);
-    let (office, acts) =
-        Office::open((&told.inner(), &told.zone), life, found, told.first_start, &seeds, window, clock.now());
+    let opening = Opening {
+        own: told.inner(),
+        zone: told.zone.clone(),
+        counted: told.counted,
+        tolerate: told.tolerate,
+        life,
+        first_start: told.first_start,
+        seeds: seeds.clone(),
+        window,
+    };
+    let (office, acts) = Office::open(opening, found, clock.now());
     let (jobs, todo) = std::sync::mpsc::channel();
     let (done, mut saved) = mpsc::unbounded_channel();
     std::thread::Builder::new()
@@ -257,9 +273,8 @@
         told: RefCell::new(told),
     });
     house.act(acts);
-    if house.office.borrow().voters().is_empty() {
-        seeds.iter().for_each(|s| house.dial(s.clone()));
-    }
+    // Whoever is known there tells of the set, though all that this one knew may be gone by now.
+    seeds.iter().for_each(|s| house.dial(s.clone()));
     {
         let told = house.told.borrow();
         info!(target: "prompter", "{} listens at {} and {control}", told.node, told.inner());
@@ -331,8 +346,14 @@
     }
     info!(target: "prompter", "ends on SIGTERM");
     // Calls in hand get their answers, then the process ends; what others lack they ask elsewhere.
-    for _ in 0..20 {
-        if house.calls.borrow().is_empty() {
+    // What it holds is handed over before that, as far as the grace allows.
+    let grace = house.told.borrow().bounds.grace;
+    let until = house.clock.now() + grace.times(LEAVES);
+    let acts = house.office.borrow_mut().leave(house.clock.now(), until);
+    house.act(acts);
+    for step in 0.. {
+        let calls = !house.calls.borrow().is_empty() && step < 20;
+        if !calls && house.office.borrow().left(house.clock.now()) {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/prompter/src/lib.rs
+++ b/crates/prompter/src/lib.rs
@@ -1,5 +1,5 @@
-//! The control plane. `office`: all that a prompter decides, without I/O, so that tests play several of them in virtual time; `seats`: who
-//! votes, in which lives, and how one without its disk is admitted again; `house`: sockets, disk thread and clock around it.
+//! The control plane. `office`: all that a prompter decides, without I/O, so that tests play several of them in virtual time; `seats`: votes
+//! as messages; `house`: sockets, disk thread and clock around it.
 pub mod house;
 pub mod office;
 pub mod seats;
--- a/crates/prompter/src/office/config.rs
+++ b/crates/prompter/src/office/config.rs
@@ -33,7 +33,7 @@
 
     pub(super) fn call(&mut self, now: Micros, call: Call, order: Order, acts: &mut Vec<Act>) {
         if let Call::Put(id) | Call::Read(id) = call
-            && (self.voters.is_empty() || self.calls.len() >= MOST)
+            && (self.set.number == 0 || self.calls.len() >= MOST)
         {
             acts.push(Act::Reply(id, 503, "no voters are known yet".into()));
             return;
@@ -48,8 +48,8 @@
         for step in steps {
             match step {
                 Step::Ask(voter, number, ask) => {
-                    let Some(vote) = seats::vote(number, &ask) else { continue };
-                    if Some(voter) == self.own_place() {
+                    let Some(vote) = seats::vote(self.set.number, number, &ask) else { continue };
+                    if Some(voter.0 as usize) == self.own_place() {
                         self.vote(now, None, &vote, acts);
                     } else if let Some((conn, _)) = self.peers.get(&(voter.0 as usize)) {
                         acts.push(Act::Send(*conn, What::Vote(vote)));
@@ -97,14 +97,19 @@
     }
 
     pub(super) fn vote(&mut self, now: Micros, conn: Option<Conn>, vote: &cues::Vote, acts: &mut Vec<Act>) {
-        let (voters, owed) = (self.voters.len(), self.owed);
-        let Place::Seated(Some(voter)) = &mut self.place else {
+        let (owed, set) = (self.owed, self.set.number);
+        if !self.votes() || vote.set != set {
             if let Some(conn) = conn {
-                let said = cues::Voted { number: vote.number, voter: u32::MAX, ..cues::Voted::default() };
+                let said =
+                    cues::Voted { number: vote.number, voter: u32::MAX, set, ..cues::Voted::default() };
                 acts.push(Act::Send(conn, What::Voted(said)));
+                if vote.set != set {
+                    self.other_set(conn, vote.set, acts);
+                }
             }
             return;
-        };
+        }
+        let State::Seated(voter) = &mut self.state else { return };
         let (answer, writes) = voter.hear(now, &seats::asked(vote));
         let yes = matches!(answer.said, Said::Promised { .. } | Said::Accepted);
         if yes && (!writes.is_empty() || owed) {
@@ -122,39 +127,43 @@
                 let span = UNSURE.times(1.0 + self.chance.rand_float());
                 self.unsure = self.unsure.or(Some(now + span));
             }
-            self.save(Pending::Voted(conn, vote.number, Box::new(answer)), deeds, acts);
+            self.save(Pending::Voted(conn, vote.number, Box::new((set, answer))), deeds, acts);
         } else {
-            let own = voter.id;
-            self.voted(now, conn, vote.number, own, voters, answer, acts);
+            self.voted(now, conn, vote.number, set, answer, acts);
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
+    /// An answer under a set, which may be over by now: what it grants was granted before it was sealed.
     pub(super) fn voted(
         &mut self,
         now: Micros,
         conn: Option<Conn>,
         number: u64,
-        own: VoterId,
-        voters: usize,
+        set: u64,
         answer: Answer,
         acts: &mut Vec<Act>,
     ) {
+        let voter = match (&self.state, &self.frozen) {
+            (State::Seated(voter), _) if set == self.set.number => voter.id,
+            (_, Some(frozen)) if frozen.set.number == set => frozen.voter.id,
+            _ => return,
+        };
         match conn {
             Some(conn) => {
-                acts.push(Act::Send(conn, What::Voted(seats::voted(number, own, voters, &answer))));
+                acts.push(Act::Send(conn, What::Voted(seats::voted(number, set, voter, &answer))));
             }
-            None => {
-                let dart = self.chance.rand_float();
-                let steps = self.pen.hear(now, own, number, answer, dart);
+            None if set == self.set.number => {
+                let jitter = self.chance.rand_float();
+                let steps = self.pen.hear(now, voter, number, answer, jitter);
                 self.steps(now, steps, acts);
             }
+            None => {}
         }
     }
 
     /// What is accepted here is newer than what is known to be chosen.
     pub(super) fn lags(&self) -> bool {
-        let Place::Seated(Some(voter)) = &self.place else { return true };
+        let State::Seated(voter) = &self.state else { return true };
         let entry = voter.kept(&pen::space()).and_then(|k| k.entries.get(KEY).cloned());
         let accepted = entry.and_then(|e| Held::read(&e.value)).map_or(0, |h| h.version);
         accepted > self.chosen.as_ref().map_or(0, |h| h.version)
--- a/crates/prompter/src/office/keys.rs
+++ b/crates/prompter/src/office/keys.rs
@@ -3,10 +3,15 @@
 
 impl Office {
     pub(super) fn claim(&mut self, now: Micros, conn: Conn, claim: Claim, acts: &mut Vec<Act>) {
-        let voter = self.own_place().map_or(u32::MAX, |v| u32::from(v.0));
-        let mut said = Claimed { id: claim.id, voter, lives: self.lives(), ..Claimed::default() };
-        if !self.votes() {
+        let (voter, set) = (self.own_place().map_or(u32::MAX, |v| v as u32), self.set.number);
+        let mut said = Claimed { id: claim.id, voter, set, ..Claimed::default() };
+        if !self.votes() || claim.set != set {
+            // Sealed, or not yet installed, or asked under another set: the next one has it, or this one later.
+            said.changing = self.leaving.is_none();
             acts.push(Act::Send(conn, What::Claimed(said)));
+            if claim.set != set {
+                self.other_set(conn, claim.set, acts);
+            }
             return;
         }
         self.counts.claims += 1;
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -1,21 +1,23 @@
 //! All that one prompter decides. It is told the time, chance, what came on its connections and what its disk has done, and gives back
 //! what is to be sent, kept and answered. Nothing of a vote leaves before the disk has it.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use notchspool::units::Micros;
 use notchspool_callboard::board::Board;
 use notchspool_cloakroom::rack::{Rack, Vote};
 use notchspool_cues as cues;
 use notchspool_cues::{Age, Claim, Claimed, Holding, Want, Watch, Welcome, What, Word};
-use notchspool_election::readmit::Readmission;
+use notchspool_election::sets::{Change, Register, VoterSet};
 use notchspool_election::voter::{Disk, Voter};
-use notchspool_election::{Answer, ContenderId, Said, Terms, VoterId};
+use notchspool_election::{Answer, Ballot, ContenderId, Entry, Said, Terms, VoterId};
 use notchspool_promptbook::pen::{self, End, Held, KEY, Order, Pen, Step};
 use notchspool_promptbook::script::Script;
-use notchspool_trapdoor::{Deed, Found, Seat};
+pub use notchspool_rigging::told::Tolerate;
+use notchspool_trapdoor::{Deed, Found};
 use oorandom::Rand64;
 
 use crate::seats;
+use repair::Frozen;
 
 mod board;
 mod config;
@@ -30,10 +32,6 @@
 const TELL: Micros = Micros::ms(500);
 /// A prompter not heard for this long is not reached.
 const REACH: Micros = Micros::ms(1_600);
-/// At the first start of all one founder waits for so long for who else serves control.
-const FOUND: Micros = Micros::ms(1_200);
-/// Voters at most.
-const MOST_VOTERS: usize = 9;
 /// A young board is not told: most ushers have not spoken yet.
 const GATHER: Micros = Micros::ms(1_200);
 /// What was accepted and not known to be chosen is looked into after this, and as much again by chance.
@@ -59,6 +57,8 @@
 struct Guest {
     usher: bool,
     voter: Option<usize>,
+    /// The prompter that speaks on it.
+    core: Option<String>,
     instance: String,
     /// The version it has of this board, where it follows; it held no list when it came.
     follows: Option<u64>,
@@ -70,36 +70,93 @@
 #[derive(Clone, Debug)]
 enum Pending {
     Claimed(Conn, Box<Claimed>),
-    Voted(Option<Conn>, u64, Box<Answer>),
-    Told(Conn, u64),
-    Admitted,
+    Voted(Option<Conn>, u64, Box<(u64, Answer)>),
+    /// An answer on the successor of a set.
+    Changed(Option<Conn>, Box<cues::Changed>),
+    /// The seal of a set that is over.
+    Frozen(u64),
+    /// A set that is installed with it.
+    Installed(u64),
+    Handed(Conn, cues::Handed),
 }
 
-/// Where this voter stands.
-enum Place {
+/// Where this prompter stands in the set that it knows. `adopt`, `place`, `installed` and `settled` move it on.
+///
+/// ```text
+/// Unknown -learns-> Spare | Installing     Installing -told enough-> Settling -on the disk-> Seated
+/// Seated, Installing, Settling, Spare -learns a later set-> Spare | Installing
+/// ```
+enum State {
     /// Who votes is not known yet.
     Unknown,
-    /// The first start of all: it founds, with whoever has said hello by then, or (none) waits for who does.
-    First(Option<Micros>),
-    /// It votes, or it does not belong to the voters at all (`None`).
-    Seated(Option<Voter>),
-    /// Its disk was lost: it asks the others.
-    Asking(Readmission, BTreeMap<u16, Vec<Claim>>),
+    /// It has no seat.
+    Spare,
+    /// It has a seat, and asks the others for what was decided so far.
+    Installing,
     /// All is told, and on its way to the disk.
-    Settling(Box<Disk>),
+    Settling(Box<Voter>),
+    /// It votes, unless it is sealed or leaves.
+    Seated(Voter),
+}
+
+/// What a prompter starts with.
+#[derive(Clone, Debug, Default)]
+pub struct Opening {
+    /// Its inner address, and where it stands.
+    pub own: String,
+    pub zone: String,
+    /// Its loss counts: it may have a seat.
+    pub counted: bool,
+    pub tolerate: Tolerate,
+    /// Drawn at the start of the process.
+    pub life: u64,
+    pub first_start: bool,
+    /// Inner addresses of who is known to serve control; at the first start of all these are the first set.
+    pub seeds: Vec<String>,
+    /// For how long claims are kept.
+    pub window: Micros,
 }
 
 pub struct Office {
     own: String,
     zone: String,
+    counted: bool,
+    tolerate: Tolerate,
     life: u64,
+    /// Which life of the disk.
+    incarnation: u64,
+    window: Micros,
     chance: Rand64,
+    began_at: Micros,
+    /// Since when it gathers what ushers say.
     started: Micros,
-    /// Who will vote, gathered at the first start of all.
-    founding: Vec<String>,
-    voters: Vec<String>,
+    /// The last set that is known to be decided, and the one before where that is known.
+    set: VoterSet,
+    previous: Option<VoterSet>,
     terms: Terms,
-    place: Place,
+    state: State,
+    /// What it has of the successor of the set that it votes in, and whether that is on its way to the disk.
+    register: Register,
+    register_owed: bool,
+    /// Sealed: when the change is taken up from here.
+    sealed_at: Option<Micros>,
+    /// What it had under the set before, till it votes in this one.
+    frozen: Option<Frozen>,
+    /// What it was told of the state of the set that is being installed, by set and place.
+    told: BTreeMap<(u64, u32), cues::All>,
+    told_claims: usize,
+    withdrawn: Vec<(String, cues::Ticket)>,
+    gather_at: Micros,
+    change: Option<Change>,
+    wished_at: Option<Micros>,
+    /// The last set that was proposed from here, for the log.
+    proposed: u64,
+    cores: BTreeMap<String, members::Core>,
+    reached: bool,
+    /// It ends by then. Who has confirmed what it handed over, and when it does so again.
+    leaving: Option<Micros>,
+    handed: BTreeSet<usize>,
+    hand_at: Micros,
     pen: Pen,
     pub board: Board,
     pub rack: Rack,
@@ -133,6 +190,8 @@
     pub puts: u64,
     pub refused: u64,
     pub unheard: u64,
+    /// Messages of another set's number.
+    pub other_sets: u64,
 }
 
 /// Whose call it is, by the host's number.
@@ -148,29 +207,42 @@
 }
 
 impl Office {
-    /// `own`, `zone`: its inner address and where it stands. `seeds`: inner addresses of who is known to serve control; at the first start of all these vote.
-    pub fn open(
-        (own, zone): (&str, &str),
-        life: u64,
-        found: Found,
-        first_start: bool,
-        seeds: &[String],
-        window: Micros,
-        now: Micros,
-    ) -> (Office, Vec<Act>) {
+    pub fn open(opening: Opening, found: Found, now: Micros) -> (Office, Vec<Act>) {
         let mut acts = Vec::new();
-        let mut rack = Rack::open(window);
+        let life = opening.life;
+        let mut rack = Rack::open(opening.window);
         found.claims.iter().for_each(|c| rack.put(now, c));
         let mut office = Office {
-            own: own.to_string(),
-            zone: zone.to_string(),
+            own: opening.own,
+            zone: opening.zone,
+            counted: opening.counted,
+            tolerate: opening.tolerate,
             life,
+            incarnation: life.max(1),
+            window: opening.window,
             chance: Rand64::new(u128::from(life)),
+            began_at: now,
             started: now,
-            founding: Vec::new(),
-            voters: Vec::new(),
+            set: VoterSet::default(),
+            previous: None,
             terms: terms(1),
-            place: Place::Unknown,
+            state: State::Unknown,
+            register: Register::default(),
+            register_owed: false,
+            sealed_at: None,
+            frozen: None,
+            told: BTreeMap::new(),
+            told_claims: 0,
+            withdrawn: Vec::new(),
+            gather_at: now,
+            change: None,
+            wished_at: None,
+            proposed: 0,
+            cores: BTreeMap::new(),
+            reached: false,
+            leaving: None,
+            handed: BTreeSet::new(),
+            hand_at: now,
             pen: Pen::open(terms(1), ContenderId(life)),
             board: Board::default(),
             rack,
@@ -191,57 +263,77 @@
             counts: Counts::default(),
         };
         match found.seat {
-            Some(seat) if !seat.voters.is_empty() => {
-                office.seat(seat.voters.clone(), &mut acts);
+            Some(seat) if seat.set.sound() => {
+                office.incarnation = seat.incarnation;
+                let line = format!(
+                    "start with a disk of incarnation {:x}, {} claims",
+                    seat.incarnation,
+                    office.rack.len()
+                );
+                acts.push(Act::Log(line));
+                office.adopt(now, seat.set, seat.previous, &mut acts);
+                office.register = seat.register;
+                office.state = State::Spare;
                 if let Some(own) = office.own_place() {
-                    let lives = seat.lives.iter().map(|(v, l)| (VoterId(*v), *l)).collect();
                     let entries = found.entry.clone().map(|e| (KEY.to_string(), e)).into_iter().collect();
                     let spaces = vec![(pen::space(), found.promised, entries, None)];
-                    let disk = Disk { life: seat.life, lives, spaces };
-                    office.place = Place::Seated(Some(Voter::open(own, office.terms, disk, now)));
+                    let disk = Disk { spaces, ..Disk::default() };
+                    office.state = State::Seated(Voter::open(VoterId(own as u16), office.terms, disk, now));
                 }
-                acts.push(Act::Log(format!(
-                    "start with a disk of life {}, {} claims",
-                    seat.life,
-                    office.rack.len()
-                )));
                 office.own_read(now, &mut acts);
             }
-            _ if first_start => {
-                // All are told the same seeds then: the first of them says who votes.
-                let founds = seeds.iter().min().is_none_or(|first| first == own);
-                office.founding = seeds.to_vec();
-                office.founding.push(own.to_string());
-                office.place = Place::First(founds.then_some(now + FOUND));
-                acts.push(Act::Log(if founds {
-                    "first start, it founds".into()
-                } else {
-                    "first start".into()
-                }));
-            }
-            _ => acts.push(Act::Log("start without a disk: others are asked".into())),
+            _ if opening.first_start => office.found(now, &opening.seeds, &mut acts),
+            _ => acts.push(Act::Log("start with an empty disk: others are asked".into())),
         }
         (office, acts)
     }
+
+    /// The settings say so by now.
+    pub fn counts_now(&mut self, counted: bool) {
+        self.counted = counted;
+    }
+
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     fn welcome(&self, recalled: Option<cues::Station>) -> What {
-        let own = self.own_place().map_or(u32::MAX, |v| u32::from(v.0));
+        let own = self.own_place().map_or(u32::MAX, |v| v as u32);
         let chosen = self.chosen.as_ref().map_or(0, |h| h.version);
-        let (voters, zone) = (self.voters.clone(), self.zone.clone());
-        What::Welcome(Welcome { voters, own, chosen, sure: self.sure, zone, recalled })
+        let known = self.set.number > 0;
+        What::Welcome(Welcome {
+            voters: self.set.addresses(),
+            own,
+            chosen,
+            sure: self.sure,
+            zone: self.zone.clone(),
+            recalled,
+            set: known.then(|| members::to_wire(&self.set)),
+            previous: self.previous.as_ref().map(members::to_wire),
+        })
     }
 
     fn meet_all(&mut self, now: Micros, acts: &mut Vec<Act>) {
         // Connections that stand by now were opened before it was known who votes.
+        self.peers.clear();
+        self.handed.clear();
+        self.guests.values_mut().for_each(|g| g.voter = None);
         let conns: Vec<Conn> = self.dialed.keys().copied().collect();
         conns.into_iter().for_each(|conn| self.meet(now, conn, acts));
     }
 
-    fn own_place(&self) -> Option<VoterId> {
-        self.voters.iter().position(|v| *v == self.own).map(|at| VoterId(at as u16))
+    fn own_place(&self) -> Option<usize> {
+        self.set.seat(&self.own, self.incarnation)
     }
 
     fn save(&mut self, pending: Pending, deeds: Vec<Deed>, acts: &mut Vec<Act>) {
-        if self.pending.len() >= MOST {
+        // The others are few by themselves.
+        let many = matches!(pending, Pending::Claimed(..) | Pending::Voted(..) | Pending::Handed(..));
+        if many && self.pending.len() >= MOST {
             self.counts.unheard += 1;
             return;
         }
@@ -250,32 +342,14 @@
         acts.push(Act::Save(self.next, deeds));
     }
 
-    fn save_seat(&mut self, acts: &mut Vec<Act>, number: u64) {
-        let Place::Seated(Some(voter)) = &self.place else { return };
-        let (life, lives) = voter.lives();
-        let lives = lives.iter().map(|(v, l)| (v.0, *l)).collect();
-        let seat = Seat { voters: self.voters.clone(), life, lives };
-        acts.push(Act::Save(number, vec![Deed::Seat(seat)]));
-    }
-
     fn own_read(&mut self, now: Micros, acts: &mut Vec<Act>) {
         self.call(now, Call::Own, Order::Read, acts);
     }
 
-    fn lives(&self) -> Vec<u64> {
-        match &self.place {
-            Place::Seated(Some(voter)) => {
-                let (life, lives) = voter.lives();
-                seats::lives(self.voters.len(), voter.id, life, lives)
-            }
-            _ => Vec::new(),
-        }
-    }
-
     fn reaches_most(&self, now: Micros) -> bool {
         let reached = self.peers.values().filter(|p| now - p.1 < REACH).count();
         let own = usize::from(self.own_place().is_some());
-        !self.voters.is_empty() && reached + own >= self.terms.majority()
+        self.set.number > 0 && reached + own >= self.terms.majority()
     }
 
     // ---- Connections ------------------------------------------------------------------------------------
@@ -290,12 +364,14 @@
 
     /// A connection from here leads to a voter: it is a peer from now on.
     fn meet(&mut self, now: Micros, conn: Conn, acts: &mut Vec<Act>) {
-        let Some(at) = self.dialed.get(&conn).and_then(|a| self.voters.iter().position(|v| v == a)) else {
-            return;
-        };
-        self.peers.insert(at, (conn, now));
-        self.guests.insert(conn, Guest { voter: Some(at), heard: now, ..Guest::default() });
-        self.readmit(acts);
+        let Some(address) = self.dialed.get(&conn).cloned() else { return };
+        let guest = self.guests.entry(conn).or_insert_with(|| Guest { heard: now, ..Guest::default() });
+        guest.core = Some(address.clone());
+        let at = self.set.place(&address);
+        guest.voter = at;
+        let Some(at) = at else { return };
+        self.peers.insert(at, (conn, guest.heard));
+        self.gather(now, acts);
         if let Some(held) = &self.chosen {
             acts.push(Act::Send(conn, What::Holding(Holding { chosen: held.version, sure: self.sure })));
         }
@@ -315,19 +391,27 @@
             if let Some(peer) = guest.voter.and_then(|at| self.peers.get_mut(&at)).filter(|p| p.0 == conn) {
                 peer.1 = now;
             }
+            if let Some(core) = guest.core.clone() {
+                self.heard_of(now, &core);
+            }
         }
         match what {
             What::Hello(hello) => {
                 let usher = hello.role == 1;
-                self.guests.insert(conn, Guest { usher, heard: now, ..Guest::default() });
-                if !usher && matches!(self.place, Place::First(_)) && self.founding.len() < 64 {
-                    self.founding.push(hello.address.clone());
-                }
+                let core = (!usher).then(|| hello.address.clone());
+                self.guests.insert(conn, Guest { usher, core, heard: now, ..Guest::default() });
                 let recalled = self.board.beside(&hello.address).filter(|_| usher).cloned();
                 acts.push(Act::Send(conn, self.welcome(recalled)));
+                if !usher {
+                    self.met(now, &hello);
+                    self.mind_the_set(now, &mut acts);
+                }
             }
             What::Welcome(welcome) => {
-                self.learn(now, welcome.voters, &mut acts);
+                let previous = welcome.previous.and_then(members::from_wire);
+                if let Some(set) = welcome.set.and_then(members::from_wire) {
+                    self.learn(now, set, previous, &mut acts);
+                }
                 if welcome.chosen > self.chosen.as_ref().map_or(0, |h| h.version) {
                     acts.push(Act::Send(conn, What::Want(Want { version: welcome.chosen })));
                 }
@@ -350,6 +434,7 @@
             What::Claim(claim) => self.claim(now, conn, claim, &mut acts),
             What::Withdraw(w) => {
                 let ticket = w.ticket.unwrap_or_default();
+                self.keep_withdrawn(&w.key, ticket);
                 if self.rack.withdraw(&w.key, ticket) {
                     self.counts.withdrawn += 1;
                     acts.push(Act::Save(0, vec![Deed::Withdraw(w.key, ticket)]));
@@ -372,23 +457,39 @@
             }
             What::Vote(vote) => self.vote(now, Some(conn), &vote, &mut acts),
             What::Voted(voted) => {
+                if voted.set != self.set.number {
+                    self.counts.other_sets += 1;
+                    return acts;
+                }
                 let number = voted.number;
                 let (from, answer) = seats::answer(voted);
-                let dart = self.chance.rand_float();
-                let steps = self.pen.hear(now, from, number, answer, dart);
+                let jitter = self.chance.rand_float();
+                let steps = self.pen.hear(now, from, number, answer, jitter);
                 self.steps(now, steps, &mut acts);
             }
-            What::Heard(heard) => {
-                self.board.at_least(heard.clock);
-                for age in heard.ushers {
+            What::Heard(mut heard) => {
+                let ushers = std::mem::take(&mut heard.ushers);
+                let told = heard;
+                self.board.at_least(told.clock);
+                for age in ushers {
                     let ago = Micros::ms(age.ms.min(1 << 30) as i64);
                     self.board.heard(now, &age.instance, ago);
                 }
                 // Who told it reaches this one: without a word back it would count itself alone.
                 acts.push(Act::Send(conn, What::Pong(cues::Ping { number: 0 })));
+                if let Some(core) = self.guests.get(&conn).and_then(|g| g.core.clone()) {
+                    self.told_of(now, &core, &told);
+                }
+                if told.set < self.set.number {
+                    acts.push(Act::Send(conn, self.welcome(None)));
+                }
             }
-            What::Readmit(readmit) => self.readmitted(now, conn, readmit, &mut acts),
-            What::All(all) => self.all(now, all, &mut acts),
+            What::Change(change) => self.asked_change(now, Some(conn), change, &mut acts),
+            What::Changed(said) => self.changed(now, said, &mut acts),
+            What::Transfer(ask) => self.transfer(now, conn, ask, &mut acts),
+            What::All(all) => self.told_all(now, all, &mut acts),
+            What::Handover(all) => self.handover(now, conn, all, &mut acts),
+            What::Handed(said) => self.taken_over(said),
             What::Pong(_) => {}
             _ => self.counts.unheard += 1,
         }
@@ -406,39 +507,29 @@
                 if !done {
                     said.vote = 0;
                 }
-                said.lives = self.lives();
                 acts.push(Act::Send(conn, What::Claimed(*said)));
             }
             Pending::Voted(conn, number, answer) => {
+                let (set, answer) = *answer;
                 if done {
-                    let later = self.pending.values().any(|p| matches!(p, Pending::Voted(..)));
-                    self.owed = later;
-                    if let Place::Seated(Some(voter)) = &self.place {
-                        let (own, voters) = (voter.id, self.voters.len());
-                        self.voted(now, conn, number, own, voters, *answer, &mut acts);
-                    }
+                    self.owed = self.pending.values().any(|p| matches!(p, Pending::Voted(..)));
+                    self.voted(now, conn, number, set, answer, &mut acts);
                 } else if let Some(conn) = conn {
-                    let said = cues::Voted { number, voter: u32::MAX, ..cues::Voted::default() };
+                    let said = cues::Voted { number, voter: u32::MAX, set, ..cues::Voted::default() };
                     acts.push(Act::Send(conn, What::Voted(said)));
                 }
             }
-            Pending::Told(conn, life) => {
+            Pending::Changed(conn, said) => {
                 if done {
-                    acts.push(Act::Send(conn, What::All(self.everything(life))));
+                    self.register_owed = self.pending.values().any(|p| matches!(p, Pending::Changed(..)));
+                    self.answer_change(now, conn, *said, &mut acts);
                 }
             }
-            Pending::Admitted => {
-                if let Place::Settling(disk) = &self.place {
-                    let disk = (**disk).clone();
-                    if done && let Some(own) = self.own_place() {
-                        self.place = Place::Seated(Some(Voter::open(own, self.terms, disk, now)));
-                        acts.push(Act::Log("votes again".into()));
-                        self.own_read(now, &mut acts);
-                    } else {
-                        // The disk does not take it: all is asked once more.
-                        let own = self.own_place().unwrap_or_default();
-                        self.place = Place::Asking(Readmission::begin(own, self.terms), BTreeMap::new());
-                    }
+            Pending::Frozen(set) => self.frozen_saved(now, set, done, &mut acts),
+            Pending::Installed(set) => self.settled(now, set, done, &mut acts),
+            Pending::Handed(conn, said) => {
+                if done {
+                    acts.push(Act::Send(conn, What::Handed(said)));
                 }
             }
         }
@@ -448,16 +539,15 @@
     /// To be called every 50 ms or so.
     pub fn wake(&mut self, now: Micros) -> Vec<Act> {
         let mut acts = Vec::new();
-        let dart = self.chance.rand_float();
-        let steps = self.pen.wake(now, dart);
+        let jitter = self.chance.rand_float();
+        let steps = self.pen.wake(now, jitter);
         self.steps(now, steps, &mut acts);
-        if let Place::First(Some(at)) = self.place
-            && at <= now
-        {
-            self.found(now, &mut acts);
-        }
+        self.wake_change(now, &mut acts);
+        self.wake_install(now, &mut acts);
+        self.wake_leaving(now, &mut acts);
         let reaches = self.reaches_most(now);
-        self.sure &= reaches || self.voters.len() == 1;
+        self.reached = reaches;
+        self.sure &= reaches || self.set.members.len() == 1;
         self.board.wake(now, reaches);
         self.tell_board(now, &mut acts);
         if self.unsure.is_some_and(|at| at <= now) && self.pen.idle() {
@@ -474,23 +564,36 @@
             acts.extend(ushers.map(|(conn, _)| Act::Send(*conn, holding.clone())));
         }
         if !self.sure && self.unsure.is_none() && self.pen.idle() && reaches {
-            self.unsure = Some(now + UNSURE.times(1.0 + dart));
+            self.unsure = Some(now + UNSURE.times(1.0 + jitter));
         }
         if now >= self.rack_at {
             self.rack_at = now + Micros::ms(1_000);
             self.rack.wake(now);
         }
         if now >= self.tell_at {
-            self.tell_at = now + TELL;
-            self.readmit(&mut acts);
-            let ages = self.board.ages(now);
-            let ushers =
-                ages.into_iter().map(|(instance, ago)| Age { instance, ms: (ago.0 / 1000).max(0) as u64 });
-            let heard = cues::Heard { clock: self.board.version(), ushers: ushers.collect() };
-            for (conn, _) in self.peers.values() {
-                acts.push(Act::Send(*conn, What::Heard(heard.clone())));
-            }
+            self.tell_others(now, &mut acts);
         }
         acts
     }
+
+    /// Tells the other voters whom it heard, and of itself.
+    fn tell_others(&mut self, now: Micros, acts: &mut Vec<Act>) {
+        self.tell_at = now + TELL;
+        let ages = self.board.ages(now);
+        let ushers =
+            ages.into_iter().map(|(instance, ago)| Age { instance, ms: (ago.0 / 1000).max(0) as u64 });
+        let heard = cues::Heard {
+            clock: self.board.version(),
+            ushers: ushers.collect(),
+            voters: self.ages_of_voters(now),
+            leaving: self.leaving.is_some(),
+            counted: self.counted,
+            incarnation: self.incarnation,
+            set: self.set.number,
+            installed: if self.seated() { self.set.number } else { 0 },
+        };
+        for (conn, _) in self.peers.values() {
+            acts.push(Act::Send(*conn, What::Heard(heard.clone())));
+        }
+    }
 }
--- a/crates/prompter/src/office/repair.rs
+++ b/crates/prompter/src/office/repair.rs
@@ -1,63 +1,117 @@
-//! A voter that lost its disk, and those who tell it all.
+//! How a set is installed by one that has to vote in it, what it is told by others, and what one that leaves hands over.
+//!
+//! A member of set n votes in it once it has, on its disk as one unit, the merged states of a majority of set n - 1, each sealed on its
+//! disk; or the state of a member that has installed n.
 use super::*;
+use notchspool_cues::{All, Handed, Transfer};
+use notchspool_trapdoor::Seat;
+
+/// What was not told yet is asked for again after this.
+const GATHER_AGAIN: Micros = Micros::ms(100);
+/// What was not confirmed to one that leaves is handed over again after this.
+const HAND_AGAIN: Micros = Micros::ms(250);
+/// Claims that are taken back while a set is being installed, kept apart at most.
+const MOST_WITHDRAWN: usize = 10_000;
+
+/// What this one had under the set before, in which it is sealed.
+pub(super) struct Frozen {
+    pub set: VoterSet,
+    pub voter: Voter,
+    pub seat: Seat,
+    /// The seal is on the disk: what is told from here on can't grow any more.
+    pub on_disk: bool,
+    pub saving: bool,
+}
 
 impl Office {
-    pub(super) fn readmit(&mut self, acts: &mut Vec<Act>) {
-        let Place::Asking(readmission, _) = &self.place else { return };
-        let notchspool_election::Ask::Readmit { voter, life } = readmission.ask() else { return };
-        for open in readmission.open() {
-            if let Some((conn, _)) = self.peers.get(&(open.0 as usize)) {
-                let ask = cues::Readmit { voter: u32::from(voter.0), life };
-                acts.push(Act::Send(*conn, What::Readmit(ask)));
-            }
+    pub(super) fn seat(&self) -> Seat {
+        Seat {
+            incarnation: self.incarnation,
+            set: self.set.clone(),
+            previous: self.previous.clone(),
+            register: self.register.clone(),
         }
     }
 
-    /// Another voter lost its disk: its new life is on this disk before it is told all.
-    pub(super) fn readmitted(&mut self, now: Micros, conn: Conn, ask: cues::Readmit, acts: &mut Vec<Act>) {
-        let Place::Seated(Some(voter)) = &mut self.place else { return };
-        let id = VoterId(ask.voter as u16);
-        let said = voter.hear(now, &notchspool_election::Ask::Readmit { voter: id, life: ask.life });
-        match said.0.said {
-            Said::OldLife { known } => {
-                let own = u32::from(voter.id.0);
-                let all = cues::All {
-                    voter: own,
-                    life: ask.life,
-                    known,
-                    lives: self.lives(),
-                    ..cues::All::default()
-                };
-                // The one that is known already is told again: its first answer may have been lost.
-                if known == ask.life {
-                    let all = self.everything(ask.life);
-                    acts.push(Act::Send(conn, What::All(all)));
-                } else {
-                    acts.push(Act::Send(conn, What::All(all)));
-                }
-            }
-            _ => {
-                acts.push(Act::Log(format!(
-                    "voter {} comes with an empty disk, life {}",
-                    ask.voter, ask.life
-                )));
-                let (life, lives) = voter.lives();
-                let lives = lives.iter().map(|(v, l)| (v.0, *l)).collect();
-                let seat = Seat { voters: self.voters.clone(), life, lives };
-                self.save(Pending::Told(conn, ask.life), vec![Deed::Seat(seat)], acts);
+    pub(super) fn save_seat(&mut self, pending: Pending, acts: &mut Vec<Act>) {
+        let seat = self.seat();
+        self.save(pending, vec![Deed::Seat(seat)], acts);
+    }
+
+    /// The seal of the set that is over goes to the disk, till it is there.
+    pub(super) fn save_frozen(&mut self, acts: &mut Vec<Act>) {
+        let Some(frozen) = self.frozen.as_mut().filter(|f| !f.on_disk && !f.saving) else { return };
+        frozen.saving = true;
+        let (number, seat) = (frozen.set.number, frozen.seat.clone());
+        self.save(Pending::Frozen(number), vec![Deed::Seat(seat)], acts);
+    }
+
+    pub(super) fn frozen_saved(&mut self, now: Micros, set: u64, done: bool, acts: &mut Vec<Act>) {
+        if let Some(frozen) = self.frozen.as_mut().filter(|f| f.set.number == set) {
+            (frozen.on_disk, frozen.saving) = (done, false);
+            self.install(now, acts);
+        }
+    }
+
+    /// Time has passed for a set that is being installed, or one that others install.
+    pub(super) fn wake_install(&mut self, now: Micros, acts: &mut Vec<Act>) {
+        self.save_frozen(acts);
+        if self.set.number == 1 && matches!(self.state, State::Settling(_)) && self.pending.is_empty() {
+            // The first set of all, which nobody can tell, and a disk that refused it.
+            self.save_seat(Pending::Installed(self.set.number), acts);
+        }
+        if now >= self.gather_at {
+            self.gather(now, acts);
+        }
+        if self.frozen.is_some() && matches!(self.state, State::Spare) && self.others_voting() {
+            // More than half have it by now.
+            self.frozen = None;
+        }
+    }
+
+    // ---- Being told -----------------------------------------------------------------------------------------
+
+    /// Asks all who may have it for what was decided so far.
+    pub(super) fn gather(&mut self, now: Micros, acts: &mut Vec<Act>) {
+        if !matches!(self.state, State::Installing) {
+            return;
+        }
+        self.gather_at = now + GATHER_AGAIN;
+        let ask = Transfer {
+            set: Some(members::to_wire(&self.set)),
+            previous: self.previous.as_ref().map(members::to_wire),
+        };
+        let of_before = |address: &String| self.previous.as_ref().is_some_and(|p| p.place(address).is_some());
+        for (conn, address) in &self.dialed {
+            if self.set.place(address).is_some() || of_before(address) {
+                acts.push(Act::Send(*conn, What::Transfer(ask.clone())));
             }
         }
+        self.install(now, acts);
+    }
+
+    /// Another has to install a set.
+    pub(super) fn transfer(&mut self, now: Micros, conn: Conn, ask: Transfer, acts: &mut Vec<Act>) {
+        let Some(set) = ask.set.and_then(members::from_wire) else { return };
+        let number = set.number;
+        self.learn(now, set, ask.previous.and_then(members::from_wire), acts);
+        if number < self.set.number {
+            self.other_set(conn, number, acts);
+        } else if let State::Seated(voter) = &self.state {
+            let all = self.all_of(voter, number);
+            acts.push(Act::Send(conn, What::All(all)));
+        } else if let Some(frozen) = self.frozen.as_ref().filter(|f| f.on_disk) {
+            let all = self.all_of(&frozen.voter, frozen.set.number);
+            acts.push(Act::Send(conn, What::All(all)));
+        }
     }
 
-    pub(super) fn everything(&self, life: u64) -> cues::All {
-        let Place::Seated(Some(voter)) = &self.place else { return cues::All::default() };
+    pub(super) fn all_of(&self, voter: &Voter, set: u64) -> All {
         let kept = voter.kept(&pen::space()).cloned().unwrap_or_default();
         let entry = kept.entries.get(KEY);
-        cues::All {
+        All {
             voter: u32::from(voter.id.0),
-            life,
-            known: 0,
-            lives: self.lives(),
+            set,
             promised: seats::told(kept.promised),
             under: entry.and_then(|e| seats::told(e.at)),
             body: entry.map(|e| e.value.clone()),
@@ -65,38 +119,222 @@
         }
     }
 
-    pub(super) fn all(&mut self, now: Micros, all: cues::All, acts: &mut Vec<Act>) {
-        let Place::Asking(readmission, claims) = &mut self.place else { return };
-        let (from, answer) = seats::all(&all);
-        if all.known == 0 {
-            claims.insert(from.0, all.claims);
+    /// Another tells what it has.
+    pub(super) fn told_all(&mut self, now: Micros, all: All, acts: &mut Vec<Act>) {
+        let of_this = all.set == self.set.number;
+        if !matches!(self.state, State::Installing) || !(of_this || all.set + 1 == self.set.number) {
+            return;
+        }
+        self.told.insert((all.set, all.voter), all);
+        self.install(now, acts);
+    }
+
+    /// Installs the set once enough is told.
+    fn install(&mut self, now: Micros, acts: &mut Vec<Act>) {
+        let Some(own) = self.own_place().filter(|_| matches!(self.state, State::Installing)) else { return };
+        let number = self.set.number;
+        let mut told: Vec<All> = Vec::new();
+        if self.frozen.as_ref().is_some_and(|f| !f.on_disk) {
+            return;
+        }
+        let frozen = self.frozen.as_ref();
+        told.extend(frozen.map(|f| self.all_of(&f.voter, f.set.number)));
+        if let Some(installed) = self.told.values().find(|a| a.set == number) {
+            told.push(installed.clone());
         } else {
-            claims.clear();
+            let Some(previous) = &self.previous else { return };
+            let own_before = frozen.map(|f| u32::from(f.voter.id.0));
+            let others = self
+                .told
+                .values()
+                .filter(|a| (a.voter as usize) < previous.members.len() && Some(a.voter) != own_before);
+            told.extend(others.cloned());
+            if told.len() < previous.majority() {
+                return;
+            }
         }
-        let Some(disk) = readmission.hear(from, all.life, answer) else {
-            if all.known > 0 {
-                self.readmit(acts);
+        let deeds = self.installed(now, own, told);
+        self.save(Pending::Installed(number), deeds, acts);
+    }
+
+    /// The one place where a set's state comes into being here: in memory, and as what goes to the disk.
+    fn installed(&mut self, now: Micros, own: usize, told: Vec<All>) -> Vec<Deed> {
+        let mut kept = (Ballot::default(), None::<Entry>);
+        let mut rack = Rack::open(self.window);
+        let mut claims = 0;
+        for all in &told {
+            let under = seats::ballot(all.under);
+            kept.0 = kept.0.max(seats::ballot(all.promised)).max(under);
+            if let Some(body) = &all.body
+                && kept.1.as_ref().is_none_or(|e| e.at < under)
+            {
+                kept.1 = Some(Entry { at: under, nth: 1, value: body.clone() });
             }
+            for claim in &all.claims {
+                // Two tickets for one key, told by two: either may have run, so both stand.
+                rack.put(now, claim);
+                claims += 1;
+            }
+        }
+        for (key, ticket) in &self.withdrawn {
+            rack.withdraw(key, *ticket);
+        }
+        // What an older set left here, under which others have decided since, must not come back.
+        let mut deeds = if self.frozen.is_some() { Vec::new() } else { vec![Deed::Clear] };
+        let gone = self.rack.all().into_iter().map(|c| (c.key, c.ticket.unwrap_or_default()));
+        if self.frozen.is_some() {
+            let taken_back = self.withdrawn.iter().cloned().chain(gone).filter(|(key, t)| !rack.has(key, *t));
+            deeds.extend(taken_back.map(|(key, ticket)| Deed::Withdraw(key, ticket)));
+        }
+        deeds.extend(rack.all().into_iter().map(Deed::Claim));
+        let (promised, entry) = kept;
+        if let Some(entry) = &entry {
+            deeds.push(Deed::Word(Held::read(&entry.value).map_or(0, |h| h.version), entry.clone()));
+        }
+        deeds.push(Deed::Promise(promised));
+        self.register = Register::default();
+        deeds.push(Deed::Seat(self.seat()));
+        self.told_claims = claims;
+        self.rack = rack;
+        let entries = entry.map(|e| (KEY.to_string(), e)).into_iter().collect();
+        let disk = Disk { spaces: vec![(pen::space(), promised, entries, None)], ..Disk::default() };
+        let voter = Voter::open(VoterId(own as u16), self.terms, disk, now);
+        self.state = State::Settling(Box::new(voter));
+        deeds
+    }
+
+    /// The disk has the set, or could not take it.
+    pub(super) fn settled(&mut self, now: Micros, number: u64, done: bool, acts: &mut Vec<Act>) {
+        if number != self.set.number {
             return;
+        }
+        match std::mem::replace(&mut self.state, State::Unknown) {
+            State::Settling(voter) if done => {
+                if self.frozen.take().is_none() {
+                    // Its board is young: most ushers have not spoken to it yet.
+                    self.started = now;
+                }
+                self.state = State::Seated(*voter);
+                self.register_owed = false;
+                self.owed = false;
+                self.told.clear();
+                self.withdrawn.clear();
+                acts.push(Act::Log(format!("members: votes in set {number}, {} claims", self.rack.len())));
+                self.own_read(now, acts);
+            }
+            State::Settling(voter) if number == 1 && self.previous.is_none() && self.incarnation == 0 => {
+                // The first set of all: nobody can tell it.
+                self.state = State::Settling(voter);
+            }
+            State::Settling(_) => self.state = State::Installing,
+            other => self.state = other,
+        }
+    }
+
+    // ---- Leaving --------------------------------------------------------------------------------------------
+
+    /// It is to end by then: from here on it votes no more, and hands over what it has.
+    pub fn leave(&mut self, now: Micros, until: Micros) -> Vec<Act> {
+        let mut acts = Vec::new();
+        if self.leaving.is_none() {
+            acts.push(Act::Log("members: leaves, hands over what it has".into()));
+            // What it accepted and may not be at a majority is carried there first.
+            self.own_read(now, &mut acts);
+            self.leaving = Some(until);
+            // Before what is handed over: who confirms that knows this too.
+            self.tell_others(now, &mut acts);
+            self.hand_at = now;
+            self.wake_leaving(now, &mut acts);
+        }
+        acts
+    }
+
+    /// Whether it may end now.
+    pub fn left(&self, now: Micros) -> bool {
+        let Some(until) = self.leaving else { return false };
+        let others = self.set.members.len().saturating_sub(1);
+        let holds = match &self.state {
+            State::Seated(_) => self.handed.len() > others / 2 || others == 0,
+            State::Spare | State::Unknown => self.frozen.is_none(),
+            State::Installing | State::Settling(_) => false,
         };
-        let told = std::mem::take(claims);
+        now >= until || (holds && self.pending.is_empty())
+    }
+
+    pub(super) fn wake_leaving(&mut self, now: Micros, acts: &mut Vec<Act>) {
+        if self.leaving.is_none() || now < self.hand_at {
+            return;
+        }
+        self.hand_at = now + HAND_AGAIN;
+        let State::Seated(voter) = &self.state else { return };
+        let all = self.all_of(voter, self.set.number);
+        for (place, (conn, _)) in &self.peers {
+            if !self.handed.contains(place) {
+                acts.push(Act::Send(*conn, What::Handover(all.clone())));
+            }
+        }
+    }
+
+    /// One that leaves hands over what it has: it stands here as if this one had been asked too.
+    pub(super) fn handover(&mut self, now: Micros, conn: Conn, all: All, acts: &mut Vec<Act>) {
+        if !self.votes() || all.set != self.set.number {
+            self.other_set(conn, all.set, acts);
+            return;
+        }
+        let (number, place) = (self.set.number, self.own_place().unwrap_or_default());
+        let State::Seated(voter) = &mut self.state else { return };
         let mut deeds = Vec::new();
-        for claim in told.into_values().flatten() {
-            // Two tickets for one key, told by two: either may have run, so both stand.
-            self.rack.put(now, &claim);
-            deeds.push(Deed::Claim(claim));
-        }
-        let lives = disk.lives.iter().map(|(v, l)| (v.0, *l)).collect();
-        let seat = Seat { voters: self.voters.clone(), life: disk.life, lives };
-        for (_, promised, entries, _) in &disk.spaces {
-            deeds.push(Deed::Promise(*promised));
-            if let Some(entry) = entries.get(KEY) {
-                deeds.push(Deed::Word(Held::read(&entry.value).map_or(0, |h| h.version), entry.clone()));
+        if let Some(body) = all.body {
+            let under = seats::ballot(all.under);
+            let has =
+                voter.kept(&pen::space()).and_then(|k| k.entries.get(KEY)).is_some_and(|e| e.at >= under);
+            if !has {
+                let changes = vec![(KEY.to_string(), body)];
+                let space = pen::space();
+                let ask =
+                    notchspool_election::Ask::Accept { space, ballot: under, nth: 1, changes, lease: None };
+                if voter.hear(now, &ask).0.said != Said::Accepted {
+                    // Another round is under way above it: what comes of that is handed over next time.
+                    return;
+                }
+            }
+            if let Some(kept) = voter.kept(&pen::space()) {
+                deeds.push(Deed::Promise(kept.promised));
+                let entry = kept.entries.get(KEY);
+                deeds.extend(
+                    entry.map(|e| Deed::Word(Held::read(&e.value).map_or(0, |h| h.version), e.clone())),
+                );
             }
         }
-        deeds.push(Deed::Seat(seat));
-        acts.push(Act::Log(format!("told all by others: life {}, {} claims", disk.life, self.rack.len())));
-        self.place = Place::Settling(Box::new(disk));
-        self.save(Pending::Admitted, deeds, acts);
+        for claim in all.claims {
+            if !self.rack.has(&claim.key, claim.ticket.unwrap_or_default()) {
+                self.rack.put(now, &claim);
+                deeds.push(Deed::Claim(claim));
+            }
+        }
+        let said = Handed { set: number, voter: place as u32 };
+        if deeds.is_empty() && !self.claims_owed() {
+            acts.push(Act::Send(conn, What::Handed(said)));
+        } else {
+            self.save(Pending::Handed(conn, said), deeds, acts);
+        }
+    }
+
+    /// Claims that were granted are on their way to the disk.
+    fn claims_owed(&self) -> bool {
+        self.pending.values().any(|p| matches!(p, Pending::Claimed(..) | Pending::Handed(..)))
+    }
+
+    pub(super) fn taken_over(&mut self, said: Handed) {
+        if said.set == self.set.number {
+            self.handed.insert(said.voter as usize);
+        }
+    }
+
+    /// Its holder takes a claim back while this one installs: what others tell of it must not bring it back.
+    pub(super) fn keep_withdrawn(&mut self, key: &str, ticket: cues::Ticket) {
+        if !self.seated() && self.withdrawn.len() < MOST_WITHDRAWN {
+            self.withdrawn.push((key.to_string(), ticket));
+        }
     }
 }
--- a/crates/rigging/src/told.rs
+++ b/crates/rigging/src/told.rs
@@ -29,6 +29,14 @@
     pub address_reuse: Micros,
 }
 
+/// What may be lost at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tolerate {
+    pub machines: usize,
+    /// Zones, or regions: any one of them at least where this is not nought.
+    pub zones: usize,
+}
+
 /// What a process is told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Told {
@@ -38,6 +46,9 @@
     pub ports: (u16, u16),
     pub seeds: Vec<SocketAddr>,
     pub first_start: bool,
+    /// Its loss counts against what is tolerated.
+    pub counted: bool,
+    pub tolerate: Tolerate,
     pub listen: BTreeMap<String, SocketAddr>,
     pub data: Option<PathBuf>,
     pub beat_interval: Micros,
@@ -128,6 +139,16 @@
             Some(s) if s > 0.0 && s < 3_600.0 => Micros((s * 1e6) as i64),
             _ => return r.wrong("beatIntervalS", "is missing or no time"),
         };
+        let counted = match r.value.get("counted") {
+            None | Some(Value::Null) => true,
+            Some(Value::Bool(counted)) => *counted,
+            Some(_) => return r.wrong("counted", "is neither true nor false"),
+        };
+        let part = |name: &str| {
+            let part = r.value.pointer(&format!("/tolerate/{name}")).and_then(Value::as_u64);
+            part.map_or(0, |n| n.min(64) as usize)
+        };
+        let tolerate = Tolerate { machines: part("machines"), zones: part("zones").max(part("regions")) };
         let app = match r.value.get("appAddress") {
             None | Some(Value::Null) => None,
             Some(value) => Some(r.address("appAddress", value)?),
@@ -149,6 +170,8 @@
             ports,
             seeds,
             first_start,
+            counted,
+            tolerate,
             listen,
             data,
             beat_interval,
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -18,6 +18,10 @@
 const SILENCE: Duration = Duration::from_millis(2_200);
 /// A claim that has no majority by then has none.
 const CLAIM: Micros = Micros::ms(250);
+/// The same where the set of voters is being changed.
+const CHANGING: Micros = Micros::ms(700);
+/// Who could not vote because of a change is asked again after this.
+const ASK_AGAIN: Micros = Micros::ms(50);
 /// Claims in hand at most.
 const MOST: usize = 10_000;
 /// What holds comes by itself from the board that is followed: another prompter is asked for it only after this, one at a time. Where none
@@ -35,13 +39,16 @@
 
 struct Hand {
     round: Round,
+    /// To be asked anew: the set has changed, or is being changed.
+    again: bool,
     done: Option<oneshot::Sender<Verdict>>,
 }
 
 /// The prompters as this usher knows them.
 #[derive(Default)]
 pub struct Voters {
-    /// Who votes, once one has told; until then the seeds are asked.
+    /// Who votes, once one has told, and the number of that set; until then the seeds are asked.
+    set: Cell<u64>,
     list: RefCell<Vec<String>>,
     open: RefCell<BTreeMap<String, Voter>>,
     dialed: RefCell<std::collections::BTreeSet<String>>,
@@ -115,7 +122,8 @@
             zone: told.zone.clone(),
             address: self.own.clone(),
             role: 1,
-            disk_life: 0,
+            incarnation: 0,
+            counted: false,
         })
     }
 
@@ -176,9 +184,8 @@
                     zone: welcome.zone,
                     holds: Some((welcome.chosen, welcome.sure)),
                 };
-                if !welcome.voters.is_empty() {
-                    *self.voters.list.borrow_mut() = welcome.voters.clone();
-                    welcome.voters.iter().for_each(|v| self.call(v.clone()));
+                if let Some(set) = welcome.set.filter(|s| s.number > self.voters.set.get()) {
+                    self.learn(set);
                 }
                 if let Some(station) = &welcome.recalled {
                     self.recalled(station);
@@ -216,6 +223,24 @@
         }
     }
 
+    /// Another set of voters is decided: who votes no more is followed no more, and claims in hand are asked anew of the new ones.
+    fn learn(self: &Rc<House>, set: notchspool_cues::Set) {
+        let list: Vec<String> = set.members.into_iter().map(|m| m.address).collect();
+        self.voters.set.set(set.number);
+        self.voters.list.borrow_mut().clone_from(&list);
+        for hand in self.voters.hands.borrow_mut().values_mut() {
+            hand.round.change(set.number, list.len());
+            hand.again = true;
+        }
+        self.voters.open.borrow_mut().retain(|address, _| list.contains(address));
+        let left = self.voters.followed.borrow().as_ref().is_some_and(|f| !list.contains(f));
+        if left {
+            *self.voters.followed.borrow_mut() = None;
+            self.follow();
+        }
+        list.into_iter().for_each(|v| self.call(v));
+    }
+
     /// That a version holds: where it does not come by itself it is asked for.
     fn holding(self: &Rc<House>, rope: &Rope, chosen: u64, at_once: bool) {
         let lacks = move |house: &House| house.script.borrow().as_ref().map_or(0, |s| s.version) < chosen;
@@ -256,27 +281,45 @@
 
     /// Claims a key for a ticket at all voters.
     pub async fn claim(&self, key: &str, ticket: Ticket) -> Verdict {
-        let (id, list) = (self.number(), self.voters.list.borrow().clone());
-        if list.is_empty() || self.voters.hands.borrow().len() >= MOST {
+        let id = self.number();
+        let (set, voters) = (self.voters.set.get(), self.voters.list.borrow().len());
+        if voters == 0 || self.voters.hands.borrow().len() >= MOST {
             return Verdict::Nobody;
         }
         let (done, wait) = oneshot::channel();
-        let hand = Hand { round: Round::begin(list.len()), done: Some(done) };
+        let hand = Hand { round: Round::begin(set, voters), again: false, done: Some(done) };
         self.voters.hands.borrow_mut().insert(id, hand);
-        let claim = Claim {
+        let mut claim = Claim {
             id,
             key: key.to_string(),
             ticket: Some(ticket),
             holder: self.own.clone(),
             holder_life: self.life,
+            set,
         };
-        let mut sent = 0;
-        for address in &list {
-            if let Some(voter) = self.voters.open.borrow().get(address) {
-                sent += usize::from(voter.rope.send(What::Claim(claim.clone())));
+        let (began, mut wait) = (self.now(), std::pin::pin!(wait));
+        let (mut verdict, mut patience) = (None, CLAIM);
+        if self.ask_voters(&claim) > voters / 2 {
+            loop {
+                verdict = within(ASK_AGAIN, wait.as_mut()).await;
+                let waited = self.now() - began;
+                let again = match self.voters.hands.borrow_mut().get_mut(&id) {
+                    Some(hand) => std::mem::take(&mut hand.again).then(|| hand.round.set()),
+                    None => None,
+                };
+                if again.is_some() {
+                    patience = CHANGING;
+                }
+                if verdict.is_some() || waited >= patience {
+                    break;
+                }
+                if let Some(set) = again {
+                    // The same ticket: whoever has granted it does so again.
+                    claim.set = set;
+                    self.ask_voters(&claim);
+                }
             }
         }
-        let verdict = if sent > list.len() / 2 { within(CLAIM, wait).await } else { None };
         let hand = self.voters.hands.borrow_mut().remove(&id);
         match verdict {
             Some(Ok(verdict)) => verdict,
@@ -284,9 +327,23 @@
         }
     }
 
+    /// Asks all voters that are in reach and have not answered; how many that are.
+    fn ask_voters(&self, claim: &Claim) -> usize {
+        let (hands, list) = (self.voters.hands.borrow(), self.voters.list.borrow());
+        let Some(hand) = hands.get(&claim.id) else { return 0 };
+        let mut sent = 0;
+        for (_, address) in list.iter().enumerate().filter(|(at, _)| hand.round.open(*at)) {
+            if let Some(voter) = self.voters.open.borrow().get(address) {
+                sent += usize::from(voter.rope.send(What::Claim(claim.clone())));
+            }
+        }
+        sent
+    }
+
     fn claimed(&self, claimed: Claimed) {
         let mut hands = self.voters.hands.borrow_mut();
         let Some(hand) = hands.get_mut(&claimed.id) else { return };
+        hand.again |= claimed.changing;
         hand.round.hear(claimed);
         let verdict = hand.round.verdict(false);
         if verdict != Verdict::Open
--- a/crates/trapdoor/src/claims.rs
+++ b/crates/trapdoor/src/claims.rs
@@ -148,6 +148,15 @@
         written
     }
 
+    /// Takes all back: each claim that is here, as its holder would.
+    pub fn clear(&mut self) -> Result<(), Broken> {
+        let gone: Vec<Deed> = self.keeper.with(|table| {
+            let all = table.values().map(|(c, _)| (c.key.clone(), c.ticket.unwrap_or_default()));
+            all.map(|(key, ticket)| Deed::Withdraw(key, ticket)).collect()
+        });
+        self.write(&gone)
+    }
+
     fn append(&mut self, lines: &[Line]) -> Result<(), Broken> {
         let log = self.log()?;
         let mut entry = log.begin_entry().map_err(broken("claims"))?;
--- a/crates/trapdoor/src/lib.rs
+++ b/crates/trapdoor/src/lib.rs
@@ -3,11 +3,11 @@
 pub mod claims;
 pub mod shelf;
 
-use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
 use notchspool_cues::{Claim, Ticket};
+use notchspool_election::sets::{Register, VoterSet};
 use notchspool_election::{Ballot, Entry};
 use serde::{Deserialize, Serialize};
 
@@ -30,22 +30,26 @@
 /// One thing to be kept.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
+    /// All that is here is of no account any more: the seat goes first, so that what is left after a loss of power is an empty disk.
+    Clear,
     /// The register of the operator's word: what was promised, and what was accepted.
     Promise(Ballot),
     Word(u64, Entry),
-    /// Who the voters are, the life of this disk, and the lives of the others.
+    /// In which set this one votes, and what it has of its successor. Written last: a set is installed once its seat is there.
     Seat(Seat),
     Claim(Claim),
     Withdraw(String, Ticket),
 }
 
-/// This voter's place.
+/// This voter's seat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seat {
-    pub voters: Vec<String>,
-    /// The life of this disk: 0 since the first start of all, later ones where it was lost.
-    pub life: u64,
-    pub lives: BTreeMap<u16, u64>,
+    /// Which life of the disk this is: 0 since the first start of all, drawn later.
+    pub incarnation: u64,
+    /// The set that is installed here, and the one before.
+    pub set: VoterSet,
+    pub previous: Option<VoterSet>,
+    pub register: Register,
 }
 
 /// All that was on the disk.
@@ -109,13 +113,30 @@
 
     /// Writes a batch; what it holds is durable when this returns without an error, and may or may not be there with one.
     pub fn write(&mut self, deeds: &[Deed]) -> Result<(), Broken> {
+        let mut rest = deeds;
+        while let Some(at) = rest.iter().position(|d| *d == Deed::Clear) {
+            self.put(&rest[..at])?;
+            self.clear()?;
+            rest = &rest[at + 1..];
+        }
+        self.put(rest)
+    }
+
+    fn clear(&mut self) -> Result<(), Broken> {
+        self.shelf.remove_synced("seat")?;
+        for name in self.shelf.names()?.iter().filter(|n| n.starts_with("word-")) {
+            self.shelf.remove_synced(name)?;
+        }
+        self.words.clear();
+        self.shelf.remove_synced("promise")?;
+        self.claims.clear()
+    }
+
+    fn put(&mut self, deeds: &[Deed]) -> Result<(), Broken> {
         let promise = deeds.iter().rev().find_map(|d| if let Deed::Promise(b) = d { Some(b) } else { None });
         let word =
             deeds.iter().rev().find_map(|d| if let Deed::Word(v, e) = d { Some((v, e)) } else { None });
         let seat = deeds.iter().rev().find_map(|d| if let Deed::Seat(s) = d { Some(s) } else { None });
-        if let Some(seat) = seat {
-            self.shelf.put("seat", &serde_json::to_vec(seat).unwrap_or_default())?;
-        }
         if let Some((version, entry)) = word {
             let name = format!("word-{version}");
             let file = WordFile { version: *version, entry: entry.clone() };
@@ -130,6 +151,10 @@
         if let Some(promise) = promise {
             self.shelf.put("promise", &serde_json::to_vec(promise).unwrap_or_default())?;
         }
-        self.claims.write(deeds)
+        self.claims.write(deeds)?;
+        match seat {
+            Some(seat) => self.shelf.put("seat", &serde_json::to_vec(seat).unwrap_or_default()),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/trapdoor/src/shelf.rs
+++ b/crates/trapdoor/src/shelf.rs
@@ -54,6 +54,15 @@
         File::open(&self.folder).and_then(|f| f.sync_all()).map_err(broken(name))
     }
 
+    /// A file that must not come back, after any loss of power.
+    pub fn remove_synced(&mut self, name: &str) -> Result<(), Broken> {
+        match std::fs::remove_file(self.folder.join(name)) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(broken(name)(e)),
+            _ => {}
+        }
+        File::open(&self.folder).and_then(|f| f.sync_all()).map_err(broken(name))
+    }
+
     /// A file that is no longer of use. Should it stay, it does no harm.
     pub fn remove(&mut self, name: &str) {
         let _ = std::fs::remove_file(self.folder.join(name));
