--- a/crates/cues/tests/snapshot.rs
+++ b/crates/cues/tests/snapshot.rs
@@ -19,7 +19,7 @@
         ticket: ticket(n),
         holder: "h".into(),
         holder_life: 1,
-        id: 0,
+        ..Claim::default()
     };
     Snapshot {
         set: 3,
--- a/crates/cues/tests/texts.rs
+++ b/crates/cues/tests/texts.rs
@@ -113,7 +113,8 @@
     assert!(whole * 4 < bytes(&first), "packed at least");
     assert_eq!(pass(&mut here, &mut there, first.clone()), Heard::Says(first));
     let second = body(400, 7, 2);
-    let put = |body: &str| What::Vote(Vote { number: 5, ballot: None, body: Some(format!("2\n{body}")) });
+    let put =
+        |body: &str| What::Vote(Vote { number: 5, body: Some(format!("2\n{body}")), ..Vote::default() });
     assert_eq!(pass(&mut here, &mut there, put(&second)), Heard::Says(put(&second)));
     // The other end has it from here, and tells it back by its digest; so does this one with a number in front or without.
     let voted = What::Voted(Voted { vote: 1, body: Some(format!("2\n{second}")), ..Voted::default() });
@@ -161,7 +162,8 @@
         there.forget();
     }
     // A vote that can't be made out is asked for again by its round.
-    let vote = What::Vote(Vote { number: 1, ballot: None, body: Some(format!("3\n{}", body(400, 8, 3))) });
+    let vote =
+        What::Vote(Vote { number: 1, body: Some(format!("3\n{}", body(400, 8, 3))), ..Vote::default() });
     let Heard::Ask(ask) = pass(&mut here, &mut there, vote.clone()) else { panic!("taken without a base") };
     assert_eq!(pass(&mut there, &mut here, ask), Heard::Done);
     assert_eq!(pass(&mut here, &mut there, vote.clone()), Heard::Says(vote));
--- a/crates/trapdoor/src/lib.rs
+++ b/crates/trapdoor/src/lib.rs
@@ -5,11 +5,11 @@
 pub mod shelf;
 pub mod state;
 
-use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
 use notchspool_cues::{Claim, Snapshot, Ticket};
+use notchspool_election::sets::{Register, VoterSet};
 use notchspool_election::{Ballot, Entry};
 use serde::{Deserialize, Serialize};
 
@@ -33,10 +33,12 @@
 /// One thing to be kept.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
+    /// All that is here is of no account any more: the seat goes first, so that what is left after a loss of power is an empty disk.
+    Clear,
     /// The register of the operator's word: what was promised, and what was accepted.
     Promise(Ballot),
     Word(u64, Entry),
-    /// Who the voters are, the life of this disk, and the lives of the others.
+    /// In which set this one votes, and what it has of its successor. Written last: a set is installed once its seat is there.
     Seat(Seat),
     Claim(Claim),
     Withdraw(String, Ticket),
@@ -44,13 +46,15 @@
     Install(Box<Snapshot>),
 }
 
-/// This voter's place.
+/// This voter's seat.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seat {
-    pub voters: Vec<String>,
-    /// The life of this disk: 0 since the first start of all, later ones where it was lost.
-    pub life: u64,
-    pub lives: BTreeMap<u16, u64>,
+    /// Which life of the disk this is: 0 since the first start of all, drawn later.
+    pub incarnation: u64,
+    /// The set that is installed here, and the one before.
+    pub set: VoterSet,
+    pub previous: Option<VoterSet>,
+    pub register: Register,
 }
 
 /// All that was on the disk.
@@ -86,20 +90,28 @@
         self.finish()?;
         let mut rest = deeds;
         // What stands before a snapshot is replaced by it, what stands after it is not.
-        while let Some(at) = rest.iter().position(|d| matches!(d, Deed::Install(_))) {
+        while let Some(at) = rest.iter().position(|d| matches!(d, Deed::Install(_) | Deed::Clear)) {
             self.plain(&rest[..at])?;
-            if let Deed::Install(snapshot) = &rest[at] {
-                self.state.install(snapshot)?;
-                self.finish()?;
+            match &rest[at] {
+                Deed::Install(snapshot) => {
+                    self.state.install(snapshot)?;
+                    self.finish()?;
+                }
+                _ => {
+                    self.state.clear()?;
+                    self.claims.clear()?;
+                }
             }
             rest = &rest[at + 1..];
         }
         self.plain(rest)
     }
 
+    /// The seat last: a set is installed once its seat is there.
     fn plain(&mut self, deeds: &[Deed]) -> Result<(), Broken> {
         self.state.write(deeds)?;
-        self.claims.write(deeds)
+        self.claims.write(deeds)?;
+        self.state.seat(deeds)
     }
 
     /// Claims of a snapshot go to the log, beside those that are there: one more than need be holds a key that is over, one fewer runs a key
--- a/crates/trapdoor/src/state.rs
+++ b/crates/trapdoor/src/state.rs
@@ -106,10 +106,6 @@
         let promise = deeds.iter().rev().find_map(|d| if let Deed::Promise(b) = d { Some(b) } else { None });
         let word =
             deeds.iter().rev().find_map(|d| if let Deed::Word(v, e) = d { Some((v, e)) } else { None });
-        let seat = deeds.iter().rev().find_map(|d| if let Deed::Seat(s) = d { Some(s) } else { None });
-        if let Some(seat) = seat {
-            self.shelf.put("seat", &serde_json::to_vec(seat).unwrap_or_default())?;
-        }
         if let Some((version, entry)) = word {
             self.word(*version, entry.clone())?;
             if self.words.len() > KEPT_WORDS {
@@ -123,6 +119,25 @@
         Ok(())
     }
 
+    /// Writes the seat of a batch, once all else of it is there.
+    pub fn seat(&mut self, deeds: &[Deed]) -> Result<(), Broken> {
+        match deeds.iter().rev().find_map(|d| if let Deed::Seat(s) = d { Some(s) } else { None }) {
+            Some(seat) => self.shelf.put("seat", &serde_json::to_vec(seat).unwrap_or_default()),
+            None => Ok(()),
+        }
+    }
+
+    /// All of it goes; the seat first, so that what is left after a loss of power is an empty disk.
+    pub fn clear(&mut self) -> Result<(), Broken> {
+        self.free()?;
+        self.shelf.drop_all(&["seat".to_string()])?;
+        let mut old = self.shelf.names()?;
+        old.retain(|name| name.starts_with(WORD) || name == "promise");
+        self.shelf.drop_all(&old)?;
+        self.words.clear();
+        Ok(())
+    }
+
     fn word(&mut self, version: u64, entry: Entry) -> Result<(), Broken> {
         let (name, at) = (format!("{WORD}{version}"), entry.at);
         let file = WordFile { version, entry };
--- a/crates/trapdoor/tests/state.rs
+++ b/crates/trapdoor/tests/state.rs
@@ -6,6 +6,7 @@
 
 use notchspool_cues::snapshot::encode;
 use notchspool_cues::{Claim, Snapshot, Ticket};
+use notchspool_election::sets::VoterSet;
 use notchspool_election::{Ballot, ContenderId, Entry, Token};
 use notchspool_trapdoor::drive::Drive;
 use notchspool_trapdoor::shelf::{Shelf, sealed};
@@ -190,7 +191,8 @@
 }
 
 fn seat(life: u64) -> Seat {
-    Seat { voters: vec!["a".into(), format!("b-{life}")], life, ..Seat::default() }
+    let set = VoterSet::first(&["a".into(), format!("b-{life}")]);
+    Seat { incarnation: life, set, ..Seat::default() }
 }
 
 fn word(version: u64, round: u64) -> Deed {
@@ -207,7 +209,7 @@
 
 fn claim(key: &str) -> Claim {
     let ticket = Some(Ticket { life: 1, number: 1, turn: 0 });
-    Claim { key: key.into(), ticket, holder: "h".into(), holder_life: 1, id: 0 }
+    Claim { key: key.into(), ticket, holder: "h".into(), holder_life: 1, ..Claim::default() }
 }
 
 /// Of another set: its ballots and versions are lower than what it replaces.
@@ -250,11 +252,15 @@
         state.done()?;
     }
     match step {
-        Do::Write(deed) => state.write(std::slice::from_ref(deed)),
+        Do::Write(deed) => {
+            state.write(std::slice::from_ref(deed))?;
+            state.seat(std::slice::from_ref(deed))
+        }
         Do::Install(snapshot) => state.install(snapshot),
         Do::Parts(snapshot) => {
             let seat = serde_json::from_slice(&snapshot.seat).unwrap();
-            state.write(&[Deed::Seat(seat), word(2, 2), Deed::Promise(ballot(3))])
+            state.seat(&[Deed::Seat(seat)])?;
+            state.write(&[word(2, 2), Deed::Promise(ballot(3))])
         }
         Do::Done => state.done(),
     }
@@ -325,7 +331,10 @@
         })
         .collect();
     let (_, wrong) = wrong(&parts);
-    assert!(wrong.iter().any(|w| w.contains("life: 9")), "a half snapshot was not noticed: {wrong:#?}");
+    assert!(
+        wrong.iter().any(|w| w.contains("incarnation: 9")),
+        "a half snapshot was not noticed: {wrong:#?}"
+    );
 }
 
 /// Power is lost once more while a snapshot is carried out at the start.
