--- a/crates/promptbook/src/pen.rs
+++ b/crates/promptbook/src/pen.rs
@@ -172,7 +172,7 @@
 
     fn pause(&mut self, now: Micros, promised: Option<Ballot>, dart: f64) -> Vec<Step> {
         self.round = self.round.max(promised.map_or(0, |b| b.round));
-        self.refused = (self.refused + 1).min(6);
+        self.refused = (self.refused + 1).min(5);
         let span = PAUSE.times((1 << self.refused) as f64 * (0.5 + dart));
         self.phase = Phase::Pausing(now + span);
         Vec::new()
--- /dev/null
+++ b/crates/promptbook/tests/word.rs
@@ -0,0 +1,394 @@
+//! Tries to break what `pen` promises: three proposers and three voters, messages lost, doubled and overtaken, proposers that end and come
+//! back, voters that come back with their disk or, one at a time, without it. And the register's value and its digests by themselves.
+use std::collections::{BTreeMap, BTreeSet};
+
+use notchspool::units::Micros;
+use notchspool_election::readmit::Readmission;
+use notchspool_election::voter::{Disk, Voter};
+use notchspool_election::{Answer, Ask, ContenderId, Said, Terms, VoterId};
+use notchspool_promptbook::digest::Digest;
+use notchspool_promptbook::pen::{self, End, Held, KEY, Order, Pen, Step};
+use notchspool_promptbook::register::{REMEMBERED, Standing, Value};
+use quickcheck::{Gen, QuickCheck, TestResult};
+use rstest::rstest;
+
+const TERMS: Terms = Terms {
+    voters: 3,
+    lease: Micros::ms(3_000),
+    drift_ppm: 5_000,
+    again: Micros::ms(150),
+    turn: Micros::ms(300),
+};
+
+#[derive(Clone, Debug)]
+enum Message {
+    Ask(Ask),
+    Answer(Answer),
+}
+
+struct Proposer {
+    pen: Pen,
+    life: u64,
+}
+
+/// A voter; one that lost its disk asks the others.
+enum Seat {
+    Votes(Box<Voter>),
+    Asks(Readmission),
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    order: Option<(u64, String)>,
+    /// The highest version acknowledged before it came.
+    acked: u64,
+}
+
+/// Proposer, its life, voter, number of the ask.
+type Way = (usize, u64, u16, u64, Message);
+
+#[derive(Default)]
+struct World {
+    now: Micros,
+    lives: u64,
+    next: u64,
+    proposers: Vec<Proposer>,
+    voters: Vec<Seat>,
+    way: Vec<Way>,
+    calls: BTreeMap<u64, Call>,
+    acked: BTreeSet<(u64, String)>,
+    refused: BTreeSet<(u64, String)>,
+    told: BTreeMap<u64, String>,
+    given_up: u64,
+    /// Which body was taken under older numbers is not kept: the planted breach.
+    forgets: bool,
+    wrong: Option<String>,
+}
+
+fn voter(at: usize, disk: Disk, now: Micros) -> Seat {
+    Seat::Votes(Box::new(Voter::open(VoterId(at as u16), TERMS, disk, now)))
+}
+
+fn disk(voter: &Voter) -> Disk {
+    let (life, lives) = voter.lives();
+    let kept = voter.kept(&pen::space()).cloned().unwrap_or_default();
+    Disk { life, lives: lives.clone(), spaces: vec![(pen::space(), kept.promised, kept.entries, kept.lease)] }
+}
+
+impl World {
+    fn new(forgets: bool) -> World {
+        let mut world = World { forgets, ..World::default() };
+        for at in 0..3 {
+            let proposer = world.proposer();
+            world.proposers.push(proposer);
+            world.voters.push(voter(at, Disk::default(), Micros(0)));
+        }
+        world
+    }
+
+    fn proposer(&mut self) -> Proposer {
+        self.lives += 1;
+        Proposer { pen: Pen::open(TERMS, ContenderId(self.lives)), life: self.lives }
+    }
+
+    fn steps(&mut self, at: usize, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Ask(voter, number, ask) => {
+                    self.way.push((at, self.proposers[at].life, voter.0, number, Message::Ask(ask)));
+                }
+                Step::Chosen(None, _) => {}
+                Step::Chosen(Some(held), _) => {
+                    let first = self.told.entry(held.version).or_insert_with(|| held.body.clone());
+                    if *first != held.body {
+                        self.wrong = Some(format!("two bodies are told under {}", held.version));
+                    }
+                }
+                Step::End(id, end) => self.end(id, end),
+            }
+        }
+    }
+
+    fn end(&mut self, id: u64, end: End) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        match (call.order, end) {
+            (None, End::Held(held)) if held.version < call.acked => {
+                self.wrong = Some(format!("reads {} after {} was acknowledged", held.version, call.acked));
+            }
+            (None, End::Empty) if call.acked > 0 => self.wrong = Some("reads nothing".into()),
+            (Some(order), End::Taken) => {
+                if self.refused.contains(&order) {
+                    self.wrong = Some(format!("{order:?} was refused and is acknowledged"));
+                }
+                if self.acked.iter().any(|other| other.0 == order.0 && other.1 != order.1) {
+                    self.wrong = Some(format!("two bodies are acknowledged under {}", order.0));
+                }
+                self.acked.insert(order);
+            }
+            (Some(order), End::Other(holds)) => {
+                if self.acked.contains(&order) {
+                    self.wrong = Some(format!("{order:?} was acknowledged and is refused"));
+                }
+                if holds < call.acked {
+                    self.wrong =
+                        Some(format!("{holds} is said to hold after {} was acknowledged", call.acked));
+                }
+                self.refused.insert(order);
+            }
+            (_, End::NoMajority) => self.given_up += 1,
+            (Some(order), End::Forgotten(_)) => self.wrong = Some(format!("{order:?} is forgotten")),
+            _ => {}
+        }
+    }
+
+    fn call(&mut self, at: usize, order: Option<(u64, String)>) -> u64 {
+        self.next += 1;
+        let acked = self.acked.iter().map(|a| a.0).max().unwrap_or(0);
+        self.calls.insert(self.next, Call { order: order.clone(), acked });
+        let order = match order {
+            None => Order::Read,
+            Some((version, body)) => {
+                let digest = Digest::of(body.as_bytes());
+                Order::Put(Held { version, body }, digest)
+            }
+        };
+        let steps = self.proposers[at].pen.call(self.now, self.next, order);
+        self.steps(at, steps);
+        self.next
+    }
+
+    fn forget(&self, text: &mut String) {
+        if let Some(held) = Held::read(text).filter(|_| self.forgets) {
+            let digest = Digest::of(held.body.as_bytes());
+            *text = Value::first(held, digest).written();
+        }
+    }
+
+    fn deliver(&mut self, (at, life, from, number, what): Way) {
+        match what {
+            Message::Ask(mut ask) => {
+                if let Ask::Accept { changes, .. } = &mut ask {
+                    changes.iter_mut().for_each(|(_, text)| self.forget(text));
+                }
+                if let Seat::Votes(seat) = &mut self.voters[from as usize] {
+                    // What it writes is on its disk before the answer leaves.
+                    let (answer, _) = seat.hear(self.now, &ask);
+                    self.way.push((at, life, from, number, Message::Answer(answer)));
+                }
+            }
+            Message::Answer(mut answer) => {
+                if let Said::Promised { entries } = &mut answer.said
+                    && let Some(entry) = entries.get_mut(KEY)
+                {
+                    self.forget(&mut entry.value);
+                }
+                if self.proposers[at].life == life {
+                    let pen = &mut self.proposers[at].pen;
+                    let steps = pen.hear(self.now, VoterId(from), number, answer, 0.3 * at as f64);
+                    self.steps(at, steps);
+                }
+            }
+        }
+    }
+
+    fn wake(&mut self, span: Micros) {
+        self.now = self.now + span;
+        for at in 0..self.proposers.len() {
+            let steps = self.proposers[at].pen.wake(self.now, 0.3 * at as f64);
+            self.steps(at, steps);
+        }
+    }
+
+    /// One that lost its disk asks another.
+    fn readmit(&mut self, at: usize, from: usize) {
+        if at == from {
+            return;
+        }
+        let Seat::Asks(readmission) = &self.voters[at] else { return };
+        let ask = readmission.ask();
+        let Ask::Readmit { life, .. } = ask else { return };
+        let now = self.now;
+        let Seat::Votes(other) = &mut self.voters[from] else { return };
+        let (mut answer, _) = other.hear(now, &ask);
+        if matches!(answer.said, Said::OldLife { known } if known == life) {
+            // Its first answer was for this life already: it is told again.
+            answer.said = Said::All { spaces: disk(other).spaces };
+        }
+        let Seat::Asks(readmission) = &mut self.voters[at] else { return };
+        if let Some(disk) = readmission.hear(VoterId(from as u16), life, answer) {
+            self.voters[at] = voter(at, disk, now);
+        }
+    }
+
+    fn step(&mut self, word: u32) {
+        let pick = |n: usize, by: u32| (word / by) as usize % n.max(1);
+        let (at, waiting) = (pick(3, 16), self.way.len());
+        match word % 16 {
+            0..=6 if waiting > 0 => {
+                // Some at once: few rounds came to an end otherwise.
+                for nth in 0..1 + pick(6, 1 << 20) {
+                    if !self.way.is_empty() {
+                        let message = self.way.remove(pick(self.way.len(), 16 + 5 * nth as u32));
+                        self.deliver(message);
+                    }
+                }
+            }
+            7 if waiting > 0 => {
+                let message = self.way[pick(waiting, 16)].clone();
+                self.deliver(message);
+            }
+            8 if waiting > 0 => drop(self.way.remove(pick(waiting, 16))),
+            9 | 10 => {
+                // Few numbers and few bodies, so that they meet and come again.
+                let (version, body) = (1 + pick(5, 48) as u64, pick(3, 240));
+                let body = format!(r#"{{"version":{version},"body":{body}}}"#);
+                self.call(at, Some((version, body)));
+            }
+            11 => drop(self.call(at, None)),
+            12 => self.wake(Micros::ms(if pick(4, 16) == 0 { 200 } else { 10 })),
+            // Its calls are lost with it.
+            13 => self.proposers[at] = self.proposer(),
+            14 => {
+                if let Seat::Votes(old) = &self.voters[at] {
+                    self.voters[at] = voter(at, disk(old), self.now);
+                }
+            }
+            15 => {
+                let all = self.voters.iter().all(|v| matches!(v, Seat::Votes(_)));
+                if all && pick(3, 48) == 0 {
+                    self.voters[at] = Seat::Asks(Readmission::begin(VoterId(at as u16), TERMS));
+                } else {
+                    self.readmit(at, pick(3, 48));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// All messages arrive from now on; every order that was acknowledged is acknowledged again, every read finds the newest.
+    fn heal(&mut self) {
+        for at in 0..3 {
+            (0..2).for_each(|_| (0..3).for_each(|from| self.readmit(at, from)));
+        }
+        self.run(100);
+        let acked: Vec<_> = self.acked.iter().cloned().map(Some).collect();
+        for (at, order) in acked.into_iter().chain([None, None, None]).enumerate() {
+            // One that finds no majority in time is sent again.
+            let answered = (0..3).any(|_| {
+                let (id, given_up) = (self.call(at % 3, order.clone()), self.given_up);
+                self.run(70);
+                !self.calls.contains_key(&id) && self.given_up == given_up
+            });
+            if !answered {
+                self.wrong = Some(format!("{order:?} is not answered"));
+            }
+        }
+    }
+
+    fn run(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            for message in std::mem::take(&mut self.way) {
+                self.deliver(message);
+            }
+            self.wake(Micros::ms(10));
+        }
+    }
+}
+
+fn broken(words: &[u32], forgets: bool) -> (Option<String>, usize) {
+    let mut world = World::new(forgets);
+    words.iter().for_each(|word| world.step(*word));
+    let acked = world.acked.len();
+    world.heal();
+    (world.wrong, acked)
+}
+
+#[test]
+fn no_history_of_messages_breaks_a_promise() {
+    fn property(words: Vec<u32>) -> TestResult {
+        broken(&words, false).0.map_or(TestResult::passed(), TestResult::error)
+    }
+    let mut tests = QuickCheck::new().rng(Gen::from_size_and_seed(400, 11)).tests(2_000);
+    tests.quickcheck(property as fn(Vec<u32>) -> TestResult);
+}
+
+/// The checker sees a register that keeps no digests of older numbers; and histories do come to acknowledgements.
+#[test]
+fn a_register_that_forgets_is_noticed() {
+    let mut chance = Gen::from_size_and_seed(400, 12);
+    let (mut seen, mut acked) = (0, 0);
+    for _ in 0..300 {
+        let words: Vec<u32> = quickcheck::Arbitrary::arbitrary(&mut chance);
+        acked += broken(&words, false).1;
+        seen += usize::from(broken(&words, true).0.is_some());
+    }
+    assert!(seen > 10 && acked > 300, "noticed in {seen} of 300, {acked} orders acknowledged");
+}
+
+#[rstest]
+#[case::order_of_fields(r#"{"a":1,"b":[1,2]}"#, r#"{ "b": [1, 2], "a": 1 }"#, true)]
+#[case::ways_to_write_a_number(r#"{"a":2.50,"b":3.0}"#, r#"{"a":25e-1,"b":3}"#, true)]
+#[case::order_of_items(r#"[1,2]"#, r#"[2,1]"#, false)]
+#[case::text_and_number(r#"{"a":"1"}"#, r#"{"a":1}"#, false)]
+#[case::nothing_and_no_field(r#"{"a":null}"#, r#"{}"#, false)]
+#[case::nested_and_flat(r#"[["a"],"b"]"#, r#"[["a","b"]]"#, false)]
+#[case::field_and_text(r#"{"ab":"c"}"#, r#"{"a":"bc"}"#, false)]
+#[case::yes_and_no(r#"{"a":true}"#, r#"{"a":false}"#, false)]
+#[case::no_json("{x", "{ x", false)]
+fn a_digest_goes_by_what_is_said(#[case] left: &str, #[case] right: &str, #[case] same: bool) {
+    let (left, right) = (Digest::of(left.as_bytes()), Digest::of(right.as_bytes()));
+    assert_eq!(left == right, same);
+    assert_eq!(Digest::read(&left.to_string()), Some(left));
+}
+
+fn held(version: u64, note: &str) -> (Held, Digest) {
+    let body = format!("{{\"version\":{version},\n\"note\":\"{note}\"}}");
+    let digest = Digest::of(body.as_bytes());
+    (Held { version, body }, digest)
+}
+
+#[test]
+fn a_value_is_read_as_it_was_written_and_remembers_the_newest_thousand() {
+    let (first, digest) = held(1, "x");
+    let mut value = Value::first(first, digest);
+    for version in 2..REMEMBERED as u64 + 4 {
+        let (next, digest) = held(version, "x");
+        value.take(&next, digest);
+        if version % 500 == 0 {
+            assert_eq!(Value::read(&value.written()).as_ref(), Some(&value));
+        }
+    }
+    let newest = REMEMBERED as u64 + 3;
+    let standing = |version: u64, note: &str| value.standing(version, held(version, note).1);
+    assert_eq!(value.held.version, newest);
+    assert_eq!((standing(newest, "x"), standing(newest, "y")), (Standing::Taken, Standing::Other));
+    assert_eq!((standing(3, "x"), standing(3, "y")), (Standing::Taken, Standing::Other));
+    assert_eq!((standing(2, "x"), standing(0, "y")), (Standing::Forgotten, Standing::Forgotten));
+    assert_eq!(standing(newest + 1, "y"), Standing::Free);
+    assert_eq!(Value::read(&value.written()), Some(value.clone()));
+}
+
+#[test]
+fn a_value_of_the_form_before_is_read_and_knows_of_no_older_numbers() {
+    let (old, digest) = held(7, "x");
+    let value = Value::read(&format!("7\n{}", old.body)).unwrap();
+    assert_eq!(value.held, old);
+    assert_eq!(value.standing(7, digest), Standing::Taken);
+    assert_eq!(value.standing(7, held(7, "y").1), Standing::Other);
+    assert_eq!(value.standing(6, digest), Standing::Forgotten);
+    assert_eq!(value.standing(8, digest), Standing::Free);
+    assert_eq!(Value::read(&value.written()), Some(value));
+}
+
+#[test]
+fn a_text_that_is_no_value_is_none_and_never_a_panic() {
+    fn property(text: String, at: usize) -> bool {
+        let whole = held(7, "x").0;
+        let mut torn = Value::first(whole, Digest::of(b"{}")).written();
+        torn.truncate(at % (torn.len() + 1));
+        drop((Value::read(&text), Held::read(&text), Held::read(&torn)));
+        Value::read(&torn).is_none() || torn.contains('\n')
+    }
+    let mut tests = QuickCheck::new().rng(Gen::from_size_and_seed(200, 13)).tests(2_000);
+    tests.quickcheck(property as fn(String, usize) -> bool);
+}
