Who is sent on is told where; a starting usher waits a second before an unsure version

Need: a 503 named no place in its head, and a starting usher took at once what a prompter had that was cut off. Change: every 503 of a prompter has `Location` with another voter's address, drawn anew, and all of them in its sentence. An usher asks a prompter that isn't sure only after 1 s, a sure one at once; where both have a version the sure one is asked. `GET /notchspool/ready` of an usher stays 200 on such a version (after 4 s without a majority, as before), and says so: a machine that reaches no majority would otherwise serve nobody, and the version was acknowledged once.

--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -357,13 +357,9 @@
                 if let Some(station) = self.ushers[at].station() {
                     self.send(to, What::Station(station));
                 }
-                if welcome.chosen > self.ushers[at].version {
-                    self.send(to, What::Want(Want { version: welcome.chosen }));
-                }
-            }
-            What::Holding(holding) if holding.chosen > self.ushers[at].version => {
-                self.send(to, What::Want(Want { version: holding.chosen }));
+                self.holding(to, welcome.chosen, welcome.sure);
             }
+            What::Holding(holding) => self.holding(to, holding.chosen, holding.sure),
             What::Word(word) => {
                 let body = notchspool_cues::unpack(&word).unwrap_or_default();
                 self.word(at, word.version, &String::from_utf8_lossy(&body));
@@ -388,12 +384,24 @@
         }
     }
 
+    /// What a core has that isn't sure of it is asked for only a second later.
+    fn holding(&mut self, to: End, version: u64, sure: bool) {
+        let now = self.now;
+        let usher = &mut self.ushers[to.1];
+        if version > usher.version && sure {
+            self.send(to, What::Want(Want { version }));
+        } else if version > usher.version {
+            usher.doubtful = Some((now + Micros::ms(1_000), to.2, version));
+        }
+    }
+
     fn word(&mut self, at: usize, version: u64, body: &str) {
         let usher = &mut self.ushers[at];
         if version <= usher.version {
             return;
         }
         (usher.version, usher.body) = (version, body.to_string());
+        usher.had.insert(version);
         if !self.sent.get(&version).is_some_and(|all| all.contains(body)) {
             self.wrong
                 .push(format!("{:?}: version {version} is told with a body that nobody sent", self.now));
@@ -849,6 +857,12 @@
             told.push(What::Ping(Ping { number: 1 }));
         }
         told.into_iter().for_each(|what| self.tell(at, what));
+        if let Some((_, conn, version)) = self.ushers[at].doubtful.filter(|d| now >= d.0) {
+            self.ushers[at].doubtful = None;
+            if version > self.ushers[at].version {
+                self.send((false, at, conn), What::Want(Want { version }));
+            }
+        }
         for (hand, verdict) in self.ushers[at].verdicts(now) {
             self.verdict(at, &hand.key, hand.ticket, verdict);
         }
--- a/crates/lab/src/mesh/timeline.rs
+++ b/crates/lab/src/mesh/timeline.rs
@@ -160,6 +160,11 @@
         }
         ["sees", instance, wanted] => return is(player.ushers[at].sees(instance), wanted),
         ["holds", wanted] => return is(&player.ushers[at].version.to_string(), wanted),
+        ["never", version] => {
+            let had = &player.ushers[at].had;
+            let version = version.parse::<u64>().map_err(|e| format!("no version: {e}"))?;
+            return if had.contains(&version) { Err(format!("had {had:?}")) } else { Ok(()) };
+        }
         ["draws", wanted] => {
             let found = player.ushers[at].draws(now).join(",");
             return is(&found, wanted);
--- a/crates/lab/src/mesh/usher.rs
+++ b/crates/lab/src/mesh/usher.rs
@@ -25,6 +25,10 @@
     pub life: u64,
     pub version: u64,
     pub body: String,
+    /// All versions that it had in this life.
+    pub had: std::collections::BTreeSet<u64>,
+    /// What a core has that isn't sure of it, and when it is asked for: its end of the link, the version.
+    pub doubtful: Option<(Micros, u64, u64)>,
     pub beats: Beats,
     /// The backend goes on beating: id, draining, count of calls.
     pub backend: Option<(String, bool, u64)>,
@@ -56,6 +60,8 @@
             life,
             version: 0,
             body: String::new(),
+            had: Default::default(),
+            doubtful: None,
             beats: Beats::open(BEAT, now),
             backend: None,
             beat_at: now,
--- a/crates/prompter/src/house.rs
+++ b/crates/prompter/src/house.rs
@@ -148,12 +148,17 @@
     }
 
     async fn call(self: Rc<House>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let place = request.uri().path_and_query().map_or(String::new(), ToString::to_string);
         let (status, body) = self.answer(request).await;
+        let elsewhere = self.others().first().filter(|_| status == 503).map(|a| format!("http://{a}{place}"));
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let kind = if body.starts_with('{') { "application/json" } else { "text/plain" };
         let mut response = Response::new(Full::new(Bytes::from(body)));
         *response.status_mut() = status;
         response.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(kind));
+        if let Some(Ok(to)) = elsewhere.map(hyper::header::HeaderValue::try_from) {
+            response.headers_mut().insert("location", to);
+        }
         Ok(response)
     }
 
@@ -192,7 +197,7 @@
         };
         self.act(acts);
         match wait.await.unwrap_or((503, "given up".into())) {
-            (503, why) => (503, format!("{why}; ask {}", self.others())),
+            (503, why) => (503, self.sent_on(&why)),
             reply => reply,
         }
     }
@@ -202,21 +207,29 @@
         let vouches = self.office.borrow_mut().vouches(self.clock.now());
         match vouches {
             (true, version) => (200, format!("version {version} is the newest")),
-            (false, version) => (
-                503,
-                format!("it is not known whether version {version} is the newest; ask {}", self.others()),
-            ),
+            (false, version) => {
+                let why = format!("it is not known whether version {version} is the newest");
+                (503, self.sent_on(&why))
+            }
         }
     }
 
-    /// Where else an operator may call: the other voters, at the port where this one is called.
-    fn others(&self) -> String {
+    fn sent_on(&self, why: &str) -> String {
+        let others = self.others();
+        let whom = if others.is_empty() { "another prompter".into() } else { others.join(" or ") };
+        format!("{why}; ask {whom}")
+    }
+
+    /// Where else an operator may call, in an order drawn anew: the other voters, at the port where this one is called.
+    fn others(&self) -> Vec<String> {
         let (own, port) = (self.told.borrow().inner(), self.control.port());
         let office = self.office.borrow();
         let others = office.voters().iter().filter(|v| **v != own);
         let hosts = others.filter_map(|v| v.parse::<SocketAddr>().ok());
-        let all: Vec<String> = hosts.map(|a| SocketAddr::new(a.ip(), port).to_string()).collect();
-        if all.is_empty() { "another prompter".into() } else { all.join(" or ") }
+        let mut all: Vec<String> = hosts.map(|a| SocketAddr::new(a.ip(), port).to_string()).collect();
+        let first = (seed() % all.len().max(1) as u64) as usize;
+        all.rotate_left(first);
+        all
     }
 }
 
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -24,6 +24,8 @@
 /// is followed, sooner.
 const BEFORE_ASKING: Duration = Duration::from_millis(500);
 const UNFOLLOWED: Duration = Duration::from_millis(40);
+/// What a prompter has that isn't sure of it is taken only where no sure one has answered for so long.
+const BEFORE_UNSURE: Duration = Duration::from_millis(1_000);
 
 #[derive(Clone)]
 struct Voter {
@@ -190,14 +192,15 @@
                     }
                     self.follow();
                     let bare = self.script.borrow().is_none();
-                    self.holding(rope, welcome.chosen, bare);
+                    self.holding(rope, (welcome.chosen, welcome.sure), bare);
                 }
             }
             What::Holding(holding) => {
                 if let Some(voter) = self.voters.open.borrow_mut().get_mut(address) {
                     voter.holds = Some((holding.chosen, holding.sure));
                 }
-                self.holding(rope, holding.chosen, false);
+                let bare = self.script.borrow().is_none();
+                self.holding(rope, (holding.chosen, holding.sure), bare);
             }
             What::Word(word) => match notchspool_cues::unpack(&word) {
                 Some(body) => self.word(word.version, &body),
@@ -217,17 +220,20 @@
     }
 
     /// That a version holds: where it does not come by itself it is asked for.
-    fn holding(self: &Rc<House>, rope: &Rope, chosen: u64, at_once: bool) {
+    fn holding(self: &Rc<House>, rope: &Rope, (chosen, sure): (u64, bool), at_once: bool) {
         let lacks = move |house: &House| house.script.borrow().as_ref().map_or(0, |s| s.version) < chosen;
-        if chosen <= self.voters.awaited.get() || !lacks(self) {
+        if !lacks(self) || (sure && chosen <= self.voters.awaited.get()) {
             return;
         }
         let wait = match (at_once, self.voters.followed.borrow().is_some()) {
+            _ if !sure => BEFORE_UNSURE,
             (true, _) => Duration::ZERO,
             (false, true) => BEFORE_ASKING,
             (false, false) => UNFOLLOWED,
         };
-        self.voters.awaited.set(chosen);
+        if sure {
+            self.voters.awaited.set(chosen);
+        }
         let (house, rope) = (self.clone(), rope.clone());
         tokio::task::spawn_local(async move {
             tokio::time::sleep(wait).await;
@@ -239,15 +245,15 @@
                 // Whoever says next that it holds may be asked.
                 house.voters.awaited.set(0);
             }
-            if lacks(&house) {
-                let other = house
-                    .voters
-                    .open
-                    .borrow()
-                    .values()
-                    .find(|v| v.holds.is_some_and(|h| h.0 >= chosen))
-                    .cloned();
-                other.into_iter().for_each(|v| house.holding(&v.rope, chosen, false));
+            if sure && lacks(&house) {
+                let open = house.voters.open.borrow();
+                let has = |v: &&Voter| v.holds.is_some_and(|h| h.0 >= chosen);
+                // One that is sure rather than one that isn't.
+                let other = open.values().filter(has).max_by_key(|v| v.holds.is_some_and(|h| h.1)).cloned();
+                drop(open);
+                if let Some((other, holds)) = other.and_then(|v| Some((v.rope, v.holds?))) {
+                    house.holding(&other, (chosen, holds.1), false);
+                }
             }
         });
     }
--- a/crates/stage/src/desk.rs
+++ b/crates/stage/src/desk.rs
@@ -54,7 +54,13 @@
     pub async fn attend_desk(self: Rc<House>, request: Request<Incoming>) -> Response<pipe::Answer> {
         let path = request.uri().path().to_string();
         if path == "/notchspool/ready" {
-            return if self.ready() { answer(200, "ready\n") } else { answer(503, "not ready\n") };
+            return match (self.ready(), self.voters.newest()) {
+                (true, Some(_)) => answer(200, "ready\n"),
+                (true, None) => {
+                    answer(200, "ready, on a configuration that no majority of prompters vouches for\n")
+                }
+                (false, _) => answer(503, "not ready\n"),
+            };
         }
         if path == "/notchspool/figures" {
             return answer(200, &self.figures());
