--- a/crates/lab/src/mesh/mod.rs
+++ b/crates/lab/src/mesh/mod.rs
@@ -6,5 +6,5 @@
 mod usher;
 
 pub use drawn::drawn;
-pub use player::{Player, Store};
-pub use timeline::{Timeline, play};
+pub use player::{Fault, Player, Store, routes};
+pub use timeline::{Timeline, play, play_with};
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -1,6 +1,6 @@
 //! Prompters and ushers in virtual time. Links carry messages in order after a delay, hold them while cut and end after silence; a disk has
 //! what was synced, and after a loss of power each later write or not.
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use notchspool::units::Micros;
 use notchspool_callboard::beats::Event as Call;
@@ -122,13 +122,50 @@
     /// Without this a wiped core forgets that it was one: what the checker has to notice.
     pub careful: bool,
     /// A planted fault of those that start from now on: a text is taken whatever its digest says.
-    pub trusting: bool,
+    trusting: bool,
+    /// A planted fault: what is handed to a disk is said to be there at once.
+    hasty: bool,
+    /// Changes that are still to be put: when, at which core, which version.
+    storm: VecDeque<(Micros, usize, u64)>,
+}
+
+/// A fault that is planted for the checker to notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// A wiped core forgets that it was one.
+    Forgetful,
+    /// A text is taken whatever its base and digest say.
+    Trusting,
+    /// Votes leave before the disk has them.
+    Hasty,
 }
 
 pub fn body(version: u64, note: &str) -> String {
     format!(r#"{{"version":{version},"routes":{{}},"services":{{}},"note":"{note}"}}"#)
 }
 
+/// A configuration of some routes, one of them another in each version.
+pub fn routes(version: u64, count: u64) -> String {
+    let route = |n: u64| {
+        let changed = if n == version % count.max(1) { version + count } else { n };
+        format!(
+            r#""r-{n:x}":{{"host":"h{}.example","pathPrefix":"/p{changed:x}x{n:x}/","routeKind":"safe","timeoutS":2.5,"targetS":0.6,"priority":2,"trafficSplit":[{{"service":"s","weight":90}},{{"service":"t","weight":10}}],"maxAttempts":2}}"#,
+            n % 97
+        )
+    };
+    let service =
+        r#"{"healthPath":"/health","maxConns":130,"protocol":"h1","usesTls":false,"selfDedupes":false}"#;
+    let all: Vec<String> = (0..count).map(route).collect();
+    format!(
+        r#"{{"version":{version},"routes":{{{}}},"services":{{"s":{service},"t":{service}}}}}"#,
+        all.join(",")
+    )
+}
+
+/// Routes in the changes of a storm, and the time between two of them.
+const STORM: (u64, Micros) = (40, Micros::ms(15));
+
 impl Player {
     pub fn new(cores: usize, ushers: usize, seed: u64) -> Player {
         let address = |at: usize| format!("10.0.0.{}:1", at + 1);
@@ -151,6 +188,8 @@
             wrong: Vec::new(),
             careful: true,
             trusting: false,
+            hasty: false,
+            storm: VecDeque::new(),
         };
         // At the first start all are told the same three.
         let seeds: Vec<String> = (0..cores.min(3)).map(address).collect();
@@ -218,6 +257,10 @@
                     let core = &mut self.cores[at];
                     let after = core.pending.last().map_or(self.now, |p| p.0).max(self.now);
                     core.pending.push((after + core.sync, number, deeds));
+                    if self.hasty && number > 0 {
+                        let acts = core.office.as_mut().map(|o| o.saved(self.now, number, true));
+                        self.act(at, acts.unwrap_or_default());
+                    }
                 }
                 Act::Reply(id, status, body) => {
                     if let Some((_, version)) = self.puts.remove(&id).filter(|_| status == 200) {
@@ -357,10 +400,43 @@
 
     // ---- What is done to them ---------------------------------------------------------------------------
 
+    pub fn plant(&mut self, fault: Fault) {
+        self.careful = fault != Fault::Forgetful;
+        self.trusting = fault == Fault::Trusting;
+        self.hasty = fault == Fault::Hasty;
+        self.cores.iter_mut().for_each(|c| c.texts.trusting = self.trusting);
+        self.ushers.iter_mut().for_each(|u| u.texts.trusting = self.trusting);
+    }
+
     /// An operator's put at a core; the number of its reply.
     pub fn put(&mut self, core: usize, version: u64, note: &str) -> u64 {
+        self.put_body(core, version, body(version, note))
+    }
+
+    /// Changes put at a core, one after the other, each with some routes.
+    pub fn storm(&mut self, core: usize, from: u64, to: u64) {
+        let at = |n: u64| Micros(self.now.0 + STORM.1.0 * n as i64);
+        let all: Vec<(Micros, usize, u64)> =
+            (from..=to).enumerate().map(|(n, v)| (at(n as u64), core, v)).collect();
+        self.storm.extend(all);
+        self.storm.make_contiguous().sort();
+    }
+
+    /// What a process held of earlier texts is gone but for an old one, without anybody knowing.
+    pub fn forget(&mut self, core: bool, at: usize) {
+        let texts = if core { &mut self.cores[at].texts } else { &mut self.ushers[at].texts };
+        texts.forget();
+        texts.hold(routes(1, STORM.0).as_bytes());
+    }
+
+    /// Texts that a process could not make out.
+    pub fn refused(&self, core: bool, at: usize) -> u64 {
+        if core { self.cores[at].texts.counts.refused } else { self.ushers[at].texts.counts.refused }
+    }
+
+    fn put_body(&mut self, core: usize, version: u64, body: String) -> u64 {
         self.next += 1;
-        let (id, body, now) = (self.next, body(version, note), self.now);
+        let (id, now) = (self.next, self.now);
         assert!(Script::check(body.as_bytes()).is_ok());
         self.sent.entry(version).or_default().insert(body.clone());
         if let Some(office) = self.cores[core].office.as_mut() {
@@ -608,6 +684,9 @@
             self.now = self.now + Micros::ms(1);
             let now = self.now;
             self.links();
+            while let Some((_, core, version)) = self.storm.pop_front_if(|s| s.0 <= now) {
+                self.put_body(core, version, routes(version, STORM.0));
+            }
             for at in 0..self.cores.len() {
                 let (done, later): (Vec<_>, Vec<_>) =
                     std::mem::take(&mut self.cores[at].pending).into_iter().partition(|p| p.0 <= now);
--- a/crates/lab/src/mesh/timeline.rs
+++ b/crates/lab/src/mesh/timeline.rs
@@ -2,7 +2,7 @@
 //! apart by two spaces or more, `.` for nothing. A cell does something to its agent, or says what has to be seen there then.
 use notchspool::units::Micros;
 
-use super::player::Player;
+use super::player::{Fault, Player};
 
 /// A timeline as it was read.
 pub struct Timeline {
@@ -40,10 +40,15 @@
 
 /// Plays a timeline, heals all, and gives what was not as it has to be.
 pub fn play(timeline: &Timeline, seed: u64, careful: bool) -> Vec<String> {
+    play_with(timeline, seed, if careful { Fault::None } else { Fault::Forgetful })
+}
+
+/// The same, with a fault that is planted in them.
+pub fn play_with(timeline: &Timeline, seed: u64, fault: Fault) -> Vec<String> {
     let ushers = timeline.columns.iter().filter(|c| c.starts_with("usher-")).count();
     let cores = timeline.columns.iter().filter(|c| c.starts_with("core-")).count();
     let mut player = Player::new(cores, ushers, seed);
-    player.careful = careful;
+    player.plant(fault);
     let mut replies = std::collections::BTreeMap::new();
     let start = Micros::ms(3_000);
     for (time, row) in &timeline.rows {
@@ -81,6 +86,14 @@
         ["full"] => player.set_disk(at, true, Micros::ms(1)),
         ["slow"] => player.set_disk(at, false, Micros::ms(3_000)),
         ["room"] => player.set_disk(at, false, Micros::ms(1)),
+        ["storm", from, to] => player.storm(at, version(from)?, version(to)?),
+        ["forget"] => player.forget(true, at),
+        ["refused", n] => {
+            let found = player.refused(true, at);
+            if found < version(n)? {
+                return Err(format!("refused {found}"));
+            }
+        }
         ["put", v, note] => {
             let id = player.put(at, version(v)?, note);
             replies.insert((at, version(v)?), id);
@@ -129,6 +142,13 @@
             let found = player.ushers[at].answers.get(*key).cloned().unwrap_or_default();
             return is(&found, wanted);
         }
+        ["forget"] => player.forget(false, at),
+        ["refused", n] => {
+            let found = player.refused(false, at);
+            if found < n.parse().map_err(|e| format!("no number: {e}"))? {
+                return Err(format!("refused {found}"));
+            }
+        }
         ["sees", instance, wanted] => return is(player.ushers[at].sees(instance), wanted),
         ["holds", wanted] => return is(&player.ushers[at].version.to_string(), wanted),
         ["draws", wanted] => {
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -1,5 +1,5 @@
 //! Timelines of the mesh, and drawn ones. No bench, no sleep: virtual time.
-use notchspool_lab::mesh::{Timeline, drawn, play};
+use notchspool_lab::mesh::{Fault, Timeline, drawn, play, play_with};
 use rstest::rstest;
 
 fn holds(text: &str) {
@@ -43,3 +43,45 @@
         assert!(!wrong.iter().any(|w| w.contains("runs again")), "seed {seed}: {wrong:#?}");
     }
 }
+
+/// The checker sees a text that is taken though its base is not held and its digest is another.
+#[test]
+fn a_text_taken_whatever_its_digest_says_is_noticed() {
+    let text = "
+time  usher-a  core-1       core-2  core-3
+0.0   .        storm 1 9    .       .
+1.0   forget   .            .       .
+1.1   .        storm 10 11  .       .
+2.0   forget   .            .       .
+2.1   .        storm 12 40  .       .
+";
+    let timeline = Timeline::read(text).unwrap();
+    let noticed = |w: &String| w.contains("body that nobody sent") || w.contains("different words");
+    let seen = (1..=5).any(|seed| play_with(&timeline, seed, Fault::Trusting).iter().any(noticed));
+    assert!(seen, "a text of another digest was not noticed");
+    for seed in 1..=5 {
+        let wrong = play_with(&timeline, seed, Fault::None);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
+
+/// The checker sees a vote that leaves before the disk has what it says.
+#[test]
+fn a_vote_before_the_disk_is_noticed() {
+    let text = "
+time  core-1                core-2        core-3
+0.0   storm 1 9             .             .
+1.0   slow                  slow          cut
+1.1   put 20 lost           .             .
+1.3   power                 power         .
+2.0   start                 start         join
+";
+    let timeline = Timeline::read(text).unwrap();
+    let noticed = |w: &String| w.contains("20 was acknowledged");
+    let seen = (1..=5).any(|seed| play_with(&timeline, seed, Fault::Hasty).iter().any(noticed));
+    assert!(seen, "an acknowledged version that was lost was not noticed");
+    for seed in 1..=5 {
+        let wrong = play_with(&timeline, seed, Fault::None);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
