Storms of changes drawn, and 1,000 changes of 5,000 routes on true disks by a command

Tried first: a bound on the texts held by the smallest body; later ones are a few bytes longer, so it goes by the largest.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -40,6 +40,22 @@
         /// How many.
         #[arg(long, default_value_t = 200)]
         seeds: u64,
+        /// Storms of changes amid losses, in place of days of all kinds.
+        #[arg(long)]
+        storms: bool,
+        /// Processors to use; 0: all.
+        #[arg(long, default_value_t = 0)]
+        jobs: u64,
+    },
+    /// Many changes of a large configuration on true disks, in virtual time: what stays on them, how long a start takes, what goes to others.
+    Changes {
+        #[arg(long, default_value_t = 1_000)]
+        changes: u64,
+        #[arg(long, default_value_t = 5_000)]
+        routes: u64,
+        /// An empty folder for the disks; without it one is made, and removed at the end.
+        #[arg(long)]
+        folder: Option<PathBuf>,
     },
     /// A plain agent: a baseline, told what any agent is told. The lab starts it by itself.
     #[command(hide = true)]
@@ -47,14 +63,14 @@
 }
 
 /// Plays drawn days of the mesh, on all cores.
-fn mesh(from: u64, seeds: u64) -> ExitCode {
-    let threads = std::thread::available_parallelism().map_or(1, |n| n.get()).min(64) as u64;
+fn mesh(from: u64, seeds: u64, storms: bool, jobs: u64) -> ExitCode {
+    let all = std::thread::available_parallelism().map_or(1, |n| n.get()).min(64) as u64;
+    let threads = if jobs == 0 { all } else { jobs.min(64) };
+    let play = if storms { notchspool_lab::mesh::storms } else { notchspool_lab::mesh::drawn };
     let broken: Vec<(u64, Vec<String>)> = std::thread::scope(|scope| {
         let part = move |nth: u64| -> Vec<(u64, Vec<String>)> {
             let all = (from..from.saturating_add(seeds)).filter(move |seed| seed % threads == nth);
-            all.map(|seed| (seed, notchspool_lab::mesh::drawn(seed)))
-                .filter(|(_, wrong)| !wrong.is_empty())
-                .collect()
+            all.map(|seed| (seed, play(seed))).filter(|(_, wrong)| !wrong.is_empty()).collect()
         };
         let hands: Vec<_> = (0..threads).map(|nth| scope.spawn(move || part(nth))).collect();
         hands.into_iter().filter_map(|hand| hand.join().ok()).flatten().collect()
@@ -66,6 +82,41 @@
     if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Plays changes on true disks and prints what they cost.
+fn changes_of(changes: u64, routes: u64, folder: Option<PathBuf>) -> ExitCode {
+    let made = folder.is_none();
+    let folder = folder
+        .unwrap_or_else(|| std::env::temp_dir().join(format!("notchspool-changes-{}", std::process::id())));
+    let figures = notchspool_lab::mesh::changes(changes, routes, &folder);
+    if made {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    let figures = match figures {
+        Ok(figures) => figures,
+        Err(e) => {
+            println!("broken: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("{changes} changes of {routes} routes, bodies of {} bytes", figures.body);
+    println!("on the fullest disk {} bytes in {} files", figures.disk_bytes, figures.disk_files);
+    println!("texts held by a prompter {} bytes at most", figures.texts);
+    println!(
+        "for a change {:.0} bytes to and from a peer, {:.0} to an usher",
+        figures.to_peer, figures.to_usher
+    );
+    println!("texts refused {}", figures.refused);
+    for back in &figures.returns {
+        let away = back.away.map_or("with an empty disk".into(), |n| format!("after {n} changes"));
+        let (ms, start) = (back.caught_up.over(Micros::ms(1)), back.start.as_secs_f64() * 1e3);
+        println!(
+            "back {away}: opens in {start:.1} ms, votes with the newest after {ms:.0} ms, is sent {} bytes",
+            back.bytes
+        );
+    }
+    ExitCode::SUCCESS
+}
+
 #[derive(Args)]
 pub struct Run {
     /// A file, or the name of one that ships.
@@ -111,7 +162,8 @@
         Lab::Audit { books } => judge(&books),
         Lab::Report(asked) => report(&asked),
         Lab::Fleet(asked) => crate::ground::run(&asked),
-        Lab::Mesh { from, seeds } => Ok(mesh(from, seeds)),
+        Lab::Mesh { from, seeds, storms, jobs } => Ok(mesh(from, seeds, storms, jobs)),
+        Lab::Changes { changes, routes, folder } => Ok(changes_of(changes, routes, folder)),
         Lab::Plain { policy } => {
             let policy = Policy::named(&policy).ok_or_else(|| format!("no policy `{policy}`"))?;
             agent::run(policy).map(|()| ExitCode::SUCCESS)
--- /dev/null
+++ b/crates/lab/src/mesh/changes.rs
@@ -0,0 +1,335 @@
+//! Hundreds of changes of a large configuration: three whole offices with their true disks, and one usher, in virtual time. What stays on the disk,
+//! how long a start takes, what goes to a peer and to an usher for a change, and how one that was away catches up.
+use std::collections::VecDeque;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use notchspool::units::Micros;
+use notchspool_cues::texts::{Heard, Texts};
+use notchspool_cues::{Hello, Watch, What};
+use notchspool_prompter::office::{Act, Office};
+use notchspool_trapdoor::Trapdoor;
+
+use super::player::routes;
+
+const WINDOW: Duration = Duration::from_secs(62);
+const CORES: usize = 3;
+/// The usher's place among the ends.
+const USHER: usize = CORES;
+/// Nothing takes longer, in virtual time.
+const PATIENCE: Micros = Micros::ms(20_000);
+
+/// How one that was away came back.
+#[derive(Clone, Debug)]
+pub struct Return {
+    /// Changes that it missed; none: it came with an empty disk.
+    pub away: Option<u64>,
+    /// Virtual time until it held the newest, and voted.
+    pub caught_up: Micros,
+    pub bytes: u64,
+    /// Reading the disk and opening the office, by this machine's clock.
+    pub start: Duration,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// The largest body.
+    pub body: usize,
+    /// On the fullest of the disks, ever.
+    pub disk_bytes: u64,
+    pub disk_files: usize,
+    /// Bytes of texts that a prompter held at most.
+    pub texts: usize,
+    /// Bytes sent for a change on average, after the first: to one other prompter, to the usher.
+    pub to_peer: f64,
+    pub to_usher: f64,
+    pub refused: u64,
+    pub returns: Vec<Return>,
+}
+
+struct Core {
+    office: Option<Office>,
+    trapdoor: Option<Trapdoor>,
+    texts: Texts,
+    folder: PathBuf,
+}
+
+struct Ground {
+    now: Micros,
+    life: u64,
+    cores: Vec<Core>,
+    usher: Texts,
+    usher_has: u64,
+    /// From whom, to whom, in order.
+    way: VecDeque<(usize, usize, What)>,
+    sent: Vec<Vec<u64>>,
+    replies: Vec<(u64, u16)>,
+    body: usize,
+}
+
+/// The connection of one end to another, as its office numbers it: those that it opened, and those that it took.
+fn conn(other: usize, opened: bool) -> u64 {
+    100 + other as u64 * 2 + u64::from(opened)
+}
+
+fn address(at: usize) -> String {
+    format!("10.0.0.{}:1", at + 1)
+}
+
+fn size(what: &What) -> u64 {
+    let mut out = bytes::BytesMut::new();
+    notchspool_cues::write(what.clone(), &mut out);
+    out.len() as u64
+}
+
+impl Ground {
+    fn start(&mut self, at: usize, first: bool) -> Result<Duration, String> {
+        let began = Instant::now();
+        let (trapdoor, found) = Trapdoor::open(&self.cores[at].folder, WINDOW).map_err(|e| e.to_string())?;
+        let mut texts = Texts::open(4);
+        found.entry.iter().for_each(|e| texts.hold(e.value.as_bytes()));
+        self.life += 1;
+        let seeds: Vec<String> = (0..CORES).map(address).collect();
+        let window = Micros(WINDOW.as_micros() as i64);
+        let own = address(at);
+        let (office, acts) =
+            Office::open((&own, "a"), self.life * 7919, found, first, &seeds, window, self.now);
+        let took = began.elapsed();
+        let core = &mut self.cores[at];
+        (core.office, core.trapdoor, core.texts) = (Some(office), Some(trapdoor), texts);
+        self.act(at, acts)?;
+        for other in (0..CORES).filter(|o| *o != at) {
+            if self.cores[other].office.is_some() {
+                self.dial(at, other)?;
+                self.dial(other, at)?;
+            }
+        }
+        if at == 0 {
+            self.greet(USHER, 0, 1);
+            let watch = What::Watch(Watch { have: 0, line: 0 });
+            self.send(USHER, 0, true, watch);
+        }
+        Ok(took)
+    }
+
+    fn greet(&mut self, from: usize, to: usize, role: u32) {
+        let hello = What::Hello(Hello { role, address: address(from), ..Hello::default() });
+        self.send(from, to, true, hello);
+    }
+
+    fn dial(&mut self, from: usize, to: usize) -> Result<(), String> {
+        self.greet(from, to, 2);
+        let now = self.now;
+        let acts = self.cores[from].office.as_mut().map(|o| o.peer(now, conn(to, true), &address(to)));
+        self.act(from, acts.unwrap_or_default())
+    }
+
+    fn stop(&mut self, at: usize) {
+        (self.cores[at].office, self.cores[at].trapdoor) = (None, None);
+        self.way.retain(|w| w.0 != at && w.1 != at);
+        for other in 0..CORES {
+            for opened in [true, false] {
+                let conn = conn(at, opened);
+                self.cores[other].office.iter_mut().for_each(|o| o.closed(conn));
+                self.cores[other].texts.closed(conn);
+            }
+        }
+    }
+
+    fn texts(&mut self, at: usize) -> &mut Texts {
+        if at == USHER { &mut self.usher } else { &mut self.cores[at].texts }
+    }
+
+    /// `opened`: on the connection that the sender opened. The other end knows it as one that it took.
+    fn send(&mut self, from: usize, to: usize, opened: bool, what: What) {
+        let what = self.texts(from).send(conn(to, opened), what);
+        self.sent[from][to] += size(&what);
+        // The low bit of the place says whose connection it is.
+        self.way.push_back((from * 2 + usize::from(opened), to, what));
+    }
+
+    fn act(&mut self, at: usize, acts: Vec<Act>) -> Result<(), String> {
+        for act in acts {
+            match act {
+                Act::Send(conn, what) => {
+                    let (to, opened) = ((conn as usize - 100) / 2, conn % 2 == 1);
+                    self.send(at, to, opened, what);
+                }
+                Act::Save(number, deeds) => {
+                    let core = &mut self.cores[at];
+                    let written = core.trapdoor.as_mut().map(|t| t.write(&deeds));
+                    written.unwrap_or(Ok(())).map_err(|e| e.to_string())?;
+                    if number > 0 {
+                        let now = self.now;
+                        let acts = core.office.as_mut().map(|o| o.saved(now, number, true));
+                        self.act(at, acts.unwrap_or_default())?;
+                    }
+                }
+                Act::Reply(id, status, _) => self.replies.push((id, status)),
+                Act::Voters(_) | Act::Log(_) => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// One millisecond: all that is on its way arrives.
+    fn step(&mut self) -> Result<(), String> {
+        self.now = self.now + Micros::ms(1);
+        let now = self.now;
+        for (from, to, what) in std::mem::take(&mut self.way) {
+            let (from, opened) = (from / 2, from % 2 == 1);
+            let conn = conn(from, !opened);
+            let what = match self.texts(to).hear(conn, what) {
+                Heard::Says(what) => what,
+                Heard::Ask(back) => {
+                    self.send(to, from, !opened, back);
+                    continue;
+                }
+                Heard::Done => continue,
+            };
+            if to == USHER {
+                if let What::Word(word) = what {
+                    let same = routes_of(&word.body) == Some(word.version);
+                    self.usher_has = if same { word.version } else { return Err("another body".into()) };
+                }
+                continue;
+            }
+            let acts = self.cores[to].office.as_mut().map(|o| o.hear(now, conn, what));
+            self.act(to, acts.unwrap_or_default())?;
+        }
+        if (now.0 / 1_000) % 50 == 0 {
+            for at in 0..CORES {
+                let acts = self.cores[at].office.as_mut().map(|o| o.wake(now));
+                self.act(at, acts.unwrap_or_default())?;
+            }
+        }
+        Ok(())
+    }
+
+    fn until(&mut self, what: &str, done: impl Fn(&Ground) -> bool) -> Result<Micros, String> {
+        let began = self.now;
+        while !done(self) {
+            self.step()?;
+            if self.now - began > PATIENCE {
+                return Err(format!("not within {PATIENCE:?}: {what}"));
+            }
+        }
+        Ok(self.now - began)
+    }
+
+    /// One change, put at a core that runs, acknowledged and held by all that run.
+    fn change(&mut self, version: u64, count: u64) -> Result<(), String> {
+        let at = if self.cores[2].office.is_some() { version as usize % CORES } else { version as usize % 2 };
+        let (body, now) = (routes(version, count), self.now);
+        self.body = self.body.max(body.len());
+        let acts = self.cores[at].office.as_mut().map(|o| o.put(now, version, body.as_bytes()));
+        self.act(at, acts.unwrap_or_default())?;
+        self.until(&format!("version {version}"), |g| {
+            let held =
+                |c: &Core| c.office.as_ref().is_none_or(|o| o.chosen().is_some_and(|h| h.version == version));
+            g.replies.contains(&(version, 200)) && g.cores.iter().all(held) && g.usher_has == version
+        })?;
+        self.replies.clear();
+        Ok(())
+    }
+
+    fn disk(&self, figures: &mut Figures) {
+        for core in &self.cores {
+            let (bytes, files) = weigh(&core.folder);
+            figures.disk_bytes = figures.disk_bytes.max(bytes);
+            figures.disk_files = figures.disk_files.max(files);
+            figures.texts = figures.texts.max(core.texts.size());
+        }
+    }
+
+    fn back(&mut self, away: Option<u64>, newest: u64) -> Result<Return, String> {
+        let before = self.sent[0][2] + self.sent[1][2];
+        let start = self.start(2, false)?;
+        let caught_up = self.until("it catches up", |g| {
+            let office = g.cores[2].office.as_ref();
+            office.is_some_and(|o| o.votes() && o.chosen().is_some_and(|h| h.version == newest))
+        })?;
+        Ok(Return { away, caught_up, bytes: self.sent[0][2] + self.sent[1][2] - before, start })
+    }
+}
+
+/// The version of a body that is as it was sent.
+fn routes_of(body: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(body).ok()?;
+    let version = text.strip_prefix(r#"{"version":"#)?.split_once(',')?.0.parse().ok()?;
+    let count = text.matches(r#""r-"#).count() as u64;
+    (text == routes(version, count)).then_some(version)
+}
+
+fn weigh(folder: &Path) -> (u64, usize) {
+    let Ok(entries) = std::fs::read_dir(folder) else { return (0, 0) };
+    entries.flatten().fold((0, 0), |(bytes, files), entry| match entry.metadata() {
+        Ok(meta) if meta.is_dir() => {
+            let (b, f) = weigh(&entry.path());
+            (bytes + b, files + f)
+        }
+        Ok(meta) => (bytes + meta.len(), files + 1),
+        Err(_) => (bytes, files),
+    })
+}
+
+/// So many changes of so many routes, in folders below this one. One prompter is away for the last 1, 10 and 100 and a third of them, then comes with
+/// an empty disk.
+pub fn changes(count: u64, route_count: u64, folder: &Path) -> Result<Figures, String> {
+    let core = |at: usize| Core {
+        office: None,
+        trapdoor: None,
+        texts: Texts::open(4),
+        folder: folder.join(format!("core-{}", at + 1)),
+    };
+    let mut ground = Ground {
+        now: Micros(1),
+        life: 0,
+        cores: (0..CORES).map(core).collect(),
+        usher: Texts::open(2),
+        usher_has: 0,
+        way: VecDeque::new(),
+        sent: vec![vec![0; CORES + 1]; CORES + 1],
+        replies: Vec::new(),
+        body: 0,
+    };
+    for at in 0..CORES {
+        ground.start(at, true)?;
+    }
+    ground.until("all vote", |g| g.cores.iter().all(|c| c.office.as_ref().is_some_and(Office::votes)))?;
+    let mut figures = Figures::default();
+    ground.change(1, route_count)?;
+    let away: Vec<u64> = [1, 10, 100, count / 3].into_iter().filter(|n| *n > 0 && *n <= count / 3).collect();
+    let plain = count - 1 - away.iter().sum::<u64>().min(count - 1);
+    let before = (ground.sent[0][1] + ground.sent[1][0], ground.sent[0][USHER]);
+    let mut version = 1;
+    for _ in 0..plain {
+        version += 1;
+        ground.change(version, route_count)?;
+        if version % 20 == 0 {
+            ground.disk(&mut figures);
+        }
+    }
+    let changes = plain.max(1) as f64;
+    figures.to_peer = (ground.sent[0][1] + ground.sent[1][0] - before.0) as f64 / changes;
+    figures.to_usher = (ground.sent[0][USHER] - before.1) as f64 / changes;
+    for n in away {
+        ground.stop(2);
+        for _ in 0..n {
+            version += 1;
+            ground.change(version, route_count)?;
+        }
+        let back = ground.back(Some(n), version)?;
+        figures.returns.push(back);
+        ground.disk(&mut figures);
+    }
+    ground.stop(2);
+    std::fs::remove_dir_all(&ground.cores[2].folder).map_err(|e| e.to_string())?;
+    let back = ground.back(None, version)?;
+    figures.returns.push(back);
+    ground.disk(&mut figures);
+    figures.body = ground.body;
+    figures.refused =
+        ground.cores.iter().map(|c| c.texts.counts.refused).sum::<u64>() + ground.usher.counts.refused;
+    Ok(figures)
+}
--- a/crates/lab/src/mesh/mod.rs
+++ b/crates/lab/src/mesh/mod.rs
@@ -1,10 +1,14 @@
 //! The mesh in virtual time: prompters (their whole `Office`) and ushers (their decisions) with links, disks and clocks that fail. Played by
 //! timelines drawn as text, one column an agent, and by drawn ones; one checker for all.
+mod changes;
 mod drawn;
 mod player;
+mod storms;
 mod timeline;
 mod usher;
 
+pub use changes::{Figures, Return, changes};
 pub use drawn::drawn;
 pub use player::{Fault, Player, Store, routes};
+pub use storms::storms;
 pub use timeline::{Timeline, play, play_with};
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -1,5 +1,6 @@
 //! Timelines of the mesh, and drawn ones. No bench, no sleep: virtual time.
-use notchspool_lab::mesh::{Fault, Timeline, drawn, play, play_with};
+use notchspool::units::Micros;
+use notchspool_lab::mesh::{Fault, Timeline, changes, drawn, play, play_with, storms};
 use rstest::rstest;
 
 fn holds(text: &str) {
@@ -23,6 +24,35 @@
     }
 }
 
+#[test]
+fn drawn_storms_of_changes_amid_losses_break_no_promise() {
+    for seed in 1..=4 {
+        let wrong = storms(seed);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
+
+/// The same in full: `notchspool lab changes`.
+#[test]
+fn sixty_changes_leave_a_bounded_disk_and_who_was_away_is_told_one_difference() {
+    let folder = std::env::temp_dir().join(format!("notchspool-changes-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let figures = changes(60, 200, &folder).unwrap();
+    let _ = std::fs::remove_dir_all(&folder);
+    let body = figures.body as u64;
+    assert!(figures.disk_files <= 12 && figures.texts <= 4 * figures.body, "{figures:#?}");
+    // Four versions, and the log of claims.
+    assert!(figures.disk_bytes <= 6 * body + (1 << 20), "{figures:#?}");
+    assert!(figures.to_peer < 3_000.0 && figures.to_usher < 1_000.0, "{figures:#?}");
+    assert_eq!(figures.refused, 0, "{figures:#?}");
+    let away: Vec<Option<u64>> = figures.returns.iter().map(|r| r.away).collect();
+    assert_eq!(away, [Some(1), Some(10), Some(20), None]);
+    for back in &figures.returns {
+        assert!(back.caught_up <= Micros::ms(3_000), "{figures:#?}");
+        assert!(back.bytes < 2 * body, "{figures:#?}");
+    }
+}
+
 /// The checker sees a voter that forgets its disk and goes on voting.
 #[test]
 fn a_wiped_voter_that_votes_on_is_noticed() {
