Merge: storms of changes; an incarnation that a set has replaced never comes back

The joint showed three things: - A machine that came with an empty disk was taken in and put out by turns: one voter still had its earlier incarnation from before the loss and took that for the newer one. The bound on texts held counts the lines in front, 40 bytes a version.

--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -697,6 +697,9 @@
     /// A number that stands in front of it and is not summed up.
     #[prost(string, tag = "5")]
     pub head: String,
+    /// The same where it is long: a text of its own.
+    #[prost(message, optional, boxed, tag = "6")]
+    pub line: Option<Box<Text>>,
 }
 
 /// All that one voter has in one set: what another begins with. `snapshot` has its form as a file and on its way.
--- a/crates/cues/src/texts.rs
+++ b/crates/cues/src/texts.rs
@@ -48,17 +48,22 @@
     held: VecDeque<(Digest, Bytes)>,
     known: BTreeMap<u64, VecDeque<Digest>>,
     made: VecDeque<(Digest, Digest, Bytes)>,
+    /// The same for the lines in front that are long: what was taken under earlier numbers grows by an entry a version.
+    heads: Option<Box<Texts>>,
     pub counts: Counts,
     /// A planted fault: a text is taken whatever its base and digest say. Tests have to notice it.
     pub trusting: bool,
 }
 
-/// A number in front (as the register has it) and the text that is alike in both.
+/// A line in front that begins with a number (as the register has it) and the text that is alike in both.
 fn split(text: &[u8]) -> (&[u8], &[u8]) {
-    let digits = text.iter().take(20).take_while(|b| b.is_ascii_digit()).count();
-    if digits > 0 && text.get(digits) == Some(&b'\n') { text.split_at(digits + 1) } else { (&[], text) }
+    let line = text.first().is_some_and(u8::is_ascii_digit).then(|| text.iter().position(|b| *b == b'\n'));
+    line.flatten().map_or((&[], text), |end| text.split_at(end + 1))
 }
 
+/// A line in front goes as it is up to so many bytes, and as a text of its own beyond.
+const SHORT: usize = 64;
+
 fn read_digest(bytes: &[u8]) -> Option<Digest> {
     Digest::try_from(bytes).ok()
 }
@@ -71,6 +76,7 @@
             held: VecDeque::new(),
             known: BTreeMap::new(),
             made: VecDeque::new(),
+            heads: None,
             counts: Counts::default(),
             trusting: false,
         }
@@ -87,16 +93,26 @@
 
     /// Bytes of the texts held.
     pub fn size(&self) -> usize {
-        self.held.iter().map(|h| h.1.len()).sum()
+        let heads = self.heads.as_ref().map_or(0, |heads| heads.size());
+        self.held.iter().map(|h| h.1.len()).sum::<usize>() + heads
     }
 
     /// Forgets all that is held here; what other ends are known to have stays.
     pub fn forget(&mut self) {
         self.held.clear();
+        self.heads.iter_mut().for_each(|heads| heads.forget());
+    }
+
+    fn heads(&mut self) -> &mut Texts {
+        let (most, trusting) = (self.most, self.trusting);
+        let heads = self.heads.get_or_insert_with(|| Box::new(Texts::open(most)));
+        heads.trusting = trusting;
+        heads
     }
 
     pub fn closed(&mut self, conn: u64) {
         self.known.remove(&conn);
+        self.heads.iter_mut().for_each(|heads| heads.closed(conn));
     }
 
     /// It is held, and the newest of all.
@@ -185,12 +201,14 @@
         let rest = self.put(digest, || rest);
         let known = self.known.get(&conn).into_iter().flatten().rev();
         let base = known.copied().find(|d| *d == digest || self.get(d).is_some());
-        let mut text = Text {
-            digest: Bytes::copy_from_slice(&digest),
-            length: rest.len() as u32,
-            head: String::from_utf8_lossy(head).into_owned(),
-            ..Text::default()
-        };
+        let mut text =
+            Text { digest: Bytes::copy_from_slice(&digest), length: rest.len() as u32, ..Text::default() };
+        if head.len() > SHORT {
+            let line = body.slice_ref(&head[..head.len() - 1]);
+            text.line = Some(Box::new(self.heads().tell(conn, &line)));
+        } else {
+            text.head = String::from_utf8_lossy(head).into_owned();
+        }
         let exact = self.known.get(&conn).is_some_and(|k| k.contains(&digest));
         if exact {
             self.counts.digests += 1;
@@ -239,7 +257,7 @@
                 Heard::Says(What::Welcome(welcome))
             }
             What::Lack(Lack { version }) => {
-                self.known.remove(&conn);
+                self.closed(conn);
                 // Without a version it was a vote: its round asks again by itself.
                 if version == 0 { Heard::Done } else { Heard::Says(What::Want(Want { version })) }
             }
@@ -255,14 +273,16 @@
             self.counts.refused += 1;
             return Heard::Done;
         };
-        let Some(body) = self.read(conn, &text) else {
+        let (body, line) = (self.read(conn, &text), self.line(conn, &text));
+        let (Some(body), Some(head)) = (body, line) else {
             self.counts.refused += 1;
             // A whole one that is spoilt would be spoilt again: whoever lacks it asks in its own time.
-            let part = text.coded.is_empty() || !text.base.is_empty();
+            let parts = [Some(&text), text.line.as_deref()];
+            let part = parts.into_iter().flatten().any(|t| t.coded.is_empty() || !t.base.is_empty());
             return if part { Heard::Ask(What::Lack(Lack { version })) } else { Heard::Done };
         };
         let written = || {
-            let mut all = text.head.clone().into_bytes();
+            let mut all = head.clone();
             all.extend_from_slice(&body);
             String::from_utf8(all).ok()
         };
@@ -294,6 +314,14 @@
         }
     }
 
+    /// The line in front of a text; empty where there is none.
+    fn line(&mut self, conn: u64, text: &Text) -> Option<Vec<u8>> {
+        let Some(line) = &text.line else { return Some(text.head.clone().into_bytes()) };
+        let mut line = self.heads().read(conn, line)?.to_vec();
+        line.push(b'\n');
+        Some(line)
+    }
+
     /// The text that was meant, held from now on.
     fn read(&mut self, conn: u64, text: &Text) -> Option<Bytes> {
         let digest = read_digest(&text.digest)?;
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -1,6 +1,6 @@
 //! Prompters and ushers in virtual time. Links carry messages in order after a delay, hold them while cut and end after silence; a disk has
 //! what was synced, and after a loss of power each later write or not.
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use notchspool::units::Micros;
 use notchspool_callboard::beats::Event as Call;
@@ -144,9 +144,11 @@
     pub wrong: Vec<String>,
     pub breach: Breach,
     /// A planted fault of those that start from now on: a text is taken whatever its digest says.
-    pub trusting: bool,
+    trusting: bool,
     /// What the cores say of their sets; shown with what is wrong.
     logs: Vec<String>,
+    /// Changes that are still to be put: when, at which core, which version.
+    storm: VecDeque<(Micros, usize, u64)>,
 }
 
 /// One safeguard that is off: what the checker has to notice.
@@ -163,6 +165,10 @@
     StaysSure,
     /// A call is not given up before its caller has left.
     AnswersLate,
+    /// A text is taken whatever its base and digest say.
+    TrustsTexts,
+    /// Votes leave before the disk has them.
+    VotesBeforeDisk,
 }
 
 /// An operator's call that has no answer yet.
@@ -185,6 +191,27 @@
     format!(r#"{{"version":{version},"routes":{{}},"services":{{}},"note":"{note}"}}"#)
 }
 
+/// A configuration of some routes, one of them another in each version.
+pub fn routes(version: u64, count: u64) -> String {
+    let route = |n: u64| {
+        let changed = if n == version % count.max(1) { version + count } else { n };
+        format!(
+            r#""r-{n:x}":{{"host":"h{}.example","pathPrefix":"/p{changed:x}x{n:x}/","routeKind":"safe","timeoutS":2.5,"targetS":0.6,"priority":2,"trafficSplit":[{{"service":"s","weight":90}},{{"service":"t","weight":10}}],"maxAttempts":2}}"#,
+            n % 97
+        )
+    };
+    let service =
+        r#"{"healthPath":"/health","maxConns":130,"protocol":"h1","usesTls":false,"selfDedupes":false}"#;
+    let all: Vec<String> = (0..count).map(route).collect();
+    format!(
+        r#"{{"version":{version},"routes":{{{}}},"services":{{"s":{service},"t":{service}}}}}"#,
+        all.join(",")
+    )
+}
+
+/// Routes in the changes of a storm, and the time between two of them.
+const STORM: (u64, Micros) = (40, Micros::ms(15));
+
 impl Player {
     /// Cores that are `absent` are not there at the first start of all: seeds that never come, or machines that are added later.
     pub fn new(cores: usize, ushers: usize, seed: u64, absent: &[usize]) -> Player {
@@ -215,6 +242,7 @@
             breach: Breach::Nothing,
             trusting: false,
             logs: Vec::new(),
+            storm: VecDeque::new(),
         };
         // At the first start all are told the same three.
         let seeds: Vec<String> = (0..cores.min(3)).map(address).collect();
@@ -308,6 +336,10 @@
                     let core = &mut self.cores[at];
                     let after = core.pending.last().map_or(self.now, |p| p.0).max(self.now);
                     core.pending.push((after + core.sync, number, deeds));
+                    if self.breach == Breach::VotesBeforeDisk && number > 0 {
+                        let acts = core.office.as_mut().map(|o| o.saved(self.now, number, true));
+                        self.act(at, acts.unwrap_or_default());
+                    }
                 }
                 Act::Reply(id, status, body) => self.replied(id, Reply { status, body }),
                 Act::Log(line) if line.starts_with("members: ") => {
@@ -535,9 +567,42 @@
 
     // ---- What is done to them ---------------------------------------------------------------------------
 
+    /// One safeguard is off from here on.
+    pub fn plant(&mut self, breach: Breach) {
+        self.breach = breach;
+        self.trusting = breach == Breach::TrustsTexts;
+        self.cores.iter_mut().for_each(|c| c.texts.trusting = self.trusting);
+        self.ushers.iter_mut().for_each(|u| u.texts.trusting = self.trusting);
+    }
+
     /// An operator's put at a core; the number of its reply.
     pub fn put(&mut self, core: usize, version: u64, note: &str) -> u64 {
         let body = body(version, note);
+        self.put_body(core, version, body)
+    }
+
+    /// Changes put at a core, one after the other, each with some routes.
+    pub fn storm(&mut self, core: usize, from: u64, to: u64) {
+        let at = |n: u64| Micros(self.now.0 + STORM.1.0 * n as i64);
+        let all: Vec<(Micros, usize, u64)> =
+            (from..=to).enumerate().map(|(n, v)| (at(n as u64), core, v)).collect();
+        self.storm.extend(all);
+        self.storm.make_contiguous().sort();
+    }
+
+    /// What a process held of earlier texts is gone but for an old one, without anybody knowing.
+    pub fn forget(&mut self, core: bool, at: usize) {
+        let texts = if core { &mut self.cores[at].texts } else { &mut self.ushers[at].texts };
+        texts.forget();
+        texts.hold(routes(1, STORM.0).as_bytes());
+    }
+
+    /// Texts that a process could not make out.
+    pub fn refused(&self, core: bool, at: usize) -> u64 {
+        if core { self.cores[at].texts.counts.refused } else { self.ushers[at].texts.counts.refused }
+    }
+
+    fn put_body(&mut self, core: usize, version: u64, body: String) -> u64 {
         assert!(Script::check(body.as_bytes()).is_ok());
         self.sent.entry(version).or_default().insert(body.clone());
         self.call(core, Some((version, body)))
@@ -903,6 +968,9 @@
             self.now = self.now + Micros::ms(1);
             let now = self.now;
             self.links();
+            while let Some((_, core, version)) = self.storm.pop_front_if(|s| s.0 <= now) {
+                self.put_body(core, version, routes(version, STORM.0));
+            }
             for at in 0..self.cores.len() {
                 let (done, later): (Vec<_>, Vec<_>) =
                     std::mem::take(&mut self.cores[at].pending).into_iter().partition(|p| p.0 <= now);
--- a/crates/lab/src/mesh/timeline.rs
+++ b/crates/lab/src/mesh/timeline.rs
@@ -46,7 +46,7 @@
     // `core-4-` is not there at the first start of all.
     let absent: Vec<usize> = (0..cores.len()).filter(|at| cores[*at].ends_with('-')).collect();
     let mut player = Player::new(cores.len(), ushers, seed, &absent);
-    player.breach = breach;
+    player.plant(breach);
     let mut replies = std::collections::BTreeMap::new();
     let start = Micros::ms(3_000);
     for (time, row) in &timeline.rows {
@@ -103,6 +103,14 @@
         ["full"] => player.set_disk(at, true, Micros::ms(1)),
         ["slow"] => player.set_disk(at, false, Micros::ms(3_000)),
         ["room"] => player.set_disk(at, false, Micros::ms(1)),
+        ["storm", from, to] => player.storm(at, version(from)?, version(to)?),
+        ["forget"] => player.forget(true, at),
+        ["refused", n] => {
+            let found = player.refused(true, at);
+            if found < version(n)? {
+                return Err(format!("refused {found}"));
+            }
+        }
         ["put", v, note] => {
             let id = player.put(at, version(v)?, note);
             replies.insert((at, version(v)?), id);
@@ -175,6 +183,13 @@
             let found = player.ushers[at].answers.get(*key).cloned().unwrap_or_default();
             return is(&found, wanted);
         }
+        ["forget"] => player.forget(false, at),
+        ["refused", n] => {
+            let found = player.refused(false, at);
+            if found < n.parse().map_err(|e| format!("no number: {e}"))? {
+                return Err(format!("refused {found}"));
+            }
+        }
         ["sees", instance, wanted] => return is(player.ushers[at].sees(instance), wanted),
         ["holds", wanted] => return is(&player.ushers[at].version.to_string(), wanted),
         ["never", version] => {
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -1,5 +1,6 @@
 //! Timelines of the mesh, and drawn ones. No bench, no sleep: virtual time.
-use notchspool_lab::mesh::{Breach, Timeline, drawn, play};
+use notchspool::units::Micros;
+use notchspool_lab::mesh::{Breach, Timeline, changes, drawn, play, storms};
 use rstest::rstest;
 
 fn holds(text: &str) {
@@ -23,6 +24,37 @@
     }
 }
 
+#[test]
+fn drawn_storms_of_changes_amid_losses_break_no_promise() {
+    for seed in 1..=4 {
+        let wrong = storms(seed);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
+
+/// The same in full: `notchspool lab changes`.
+#[test]
+fn sixty_changes_leave_a_bounded_disk_and_who_was_away_is_told_one_difference() {
+    let folder = std::env::temp_dir().join(format!("notchspool-changes-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let figures = changes(60, 200, &folder).unwrap();
+    let _ = std::fs::remove_dir_all(&folder);
+    let body = figures.body as u64;
+    // With each text goes what was taken under the 60 numbers before, 40 bytes each.
+    let text = figures.body + 60 * 40;
+    assert!(figures.disk_files <= 12 && figures.texts <= 4 * text, "{figures:#?}");
+    // Four versions, and the log of claims.
+    assert!(figures.disk_bytes <= 6 * body + (1 << 20), "{figures:#?}");
+    assert!(figures.to_peer < 3_000.0 && figures.to_usher < 1_000.0, "{figures:#?}");
+    assert_eq!(figures.refused, 0, "{figures:#?}");
+    let away: Vec<Option<u64>> = figures.returns.iter().map(|r| r.away).collect();
+    assert_eq!(away, [Some(1), Some(10), Some(20), None]);
+    for back in &figures.returns {
+        assert!(back.caught_up <= Micros::ms(3_000), "{figures:#?}");
+        assert!(back.bytes < 2 * body, "{figures:#?}");
+    }
+}
+
 /// The checker sees a voter that forgets its disk and goes on voting.
 #[test]
 fn a_wiped_voter_that_votes_on_is_noticed() {
@@ -117,3 +149,45 @@
     assert!(seen, "{breach:?} was not noticed");
     holds(text);
 }
+
+/// The checker sees a text that is taken though its base is not held and its digest is another.
+#[test]
+fn a_text_taken_whatever_its_digest_says_is_noticed() {
+    let text = "
+time  usher-a  core-1       core-2  core-3
+0.0   .        storm 1 9    .       .
+1.0   forget   .            .       .
+1.1   .        storm 10 11  .       .
+2.0   forget   .            .       .
+2.1   .        storm 12 40  .       .
+";
+    let timeline = Timeline::read(text).unwrap();
+    let noticed = |w: &String| w.contains("body that nobody sent") || w.contains("different words");
+    let seen = (1..=5).any(|seed| play(&timeline, seed, Breach::TrustsTexts).iter().any(noticed));
+    assert!(seen, "a text of another digest was not noticed");
+    for seed in 1..=5 {
+        let wrong = play(&timeline, seed, Breach::Nothing);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
+
+/// The checker sees a vote that leaves before the disk has what it says.
+#[test]
+fn a_vote_before_the_disk_is_noticed() {
+    let text = "
+time  core-1                core-2        core-3
+0.0   storm 1 9             .             .
+1.0   slow                  slow          cut
+1.1   put 20 lost           .             .
+1.3   power                 power         .
+2.0   start                 start         join
+";
+    let timeline = Timeline::read(text).unwrap();
+    let noticed = |w: &String| w.contains("20 was acknowledged");
+    let seen = (1..=5).any(|seed| play(&timeline, seed, Breach::VotesBeforeDisk).iter().any(noticed));
+    assert!(seen, "an acknowledged version that was lost was not noticed");
+    for seed in 1..=5 {
+        let wrong = play(&timeline, seed, Breach::Nothing);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -1,6 +1,6 @@
 //! All that one prompter decides. It is told the time, chance, what came on its connections and what its disk has done, and gives back
 //! what is to be sent, kept and answered. Nothing of a vote leaves before the disk has it.
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use notchspool::units::Micros;
 use notchspool_callboard::board::Board;
@@ -136,6 +136,8 @@
     /// The last set that is known to be decided, and the one before where that is known.
     set: VoterSet,
     previous: Option<VoterSet>,
+    /// Incarnations that are over, by address, as far as this process has learnt of it.
+    retired: BTreeMap<String, VecDeque<u64>>,
     terms: Terms,
     state: State,
     /// What it has of the successor of the set that it votes in, and whether that is on its way to the disk.
@@ -233,6 +235,7 @@
             started: now,
             set: VoterSet::default(),
             previous: None,
+            retired: BTreeMap::new(),
             terms: terms(1),
             state: State::Unknown,
             register: Register::default(),
