`notchspool lab scale`: the control plane under many hollow agents, measured

Change: `crates/lab/src/scale`: real prompters and ushers on a loopback block of their own, beside them hollow agents on threads of one process that speak the mesh's own messages (`cues`, `rigging::rope`, `cloakroom::round`) and dial, follow, pulse and claim as `callboy.rs` does. Processor from the scheduler, memory from /proc, bytes of connections from `ss` where it is there, frames counted at the agents. A plan over 300 processes, half of the memory, 16 GB or 900 s is refused with what it would need. Where the two programs are not built beside this one, it plays them itself by the same code (hidden `lab part`), so the test needs no build of others.

Failed tries: bytes by /proc/PID/io: sockets are written by `send`, which it does not count.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -41,6 +41,12 @@
         #[arg(long, default_value_t = 200)]
         seeds: u64,
     },
+    /// The control plane under many agents: real prompters and ushers on loopback, and hollow agents beside them. Prints what each cost.
+    /// Refuses a plan that is too large for the machine. Ends with 0, or with 1 where not all agents were told all.
+    Scale(crate::scale::Scale),
+    /// A prompter or an usher of `scale`, where their own programs are not built. The lab starts it by itself.
+    #[command(hide = true)]
+    Part { role: String, settings: PathBuf },
     /// A plain agent: a baseline, told what any agent is told. The lab starts it by itself.
     #[command(hide = true)]
     Plain { policy: String },
@@ -112,6 +118,8 @@
         Lab::Report(asked) => report(&asked),
         Lab::Fleet(asked) => crate::ground::run(&asked),
         Lab::Mesh { from, seeds } => Ok(mesh(from, seeds)),
+        Lab::Scale(asked) => crate::scale::run(&asked),
+        Lab::Part { role, settings } => crate::scale::part(&role, settings),
         Lab::Plain { policy } => {
             let policy = Policy::named(&policy).ok_or_else(|| format!("no policy `{policy}`"))?;
             agent::run(policy).map(|()| ExitCode::SUCCESS)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 mod fleet;
 mod ground;
 mod lab;
+mod scale;
 mod service;
 
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/cli/src/scale.rs
@@ -0,0 +1,108 @@
+//! `notchspool lab scale`: see `notchspool_lab::scale`.
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Args;
+use notchspool_lab::scale::{Plan, play};
+use notchspool_rigging::told::Told;
+
+#[derive(Args)]
+pub struct Scale {
+    /// Hollow agents.
+    #[arg(long, default_value_t = 100)]
+    hollow: usize,
+    /// Real ushers beside them.
+    #[arg(long, default_value_t = 3)]
+    ushers: usize,
+    #[arg(long, default_value_t = 3)]
+    prompters: usize,
+    /// Threads for the hollow agents.
+    #[arg(long, default_value_t = 4)]
+    threads: usize,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 380)]
+    services: usize,
+    /// Routes of the configuration.
+    #[arg(long, default_value_t = 380)]
+    routes: usize,
+    /// From the first agent's start to the last one's; by default 1 ms for each.
+    #[arg(long)]
+    ramp_ms: Option<u64>,
+    /// How long all may take to be told all.
+    #[arg(long, default_value_t = 60)]
+    settle_s: u64,
+    /// The phases at rest, under changes and under claims last so long.
+    #[arg(long, default_value_t = 10)]
+    span_s: u64,
+    /// Configurations told.
+    #[arg(long, default_value_t = 5)]
+    words: usize,
+    /// Drains told.
+    #[arg(long, default_value_t = 5)]
+    drains: usize,
+    /// Changes of stations a second; 0: that phase is left out.
+    #[arg(long, default_value_t = 10.0)]
+    changes: f64,
+    /// Claims of keys a second; 0: that phase is left out.
+    #[arg(long, default_value_t = 300.0)]
+    claims: f64,
+    /// Where `prompter` and `usher` lie; by default beside this program, else this program plays them.
+    #[arg(long)]
+    programs: Option<PathBuf>,
+    /// Where the prompters' disks are; emptied at the end.
+    #[arg(long)]
+    disks: Option<PathBuf>,
+}
+
+/// One prompter or usher, as its own program runs it.
+pub fn part(role: &str, settings: PathBuf) -> Result<ExitCode, String> {
+    notchspool_rigging::logs(log::LevelFilter::Info);
+    let told = Told::read(&settings).map_err(|e| e.to_string())?;
+    let at = |name: &str| told.listener(&settings, name).map_err(|e| e.to_string());
+    let [outbound, readiness, control] = [at("outbound")?, at("readiness")?, at("controlPlane")?];
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let (runtime, local) = (runtime.map_err(|e| e.to_string())?, tokio::task::LocalSet::new());
+    let ended = match role {
+        "prompter" => local.block_on(&runtime, notchspool_prompter::house::run(told, control)),
+        "usher" => {
+            let at = [outbound, readiness, control];
+            local.block_on(&runtime, notchspool_stage::run::run(told, settings, at))
+        }
+        _ => return Err(format!("no part `{role}`")),
+    };
+    ended.map(|()| ExitCode::SUCCESS).map_err(|e| e.to_string())
+}
+
+pub fn run(asked: &Scale) -> Result<ExitCode, String> {
+    let own = std::env::current_exe().map_err(|e| format!("where this program is: {e}"))?;
+    let beside = own.parent().map(PathBuf::from);
+    let both = |at: &PathBuf| ["prompter", "usher"].iter().all(|role| at.join(role).is_file());
+    if let Some(at) = asked.programs.iter().find(|at| !both(at)) {
+        return Err(format!("{}: prompter and usher are not both there", at.display()));
+    }
+    let name = format!("notchspool-scale-{}", std::process::id());
+    let plan = Plan {
+        programs: asked.programs.clone().or(beside).filter(both),
+        own,
+        folder: asked.disks.clone().unwrap_or_else(std::env::temp_dir).join(name),
+        seed: asked.seed,
+        prompters: asked.prompters,
+        ushers: asked.ushers,
+        hollow: asked.hollow,
+        threads: asked.threads,
+        services: asked.services,
+        routes: asked.routes,
+        ramp: Duration::from_millis(asked.ramp_ms.unwrap_or(asked.hollow as u64)),
+        settle: Duration::from_secs(asked.settle_s),
+        span: Duration::from_secs(asked.span_s),
+        words: asked.words,
+        drains: asked.drains,
+        changes: asked.changes,
+        claims: asked.claims,
+    };
+    let sheet = play::play(&plan, |line| eprintln!("{line}"))?;
+    print!("{}", sheet.table());
+    Ok(if sheet.whole == sheet.hollow { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
