`lab scale` ends its processes on SIGTERM too, and starts few agents over a second

Need: ended by SIGTERM the lab left its prompters and ushers running; 100 agents started within 100 ms pulse together, which a prompter takes in a few wakes: its rows came out short.

Change: SIGTERM is taken as SIGINT is; the default ramp is 1 s at least.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -27,7 +27,7 @@
     /// Routes of the configuration.
     #[arg(long, default_value_t = 380)]
     routes: usize,
-    /// From the first agent's start to the last one's; by default 1 ms for each.
+    /// From the first agent's start to the last one's; by default 1 ms for each, and 1 s at least, so that their pulses lie apart.
     #[arg(long)]
     ramp_ms: Option<u64>,
     /// How long all may take to be told all.
@@ -94,7 +94,7 @@
         threads: asked.threads,
         services: asked.services,
         routes: asked.routes,
-        ramp: Duration::from_millis(asked.ramp_ms.unwrap_or(asked.hollow as u64)),
+        ramp: Duration::from_millis(asked.ramp_ms.unwrap_or((asked.hollow as u64).max(1_000))),
         settle: Duration::from_secs(asked.settle_s),
         span: Duration::from_secs(asked.span_s),
         words: asked.words,
--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 
 use super::field::{Field, beats, post};
@@ -425,9 +426,12 @@
     };
     let ended = async {
         let most = plan.need().time;
+        // Whoever ends this process ends the others with it.
+        let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         tokio::select! {
             done = tokio::time::timeout(most, all) => done.map_err(|_| format!("not over within {most:?}"))?,
             _ = tokio::signal::ctrl_c() => Err("broken off".into()),
+            _ = term.recv() => Err("broken off".into()),
         }
     };
     tokio::task::LocalSet::new().block_on(&runtime, ended)?;
