Drawn changes of the set of voters, and four safeguards seen to be missed

Change: `lab::mesh::drawn_members` adds, takes away, ends, cuts and wipes machines, within what is borne (a machine counts as lost for 4 s after its return, one that was taken away till its successor had that time; where the successor stood by already, 7 s), and now and then ends all processes; `notchspool lab mesh` plays it beside the other. A member that goes on writes only those claims that its disk lacks. Tried: first timelines for the seal and the newcomer showed nothing, since a usher that had learnt the later set asks nobody of the older.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -52,9 +52,14 @@
     let broken: Vec<(u64, Vec<String>)> = std::thread::scope(|scope| {
         let part = move |nth: u64| -> Vec<(u64, Vec<String>)> {
             let all = (from..from.saturating_add(seeds)).filter(move |seed| seed % threads == nth);
-            all.map(|seed| (seed, notchspool_lab::mesh::drawn(seed)))
-                .filter(|(_, wrong)| !wrong.is_empty())
-                .collect()
+            all.map(|seed| {
+                (
+                    seed,
+                    [notchspool_lab::mesh::drawn(seed), notchspool_lab::mesh::drawn_members(seed)].concat(),
+                )
+            })
+            .filter(|(_, wrong)| !wrong.is_empty())
+            .collect()
         };
         let hands: Vec<_> = (0..threads).map(|nth| scope.spawn(move || part(nth))).collect();
         hands.into_iter().filter_map(|hand| hand.join().ok()).flatten().collect()
--- a/crates/lab/src/mesh/drawn.rs
+++ b/crates/lab/src/mesh/drawn.rs
@@ -67,3 +67,109 @@
     }
     player.wrong
 }
+
+/// Within this a machine that is back, or the successor of one that was taken away, is whole again.
+const CATCH_UP: Micros = Micros::ms(4_000);
+/// A seat that falls silent while machines without a seat have long been there goes to one of them by then.
+const SUSPECTED: Micros = Micros::ms(7_000);
+
+/// The set of voters under changes: three or five, with machines that are added, taken away, told to end, cut off, and that lose their
+/// disks; never more of them at once than is borne, where each counts as lost until it is whole again. All processes may end at any time.
+pub fn drawn_members(seed: u64) -> Vec<String> {
+    let mut chance = Rand64::new(u128::from(seed) * 77 + 5);
+    let mut below = |n: u64| (chance.rand_float() * n as f64) as u64;
+    let voters = if below(3) == 0 { 5 } else { 3 };
+    let bears = voters / 2;
+    let cores = voters + 4;
+    let mut unused: Vec<usize> = (voters..cores).rev().collect();
+    let absent: Vec<usize> = (voters..cores).collect();
+    let mut player = Player::new(cores, 3, seed, &absent);
+    player.play(Micros::ms(3_500));
+    // Machines that are there; what is to come, and until when each lost one counts.
+    let mut there: Vec<usize> = (0..voters).collect();
+    let mut due: Vec<(Micros, usize, &str)> = Vec::new();
+    let mut lost: Vec<(Micros, usize)> = Vec::new();
+    let mut version = 1;
+    if below(2) == 0 {
+        // One stands by from the beginning.
+        let spare = unused.pop().unwrap_or_default();
+        player.start_core(spare);
+        there.push(spare);
+    }
+    for _ in 0..220 {
+        let next = player.now + Micros::ms(20 + below(200) as i64);
+        player.play(next);
+        let now = player.now;
+        for (_, core, what) in due.iter().filter(|d| d.0 <= now) {
+            match *what {
+                "join" => player.cuts.retain(|(a, _)| *a != Player::core_name(*core)),
+                "gone" => player.remove(*core),
+                _ => player.start_core(*core),
+            }
+        }
+        due.retain(|d| d.0 > now);
+        lost.retain(|l| l.0 > now);
+        let core = there[below(there.len() as u64) as usize];
+        match below(16) {
+            0..=3 => {
+                version += below(3);
+                player.put(core, version, &format!("n{}", below(1_000)));
+            }
+            4..=9 => player.claim(below(3) as usize, &format!("k{}", below(30))),
+            10 | 11 if lost.len() < bears && !lost.iter().any(|l| l.1 == core) => {
+                let span = Micros::ms(100 + below(3_000) as i64);
+                let back = now + span;
+                let mut until = back + CATCH_UP;
+                match below(7) {
+                    0 => player.kill_core(core, false),
+                    1 => player.kill_core(core, true),
+                    2 | 3 => player.wipe(core),
+                    4 => player.cut_off(core, "*"),
+                    5 => {
+                        player.term(core);
+                        until = until + CATCH_UP;
+                    }
+                    _ => {
+                        // Taken away, now and then after it was told to end; its successor may stand by, or comes later.
+                        let told = below(2) == 0;
+                        if told {
+                            player.term(core);
+                            due.push((now + CATCH_UP, core, "gone"));
+                        } else {
+                            player.remove(core);
+                        }
+                        there.retain(|c| *c != core);
+                        until = back.max(now + CATCH_UP) + SUSPECTED;
+                        match unused.pop() {
+                            Some(heir) => {
+                                due.push((back, heir, "start"));
+                                there.push(heir);
+                                lost.push((until, heir));
+                            }
+                            None if there.len() < voters => until = now + Micros::ms(1_000_000),
+                            None => {}
+                        }
+                        lost.push((until, core));
+                        continue;
+                    }
+                }
+                lost.push((until, core));
+                due.push((back, core, "join"));
+                due.push((back + if until > back + CATCH_UP { CATCH_UP } else { Micros(0) }, core, "start"));
+            }
+            12 if below(6) == 0 => {
+                let power = below(2) == 0;
+                there.iter().for_each(|c| player.kill_core(*c, power));
+                let back = now + Micros::ms(100 + below(900) as i64);
+                due.extend(there.iter().map(|c| (back, *c, "start")));
+                lost.iter_mut().for_each(|l| l.0 = l.0.max(back + CATCH_UP));
+            }
+            _ => {}
+        }
+    }
+    player.settle();
+    if player.ran.len() < 3 || player.sets() == 0 {
+        player.wrong.push(format!("too little came about: {} keys", player.ran.len()));
+    }
+    player.wrong
+}
--- a/crates/lab/src/mesh/mod.rs
+++ b/crates/lab/src/mesh/mod.rs
@@ -5,6 +5,6 @@
 mod timeline;
 mod usher;
 
-pub use drawn::drawn;
-pub use player::{Player, Store};
-pub use timeline::{Timeline, play};
+pub use drawn::{drawn, drawn_members};
+pub use player::{Breach, Player, Store};
+pub use timeline::{Timeline, play, play_with};
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -8,9 +8,10 @@
 use notchspool_cloakroom::round::Verdict;
 use notchspool_cues::{Claim, Hello, Ping, Want, Watch, What, Withdraw};
 use notchspool_election::sets::VoterSet;
+use notchspool_promptbook::pen::Held;
 use notchspool_promptbook::script::Script;
 use notchspool_prompter::office::{Act, Office, Opening, Tolerate};
-use notchspool_trapdoor::{Deed, Found};
+use notchspool_trapdoor::{Deed, Found, Seat};
 use oorandom::Rand64;
 
 use super::usher::{BEAT, Usher};
@@ -29,7 +30,8 @@
 }
 
 impl Store {
-    fn apply(&mut self, deed: &Deed) {
+    fn apply(&mut self, deed: &Deed, breach: Option<Breach>) {
+        let keep_first = breach == Some(Breach::SealNotKept);
         match deed {
             Deed::Clear => *self = Store::default(),
             Deed::Promise(ballot) => self.found.promised = self.found.promised.max(*ballot),
@@ -38,6 +40,7 @@
                     self.found.entry = Some(entry.clone());
                 }
             }
+            Deed::Seat(_) if keep_first && self.found.seat.is_some() => {}
             Deed::Seat(seat) => self.found.seat = Some(seat.clone()),
             Deed::Claim(claim) => {
                 let ticket = claim.ticket.unwrap_or_default();
@@ -115,6 +118,21 @@
     logs: Vec<String>,
     /// Without this a wiped core forgets that it was one: what the checker has to notice.
     pub careful: bool,
+    /// A safeguard that is off, for the same.
+    pub breach: Option<Breach>,
+}
+
+/// Safeguards of the changes of the set of voters, each to be off once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breach {
+    /// Of a voter's seats only the first stays on its disk: it comes back as if it had never been sealed.
+    SealNotKept,
+    /// A member votes in a set as soon as it hears of it, with what it has.
+    VotesBeforeInstalled,
+    /// Nobody compares the numbers of sets.
+    NumberNotChecked,
+    /// One that leaves ends at once.
+    NotHandedOver,
 }
 
 pub fn body(version: u64, note: &str) -> String {
@@ -147,6 +165,7 @@
             wrong: Vec::new(),
             logs: Vec::new(),
             careful: true,
+            breach: None,
         };
         // At the first start all are told the same three.
         let seeds: Vec<String> = (0..cores.min(3)).map(address).collect();
@@ -263,7 +282,28 @@
         all.map(|l| l.ends[0]).collect()
     }
 
+    /// As if nobody compared the numbers of sets.
+    fn unnumbered(&self, to: End, mut what: What) -> What {
+        let known = match to.0 {
+            true => self.cores[to.1].office.as_ref().map_or(0, |o| o.set().number),
+            false => self.ushers[to.1].set,
+        };
+        match &mut what {
+            What::Claim(claim) => claim.set = known,
+            What::Claimed(claimed) => claimed.set = known,
+            What::Vote(vote) => vote.set = known,
+            What::Voted(voted) => voted.set = known,
+            What::Welcome(welcome) if !to.0 && known > 0 => welcome.set = None,
+            _ => {}
+        }
+        what
+    }
+
     fn deliver(&mut self, to: End, from: End, what: What) {
+        let what = match self.breach {
+            Some(Breach::NumberNotChecked) => self.unnumbered(to, what),
+            _ => what,
+        };
         if to.0 {
             let now = self.now;
             if let Some(office) = self.cores[to.1].office.as_mut() {
@@ -420,7 +460,7 @@
             for deed in deeds {
                 kept &= !power || self.chance.rand_float() < 0.5;
                 if kept && !self.cores[at].full {
-                    self.cores[at].store.apply(&deed);
+                    self.cores[at].store.apply(&deed, self.breach);
                 }
             }
         }
@@ -431,6 +471,9 @@
 
     /// SIGTERM: it ends once its office says so, or when the grace is nearly over.
     pub fn term(&mut self, at: usize) {
+        if self.breach == Some(Breach::NotHandedOver) {
+            return self.kill_core(at, false);
+        }
         let now = self.now;
         if let Some(office) = self.cores[at].office.as_mut() {
             let acts = office.leave(now, now + Micros::ms(4_800));
@@ -451,6 +494,33 @@
         self.cores[at].office.iter_mut().for_each(|o| o.counts_now(counted));
     }
 
+    /// Whether a core's disk has this version, or a later one.
+    pub fn keeps(&self, at: usize, version: u64) -> bool {
+        let entry = self.cores[at].store.found.entry.as_ref();
+        entry.and_then(|e| Held::read(&e.value)).is_some_and(|h| h.version >= version)
+    }
+
+    /// Whether a core's disk has a claim of this key.
+    pub fn keeps_key(&self, at: usize, key: &str) -> bool {
+        self.cores[at].store.claims.keys().any(|k| k.0 == key)
+    }
+
+    /// A member that does not wait till it has installed its set.
+    fn hasten(&mut self, at: usize) {
+        let Some(office) = &self.cores[at].office else { return };
+        let set = office.set().clone();
+        if self.cores[at].ends
+            || office.seated()
+            || set.seat(&self.cores[at].address, office.incarnation()).is_none()
+        {
+            return;
+        }
+        let seat = Seat { incarnation: office.incarnation(), set, ..Seat::default() };
+        self.kill_core(at, false);
+        self.cores[at].store.found.seat = Some(seat);
+        self.start_core(at);
+    }
+
     /// The set that a core knows, in short: number and places.
     pub fn members(&self, at: usize) -> String {
         let Some(office) = &self.cores[at].office else { return "down".into() };
@@ -672,7 +742,7 @@
                 for (_, number, deeds) in done {
                     let full = self.cores[at].full;
                     if !full {
-                        deeds.iter().for_each(|d| self.cores[at].store.apply(d));
+                        deeds.iter().for_each(|d| self.cores[at].store.apply(d, self.breach));
                     }
                     if let Some(office) = self.cores[at].office.as_mut().filter(|_| number > 0) {
                         let acts = office.saved(now, number, !full);
@@ -680,6 +750,9 @@
                     }
                 }
             }
+            if self.breach == Some(Breach::VotesBeforeInstalled) {
+                (0..self.cores.len()).for_each(|at| self.hasten(at));
+            }
             if (now.0 / 1_000) % 50 == 0 {
                 for at in 0..self.cores.len() {
                     let ends = self.cores[at].ends;
@@ -704,6 +777,11 @@
         }
     }
 
+    /// How many sets have come about.
+    pub fn sets(&self) -> usize {
+        self.sets.keys().filter(|n| **n > 0).count()
+    }
+
     /// Of one number there is one set.
     fn compare_sets(&mut self) {
         for office in self.cores.iter().filter_map(|c| c.office.as_ref()) {
--- a/crates/lab/src/mesh/timeline.rs
+++ b/crates/lab/src/mesh/timeline.rs
@@ -2,7 +2,7 @@
 //! apart by two spaces or more, `.` for nothing. A cell does something to its agent, or says what has to be seen there then.
 use notchspool::units::Micros;
 
-use super::player::Player;
+use super::player::{Breach, Player};
 
 /// A timeline as it was read.
 pub struct Timeline {
@@ -40,12 +40,17 @@
 
 /// Plays a timeline, heals all, and gives what was not as it has to be.
 pub fn play(timeline: &Timeline, seed: u64, careful: bool) -> Vec<String> {
+    play_with(timeline, seed, careful, None)
+}
+
+/// The same with a safeguard that is off.
+pub fn play_with(timeline: &Timeline, seed: u64, careful: bool, breach: Option<Breach>) -> Vec<String> {
     let ushers = timeline.columns.iter().filter(|c| c.starts_with("usher-")).count();
     let cores: Vec<&String> = timeline.columns.iter().filter(|c| c.starts_with("core-")).collect();
     // `core-4-` is not there at the first start of all.
     let absent: Vec<usize> = (0..cores.len()).filter(|at| cores[*at].ends_with('-')).collect();
     let mut player = Player::new(cores.len(), ushers, seed, &absent);
-    player.careful = careful;
+    (player.careful, player.breach) = (careful, breach);
     let mut replies = std::collections::BTreeMap::new();
     let start = Micros::ms(3_000);
     for (time, row) in &timeline.rows {
@@ -86,6 +91,10 @@
         ["counted"] => player.counts(at, true),
         ["down"] if player.core_up(at) => return Err("it runs".into()),
         ["down"] => {}
+        ["keeps", "key", key] if !player.keeps_key(at, key) => return Err("its disk does not have it".into()),
+        ["keeps", "key", _] => {}
+        ["keeps", v] if !player.keeps(at, version(v)?) => return Err("its disk does not have it".into()),
+        ["keeps", _] => {}
         ["members", wanted] => {
             let found = player.members(at);
             if found != *wanted {
--- a/crates/prompter/src/office/members.rs
+++ b/crates/prompter/src/office/members.rs
@@ -523,7 +523,7 @@
     }
 
     /// Whether it has installed the set.
-    pub(super) fn seated(&self) -> bool {
+    pub fn seated(&self) -> bool {
         matches!(self.state, State::Seated(_))
     }
 
--- a/crates/prompter/src/office/repair.rs
+++ b/crates/prompter/src/office/repair.rs
@@ -186,7 +186,9 @@
             let taken_back = self.withdrawn.iter().cloned().chain(gone).filter(|(key, t)| !rack.has(key, *t));
             deeds.extend(taken_back.map(|(key, ticket)| Deed::Withdraw(key, ticket)));
         }
-        deeds.extend(rack.all().into_iter().map(Deed::Claim));
+        // One that goes on has most of them on its disk.
+        let had = |c: &Claim| self.frozen.is_some() && self.rack.has(&c.key, c.ticket.unwrap_or_default());
+        deeds.extend(rack.all().into_iter().filter(|c| !had(c)).map(Deed::Claim));
         let (promised, entry) = kept;
         if let Some(entry) = &entry {
             deeds.push(Deed::Word(Held::read(&entry.value).map_or(0, |h| h.version), entry.clone()));
