--- a/crates/cloakroom/src/rack.rs
+++ b/crates/cloakroom/src/rack.rs
@@ -60,17 +60,18 @@
         Vote::Granted
     }
 
-    /// Read from a disk, or told by another voter: it stands beside what is there.
+    /// Read from a disk, or told by another voter: it stands beside what is there, and is as old as it was said to be.
     pub fn put(&mut self, now: Micros, claim: &Claim) {
         let ticket = claim.ticket.unwrap_or_default();
+        let now = now - Micros::ms(claim.age_ms.min(1 << 40) as i64);
         let peg = Peg { ticket, holder: claim.holder.clone(), holder_life: claim.holder_life, since: now };
         let pegs = self.pegs.entry(claim.key.clone()).or_default();
         if pegs.is_empty() {
             self.order.push_back((now, claim.key.clone()));
         }
         match pegs.iter_mut().find(|p| same(p.ticket, ticket)) {
-            Some(old) if old.ticket.turn > ticket.turn => old.since = now,
-            Some(old) => *old = peg,
+            Some(old) if old.ticket.turn > ticket.turn => old.since = old.since.max(now),
+            Some(old) => *old = Peg { since: old.since.max(now), ..peg },
             None => pegs.push(peg),
         }
     }
@@ -118,8 +119,8 @@
         self.pegs.is_empty()
     }
 
-    /// All claims, for a snapshot or for a voter without its disk.
-    pub fn all(&self) -> Vec<Claim> {
+    /// All claims with their ages, the oldest first, for a voter that installs a set.
+    pub fn all(&self, now: Micros) -> Vec<Claim> {
         let claim = |key: &String, peg: &Peg| Claim {
             id: 0,
             key: key.clone(),
@@ -127,8 +128,12 @@
             holder: peg.holder.clone(),
             holder_life: peg.holder_life,
             set: 0,
+            age_ms: ((now - peg.since).0 / 1_000).max(0) as u64,
         };
-        self.pegs.iter().flat_map(|(key, pegs)| pegs.iter().map(move |p| claim(key, p))).collect()
+        let mut all: Vec<Claim> =
+            self.pegs.iter().flat_map(|(key, pegs)| pegs.iter().map(move |p| claim(key, p))).collect();
+        all.sort_by_key(|c| std::cmp::Reverse(c.age_ms));
+        all
     }
 }
 
--- a/crates/cloakroom/tests/claims.rs
+++ b/crates/cloakroom/tests/claims.rs
@@ -95,6 +95,20 @@
     assert_eq!(round.verdict(false), Verdict::Ours);
 }
 
+#[test]
+fn a_claim_that_is_told_stays_as_old_as_it_was() {
+    let mut rack = Rack::open(Micros::ms(60_000));
+    rack.put(Micros::ms(1), &Claim { age_ms: 59_000, ..claim(1, 0) });
+    assert_eq!(rack.all(Micros::ms(501))[0].age_ms, 59_500);
+    // Told again as younger, it was granted again there: the younger one counts.
+    rack.put(Micros::ms(501), &Claim { age_ms: 40_000, ..claim(1, 0) });
+    rack.wake(Micros::ms(1_600));
+    assert_eq!(rack.len(), 1);
+    rack.put(Micros::ms(1_700), &Claim { age_ms: 60_000, ..claim(1, 0) });
+    rack.wake(Micros::ms(20_600));
+    assert!(rack.is_empty());
+}
+
 #[test]
 fn split_votes_are_nobodys_and_a_majority_of_another_names_its_holder() {
     let mut round = Round::begin(1, 3);
--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -441,6 +441,9 @@
     /// The number of the set under which it is asked.
     #[prost(uint64, tag = "6")]
     pub set: u64,
+    /// Milliseconds since it was granted, where a voter tells it to another.
+    #[prost(uint64, tag = "7")]
+    pub age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/lab/src/mesh/usher.rs
+++ b/crates/lab/src/mesh/usher.rs
@@ -179,6 +179,7 @@
                 holder: self.address.clone(),
                 holder_life: self.life,
                 set: self.set,
+                age_ms: 0,
             };
             let open = self.voters.iter().enumerate().filter(|(at, _)| hand.round.open(*at));
             again.extend(open.map(|(_, address)| (address.clone(), claim.clone())));
@@ -208,6 +209,7 @@
             holder: self.address.clone(),
             holder_life: self.life,
             set: self.set,
+            age_ms: 0,
         }))
     }
 
--- a/crates/prompter/src/office/members.rs
+++ b/crates/prompter/src/office/members.rs
@@ -111,9 +111,9 @@
 
     /// It tells of itself and of whom it hears.
     pub(super) fn told_of(&mut self, now: Micros, address: &str, heard: &cues::Heard) {
-        let Some(core) = self.cores.get_mut(address).filter(|c| c.incarnation == heard.incarnation) else {
-            return;
-        };
+        let Some(core) = self.cores.get_mut(address) else { return };
+        // What it says now outranks a hello that came late.
+        core.incarnation = heard.incarnation;
         (core.leaving, core.counted, core.installed) = (heard.leaving, heard.counted, heard.installed);
         let voters = heard.voters.iter().take(MOST_CORES);
         core.told = voters.map(|a| (a.instance.clone(), Micros::ms(a.ms.min(1 << 30) as i64))).collect();
@@ -275,7 +275,10 @@
             return None;
         }
         next.sort();
-        let why = format!("{} voters of {least} wanted at least", self.set.members.len());
+        let why = match self.set.members.len() {
+            now if now < least => format!("{now} voters, {least} are wanted"),
+            now => format!("{now} voters do not bear the loss of a zone"),
+        };
         self.keeps_majority(now, &next).then_some(Wish { members: next, why, wait: STEADY })
     }
 
@@ -497,6 +500,7 @@
         self.sealed_at = None;
         self.told.clear();
         self.withdrawn.clear();
+        self.gather_wait = repair::GATHER_AGAIN;
         self.terms = terms(self.set.members.len());
         self.pen.change(self.terms);
         acts.push(Act::Log(format!("members: {}", self.set)));
@@ -508,7 +512,7 @@
     pub(super) fn take_place(&mut self, now: Micros, acts: &mut Vec<Act>) {
         if self.own_place().is_some() {
             self.state = State::Installing;
-            self.gather(now, acts);
+            self.gather(now, None, acts);
         } else {
             self.state = State::Spare;
         }
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -147,6 +147,7 @@
     told_claims: usize,
     withdrawn: Vec<(String, cues::Ticket)>,
     gather_at: Micros,
+    gather_wait: Micros,
     change: Option<Change>,
     wished_at: Option<Micros>,
     /// The last set that was proposed from here, for the log.
@@ -235,6 +236,7 @@
             told_claims: 0,
             withdrawn: Vec::new(),
             gather_at: now,
+            gather_wait: repair::GATHER_AGAIN,
             change: None,
             wished_at: None,
             proposed: 0,
@@ -371,7 +373,7 @@
         guest.voter = at;
         let Some(at) = at else { return };
         self.peers.insert(at, (conn, guest.heard));
-        self.gather(now, acts);
+        self.gather(now, Some(conn), acts);
         if let Some(held) = &self.chosen {
             acts.push(Act::Send(conn, What::Holding(Holding { chosen: held.version, sure: self.sure })));
         }
--- a/crates/prompter/src/office/repair.rs
+++ b/crates/prompter/src/office/repair.rs
@@ -6,10 +6,11 @@
 use notchspool_cues::{All, Handed, Transfer};
 use notchspool_trapdoor::Seat;
 
-/// What was not told yet is asked for again after this.
-const GATHER_AGAIN: Micros = Micros::ms(100);
+/// What was not told yet is asked for again after this, and after twice as long each time, so that a thin link is not filled with states.
+pub(super) const GATHER_AGAIN: Micros = Micros::ms(100);
+const GATHER_MOST: Micros = Micros::ms(1_600);
 /// What was not confirmed to one that leaves is handed over again after this.
-const HAND_AGAIN: Micros = Micros::ms(250);
+const HAND_AGAIN: Micros = Micros::ms(500);
 /// Claims that are taken back while a set is being installed, kept apart at most.
 const MOST_WITHDRAWN: usize = 10_000;
 
@@ -61,7 +62,7 @@
             self.save_seat(Pending::Installed(self.set.number), acts);
         }
         if now >= self.gather_at {
-            self.gather(now, acts);
+            self.gather(now, None, acts);
         }
         if self.frozen.is_some() && matches!(self.state, State::Spare) && self.others_voting() {
             // More than half have it by now.
@@ -71,18 +72,21 @@
 
     // ---- Being told -----------------------------------------------------------------------------------------
 
-    /// Asks all who may have it for what was decided so far.
-    pub(super) fn gather(&mut self, now: Micros, acts: &mut Vec<Act>) {
+    /// Asks all who may have it for what was decided so far, or the one that has just been reached.
+    pub(super) fn gather(&mut self, now: Micros, only: Option<Conn>, acts: &mut Vec<Act>) {
         if !matches!(self.state, State::Installing) {
             return;
         }
-        self.gather_at = now + GATHER_AGAIN;
+        if only.is_none() {
+            self.gather_at = now + self.gather_wait;
+            self.gather_wait = (self.gather_wait + self.gather_wait).min(GATHER_MOST);
+        }
         let ask = Transfer {
             set: Some(members::to_wire(&self.set)),
             previous: self.previous.as_ref().map(members::to_wire),
         };
         let of_before = |address: &String| self.previous.as_ref().is_some_and(|p| p.place(address).is_some());
-        for (conn, address) in &self.dialed {
+        for (conn, address) in self.dialed.iter().filter(|d| only.is_none_or(|o| o == *d.0)) {
             if self.set.place(address).is_some() || of_before(address) {
                 acts.push(Act::Send(*conn, What::Transfer(ask.clone())));
             }
@@ -98,15 +102,15 @@
         if number < self.set.number {
             self.other_set(conn, number, acts);
         } else if let State::Seated(voter) = &self.state {
-            let all = self.all_of(voter, number);
+            let all = self.all_of(now, voter, number);
             acts.push(Act::Send(conn, What::All(all)));
         } else if let Some(frozen) = self.frozen.as_ref().filter(|f| f.on_disk) {
-            let all = self.all_of(&frozen.voter, frozen.set.number);
+            let all = self.all_of(now, &frozen.voter, frozen.set.number);
             acts.push(Act::Send(conn, What::All(all)));
         }
     }
 
-    pub(super) fn all_of(&self, voter: &Voter, set: u64) -> All {
+    pub(super) fn all_of(&self, now: Micros, voter: &Voter, set: u64) -> All {
         let kept = voter.kept(&pen::space()).cloned().unwrap_or_default();
         let entry = kept.entries.get(KEY);
         All {
@@ -115,7 +119,7 @@
             promised: seats::told(kept.promised),
             under: entry.and_then(|e| seats::told(e.at)),
             body: entry.map(|e| e.value.clone()),
-            claims: self.rack.all(),
+            claims: self.rack.all(now),
         }
     }
 
@@ -138,7 +142,7 @@
             return;
         }
         let frozen = self.frozen.as_ref();
-        told.extend(frozen.map(|f| self.all_of(&f.voter, f.set.number)));
+        told.extend(frozen.map(|f| self.all_of(now, &f.voter, f.set.number)));
         if let Some(installed) = self.told.values().find(|a| a.set == number) {
             told.push(installed.clone());
         } else {
@@ -181,14 +185,14 @@
         }
         // What an older set left here, under which others have decided since, must not come back.
         let mut deeds = if self.frozen.is_some() { Vec::new() } else { vec![Deed::Clear] };
-        let gone = self.rack.all().into_iter().map(|c| (c.key, c.ticket.unwrap_or_default()));
+        let gone = self.rack.all(now).into_iter().map(|c| (c.key, c.ticket.unwrap_or_default()));
         if self.frozen.is_some() {
             let taken_back = self.withdrawn.iter().cloned().chain(gone).filter(|(key, t)| !rack.has(key, *t));
             deeds.extend(taken_back.map(|(key, ticket)| Deed::Withdraw(key, ticket)));
         }
         // One that goes on has most of them on its disk.
         let had = |c: &Claim| self.frozen.is_some() && self.rack.has(&c.key, c.ticket.unwrap_or_default());
-        deeds.extend(rack.all().into_iter().filter(|c| !had(c)).map(Deed::Claim));
+        deeds.extend(rack.all(now).into_iter().filter(|c| !had(c)).map(Deed::Claim));
         let (promised, entry) = kept;
         if let Some(entry) = &entry {
             deeds.push(Deed::Word(Held::read(&entry.value).map_or(0, |h| h.version), entry.clone()));
@@ -269,7 +273,7 @@
         }
         self.hand_at = now + HAND_AGAIN;
         let State::Seated(voter) = &self.state else { return };
-        let all = self.all_of(voter, self.set.number);
+        let all = self.all_of(now, voter, self.set.number);
         for (place, (conn, _)) in &self.peers {
             if !self.handed.contains(place) {
                 acts.push(Act::Send(*conn, What::Handover(all.clone())));
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -296,6 +296,7 @@
             holder: self.own.clone(),
             holder_life: self.life,
             set,
+            age_ms: 0,
         };
         let (began, mut wait) = (self.now(), std::pin::pin!(wait));
         let (mut verdict, mut patience) = (None, CLAIM);
