--- a/crates/lab/src/mesh/drawn.rs
+++ b/crates/lab/src/mesh/drawn.rs
@@ -2,7 +2,7 @@
 use notchspool::units::Micros;
 use oorandom::Rand64;
 
-use super::Player;
+use super::{Breach, Player};
 
 /// Troubles within what is to be borne: one core at a time, any ushers, and now and then all processes of the core at once.
 pub fn drawn(seed: u64) -> Vec<String> {
@@ -76,6 +76,11 @@
 /// The set of voters under changes: three or five, with machines that are added, taken away, told to end, cut off, and that lose their
 /// disks; never more of them at once than is borne, where each counts as lost until it is whole again. All processes may end at any time.
 pub fn drawn_members(seed: u64) -> Vec<String> {
+    drawn_members_with(seed, None)
+}
+
+/// The same with a safeguard that is off.
+pub fn drawn_members_with(seed: u64, breach: Option<Breach>) -> Vec<String> {
     let mut chance = Rand64::new(u128::from(seed) * 77 + 5);
     let mut below = |n: u64| (chance.rand_float() * n as f64) as u64;
     let voters = if below(3) == 0 { 5 } else { 3 };
@@ -84,6 +89,7 @@
     let mut unused: Vec<usize> = (voters..cores).rev().collect();
     let absent: Vec<usize> = (voters..cores).collect();
     let mut player = Player::new(cores, 3, seed, &absent);
+    player.breach = breach;
     player.play(Micros::ms(3_500));
     // Machines that are there; what is to come, and until when each lost one counts.
     let mut there: Vec<usize> = (0..voters).collect();
--- a/crates/lab/src/mesh/mod.rs
+++ b/crates/lab/src/mesh/mod.rs
@@ -5,6 +5,6 @@
 mod timeline;
 mod usher;
 
-pub use drawn::{drawn, drawn_members};
+pub use drawn::{drawn, drawn_members, drawn_members_with};
 pub use player::{Breach, Player, Store};
 pub use timeline::{Timeline, play, play_with};
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -83,6 +83,8 @@
     /// Messages on their way: when they arrive, to which end.
     way: Vec<(Micros, usize, What)>,
     heard: Micros,
+    /// Its ends are cut from each other now.
+    cut: bool,
 }
 
 /// What a put or read of an operator came to.
@@ -648,7 +650,7 @@
             }
             self.next += 2;
             let ends = [(from.0, from.1, self.next), (true, to, self.next + 1)];
-            self.links.push(Link { ends, way: Vec::new(), heard: self.now });
+            self.links.push(Link { ends, way: Vec::new(), heard: self.now, cut: false });
             let (role, address) = match from.0 {
                 true => (2, self.cores[from.1].address.clone()),
                 false => (1, self.ushers[from.1].address.clone()),
@@ -696,7 +698,8 @@
         let now = self.now;
         for n in 0..self.links.len() {
             let ends = self.links[n].ends;
-            let cut = self.cut(&self.name(&ends[0]), &self.name(&ends[1]));
+            let cut = !self.cuts.is_empty() && self.cut(&self.name(&ends[0]), &self.name(&ends[1]));
+            self.links[n].cut = cut;
             if !cut {
                 self.links[n].heard = now;
             }
@@ -716,10 +719,10 @@
         let mut due = Vec::new();
         for n in 0..self.links.len() {
             let ends = self.links[n].ends;
-            if self.cut(&self.name(&ends[0]), &self.name(&ends[1])) {
+            let link = &mut self.links[n];
+            if link.cut || link.way.is_empty() {
                 continue;
             }
-            let link = &mut self.links[n];
             let (now_due, later): (Vec<_>, Vec<_>) =
                 std::mem::take(&mut link.way).into_iter().partition(|w| w.0 <= now);
             link.way = later;
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -1,5 +1,5 @@
 //! Timelines of the mesh, and drawn ones. No bench, no sleep: virtual time.
-use notchspool_lab::mesh::{Breach, Timeline, drawn, drawn_members, play, play_with};
+use notchspool_lab::mesh::{Breach, Timeline, drawn, drawn_members, drawn_members_with, play, play_with};
 use rstest::rstest;
 
 fn holds(text: &str) {
@@ -121,3 +121,15 @@
 ";
     refused(text, Breach::NotHandedOver, "its disk does not have it");
 }
+
+/// Also the drawn ones see that a safeguard is off, though none of them was made for it.
+#[test]
+fn drawn_changes_notice_a_safeguard_that_is_off() {
+    for breach in [Breach::SealNotKept, Breach::VotesBeforeInstalled, Breach::NumberNotChecked] {
+        let signs = ["runs again", "was acknowledged", "two sets under one number"];
+        let seen = (1..=24).any(|seed| {
+            drawn_members_with(seed, Some(breach)).iter().any(|w| signs.iter().any(|s| w.contains(s)))
+        });
+        assert!(seen, "{breach:?} was noticed by none of 24");
+    }
+}
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -144,7 +144,6 @@
     frozen: Option<Frozen>,
     /// What it was told of the state of the set that is being installed, by set and place.
     told: BTreeMap<(u64, u32), cues::All>,
-    told_claims: usize,
     withdrawn: Vec<(String, cues::Ticket)>,
     gather_at: Micros,
     gather_wait: Micros,
@@ -233,7 +232,6 @@
             sealed_at: None,
             frozen: None,
             told: BTreeMap::new(),
-            told_claims: 0,
             withdrawn: Vec::new(),
             gather_at: now,
             gather_wait: repair::GATHER_AGAIN,
--- a/crates/prompter/src/office/repair.rs
+++ b/crates/prompter/src/office/repair.rs
@@ -165,7 +165,6 @@
     fn installed(&mut self, now: Micros, own: usize, told: Vec<All>) -> Vec<Deed> {
         let mut kept = (Ballot::default(), None::<Entry>);
         let mut rack = Rack::open(self.window);
-        let mut claims = 0;
         for all in &told {
             let under = seats::ballot(all.under);
             kept.0 = kept.0.max(seats::ballot(all.promised)).max(under);
@@ -177,7 +176,6 @@
             for claim in &all.claims {
                 // Two tickets for one key, told by two: either may have run, so both stand.
                 rack.put(now, claim);
-                claims += 1;
             }
         }
         for (key, ticket) in &self.withdrawn {
@@ -200,7 +198,6 @@
         deeds.push(Deed::Promise(promised));
         self.register = Register::default();
         deeds.push(Deed::Seat(self.seat()));
-        self.told_claims = claims;
         self.rack = rack;
         let entries = entry.map(|e| (KEY.to_string(), e)).into_iter().collect();
         let disk = Disk { spaces: vec![(pen::space(), promised, entries, None)], ..Disk::default() };
