--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -43,6 +43,9 @@
         /// Storms of changes amid losses, in place of days of all kinds.
         #[arg(long)]
         storms: bool,
+        /// Changes of who votes: wipes, removals, successors, cuts.
+        #[arg(long, conflicts_with = "storms")]
+        members: bool,
         /// Processors to use; 0: all.
         #[arg(long, default_value_t = 0)]
         jobs: u64,
@@ -69,10 +72,9 @@
 }
 
 /// Plays drawn days of the mesh, on all cores.
-fn mesh(from: u64, seeds: u64, storms: bool, jobs: u64) -> ExitCode {
+fn mesh(from: u64, seeds: u64, play: fn(u64) -> Vec<String>, jobs: u64) -> ExitCode {
     let all = std::thread::available_parallelism().map_or(1, |n| n.get()).min(64) as u64;
     let threads = if jobs == 0 { all } else { jobs.min(64) };
-    let play = if storms { notchspool_lab::mesh::storms } else { notchspool_lab::mesh::drawn };
     let broken: Vec<(u64, Vec<String>)> = std::thread::scope(|scope| {
         let part = move |nth: u64| -> Vec<(u64, Vec<String>)> {
             let all = (from..from.saturating_add(seeds)).filter(move |seed| seed % threads == nth);
@@ -168,7 +170,14 @@
         Lab::Audit { books } => judge(&books),
         Lab::Report(asked) => report(&asked),
         Lab::Fleet(asked) => crate::ground::run(&asked),
-        Lab::Mesh { from, seeds, storms, jobs } => Ok(mesh(from, seeds, storms, jobs)),
+        Lab::Mesh { from, seeds, storms, members, jobs } => {
+            let play = match (storms, members) {
+                (true, _) => notchspool_lab::mesh::storms,
+                (_, true) => notchspool_lab::mesh::drawn_members,
+                _ => notchspool_lab::mesh::drawn,
+            };
+            Ok(mesh(from, seeds, play, jobs))
+        }
         Lab::Changes { changes, routes, folder } => Ok(changes_of(changes, routes, folder)),
         Lab::Scale(asked) => crate::scale::run(&asked),
         Lab::Part { role, settings } => crate::scale::part(&role, settings),
--- a/crates/lab/src/mesh/mod.rs
+++ b/crates/lab/src/mesh/mod.rs
@@ -8,7 +8,7 @@
 mod usher;
 
 pub use changes::{Figures, Return, changes};
-pub use drawn::drawn;
+pub use drawn::{drawn, drawn_members, drawn_members_with};
 pub use player::{Breach, Player, Store, routes};
 pub use storms::storms;
 pub use timeline::{Timeline, play};
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -15,7 +15,7 @@
 use notchspool_promptbook::register::{Held, Value};
 use notchspool_promptbook::script::Script;
 use notchspool_prompter::office::{Act, Office, Opening, Tolerate};
-use notchspool_trapdoor::{Deed, Found};
+use notchspool_trapdoor::{Deed, Found, Seat};
 use oorandom::Rand64;
 
 use super::usher::{BEAT, Usher};
@@ -34,7 +34,8 @@
 }
 
 impl Store {
-    fn apply(&mut self, deed: &Deed) {
+    fn apply(&mut self, deed: &Deed, breach: Breach) {
+        let keep_first = breach == Breach::SealNotKept;
         match deed {
             Deed::Clear => *self = Store::default(),
             Deed::Promise(ballot) => self.found.promised = self.found.promised.max(*ballot),
@@ -44,6 +45,7 @@
                 }
             }
             Deed::Install(snapshot) => self.install(snapshot),
+            Deed::Seat(_) if keep_first && self.found.seat.is_some() => {}
             Deed::Seat(seat) => self.found.seat = Some(seat.clone()),
             Deed::Claim(claim) => {
                 let ticket = claim.ticket.unwrap_or_default();
@@ -66,7 +68,7 @@
         let entry = snapshot.body.clone().map(|value| Entry { at: told(snapshot.under), nth: 1, value });
         self.found.seat = serde_json::from_slice(&snapshot.seat).ok();
         (self.found.promised, self.found.entry) = (told(snapshot.promised), entry);
-        snapshot.claims.iter().for_each(|c| self.apply(&Deed::Claim(c.clone())));
+        snapshot.claims.iter().for_each(|c| self.apply(&Deed::Claim(c.clone()), Breach::Nothing));
     }
     fn found(&self) -> Found {
         Found { claims: self.claims.values().cloned().collect(), ..self.found.clone() }
@@ -169,6 +171,14 @@
     TrustsTexts,
     /// Votes leave before the disk has them.
     VotesBeforeDisk,
+    /// Of a voter's seats only the first stays on its disk: it comes back as if it had never been sealed.
+    SealNotKept,
+    /// A member votes in a set as soon as it hears of it, with what it has.
+    VotesBeforeInstalled,
+    /// Nobody compares the numbers of sets.
+    NumberNotChecked,
+    /// One that leaves ends at once.
+    NotHandedOver,
 }
 
 /// An operator's call that has no answer yet.
@@ -451,12 +461,33 @@
         all.map(|l| l.ends[0]).collect()
     }
 
+    /// As if nobody compared the numbers of sets.
+    fn unnumbered(&self, to: End, mut what: What) -> What {
+        let known = match to.0 {
+            true => self.cores[to.1].office.as_ref().map_or(0, |o| o.set().number),
+            false => self.ushers[to.1].set,
+        };
+        match &mut what {
+            What::Claim(claim) => claim.set = known,
+            What::Claimed(claimed) => claimed.set = known,
+            What::Vote(vote) => vote.set = known,
+            What::Voted(voted) => voted.set = known,
+            What::Welcome(welcome) if !to.0 && known > 0 => welcome.set = None,
+            _ => {}
+        }
+        what
+    }
+
     fn deliver(&mut self, to: End, from: End, what: What) {
         let what = match self.texts(&to).hear(to.2, what) {
             Heard::Says(what) => what,
             Heard::Ask(back) => return self.send(to, back),
             Heard::Done => return,
         };
+        let what = match self.breach {
+            Breach::NumberNotChecked => self.unnumbered(to, what),
+            _ => what,
+        };
         if to.0 {
             let now = self.now;
             if let Some(office) = self.cores[to.1].office.as_mut() {
@@ -719,7 +750,7 @@
             for deed in deeds {
                 kept &= !power || self.chance.rand_float() < 0.5;
                 if kept && !self.cores[at].full {
-                    self.cores[at].store.apply(&deed);
+                    self.cores[at].store.apply(&deed, self.breach);
                 }
             }
         }
@@ -733,6 +764,9 @@
 
     /// SIGTERM: it ends once its office says so, or when the grace is nearly over.
     pub fn term(&mut self, at: usize) {
+        if self.breach == Breach::NotHandedOver {
+            return self.kill_core(at, false);
+        }
         let now = self.now;
         if let Some(office) = self.cores[at].office.as_mut() {
             let acts = office.leave(now, now + Micros::ms(4_800));
@@ -753,6 +787,33 @@
         self.cores[at].office.iter_mut().for_each(|o| o.counts_now(counted));
     }
 
+    /// Whether a core's disk has this version, or a later one.
+    pub fn keeps(&self, at: usize, version: u64) -> bool {
+        let entry = self.cores[at].store.found.entry.as_ref();
+        entry.and_then(|e| Held::read(&e.value)).is_some_and(|h| h.version >= version)
+    }
+
+    /// Whether a core's disk has a claim of this key.
+    pub fn keeps_key(&self, at: usize, key: &str) -> bool {
+        self.cores[at].store.claims.keys().any(|k| k.0 == key)
+    }
+
+    /// A member that does not wait till it has installed its set.
+    fn hasten(&mut self, at: usize) {
+        let Some(office) = &self.cores[at].office else { return };
+        let set = office.set().clone();
+        if self.cores[at].ends
+            || office.seated()
+            || set.seat(&self.cores[at].address, office.incarnation()).is_none()
+        {
+            return;
+        }
+        let seat = Seat { incarnation: office.incarnation(), set, ..Seat::default() };
+        self.kill_core(at, false);
+        self.cores[at].store.found.seat = Some(seat);
+        self.start_core(at);
+    }
+
     /// The set that a core knows, in short: number and places.
     pub fn members(&self, at: usize) -> String {
         let Some(office) = &self.cores[at].office else { return "down".into() };
@@ -951,6 +1012,9 @@
         let mut due = Vec::new();
         for n in 0..self.links.len() {
             let ends = self.links[n].ends;
+            if self.links[n].way.is_empty() {
+                continue;
+            }
             let open = [self.reaches(&ends[1], &ends[0]), self.reaches(&ends[0], &ends[1])];
             let link = &mut self.links[n];
             let (now_due, later): (Vec<_>, Vec<_>) =
@@ -983,7 +1047,7 @@
                 for (_, number, deeds) in done {
                     let full = self.cores[at].full;
                     if !full {
-                        deeds.iter().for_each(|d| self.cores[at].store.apply(d));
+                        deeds.iter().for_each(|d| self.cores[at].store.apply(d, self.breach));
                     }
                     if let Some(office) = self.cores[at].office.as_mut().filter(|_| number > 0) {
                         let acts = office.saved(now, number, !full);
@@ -991,6 +1055,9 @@
                     }
                 }
             }
+            if self.breach == Breach::VotesBeforeInstalled {
+                (0..self.cores.len()).for_each(|at| self.hasten(at));
+            }
             if (now.0 / 1_000) % 50 == 0 {
                 self.blind();
                 for at in 0..self.cores.len() {
@@ -1021,6 +1088,11 @@
         }
     }
 
+    /// How many sets have come about.
+    pub fn sets(&self) -> usize {
+        self.sets.keys().filter(|n| **n > 0).count()
+    }
+
     /// Of one number there is one set.
     fn compare_sets(&mut self) {
         for office in self.cores.iter().filter_map(|c| c.office.as_ref()) {
--- a/crates/lab/src/mesh/timeline.rs
+++ b/crates/lab/src/mesh/timeline.rs
@@ -87,6 +87,10 @@
         ["counted"] => player.counts(at, true),
         ["down"] if player.core_up(at) => return Err("it runs".into()),
         ["down"] => {}
+        ["keeps", "key", key] if !player.keeps_key(at, key) => return Err("its disk does not have it".into()),
+        ["keeps", "key", _] => {}
+        ["keeps", v] if !player.keeps(at, version(v)?) => return Err("its disk does not have it".into()),
+        ["keeps", _] => {}
         ["members", wanted] => {
             let found = player.members(at);
             if found != *wanted {
--- a/crates/lab/src/mesh/usher.rs
+++ b/crates/lab/src/mesh/usher.rs
@@ -188,6 +188,7 @@
                 holder: self.address.clone(),
                 holder_life: self.life,
                 set: self.set,
+                age_ms: 0,
             };
             let open = self.voters.iter().enumerate().filter(|(at, _)| hand.round.open(*at));
             again.extend(open.map(|(_, address)| (address.clone(), claim.clone())));
@@ -217,6 +218,7 @@
             holder: self.address.clone(),
             holder_life: self.life,
             set: self.set,
+            age_ms: 0,
         }))
     }
 
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -430,6 +430,7 @@
             holder: self.own.clone(),
             holder_life: self.life,
             set: self.set.get(),
+            ..Claim::default()
         };
         self.hands.borrow_mut().insert(number, (Round::begin(self.set.get(), list.len()), Instant::now()));
         let ropes: Vec<Rope> = self.open.borrow().values().map(|v| v.0.clone()).collect();
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -149,9 +149,9 @@
     frozen: Option<Frozen>,
     /// What it was told of the state of the set that is being installed, by set and place.
     told: BTreeMap<(u64, u32), cues::All>,
-    told_claims: usize,
     withdrawn: Vec<(String, cues::Ticket)>,
     gather_at: Micros,
+    gather_wait: Micros,
     change: Option<Change>,
     wished_at: Option<Micros>,
     /// The last set that was proposed from here, for the log.
@@ -243,9 +243,9 @@
             sealed_at: None,
             frozen: None,
             told: BTreeMap::new(),
-            told_claims: 0,
             withdrawn: Vec::new(),
             gather_at: now,
+            gather_wait: repair::GATHER_AGAIN,
             change: None,
             wished_at: None,
             proposed: 0,
@@ -405,7 +405,7 @@
         guest.voter = at;
         let Some(at) = at else { return };
         self.peers.insert(at, (conn, guest.heard));
-        self.gather(now, acts);
+        self.gather(now, Some(conn), acts);
         if let Some(held) = &self.chosen {
             acts.push(Act::Send(conn, What::Holding(Holding { chosen: held.version, sure: self.sure })));
         }
