Pen is Proposer, Held is VersionedConfig, a dart that spreads waits is jitter

Need: standard terms where our words hid a standard concept. Nothing else changes; programs, packages and the module `pen` keep their names.

--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -9,7 +9,7 @@
 use notchspool_cues as cues;
 use notchspool_cues::{Claim, Hello, Ping, Want, Watch, What, Withdraw};
 use notchspool_promptbook::digest::Digest;
-use notchspool_promptbook::register::{Held, Value};
+use notchspool_promptbook::register::{Value, VersionedConfig};
 use notchspool_promptbook::script::Script;
 use notchspool_prompter::office::{Act, Office};
 use notchspool_trapdoor::{Deed, Found, Seat};
@@ -320,7 +320,7 @@
             | What::Voted(cues::Voted { body: Some(body), .. })
                 if self.breach == Breach::KeepsNoHistory =>
             {
-                if let Some(held) = Held::read(body) {
+                if let Some(held) = VersionedConfig::read(body) {
                     *body = Value::first(held.clone(), Digest::of(held.body.as_bytes())).written();
                 }
             }
--- a/crates/promptbook/src/pen.rs
+++ b/crates/promptbook/src/pen.rs
@@ -17,7 +17,7 @@
 use notchspool_election::{Answer, Ask, Ballot, ContenderId, Space, Terms, Token, VoterId};
 
 use crate::digest::Digest;
-pub use crate::register::Held;
+pub use crate::register::VersionedConfig;
 use crate::register::{Standing, Value};
 
 /// The register's one key.
@@ -37,7 +37,7 @@
 #[derive(Clone, Debug)]
 pub enum Order {
     /// To take this body under its number, and to hold it unless a higher one is held.
-    Put(Held, Digest),
+    Put(VersionedConfig, Digest),
     /// What holds now.
     Read,
 }
@@ -49,14 +49,14 @@
     /// The call's end.
     End(u64, End),
     /// More than half have it on disk; none: more than half have nothing. The round that found this began then.
-    Chosen(Option<Held>, Micros),
+    Chosen(Option<VersionedConfig>, Micros),
 }
 
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
     /// A read: what holds.
-    Held(Held),
+    Held(VersionedConfig),
     /// A read: there is none yet.
     Empty,
     /// A put: this body is the one under its number.
@@ -95,7 +95,7 @@
     Pausing(Micros),
 }
 
-pub struct Pen {
+pub struct Proposer {
     terms: Terms,
     me: ContenderId,
     round: u64,
@@ -107,11 +107,11 @@
     waiting: VecDeque<(u64, Order, Micros)>,
 }
 
-impl Pen {
+impl Proposer {
     /// `me`: drawn at the start of the process, never used before.
-    pub fn open(terms: Terms, me: ContenderId) -> Pen {
+    pub fn open(terms: Terms, me: ContenderId) -> Proposer {
         let phase = Phase::Idle;
-        Pen {
+        Proposer {
             terms,
             me,
             round: 1,
@@ -157,7 +157,14 @@
     }
 
     /// An answer of a voter to the ask of this number.
-    pub fn hear(&mut self, now: Micros, from: VoterId, number: u64, answer: Answer, dart: f64) -> Vec<Step> {
+    pub fn hear(
+        &mut self,
+        now: Micros,
+        from: VoterId,
+        number: u64,
+        answer: Answer,
+        jitter: f64,
+    ) -> Vec<Step> {
         let round = match &mut self.phase {
             Phase::Reading(round, _) | Phase::Writing(round, _) if round.no == number => round,
             _ => return Vec::new(),
@@ -165,15 +172,15 @@
         round.hear(from, answer);
         match round.verdict(&self.terms) {
             Verdict::Open => Vec::new(),
-            Verdict::No { promised, .. } => self.pause(now, promised, dart),
+            Verdict::No { promised, .. } => self.pause(now, promised, jitter),
             Verdict::Yes => self.won(now),
         }
     }
 
-    fn pause(&mut self, now: Micros, promised: Option<Ballot>, dart: f64) -> Vec<Step> {
+    fn pause(&mut self, now: Micros, promised: Option<Ballot>, jitter: f64) -> Vec<Step> {
         self.round = self.round.max(promised.map_or(0, |b| b.round));
         self.refused = (self.refused + 1).min(5);
-        let span = PAUSE.times((1 << self.refused) as f64 * (0.5 + dart));
+        let span = PAUSE.times((1 << self.refused) as f64 * (0.5 + jitter));
         self.phase = Phase::Pausing(now + span);
         Vec::new()
     }
@@ -223,7 +230,7 @@
     }
 
     /// Time has passed: what was not answered is asked again, what is over is given up.
-    pub fn wake(&mut self, now: Micros, dart: f64) -> Vec<Step> {
+    pub fn wake(&mut self, now: Micros, jitter: f64) -> Vec<Step> {
         let mut steps = Vec::new();
         let old = |c: &(u64, Order, Micros)| now - c.2 >= PATIENCE;
         steps.extend(
@@ -244,7 +251,7 @@
                     && now - round.began >= self.terms.again
                 {
                     // One stands against it and the others are silent: a higher ballot may do.
-                    steps.extend(self.pause(now, promised, dart));
+                    steps.extend(self.pause(now, promised, jitter));
                 } else {
                     let (number, ask) = (round.no, round.ask.clone());
                     let again = round.again(now, &self.terms);
--- a/crates/promptbook/src/register.rs
+++ b/crates/promptbook/src/register.rs
@@ -10,7 +10,7 @@
 
 /// A configuration with its version.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Held {
+pub struct VersionedConfig {
     pub version: u64,
     pub body: String,
 }
@@ -31,7 +31,7 @@
 /// The value of the register.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Value {
-    pub held: Held,
+    pub held: VersionedConfig,
     digest: Digest,
     /// Numbers below the one held, and the digests of their bodies.
     before: BTreeMap<u64, Digest>,
@@ -40,7 +40,7 @@
 }
 
 impl Value {
-    pub fn first(held: Held, digest: Digest) -> Value {
+    pub fn first(held: VersionedConfig, digest: Digest) -> Value {
         Value { held, digest, before: BTreeMap::new(), forgotten: None }
     }
 
@@ -58,7 +58,7 @@
     }
 
     /// Takes a body under a number that is free; else nothing changes. A higher number than the one held is held from then on.
-    pub fn take(&mut self, new: &Held, digest: Digest) {
+    pub fn take(&mut self, new: &VersionedConfig, digest: Digest) {
         if self.standing(new.version, digest) != Standing::Free {
             return;
         }
@@ -94,7 +94,7 @@
         let (head, body) = text.split_once('\n')?;
         let mut words = head.split(' ');
         let version: u64 = words.next()?.parse().ok()?;
-        let held = Held { version, body: body.to_string() };
+        let held = VersionedConfig { version, body: body.to_string() };
         let Some(digest) = words.next() else {
             let digest = Digest::of(body.as_bytes());
             return Some(Value { forgotten: version.checked_sub(1), ..Value::first(held, digest) });
@@ -112,11 +112,11 @@
     }
 }
 
-impl Held {
+impl VersionedConfig {
     /// Of a value as the register has it written; none where it makes no sense.
-    pub fn read(text: &str) -> Option<Held> {
+    pub fn read(text: &str) -> Option<VersionedConfig> {
         let (head, body) = text.split_once('\n')?;
         let version = head.split(' ').next()?.parse().ok()?;
-        Some(Held { version, body: body.to_string() })
+        Some(VersionedConfig { version, body: body.to_string() })
     }
 }
--- a/crates/promptbook/tests/word.rs
+++ b/crates/promptbook/tests/word.rs
@@ -7,7 +7,7 @@
 use notchspool_election::voter::{Disk, Voter};
 use notchspool_election::{Answer, Ask, ContenderId, Said, Terms, VoterId};
 use notchspool_promptbook::digest::Digest;
-use notchspool_promptbook::pen::{self, End, Held, KEY, Order, Pen, Step};
+use notchspool_promptbook::pen::{self, End, KEY, Order, Proposer, Step, VersionedConfig};
 use notchspool_promptbook::register::{REMEMBERED, Standing, Value};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use rstest::rstest;
@@ -26,8 +26,9 @@
     Answer(Answer),
 }
 
-struct Proposer {
-    pen: Pen,
+/// One life of a process that proposes.
+struct Process {
+    proposer: Proposer,
     life: u64,
 }
 
@@ -52,7 +53,7 @@
     now: Micros,
     lives: u64,
     next: u64,
-    proposers: Vec<Proposer>,
+    processes: Vec<Process>,
     voters: Vec<Seat>,
     way: Vec<Way>,
     calls: BTreeMap<u64, Call>,
@@ -79,23 +80,23 @@
     fn new(forgets: bool) -> World {
         let mut world = World { forgets, ..World::default() };
         for at in 0..3 {
-            let proposer = world.proposer();
-            world.proposers.push(proposer);
+            let process = world.process();
+            world.processes.push(process);
             world.voters.push(voter(at, Disk::default(), Micros(0)));
         }
         world
     }
 
-    fn proposer(&mut self) -> Proposer {
+    fn process(&mut self) -> Process {
         self.lives += 1;
-        Proposer { pen: Pen::open(TERMS, ContenderId(self.lives)), life: self.lives }
+        Process { proposer: Proposer::open(TERMS, ContenderId(self.lives)), life: self.lives }
     }
 
     fn steps(&mut self, at: usize, steps: Vec<Step>) {
         for step in steps {
             match step {
                 Step::Ask(voter, number, ask) => {
-                    self.way.push((at, self.proposers[at].life, voter.0, number, Message::Ask(ask)));
+                    self.way.push((at, self.processes[at].life, voter.0, number, Message::Ask(ask)));
                 }
                 Step::Chosen(None, _) => {}
                 Step::Chosen(Some(held), _) => {
@@ -149,16 +150,16 @@
             None => Order::Read,
             Some((version, body)) => {
                 let digest = Digest::of(body.as_bytes());
-                Order::Put(Held { version, body }, digest)
+                Order::Put(VersionedConfig { version, body }, digest)
             }
         };
-        let steps = self.proposers[at].pen.call(self.now, self.next, order);
+        let steps = self.processes[at].proposer.call(self.now, self.next, order);
         self.steps(at, steps);
         self.next
     }
 
     fn forget(&self, text: &mut String) {
-        if let Some(held) = Held::read(text).filter(|_| self.forgets) {
+        if let Some(held) = VersionedConfig::read(text).filter(|_| self.forgets) {
             let digest = Digest::of(held.body.as_bytes());
             *text = Value::first(held, digest).written();
         }
@@ -182,9 +183,9 @@
                 {
                     self.forget(&mut entry.value);
                 }
-                if self.proposers[at].life == life {
-                    let pen = &mut self.proposers[at].pen;
-                    let steps = pen.hear(self.now, VoterId(from), number, answer, 0.3 * at as f64);
+                if self.processes[at].life == life {
+                    let proposer = &mut self.processes[at].proposer;
+                    let steps = proposer.hear(self.now, VoterId(from), number, answer, 0.3 * at as f64);
                     self.steps(at, steps);
                 }
             }
@@ -193,8 +194,8 @@
 
     fn wake(&mut self, span: Micros) {
         self.now = self.now + span;
-        for at in 0..self.proposers.len() {
-            let steps = self.proposers[at].pen.wake(self.now, 0.3 * at as f64);
+        for at in 0..self.processes.len() {
+            let steps = self.processes[at].proposer.wake(self.now, 0.3 * at as f64);
             self.steps(at, steps);
         }
     }
@@ -247,7 +248,7 @@
             11 => drop(self.call(at, None)),
             12 => self.wake(Micros::ms(if pick(4, 16) == 0 { 200 } else { 10 })),
             // Its calls are lost with it.
-            13 => self.proposers[at] = self.proposer(),
+            13 => self.processes[at] = self.process(),
             14 => {
                 if let Seat::Votes(old) = &self.voters[at] {
                     self.voters[at] = voter(at, disk(old), self.now);
@@ -341,10 +342,10 @@
     assert_eq!(Digest::read(&left.to_string()), Some(left));
 }
 
-fn held(version: u64, note: &str) -> (Held, Digest) {
+fn held(version: u64, note: &str) -> (VersionedConfig, Digest) {
     let body = format!("{{\"version\":{version},\n\"note\":\"{note}\"}}");
     let digest = Digest::of(body.as_bytes());
-    (Held { version, body }, digest)
+    (VersionedConfig { version, body }, digest)
 }
 
 #[test]
@@ -386,7 +387,7 @@
         let whole = held(7, "x").0;
         let mut torn = Value::first(whole, Digest::of(b"{}")).written();
         torn.truncate(at % (torn.len() + 1));
-        drop((Value::read(&text), Held::read(&text), Held::read(&torn)));
+        drop((Value::read(&text), VersionedConfig::read(&text), VersionedConfig::read(&torn)));
         Value::read(&torn).is_none() || torn.contains('\n')
     }
     let mut tests = QuickCheck::new().rng(Gen::from_size_and_seed(200, 13)).tests(2_000);
--- a/crates/prompter/src/office/config.rs
+++ b/crates/prompter/src/office/config.rs
@@ -18,7 +18,7 @@
         self.counts.puts += 1;
         let Ok(body) = String::from_utf8(body.to_vec()) else { return acts };
         let digest = Digest::of(body.as_bytes());
-        let order = Order::Put(Held { version: script.version, body }, digest);
+        let order = Order::Put(VersionedConfig { version: script.version, body }, digest);
         self.call(now, Call::Put(id, script.version), order, &mut acts);
         acts
     }
@@ -47,7 +47,7 @@
         }
         self.next += 1;
         self.calls.insert(self.next, call);
-        let steps = self.pen.call(now, self.next, order);
+        let steps = self.proposer.call(now, self.next, order);
         self.steps(now, steps, acts);
     }
 
@@ -108,7 +108,7 @@
     }
 
     /// This one is held by more than half: it can be told.
-    pub(super) fn choose(&mut self, held: Held, acts: &mut Vec<Act>) {
+    pub(super) fn choose(&mut self, held: VersionedConfig, acts: &mut Vec<Act>) {
         if self.chosen.as_ref().is_some_and(|h| h.version >= held.version) {
             return;
         }
@@ -141,7 +141,7 @@
             if let Some(kept) = voter.kept(&pen::space()) {
                 deeds.push(Deed::Promise(kept.promised));
                 if let Some(entry) = kept.entries.get(KEY).filter(|_| owed || vote.body.is_some()) {
-                    let version = Held::read(&entry.value).map_or(0, |h| h.version);
+                    let version = VersionedConfig::read(&entry.value).map_or(0, |h| h.version);
                     deeds.push(Deed::Word(version, entry.clone()));
                 }
             }
@@ -173,8 +173,8 @@
                 acts.push(Act::Send(conn, What::Voted(seats::voted(number, own, voters, &answer))));
             }
             None => {
-                let dart = self.chance.rand_float();
-                let steps = self.pen.hear(now, own, number, answer, dart);
+                let jitter = self.chance.rand_float();
+                let steps = self.proposer.hear(now, own, number, answer, jitter);
                 self.steps(now, steps, acts);
             }
         }
@@ -184,7 +184,7 @@
     pub(super) fn lags(&self) -> bool {
         let Place::Seated(Some(voter)) = &self.place else { return true };
         let entry = voter.kept(&pen::space()).and_then(|k| k.entries.get(KEY).cloned());
-        let accepted = entry.and_then(|e| Held::read(&e.value)).map_or(0, |h| h.version);
+        let accepted = entry.and_then(|e| VersionedConfig::read(&e.value)).map_or(0, |h| h.version);
         accepted > self.chosen.as_ref().map_or(0, |h| h.version)
     }
 }
--- a/crates/prompter/src/office/members.rs
+++ b/crates/prompter/src/office/members.rs
@@ -30,7 +30,7 @@
 
     pub(super) fn seat(&mut self, voters: Vec<String>, acts: &mut Vec<Act>) {
         self.terms = terms(voters.len());
-        self.pen = Pen::open(self.terms, ContenderId(self.life));
+        self.proposer = Proposer::open(self.terms, ContenderId(self.life));
         self.voters = voters;
         self.place = Place::Seated(None);
         acts.push(Act::Voters(self.voters.clone()));
@@ -63,7 +63,7 @@
         matches!(self.place, Place::Seated(Some(_)))
     }
 
-    pub fn chosen(&self) -> Option<&Held> {
+    pub fn chosen(&self) -> Option<&VersionedConfig> {
         self.chosen.as_ref()
     }
 }
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -11,7 +11,7 @@
 use notchspool_election::voter::{Disk, Voter};
 use notchspool_election::{Answer, ContenderId, Said, Terms, VoterId};
 use notchspool_promptbook::digest::Digest;
-use notchspool_promptbook::pen::{self, End, Held, KEY, Order, Pen, Step};
+use notchspool_promptbook::pen::{self, End, KEY, Order, Proposer, Step, VersionedConfig};
 use notchspool_promptbook::script::Script;
 use notchspool_trapdoor::{Deed, Found, Seat};
 use oorandom::Rand64;
@@ -103,10 +103,10 @@
     voters: Vec<String>,
     terms: Terms,
     place: Place,
-    pen: Pen,
+    proposer: Proposer,
     pub board: Board,
     pub rack: Rack,
-    chosen: Option<Held>,
+    chosen: Option<VersionedConfig>,
     /// The same as it is sent.
     packed: Word,
     /// The version accepted here and not known to be chosen, and when it is looked into.
@@ -179,7 +179,7 @@
             voters: Vec::new(),
             terms: terms(1),
             place: Place::Unknown,
-            pen: Pen::open(terms(1), ContenderId(life)),
+            proposer: Proposer::open(terms(1), ContenderId(life)),
             board: Board::default(),
             rack,
             chosen: None,
@@ -398,15 +398,15 @@
             }
             What::Word(word) => {
                 if let Some(body) = cues::unpack(&word).and_then(|b| String::from_utf8(b).ok()) {
-                    self.choose(Held { version: word.version, body }, &mut acts);
+                    self.choose(VersionedConfig { version: word.version, body }, &mut acts);
                 }
             }
             What::Vote(vote) => self.vote(now, Some(conn), &vote, &mut acts),
             What::Voted(voted) => {
                 let number = voted.number;
                 let (from, answer) = seats::answer(voted);
-                let dart = self.chance.rand_float();
-                let steps = self.pen.hear(now, from, number, answer, dart);
+                let jitter = self.chance.rand_float();
+                let steps = self.proposer.hear(now, from, number, answer, jitter);
                 self.steps(now, steps, &mut acts);
             }
             What::Heard(heard) => {
@@ -481,8 +481,8 @@
     pub fn wake(&mut self, now: Micros) -> Vec<Act> {
         let mut acts = Vec::new();
         self.tick(now);
-        let dart = self.chance.rand_float();
-        let steps = self.pen.wake(now, dart);
+        let jitter = self.chance.rand_float();
+        let steps = self.proposer.wake(now, jitter);
         self.steps(now, steps, &mut acts);
         if let Place::First(Some(at)) = self.place
             && at <= now
@@ -495,7 +495,7 @@
         }
         self.board.wake(now, reaches);
         self.tell_board(now, &mut acts);
-        if self.unsure.is_some_and(|at| at <= now) && self.pen.idle() {
+        if self.unsure.is_some_and(|at| at <= now) && self.proposer.idle() {
             self.unsure = None;
             if self.lags() || !self.sure {
                 self.own_read(now, &mut acts);
@@ -519,8 +519,8 @@
             let ushers = self.guests.iter().filter(|(_, g)| g.usher);
             acts.extend(ushers.map(|(conn, _)| Act::Send(*conn, holding.clone())));
         }
-        if !self.sure && self.unsure.is_none() && self.pen.idle() && reaches {
-            self.unsure = Some(now + UNSURE.times(1.0 + dart));
+        if !self.sure && self.unsure.is_none() && self.proposer.idle() && reaches {
+            self.unsure = Some(now + UNSURE.times(1.0 + jitter));
         }
         if now >= self.rack_at {
             self.rack_at = now + Micros::ms(1_000);
--- a/crates/prompter/src/office/repair.rs
+++ b/crates/prompter/src/office/repair.rs
@@ -91,7 +91,10 @@
         for (_, promised, entries, _) in &disk.spaces {
             deeds.push(Deed::Promise(*promised));
             if let Some(entry) = entries.get(KEY) {
-                deeds.push(Deed::Word(Held::read(&entry.value).map_or(0, |h| h.version), entry.clone()));
+                deeds.push(Deed::Word(
+                    VersionedConfig::read(&entry.value).map_or(0, |h| h.version),
+                    entry.clone(),
+                ));
             }
         }
         deeds.push(Deed::Seat(seat));
