Lab: calls from before a standstill are not timed when the process goes on

Change: the times of all its open calls begin anew before any is handed in. What they are answered is judged as before.

--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -501,17 +501,13 @@
     pub fn thaw(&mut self, core: usize) {
         if std::mem::take(&mut self.cores[core].frozen) {
             let now = self.now;
-            for (id, body) in std::mem::take(&mut self.cores[core].waits) {
-                // Its caller has left long ago; what it is told is judged all the same, but not how late.
-                if let Some(called) = self.calls.get_mut(&id) {
-                    called.at = now;
-                }
-                self.called(core, id, body);
-            }
-            // Calls from before have lost their callers.
+            // Their callers have left long ago: what they are told is judged all the same, but not how late.
             for called in self.calls.values_mut().filter(|c| c.core == core) {
                 called.at = now;
             }
+            for (id, body) in std::mem::take(&mut self.cores[core].waits) {
+                self.called(core, id, body);
+            }
         }
     }
 
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -17,7 +17,8 @@
 
 #[test]
 fn drawn_troubles_within_what_is_borne_break_no_promise() {
-    for seed in 1..=12 {
+    // 882: an answer to a call from before a standstill, given after it, was held against its time.
+    for seed in (1..=12).chain([882]) {
         let wrong = drawn(seed);
         assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
     }
