--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -12,7 +12,7 @@
 use notchspool_election::sets::VoterSet;
 use notchspool_election::{Ballot, ContenderId, Entry, Token};
 use notchspool_promptbook::digest::Digest;
-use notchspool_promptbook::register::{Held, Value};
+use notchspool_promptbook::register::{Value, VersionedConfig};
 use notchspool_promptbook::script::Script;
 use notchspool_prompter::office::{Act, Office, Opening, Tolerate};
 use notchspool_trapdoor::{Deed, Found, Seat};
@@ -428,7 +428,7 @@
             | What::Voted(cues::Voted { body: Some(body), .. })
                 if self.breach == Breach::KeepsNoHistory =>
             {
-                if let Some(held) = Held::read(body) {
+                if let Some(held) = VersionedConfig::read(body) {
                     *body = Value::first(held.clone(), Digest::of(held.body.as_bytes())).written();
                 }
             }
@@ -685,17 +685,13 @@
     pub fn thaw(&mut self, core: usize) {
         if std::mem::take(&mut self.cores[core].frozen) {
             let now = self.now;
-            for (id, body) in std::mem::take(&mut self.cores[core].waits) {
-                // Its caller has left long ago; what it is told is judged all the same, but not how late.
-                if let Some(called) = self.calls.get_mut(&id) {
-                    called.at = now;
-                }
-                self.called(core, id, body);
-            }
-            // Calls from before have lost their callers.
+            // Their callers have left long ago: what they are told is judged all the same, but not how late.
             for called in self.calls.values_mut().filter(|c| c.core == core) {
                 called.at = now;
             }
+            for (id, body) in std::mem::take(&mut self.cores[core].waits) {
+                self.called(core, id, body);
+            }
         }
     }
 
--- a/crates/prompter/src/office/members.rs
+++ b/crates/prompter/src/office/members.rs
@@ -528,7 +528,7 @@
         self.withdrawn.clear();
         self.gather_wait = repair::GATHER_AGAIN;
         self.terms = terms(self.set.members.len());
-        self.pen.change(self.terms);
+        self.proposer.change(self.terms);
         acts.push(Act::Log(format!("members: {}", self.set)));
         acts.push(Act::Voters(self.set.addresses()));
         self.meet_all(now, acts);
@@ -570,7 +570,7 @@
             || !self.reached
     }
 
-    pub fn chosen(&self) -> Option<&Held> {
+    pub fn chosen(&self) -> Option<&VersionedConfig> {
         self.chosen.as_ref()
     }
 }
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -11,7 +11,7 @@
 use notchspool_election::voter::{Disk, Voter};
 use notchspool_election::{Answer, Ballot, ContenderId, Entry, Said, Terms, VoterId};
 use notchspool_promptbook::digest::Digest;
-use notchspool_promptbook::pen::{self, End, Held, KEY, Order, Pen, Step};
+use notchspool_promptbook::pen::{self, End, KEY, Order, Proposer, Step, VersionedConfig};
 use notchspool_promptbook::script::Script;
 pub use notchspool_rigging::told::Tolerate;
 use notchspool_trapdoor::{Deed, Found};
@@ -162,10 +162,10 @@
     leaving: Option<Micros>,
     handed: BTreeSet<usize>,
     hand_at: Micros,
-    pen: Pen,
+    proposer: Proposer,
     pub board: Board,
     pub rack: Rack,
-    chosen: Option<Held>,
+    chosen: Option<VersionedConfig>,
     /// The same as it is sent.
     packed: Word,
     /// The version accepted here and not known to be chosen, and when it is looked into.
@@ -254,7 +254,7 @@
             leaving: None,
             handed: BTreeSet::new(),
             hand_at: now,
-            pen: Pen::open(terms(1), ContenderId(life)),
+            proposer: Proposer::open(terms(1), ContenderId(life)),
             board: Board::default(),
             rack,
             chosen: None,
@@ -492,7 +492,7 @@
             }
             What::Word(word) => {
                 if let Some(body) = cues::unpack(&word).and_then(|b| String::from_utf8(b).ok()) {
-                    self.choose(Held { version: word.version, body }, &mut acts);
+                    self.choose(VersionedConfig { version: word.version, body }, &mut acts);
                 }
             }
             What::Vote(vote) => self.vote(now, Some(conn), &vote, &mut acts),
@@ -504,7 +504,7 @@
                 let number = voted.number;
                 let (from, answer) = seats::answer(voted);
                 let jitter = self.chance.rand_float();
-                let steps = self.pen.hear(now, from, number, answer, jitter);
+                let steps = self.proposer.hear(now, from, number, answer, jitter);
                 self.steps(now, steps, &mut acts);
             }
             What::Heard(mut heard) => {
@@ -582,7 +582,7 @@
         let mut acts = Vec::new();
         self.tick(now);
         let jitter = self.chance.rand_float();
-        let steps = self.pen.wake(now, jitter);
+        let steps = self.proposer.wake(now, jitter);
         self.steps(now, steps, &mut acts);
         self.wake_change(now, &mut acts);
         self.wake_install(now, &mut acts);
@@ -594,7 +594,7 @@
         }
         self.board.wake(now, reaches);
         self.tell_board(now, &mut acts);
-        if self.unsure.is_some_and(|at| at <= now) && self.pen.idle() {
+        if self.unsure.is_some_and(|at| at <= now) && self.proposer.idle() {
             self.unsure = None;
             if self.lags() || !self.sure {
                 self.own_read(now, &mut acts);
@@ -618,7 +618,7 @@
             let ushers = self.guests.iter().filter(|(_, g)| g.usher);
             acts.extend(ushers.map(|(conn, _)| Act::Send(*conn, holding.clone())));
         }
-        if !self.sure && self.unsure.is_none() && self.pen.idle() && reaches {
+        if !self.sure && self.unsure.is_none() && self.proposer.idle() && reaches {
             self.unsure = Some(now + UNSURE.times(1.0 + jitter));
         }
         if now >= self.rack_at {
--- a/crates/prompter/src/office/repair.rs
+++ b/crates/prompter/src/office/repair.rs
@@ -193,7 +193,10 @@
         deeds.extend(rack.all(now).into_iter().filter(|c| !had(c)).map(Deed::Claim));
         let (promised, entry) = kept;
         if let Some(entry) = &entry {
-            deeds.push(Deed::Word(Held::read(&entry.value).map_or(0, |h| h.version), entry.clone()));
+            deeds.push(Deed::Word(
+                VersionedConfig::read(&entry.value).map_or(0, |h| h.version),
+                entry.clone(),
+            ));
         }
         deeds.push(Deed::Promise(promised));
         self.register = Register::default();
@@ -304,9 +307,9 @@
             if let Some(kept) = voter.kept(&pen::space()) {
                 deeds.push(Deed::Promise(kept.promised));
                 let entry = kept.entries.get(KEY);
-                deeds.extend(
-                    entry.map(|e| Deed::Word(Held::read(&e.value).map_or(0, |h| h.version), e.clone())),
-                );
+                deeds.extend(entry.map(|e| {
+                    Deed::Word(VersionedConfig::read(&e.value).map_or(0, |h| h.version), e.clone())
+                }));
             }
         }
         for claim in all.claims {
