--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -169,7 +169,9 @@
                 Heard::Done => house.count("messages_unknown"),
             }
         });
-        tokio::select! { end = run => end, () = pulse => rope::End::Dropped }
+        let end = tokio::select! { end = run => end, () = pulse => rope::End::Dropped };
+        (0..rope.senseless()).for_each(|_| self.count("messages_unknown"));
+        end
     }
 
     fn lost(self: &Rc<House>, address: &str) {
