--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -94,6 +94,20 @@
     }
 }
 
+/// Which board is to be followed from now on, of those in reach (address and zone): a near one before others. None: the one that is followed goes on,
+/// or there is none.
+pub fn board<'a>(own: &str, followed: Option<&str>, open: &[(&'a str, &str)], dart: f64) -> Option<&'a str> {
+    let near: Vec<&(&str, &str)> = open.iter().filter(|(_, zone)| *zone == own).collect();
+    if let Some(address) = followed
+        && (near.is_empty() || near.iter().any(|(a, _)| *a == address))
+    {
+        return None;
+    }
+    let among: Vec<&(&str, &str)> = if near.is_empty() { open.iter().collect() } else { near };
+    let at = (dart * among.len() as f64) as usize;
+    among.get(at).map(|(address, _)| *address)
+}
+
 impl House {
     /// Keeps a connection to a prompter for as long as this process lives and it votes.
     pub fn call(self: &Rc<House>, address: String) {
@@ -194,20 +208,17 @@
     fn follow(&self) {
         let own = self.told.borrow().zone.clone();
         let open = self.voters.open.borrow();
-        if let Some(address) = self.voters.followed.borrow().as_ref() {
-            let far = open.get(address).filter(|v| v.zone != own);
-            let Some(far) = far.filter(|_| open.values().any(|v| v.zone == own)) else { return };
-            far.rope.send(What::Unwatch(Unwatch {}));
+        let boards: Vec<(&str, &str)> = open.iter().map(|(a, v)| (a.as_str(), v.zone.as_str())).collect();
+        let old = self.voters.followed.borrow().clone();
+        let Some(new) = board(&own, old.as_deref(), &boards, self.dart()) else { return };
+        if let Some(old) = old.and_then(|a| open.get(&a)) {
+            old.rope.send(What::Unwatch(Unwatch {}));
         }
-        let mut all: Vec<(&String, &Voter)> = open.iter().collect();
-        all.sort_by_key(|(_, v)| v.zone != own);
-        let near = all.iter().filter(|(_, v)| v.zone == own).count();
-        let among = if near > 0 { near } else { all.len() };
-        let at = (self.dart() * among as f64) as usize;
-        let Some((address, voter)) = all.get(at) else { return };
-        *self.voters.followed.borrow_mut() = Some((*address).clone());
+        *self.voters.followed.borrow_mut() = Some(new.to_string());
         let watch = Watch { have: self.playbill.borrow().version(), line: self.voters.line.get() };
-        voter.rope.send(What::Watch(watch));
+        if let Some(voter) = open.get(new) {
+            voter.rope.send(What::Watch(watch));
+        }
     }
 
     fn prompted(self: &Rc<House>, address: &str, rope: &Rope, what: What) {
