--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -786,7 +786,7 @@
     /// Whether a core's disk has this version, or a later one.
     pub fn keeps(&self, at: usize, version: u64) -> bool {
         let entry = self.cores[at].store.found.entry.as_ref();
-        entry.and_then(|e| Held::read(&e.value)).is_some_and(|h| h.version >= version)
+        entry.and_then(|e| VersionedConfig::read(&e.value)).is_some_and(|h| h.version >= version)
     }
 
     /// Whether a core's disk has a claim of this key.
