An usher whose settings change calls the seeds they name

Cause: an usher that was cut off while all its voters were replaced one after the other would call the old ones for ever. Change: with changed settings the seeds are called once; any prompter, with a seat or without, tells the set that holds now.

--- a/crates/stage/src/run.rs
+++ b/crates/stage/src/run.rs
@@ -108,12 +108,14 @@
 }
 
 /// Reads the settings file again; one that makes no sense changes nothing.
-fn reread(house: &House, file: &Path) {
+fn reread(house: &Rc<House>, file: &Path) {
     match Told::read(file) {
         Ok(told) => {
             let changed = *house.told.borrow() != told;
             if changed {
                 log::info!(target: "usher", "settings have changed");
+                // Whoever serves control tells of the set, though all that voted when this one last heard may be gone.
+                told.seeds.iter().map(|s| told.inner_of(s)).for_each(|seed| house.call(seed));
                 *house.told.borrow_mut() = told;
             }
         }
