--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -1,14 +1,18 @@
 //! Prompters and ushers in virtual time. Links carry messages in order after a delay, hold them while cut and end after silence; a disk has
 //! what was synced, and after a loss of power each later write or not.
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use notchspool::units::Micros;
 use notchspool_callboard::beats::Event as Call;
 use notchspool_cloakroom::coats::Event as Turn;
 use notchspool_cloakroom::round::Verdict;
-use notchspool_cues::{Claim, Hello, Ping, Want, Watch, What, Withdraw};
+use notchspool_cues as cues;
+use notchspool_cues::texts::{Heard, Texts};
+use notchspool_cues::{Claim, Hello, Ping, Snapshot, Want, Watch, What, Withdraw};
 use notchspool_election::sets::VoterSet;
-use notchspool_promptbook::pen::Held;
+use notchspool_election::{Ballot, ContenderId, Entry, Token};
+use notchspool_promptbook::digest::Digest;
+use notchspool_promptbook::register::{Held, Value};
 use notchspool_promptbook::script::Script;
 use notchspool_prompter::office::{Act, Office, Opening, Tolerate};
 use notchspool_trapdoor::{Deed, Found, Seat};
@@ -30,8 +34,8 @@
 }
 
 impl Store {
-    fn apply(&mut self, deed: &Deed, breach: Option<Breach>) {
-        let keep_first = breach == Some(Breach::SealNotKept);
+    fn apply(&mut self, deed: &Deed, breach: Breach) {
+        let keep_first = breach == Breach::SealNotKept;
         match deed {
             Deed::Clear => *self = Store::default(),
             Deed::Promise(ballot) => self.found.promised = self.found.promised.max(*ballot),
@@ -41,6 +45,7 @@
                 }
             }
             Deed::Seat(_) if keep_first && self.found.seat.is_some() => {}
+            Deed::Install(snapshot) => self.install(snapshot, breach),
             Deed::Seat(seat) => self.found.seat = Some(seat.clone()),
             Deed::Claim(claim) => {
                 let ticket = claim.ticket.unwrap_or_default();
@@ -54,6 +59,19 @@
             }
         }
     }
+    /// All of it at once, as the disk does it.
+    fn install(&mut self, snapshot: &Snapshot, breach: Breach) {
+        let told = |b: Option<notchspool_cues::Ballot>| {
+            let b = b.unwrap_or_default();
+            Ballot { token: Token(0), round: b.round, by: ContenderId(b.by) }
+        };
+        let entry = snapshot.body.clone().map(|value| Entry { at: told(snapshot.under), nth: 1, value });
+        if breach != Breach::SealNotKept || self.found.seat.is_none() {
+            self.found.seat = serde_json::from_slice(&snapshot.seat).ok();
+        }
+        (self.found.promised, self.found.entry) = (told(snapshot.promised), entry);
+        snapshot.claims.iter().for_each(|c| self.apply(&Deed::Claim(c.clone()), breach));
+    }
     fn found(&self) -> Found {
         Found { claims: self.claims.values().cloned().collect(), ..self.found.clone() }
     }
@@ -68,6 +86,10 @@
     sync: Micros,
     /// The disk refuses.
     full: bool,
+    /// The process stands still; what operators send meanwhile is read when it goes on.
+    frozen: bool,
+    waits: Vec<(u64, Option<String>)>,
+    texts: Texts,
     /// It is not there at the first start of all; it is gone for good; it is to end by itself.
     absent: bool,
     removed: bool,
@@ -75,6 +97,9 @@
     counted: bool,
 }
 
+/// Configurations that a prompter and an usher hold, as in their processes.
+const TEXTS: (usize, usize) = (4, 2);
+
 /// One end of a link: core or usher, by place, and its number of the connection.
 type End = (bool, usize, u64);
 
@@ -82,9 +107,8 @@
     ends: [End; 2],
     /// Messages on their way: when they arrive, to which end.
     way: Vec<(Micros, usize, What)>,
-    heard: Micros,
-    /// Its ends are cut from each other now.
-    cut: bool,
+    /// When each end last could hear the other.
+    heard: [Micros; 2],
 }
 
 /// What a put or read of an operator came to.
@@ -102,6 +126,8 @@
     links: Vec<Link>,
     /// Pairs of names that are cut from each other; `*` stands for all.
     pub cuts: BTreeSet<(String, String)>,
+    /// The first of these isn't heard by the second, though it hears it.
+    pub one_way: BTreeSet<(String, String)>,
     next: u64,
     lives: u64,
     /// Machines that may be lost at once.
@@ -110,23 +136,43 @@
     dial_at: Micros,
     pub replies: BTreeMap<u64, Reply>,
     /// Versions acknowledged, bodies sent, runs of each key: what the checker goes by.
-    puts: BTreeMap<u64, (usize, u64)>,
+    calls: BTreeMap<u64, Called>,
     pub acked: BTreeSet<u64>,
+    /// When the highest version acknowledged rose, and to which.
+    rises: Vec<(Micros, u64)>,
+    /// How an order was answered, by number and body: acknowledged, refused for good.
+    word: BTreeMap<(u64, String), (bool, bool)>,
     sent: BTreeMap<u64, BTreeSet<String>>,
     told: BTreeMap<u64, String>,
     pub ran: BTreeMap<String, Vec<Micros>>,
     pub wrong: Vec<String>,
+    pub breach: Breach,
+    /// A planted fault of those that start from now on: a text is taken whatever its digest says.
+    trusting: bool,
     /// What the cores say of their sets; shown with what is wrong.
     logs: Vec<String>,
-    /// Without this a wiped core forgets that it was one: what the checker has to notice.
-    pub careful: bool,
-    /// A safeguard that is off, for the same.
-    pub breach: Option<Breach>,
+    /// Changes that are still to be put: when, at which core, which version.
+    storm: VecDeque<(Micros, usize, u64)>,
 }
 
-/// Safeguards of the changes of the set of voters, each to be off once.
+/// One safeguard that is off: what the checker has to notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Breach {
+    Nothing,
+    /// A wiped core forgets that it was one.
+    ForgetsItsDisk,
+    /// An order under a number that is held, and a read, are answered from what is held, without a majority.
+    AnswersFromHeld,
+    /// Which body was taken under an older number is not kept.
+    KeepsNoHistory,
+    /// That it is cut off or has stood still is not noticed: links seem to live, and time to go on.
+    StaysSure,
+    /// A call is not given up before its caller has left.
+    AnswersLate,
+    /// A text is taken whatever its base and digest say.
+    TrustsTexts,
+    /// Votes leave before the disk has them.
+    VotesBeforeDisk,
     /// Of a voter's seats only the first stays on its disk: it comes back as if it had never been sealed.
     SealNotKept,
     /// A member votes in a set as soon as it hears of it, with what it has.
@@ -137,10 +183,47 @@
     NotHandedOver,
 }
 
+/// An operator's call that has no answer yet.
+#[derive(Clone, Debug)]
+struct Called {
+    core: usize,
+    /// The order's number and body; none for a read.
+    order: Option<(u64, String)>,
+    at: Micros,
+    /// The highest version acknowledged before it came.
+    acked: u64,
+}
+
+/// Callers go elsewhere after this.
+const CALLER: Micros = Micros::ms(1_000);
+/// Who vouches for a version may be wrong for so long: a cut is noticed by then.
+const UNNOTICED: Micros = Micros::ms(2_000);
+
 pub fn body(version: u64, note: &str) -> String {
     format!(r#"{{"version":{version},"routes":{{}},"services":{{}},"note":"{note}"}}"#)
 }
 
+/// A configuration of some routes, one of them another in each version.
+pub fn routes(version: u64, count: u64) -> String {
+    let route = |n: u64| {
+        let changed = if n == version % count.max(1) { version + count } else { n };
+        format!(
+            r#""r-{n:x}":{{"host":"h{}.example","pathPrefix":"/p{changed:x}x{n:x}/","routeKind":"safe","timeoutS":2.5,"targetS":0.6,"priority":2,"trafficSplit":[{{"service":"s","weight":90}},{{"service":"t","weight":10}}],"maxAttempts":2}}"#,
+            n % 97
+        )
+    };
+    let service =
+        r#"{"healthPath":"/health","maxConns":130,"protocol":"h1","usesTls":false,"selfDedupes":false}"#;
+    let all: Vec<String> = (0..count).map(route).collect();
+    format!(
+        r#"{{"version":{version},"routes":{{{}}},"services":{{"s":{service},"t":{service}}}}}"#,
+        all.join(",")
+    )
+}
+
+/// Routes in the changes of a storm, and the time between two of them.
+const STORM: (u64, Micros) = (40, Micros::ms(15));
+
 impl Player {
     /// Cores that are `absent` are not there at the first start of all: seeds that never come, or machines that are added later.
     pub fn new(cores: usize, ushers: usize, seed: u64, absent: &[usize]) -> Player {
@@ -153,21 +236,25 @@
             ushers: Vec::new(),
             links: Vec::new(),
             cuts: BTreeSet::new(),
+            one_way: BTreeSet::new(),
             next: 0,
             lives: 0,
             bears: there.saturating_sub(1) / 2,
             sets: BTreeMap::new(),
             dial_at: Micros(0),
             replies: BTreeMap::new(),
-            puts: BTreeMap::new(),
+            calls: BTreeMap::new(),
             acked: BTreeSet::new(),
+            rises: Vec::new(),
+            word: BTreeMap::new(),
             sent: BTreeMap::new(),
             told: BTreeMap::new(),
             ran: BTreeMap::new(),
             wrong: Vec::new(),
+            breach: Breach::Nothing,
+            trusting: false,
             logs: Vec::new(),
-            careful: true,
-            breach: None,
+            storm: VecDeque::new(),
         };
         // At the first start all are told the same three.
         let seeds: Vec<String> = (0..cores.min(3)).map(address).collect();
@@ -179,6 +266,9 @@
                 pending: Vec::new(),
                 sync: Micros::ms(1),
                 full: false,
+                frozen: false,
+                waits: Vec::new(),
+                texts: Texts::open(TEXTS.0),
                 absent: absent.contains(&at),
                 removed: false,
                 ends: false,
@@ -200,6 +290,10 @@
     fn open(&mut self, at: usize, first: bool, seeds: &[String]) {
         self.lives += 1;
         let core = &self.cores[at];
+        let mut texts = Texts::open(TEXTS.0);
+        texts.trusting = self.trusting;
+        let found = core.store.found();
+        found.entry.iter().for_each(|e| texts.hold(e.value.as_bytes()));
         let opening = Opening {
             own: core.address.clone(),
             zone: ["a", "b", "c"][at % 3].into(),
@@ -210,7 +304,8 @@
             seeds: seeds.to_vec(),
             window: WINDOW,
         };
-        let (office, acts) = Office::open(opening, core.store.found(), self.now);
+        self.cores[at].texts = texts;
+        let (office, acts) = Office::open(opening, found, self.now);
         self.cores[at].office = Some(office);
         self.act(at, acts);
     }
@@ -230,6 +325,15 @@
         })
     }
 
+    /// Whether what the first says reaches the second.
+    fn reaches(&self, from: &End, to: &End) -> bool {
+        let (a, b) = (self.name(from), self.name(to));
+        let is = |p: &str, n: &str| p == "*" || p == n;
+        let frozen = |e: &End| e.0 && self.cores[e.1].frozen;
+        let held = self.one_way.iter().any(|(x, y)| is(x, &a) && is(y, &b));
+        !held && !self.cut(&a, &b) && !frozen(from) && !frozen(to)
+    }
+
     fn up(&self, end: &End) -> bool {
         if end.0 { self.cores[end.1].office.is_some() } else { self.ushers[end.1].up }
     }
@@ -244,13 +348,12 @@
                     let core = &mut self.cores[at];
                     let after = core.pending.last().map_or(self.now, |p| p.0).max(self.now);
                     core.pending.push((after + core.sync, number, deeds));
-                }
-                Act::Reply(id, status, body) => {
-                    if let Some((_, version)) = self.puts.remove(&id).filter(|_| status == 200) {
-                        self.acked.insert(version);
+                    if self.breach == Breach::VotesBeforeDisk && number > 0 {
+                        let acts = core.office.as_mut().map(|o| o.saved(self.now, number, true));
+                        self.act(at, acts.unwrap_or_default());
                     }
-                    self.replies.insert(id, Reply { status, body });
                 }
+                Act::Reply(id, status, body) => self.replied(id, Reply { status, body }),
                 Act::Log(line) if line.starts_with("members: ") => {
                     let time = self.now.over(Micros::ms(1_000));
                     self.logs.push(format!("{time:.3} {}: {line}", Player::core_name(at)));
@@ -260,9 +363,85 @@
         }
     }
 
-    fn send(&mut self, from: End, what: What) {
+    fn wrong(&mut self, why: String) {
+        if self.wrong.len() < 50 {
+            self.wrong.push(format!("{:?}: {why}", self.now));
+        }
+    }
+
+    /// An operator's call is answered: what that must not say.
+    fn replied(&mut self, id: u64, reply: Reply) {
+        if self.breach == Breach::AnswersLate && reply.status == 503 {
+            return;
+        }
+        let Some(called) = self.calls.remove(&id) else { return };
+        if self.now - called.at > CALLER {
+            let late = (self.now - called.at).over(Micros::ms(1_000));
+            self.wrong(format!("core-{} answers after {late:.2} s", called.core + 1));
+        }
+        match &called.order {
+            None => {
+                let read = Script::check(reply.body.as_bytes()).map_or(0, |s| s.version);
+                if reply.status == 200 && read < called.acked {
+                    let acked = called.acked;
+                    self.wrong(format!("a read gives {read}, {acked} was acknowledged before it came"));
+                }
+            }
+            Some(order) => {
+                let (taken, refused) = self.word.entry(order.clone()).or_default();
+                *taken |= reply.status == 200;
+                *refused |= (400..500).contains(&reply.status);
+                if *taken && *refused {
+                    self.wrong(format!("an order under {} is acknowledged and refused", order.0));
+                }
+                if reply.status == 200 {
+                    let bodies = self.bodies(order.0);
+                    if bodies > 1 {
+                        self.wrong(format!("{bodies} bodies are acknowledged under {}", order.0));
+                    }
+                    if self.acked.last().is_none_or(|last| order.0 > *last) {
+                        self.rises.push((self.now, order.0));
+                    }
+                    self.acked.insert(order.0);
+                }
+            }
+        }
+        self.replies.insert(id, reply);
+    }
+
+    /// A core vouches that its version is the newest.
+    fn vouches(&mut self, at: usize, version: u64) {
+        let since = self.now - UNNOTICED;
+        let newest = self.rises.iter().rev().find(|r| r.0 < since).map_or(0, |r| r.1);
+        if version < newest {
+            self.wrong(format!("core-{} vouches for {version}, {newest} holds for long", at + 1));
+        }
+    }
+
+    fn texts(&mut self, end: &End) -> &mut Texts {
+        if end.0 { &mut self.cores[end.1].texts } else { &mut self.ushers[end.1].texts }
+    }
+
+    fn send(&mut self, from: End, mut what: What) {
+        match &mut what {
+            What::Welcome(w) if from.0 && w.sure => self.vouches(from.1, w.chosen),
+            What::Holding(h) if from.0 && h.sure => self.vouches(from.1, h.chosen),
+            What::Vote(cues::Vote { body: Some(body), .. })
+            | What::Voted(cues::Voted { body: Some(body), .. })
+                if self.breach == Breach::KeepsNoHistory =>
+            {
+                if let Some(held) = Held::read(body) {
+                    *body = Value::first(held.clone(), Digest::of(held.body.as_bytes())).written();
+                }
+            }
+            _ => {}
+        }
         let delay = Micros(200 + (self.chance.rand_float() * 2_000.0) as i64);
         let now = self.now;
+        if !self.links.iter().any(|l| l.ends.contains(&from)) {
+            return;
+        }
+        let what = self.texts(&from).send(from.2, what);
         if let Some(link) = self.links.iter_mut().find(|l| l.ends.contains(&from)) {
             let to = usize::from(link.ends[0] == from);
             let last = link.way.iter().filter(|w| w.1 == to).map(|w| w.0).max().unwrap_or(now);
@@ -302,8 +481,13 @@
     }
 
     fn deliver(&mut self, to: End, from: End, what: What) {
+        let what = match self.texts(&to).hear(to.2, what) {
+            Heard::Says(what) => what,
+            Heard::Ask(back) => return self.send(to, back),
+            Heard::Done => return,
+        };
         let what = match self.breach {
-            Some(Breach::NumberNotChecked) => self.unnumbered(to, what),
+            Breach::NumberNotChecked => self.unnumbered(to, what),
             _ => what,
         };
         if to.0 {
@@ -326,13 +510,9 @@
                 if let Some(station) = self.ushers[at].station() {
                     self.send(to, What::Station(station));
                 }
-                if welcome.chosen > self.ushers[at].version {
-                    self.send(to, What::Want(Want { version: welcome.chosen }));
-                }
-            }
-            What::Holding(holding) if holding.chosen > self.ushers[at].version => {
-                self.send(to, What::Want(Want { version: holding.chosen }));
+                self.holding(to, welcome.chosen, welcome.sure);
             }
+            What::Holding(holding) => self.holding(to, holding.chosen, holding.sure),
             What::Word(word) => {
                 let body = notchspool_cues::unpack(&word).unwrap_or_default();
                 self.word(at, word.version, &String::from_utf8_lossy(&body));
@@ -357,12 +537,24 @@
         }
     }
 
+    /// What a core has that isn't sure of it is asked for only a second later.
+    fn holding(&mut self, to: End, version: u64, sure: bool) {
+        let now = self.now;
+        let usher = &mut self.ushers[to.1];
+        if version > usher.version && sure {
+            self.send(to, What::Want(Want { version }));
+        } else if version > usher.version {
+            usher.doubtful = Some((now + Micros::ms(1_000), to.2, version));
+        }
+    }
+
     fn word(&mut self, at: usize, version: u64, body: &str) {
         let usher = &mut self.ushers[at];
         if version <= usher.version {
             return;
         }
         (usher.version, usher.body) = (version, body.to_string());
+        usher.had.insert(version);
         if !self.sent.get(&version).is_some_and(|all| all.contains(body)) {
             self.wrong
                 .push(format!("{:?}: version {version} is told with a body that nobody sent", self.now));
@@ -408,30 +600,117 @@
 
     // ---- What is done to them ---------------------------------------------------------------------------
 
+    /// One safeguard is off from here on.
+    pub fn plant(&mut self, breach: Breach) {
+        self.breach = breach;
+        self.trusting = breach == Breach::TrustsTexts;
+        self.cores.iter_mut().for_each(|c| c.texts.trusting = self.trusting);
+        self.ushers.iter_mut().for_each(|u| u.texts.trusting = self.trusting);
+    }
+
     /// An operator's put at a core; the number of its reply.
     pub fn put(&mut self, core: usize, version: u64, note: &str) -> u64 {
-        self.next += 1;
-        let (id, body, now) = (self.next, body(version, note), self.now);
+        let body = body(version, note);
+        self.put_body(core, version, body)
+    }
+
+    /// Changes put at a core, one after the other, each with some routes.
+    pub fn storm(&mut self, core: usize, from: u64, to: u64) {
+        let at = |n: u64| Micros(self.now.0 + STORM.1.0 * n as i64);
+        let all: Vec<(Micros, usize, u64)> =
+            (from..=to).enumerate().map(|(n, v)| (at(n as u64), core, v)).collect();
+        self.storm.extend(all);
+        self.storm.make_contiguous().sort();
+    }
+
+    /// What a process held of earlier texts is gone but for an old one, without anybody knowing.
+    pub fn forget(&mut self, core: bool, at: usize) {
+        let texts = if core { &mut self.cores[at].texts } else { &mut self.ushers[at].texts };
+        texts.forget();
+        texts.hold(routes(1, STORM.0).as_bytes());
+    }
+
+    /// Texts that a process could not make out.
+    pub fn refused(&self, core: bool, at: usize) -> u64 {
+        if core { self.cores[at].texts.counts.refused } else { self.ushers[at].texts.counts.refused }
+    }
+
+    fn put_body(&mut self, core: usize, version: u64, body: String) -> u64 {
         assert!(Script::check(body.as_bytes()).is_ok());
         self.sent.entry(version).or_default().insert(body.clone());
-        if let Some(office) = self.cores[core].office.as_mut() {
-            self.puts.insert(id, (core, version));
-            let acts = office.put(now, id, body.as_bytes());
-            self.act(core, acts);
-        }
-        id
+        self.call(core, Some((version, body)))
     }
 
     pub fn read(&mut self, core: usize) -> u64 {
+        self.call(core, None)
+    }
+
+    fn call(&mut self, core: usize, order: Option<(u64, String)>) -> u64 {
         self.next += 1;
-        let (id, now) = (self.next, self.now);
-        if let Some(office) = self.cores[core].office.as_mut() {
-            let acts = office.read(now, id);
-            self.act(core, acts);
+        let (id, at) = (self.next, self.now);
+        if self.cores[core].office.is_some() {
+            let acked = self.acked.last().copied().unwrap_or(0);
+            self.calls.insert(id, Called { core, order: order.clone(), at, acked });
+            match self.cores[core].frozen {
+                true => self.cores[core].waits.push((id, order.map(|o| o.1))),
+                false => self.called(core, id, order.map(|o| o.1)),
+            }
         }
         id
     }
 
+    fn called(&mut self, core: usize, id: u64, body: Option<String>) {
+        let (now, breach) = (self.now, self.breach);
+        let Some(office) = self.cores[core].office.as_mut() else { return };
+        if breach == Breach::AnswersFromHeld
+            && let Some(held) = office.chosen().cloned()
+        {
+            let order = self.calls.get(&id).and_then(|c| c.order.as_ref().map(|o| o.0));
+            if order.is_none_or(|version| version <= held.version) {
+                let body = if order.is_some() { String::new() } else { held.body };
+                return self.replied(id, Reply { status: 200, body });
+            }
+        }
+        let acts = match body {
+            Some(body) => office.put(now, id, body.as_bytes()),
+            None => office.read(now, id),
+        };
+        self.act(core, acts);
+    }
+
+    /// Its process stands still: nothing is read, written or sent.
+    pub fn freeze(&mut self, core: usize) {
+        self.cores[core].frozen = self.cores[core].office.is_some();
+    }
+
+    /// It goes on: operators' calls that came meanwhile are read first, in the order in which they came.
+    pub fn thaw(&mut self, core: usize) {
+        if std::mem::take(&mut self.cores[core].frozen) {
+            let now = self.now;
+            for (id, body) in std::mem::take(&mut self.cores[core].waits) {
+                // Its caller has left long ago; what it is told is judged all the same, but not how late.
+                if let Some(called) = self.calls.get_mut(&id) {
+                    called.at = now;
+                }
+                self.called(core, id, body);
+            }
+            // Calls from before have lost their callers.
+            for called in self.calls.values_mut().filter(|c| c.core == core) {
+                called.at = now;
+            }
+        }
+    }
+
+    /// Nothing of a core reaches another agent, `*` for all; what they say reaches it.
+    pub fn cut_to(&mut self, core: usize, other: &str) {
+        self.one_way.insert((Player::core_name(core), other.to_string()));
+    }
+
+    pub fn join(&mut self, name: &str) {
+        self.cuts.retain(|(a, _)| a != name);
+        self.one_way.retain(|(a, _)| a != name);
+    }
+
     /// Cuts a core from another agent, `*` for all.
     pub fn cut_off(&mut self, core: usize, other: &str) {
         self.cuts.insert((Player::core_name(core), other.to_string()));
@@ -446,6 +725,17 @@
         self.cores[at].office.is_some()
     }
 
+    /// How many bodies were acknowledged under a number.
+    pub fn bodies(&self, version: u64) -> usize {
+        self.word.iter().filter(|(order, said)| order.0 == version && said.0).count()
+    }
+
+    /// Whether it says that its version is the newest.
+    pub fn sure(&mut self, at: usize) -> bool {
+        let now = self.now;
+        self.cores[at].office.as_mut().is_some_and(|o| o.vouches(now).0)
+    }
+
     pub fn votes(&self, at: usize) -> bool {
         self.cores[at].office.as_ref().is_some_and(Office::votes)
     }
@@ -467,13 +757,16 @@
             }
         }
         self.cores[at].office = None;
+        self.cores[at].frozen = false;
+        self.cores[at].waits.clear();
+        self.calls.retain(|_, c| c.core != at);
         self.cores[at].ends = false;
         self.close((true, at));
     }
 
     /// SIGTERM: it ends once its office says so, or when the grace is nearly over.
     pub fn term(&mut self, at: usize) {
-        if self.breach == Some(Breach::NotHandedOver) {
+        if self.breach == Breach::NotHandedOver {
             return self.kill_core(at, false);
         }
         let now = self.now;
@@ -536,7 +829,7 @@
         self.kill_core(at, true);
         let seat = self.cores[at].store.found.seat.clone();
         self.cores[at].store = Store::default();
-        if !self.careful {
+        if self.breach == Breach::ForgetsItsDisk {
             self.cores[at].store.found.seat = seat;
         }
     }
@@ -590,6 +883,7 @@
     }
 
     fn closed(&mut self, end: End) {
+        self.texts(&end).closed(end.2);
         if end.0 {
             self.cores[end.1].office.iter_mut().for_each(|o| o.closed(end.2));
         }
@@ -644,13 +938,13 @@
             let linked = self.links.iter().any(|l| {
                 (l.ends[0].0, l.ends[0].1) == (from.0, from.1) && (l.ends[1].0, l.ends[1].1) == (true, to)
             });
-            let (a, b) = (self.name(&from), Player::core_name(to));
-            if linked || !self.up(&from) || !self.up(&(true, to, 0)) || self.cut(&a, &b) {
+            let (there, back) = (self.reaches(&from, &(true, to, 0)), self.reaches(&(true, to, 0), &from));
+            if linked || !self.up(&from) || !self.up(&(true, to, 0)) || !there || !back {
                 continue;
             }
             self.next += 2;
             let ends = [(from.0, from.1, self.next), (true, to, self.next + 1)];
-            self.links.push(Link { ends, way: Vec::new(), heard: self.now, cut: false });
+            self.links.push(Link { ends, way: Vec::new(), heard: [self.now; 2] });
             let (role, address) = match from.0 {
                 true => (2, self.cores[from.1].address.clone()),
                 false => (1, self.ushers[from.1].address.clone()),
@@ -698,15 +992,16 @@
         let now = self.now;
         for n in 0..self.links.len() {
             let ends = self.links[n].ends;
-            let cut = !self.cuts.is_empty() && self.cut(&self.name(&ends[0]), &self.name(&ends[1]));
-            self.links[n].cut = cut;
-            if !cut {
-                self.links[n].heard = now;
+            for at in 0..2 {
+                let blind = self.breach == Breach::StaysSure && ends.iter().all(|e| e.0);
+                if blind || self.reaches(&ends[1 - at], &ends[at]) {
+                    self.links[n].heard[at] = now;
+                }
             }
         }
         let mut closed = Vec::new();
         self.links.retain(|l| {
-            let lost = now - l.heard >= SILENCE;
+            let lost = l.heard.iter().any(|heard| now - *heard >= SILENCE);
             if lost {
                 closed.extend(l.ends);
             }
@@ -719,12 +1014,10 @@
         let mut due = Vec::new();
         for n in 0..self.links.len() {
             let ends = self.links[n].ends;
+            let open = [self.reaches(&ends[1], &ends[0]), self.reaches(&ends[0], &ends[1])];
             let link = &mut self.links[n];
-            if link.cut || link.way.is_empty() {
-                continue;
-            }
             let (now_due, later): (Vec<_>, Vec<_>) =
-                std::mem::take(&mut link.way).into_iter().partition(|w| w.0 <= now);
+                std::mem::take(&mut link.way).into_iter().partition(|w| w.0 <= now && open[w.1]);
             link.way = later;
             due.extend(now_due.into_iter().map(|(at, to, what)| (at, ends[to], ends[1 - to], what)));
         }
@@ -738,10 +1031,18 @@
             self.now = self.now + Micros::ms(1);
             let now = self.now;
             self.links();
+            while let Some((_, core, version)) = self.storm.pop_front_if(|s| s.0 <= now) {
+                self.put_body(core, version, routes(version, STORM.0));
+            }
             for at in 0..self.cores.len() {
                 let (done, later): (Vec<_>, Vec<_>) =
                     std::mem::take(&mut self.cores[at].pending).into_iter().partition(|p| p.0 <= now);
                 self.cores[at].pending = later;
+                if self.cores[at].frozen {
+                    // What the disk has done is read when it goes on.
+                    self.cores[at].pending.splice(0..0, done);
+                    continue;
+                }
                 for (_, number, deeds) in done {
                     let full = self.cores[at].full;
                     if !full {
@@ -753,13 +1054,16 @@
                     }
                 }
             }
-            if self.breach == Some(Breach::VotesBeforeInstalled) {
+            if self.breach == Breach::VotesBeforeInstalled {
                 (0..self.cores.len()).for_each(|at| self.hasten(at));
             }
             if (now.0 / 1_000) % 50 == 0 {
+                self.blind();
                 for at in 0..self.cores.len() {
+                    let seems = self.breach == Breach::StaysSure;
+                    let frozen = self.cores[at].frozen && !seems;
                     let ends = self.cores[at].ends;
-                    if let Some(office) = self.cores[at].office.as_mut() {
+                    if let Some(office) = self.cores[at].office.as_mut().filter(|_| !frozen) {
                         let acts = office.wake(now);
                         let left = ends && office.left(now);
                         self.act(at, acts);
@@ -770,6 +1074,9 @@
                 }
                 self.compare_sets();
             }
+            if (now.0 / 1_000) % 50 == 0 {
+                self.unanswered();
+            }
             if now >= self.dial_at {
                 self.dial_at = now + Micros::ms(100);
                 self.dial();
@@ -796,6 +1103,33 @@
         }
     }
 
+    /// Who does not notice that it is cut off hears from the others all the while.
+    fn blind(&mut self) {
+        if self.breach != Breach::StaysSure {
+            return;
+        }
+        let ends: Vec<End> = self.links.iter().map(|l| l.ends[0]).filter(|e| e.0).collect();
+        for end in ends {
+            let now = self.now;
+            if let Some(office) = self.cores[end.1].office.as_mut() {
+                let acts = office.hear(now, end.2, What::Pong(Ping { number: 0 }));
+                self.act(end.1, acts);
+            }
+        }
+    }
+
+    /// Calls whose callers have left.
+    fn unanswered(&mut self) {
+        let now = self.now;
+        let late = |c: &Called, cores: &[Core]| now - c.at > CALLER && !cores[c.core].frozen;
+        let all: Vec<(u64, usize)> =
+            self.calls.iter().filter(|(_, c)| late(c, &self.cores)).map(|(id, c)| (*id, c.core)).collect();
+        for (id, core) in all {
+            self.calls.remove(&id);
+            self.wrong(format!("core-{} has not answered an operator within a second", core + 1));
+        }
+    }
+
     fn usher(&mut self, at: usize) {
         let now = self.now;
         if !self.ushers[at].up {
@@ -823,6 +1157,12 @@
             let end = self.links.iter().find(to).map(|l| l.ends[0]);
             end.into_iter().for_each(|end| self.send(end, What::Claim(claim.clone())));
         }
+        if let Some((_, conn, version)) = self.ushers[at].doubtful.filter(|d| now >= d.0) {
+            self.ushers[at].doubtful = None;
+            if version > self.ushers[at].version {
+                self.send((false, at, conn), What::Want(Want { version }));
+            }
+        }
         for (hand, verdict) in self.ushers[at].verdicts(now) {
             self.verdict(at, &hand.key, hand.ticket, verdict);
         }
@@ -841,7 +1181,9 @@
     /// All are joined and started; what was acknowledged has to be found, and one word has to hold everywhere.
     pub fn settle(&mut self) {
         self.cuts.clear();
+        self.one_way.clear();
         for at in 0..self.cores.len() {
+            self.thaw(at);
             self.set_disk(at, false, Micros::ms(1));
             if !self.cores[at].absent {
                 self.start_core(at);
--- a/crates/lab/src/mesh/usher.rs
+++ b/crates/lab/src/mesh/usher.rs
@@ -6,6 +6,7 @@
 use notchspool_callboard::playbill::Playbill;
 use notchspool_cloakroom::coats::{Coat, Coats};
 use notchspool_cloakroom::round::{Round, Verdict};
+use notchspool_cues::texts::Texts;
 use notchspool_cues::{Claim, State, Station, Ticket, What};
 use notchspool_stage::company::{Company, Order};
 use notchspool_stage::purse::Purse;
@@ -26,6 +27,10 @@
     pub life: u64,
     pub version: u64,
     pub body: String,
+    /// All versions that it had in this life.
+    pub had: std::collections::BTreeSet<u64>,
+    /// What a core has that isn't sure of it, and when it is asked for: its end of the link, the version.
+    pub doubtful: Option<(Micros, u64, u64)>,
     pub beats: Beats,
     /// The backend goes on beating: id, draining, count of calls.
     pub backend: Option<(String, bool, u64)>,
@@ -44,6 +49,7 @@
     pub runs: Vec<(Micros, String)>,
     /// What the last request for a key was answered.
     pub answers: BTreeMap<String, String>,
+    pub texts: Texts,
     next: u64,
 }
 
@@ -60,6 +66,8 @@
             life,
             version: 0,
             body: String::new(),
+            had: Default::default(),
+            doubtful: None,
             beats: Beats::open(BEAT, now),
             backend: None,
             beat_at: now,
@@ -74,6 +82,7 @@
             follow_at: now,
             runs: Vec::new(),
             answers: BTreeMap::new(),
+            texts: Texts::open(2),
             next: 0,
         }
     }
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -1,11 +1,14 @@
 //! Timelines of the mesh, and drawn ones. No bench, no sleep: virtual time.
-use notchspool_lab::mesh::{Breach, Timeline, drawn, drawn_members, drawn_members_with, play, play_with};
+use notchspool::units::Micros;
+use notchspool_lab::mesh::{
+    Breach, Timeline, changes, drawn, drawn_members, drawn_members_with, play, storms,
+};
 use rstest::rstest;
 
 fn holds(text: &str) {
     let timeline = Timeline::read(text).unwrap();
     for seed in 1..=3 {
-        let wrong = play(&timeline, seed, true);
+        let wrong = play(&timeline, seed, Breach::Nothing);
         assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
     }
 }
@@ -23,6 +26,37 @@
     }
 }
 
+#[test]
+fn drawn_storms_of_changes_amid_losses_break_no_promise() {
+    for seed in 1..=4 {
+        let wrong = storms(seed);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
+
+/// The same in full: `notchspool lab changes`.
+#[test]
+fn sixty_changes_leave_a_bounded_disk_and_who_was_away_is_told_one_difference() {
+    let folder = std::env::temp_dir().join(format!("notchspool-changes-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let figures = changes(60, 200, &folder).unwrap();
+    let _ = std::fs::remove_dir_all(&folder);
+    let body = figures.body as u64;
+    // With each text goes what was taken under the 60 numbers before, 40 bytes each.
+    let text = figures.body + 60 * 40;
+    assert!(figures.disk_files <= 12 && figures.texts <= 4 * text, "{figures:#?}");
+    // Four versions, and the log of claims.
+    assert!(figures.disk_bytes <= 6 * body + (1 << 20), "{figures:#?}");
+    assert!(figures.to_peer < 3_000.0 && figures.to_usher < 1_000.0, "{figures:#?}");
+    assert_eq!(figures.refused, 0, "{figures:#?}");
+    let away: Vec<Option<u64>> = figures.returns.iter().map(|r| r.away).collect();
+    assert_eq!(away, [Some(1), Some(10), Some(20), None]);
+    for back in &figures.returns {
+        assert!(back.caught_up <= Micros::ms(3_000), "{figures:#?}");
+        assert!(back.bytes < 2 * body, "{figures:#?}");
+    }
+}
+
 /// The checker sees a voter that forgets its disk and goes on voting.
 #[test]
 fn a_wiped_voter_that_votes_on_is_noticed() {
@@ -36,14 +70,130 @@
 7.6   .         .         .             join    .
 ";
     let timeline = Timeline::read(text).unwrap();
-    let seen = (1..=5).any(|seed| play(&timeline, seed, false).iter().any(|w| w.contains("runs again")));
+    let seen = (1..=5)
+        .any(|seed| play(&timeline, seed, Breach::ForgetsItsDisk).iter().any(|w| w.contains("runs again")));
     assert!(seen, "a second run was not noticed");
     for seed in 1..=5 {
-        let wrong = play(&timeline, seed, true);
+        let wrong = play(&timeline, seed, Breach::Nothing);
         assert!(!wrong.iter().any(|w| w.contains("runs again")), "seed {seed}: {wrong:#?}");
     }
 }
 
+/// One safeguard off: the checker sees it, and sees nothing with all on.
+#[rstest]
+#[case::answers_from_held(
+    Breach::AnswersFromHeld,
+    "a read gives",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 2 old                   .                 .
+0.5   .         cut core-2; cut core-3      put 6 new         .
+1.5   .         read                        .                 .
+"
+)]
+#[case::acknowledges_from_held(
+    Breach::AnswersFromHeld,
+    "bodies are acknowledged under 5",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 5 left                  .                 .
+0.5   .         .                           put 5 right       .
+"
+)]
+#[case::keeps_no_history(
+    Breach::KeepsNoHistory,
+    "bodies are acknowledged under 5",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 5 left                  .                 .
+0.5   .         .                           put 9 x           .
+1.0   .         .                           .                 put 5 right
+"
+)]
+#[case::cut_and_sure(
+    Breach::StaysSure,
+    "vouches for 2",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 2 old                   .                 .
+0.5   .         cut core-2; cut core-3      put 6 new         .
+4.0   kill      .                           .                 .
+4.5   start     .                           .                 .
+5.0   .         .                           .                 .
+"
+)]
+#[case::stood_still_and_sure(
+    Breach::StaysSure,
+    "vouches for 2",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 2 old                   .                 .
+0.5   .         freeze                      put 6 new         .
+3.5   kill      .                           .                 .
+4.0   start     thaw                        .                 .
+4.5   .         .                           .                 .
+"
+)]
+#[case::answers_late(
+    Breach::AnswersLate,
+    "has not answered",
+    "
+time  usher-a   core-1                      core-2            core-3
+0.0   .         put 2 old                   .                 .
+0.5   .         cut core-2; cut core-3      .                 .
+0.6   .         put 4 new                   .                 .
+2.0   .         .                           .                 .
+"
+)]
+fn a_breach_of_the_word_is_noticed(#[case] breach: Breach, #[case] sign: &str, #[case] text: &str) {
+    let timeline = Timeline::read(text).unwrap();
+    let seen = (1..=5).any(|seed| play(&timeline, seed, breach).iter().any(|w| w.contains(sign)));
+    assert!(seen, "{breach:?} was not noticed");
+    holds(text);
+}
+
+/// The checker sees a text that is taken though its base is not held and its digest is another.
+#[test]
+fn a_text_taken_whatever_its_digest_says_is_noticed() {
+    let text = "
+time  usher-a  core-1       core-2  core-3
+0.0   .        storm 1 9    .       .
+1.0   forget   .            .       .
+1.1   .        storm 10 11  .       .
+2.0   forget   .            .       .
+2.1   .        storm 12 40  .       .
+";
+    let timeline = Timeline::read(text).unwrap();
+    let noticed = |w: &String| w.contains("body that nobody sent") || w.contains("different words");
+    let seen = (1..=5).any(|seed| play(&timeline, seed, Breach::TrustsTexts).iter().any(noticed));
+    assert!(seen, "a text of another digest was not noticed");
+    for seed in 1..=5 {
+        let wrong = play(&timeline, seed, Breach::Nothing);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
+
+/// The checker sees a vote that leaves before the disk has what it says.
+#[test]
+fn a_vote_before_the_disk_is_noticed() {
+    let text = "
+time  core-1                core-2        core-3
+0.0   storm 1 9             .             .
+1.0   slow                  slow          cut
+1.1   put 20 lost           .             .
+1.3   power                 power         .
+2.0   start                 start         join
+";
+    let timeline = Timeline::read(text).unwrap();
+    let noticed = |w: &String| w.contains("20 was acknowledged");
+    let seen = (1..=5).any(|seed| play(&timeline, seed, Breach::VotesBeforeDisk).iter().any(noticed));
+    assert!(seen, "an acknowledged version that was lost was not noticed");
+    for seed in 1..=5 {
+        let wrong = play(&timeline, seed, Breach::Nothing);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
+
 #[test]
 fn drawn_changes_of_the_set_break_no_promise() {
     for seed in 1..=12 {
@@ -56,8 +206,7 @@
 fn refused(text: &str, breach: Breach, sign: &str) {
     holds(text);
     let timeline = Timeline::read(text).unwrap();
-    let found: Vec<Vec<String>> =
-        (1..=3).map(|seed| play_with(&timeline, seed, true, Some(breach))).collect();
+    let found: Vec<Vec<String>> = (1..=3).map(|seed| play(&timeline, seed, breach)).collect();
     let seen = found.iter().flatten().any(|w| w.contains(sign));
     assert!(seen, "{breach:?} was not noticed: {found:#?}");
 }
@@ -127,9 +276,8 @@
 fn drawn_changes_notice_a_safeguard_that_is_off() {
     for breach in [Breach::SealNotKept, Breach::VotesBeforeInstalled, Breach::NumberNotChecked] {
         let signs = ["runs again", "was acknowledged", "two sets under one number"];
-        let seen = (1..=24).any(|seed| {
-            drawn_members_with(seed, Some(breach)).iter().any(|w| signs.iter().any(|s| w.contains(s)))
-        });
+        let seen = (1..=24)
+            .any(|seed| drawn_members_with(seed, breach).iter().any(|w| signs.iter().any(|s| w.contains(s))));
         assert!(seen, "{breach:?} was noticed by none of 24");
     }
 }
--- a/crates/prompter/src/house.rs
+++ b/crates/prompter/src/house.rs
@@ -14,6 +14,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info, warn};
+use notchspool_cues::texts::{Heard, Texts};
 use notchspool_cues::{Hello, What};
 use notchspool_rigging::signals::{Event as Signalled, Signals};
 use notchspool_rigging::told::Told;
@@ -33,12 +34,16 @@
 /// So much of the grace one that leaves waits for the others.
 const LEAVES: f64 = 0.8;
 const TICK: Duration = Duration::from_millis(50);
+/// Configurations that are held, so that others can be told and made out as differences.
+const TEXTS: usize = 4;
 
 type Job = (u64, Vec<Deed>);
 
 struct House {
     office: RefCell<Office>,
     clock: Clock,
+    /// Where operators call.
+    control: SocketAddr,
     told: RefCell<Told>,
     life: u64,
     ropes: RefCell<BTreeMap<Conn, rope::Rope>>,
@@ -46,6 +51,7 @@
     disk: std::sync::mpsc::Sender<Job>,
     calls: RefCell<BTreeMap<u64, oneshot::Sender<(u16, String)>>>,
     dialed: RefCell<BTreeSet<String>>,
+    texts: RefCell<Texts>,
 }
 
 impl House {
@@ -64,6 +70,7 @@
             role: 2,
             incarnation: self.office.borrow().incarnation(),
             counted: told.counted,
+            ..Hello::default()
         })
     }
 
@@ -73,7 +80,7 @@
             match act {
                 Act::Send(conn, what) => {
                     if let Some(rope) = self.ropes.borrow().get(&conn) {
-                        rope.send(what);
+                        rope.send(self.texts.borrow_mut().send(conn, what));
                     }
                 }
                 Act::Save(number, deeds) => {
@@ -108,7 +115,7 @@
                 if let Ok(stream) = rope::dial(to, Duration::from_millis(1_000)).await {
                     pause = 50;
                     let (conn, rope) = (house.number(), rope::Rope::default());
-                    rope.send(house.hello());
+                    rope.send(house.texts.borrow_mut().send(conn, house.hello()));
                     house.ropes.borrow_mut().insert(conn, rope.clone());
                     let acts = house.office.borrow_mut().peer(house.clock.now(), conn, &address);
                     house.act(acts);
@@ -142,27 +149,47 @@
     }
 
     async fn carry(self: &Rc<House>, stream: TcpStream, conn: Conn, rope: rope::Rope) -> rope::End {
+        let back = rope.clone();
         let end = rope::run(stream, rope, Some(SILENCE), |what| {
-            let acts = self.office.borrow_mut().hear(self.clock.now(), conn, what);
-            self.act(acts);
+            let heard = self.texts.borrow_mut().hear(conn, what);
+            match heard {
+                Heard::Says(what) => {
+                    let acts = self.office.borrow_mut().hear(self.clock.now(), conn, what);
+                    self.act(acts);
+                }
+                Heard::Ask(what) => {
+                    warn!(target: "prompter", "a difference can't be made out: the whole is asked for");
+                    back.send(what);
+                }
+                Heard::Done => {}
+            }
         });
         let end = end.await;
+        self.texts.borrow_mut().closed(conn);
         self.ropes.borrow_mut().remove(&conn);
         self.office.borrow_mut().closed(conn);
         end
     }
 
     async fn call(self: Rc<House>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let place = request.uri().path_and_query().map_or(String::new(), ToString::to_string);
         let (status, body) = self.answer(request).await;
+        let elsewhere = self.others().first().filter(|_| status == 503).map(|a| format!("http://{a}{place}"));
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let kind = if body.starts_with('{') { "application/json" } else { "text/plain" };
         let mut response = Response::new(Full::new(Bytes::from(body)));
         *response.status_mut() = status;
         response.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(kind));
+        if let Some(Ok(to)) = elsewhere.map(hyper::header::HeaderValue::try_from) {
+            response.headers_mut().insert("location", to);
+        }
         Ok(response)
     }
 
     async fn answer(self: &Rc<House>, request: Request<Incoming>) -> (u16, String) {
+        if request.uri().path() == "/notchspool/ready" {
+            return self.ready();
+        }
         let query = request.uri().query().unwrap_or_default().to_string();
         let call = query.split('&').find_map(|p| p.strip_prefix("call=")).unwrap_or_default().to_string();
         if request.uri().path() != "/notchspool/rpc" {
@@ -193,7 +220,40 @@
             }
         };
         self.act(acts);
-        wait.await.unwrap_or((503, "given up".into()))
+        match wait.await.unwrap_or((503, "given up".into())) {
+            (503, why) => (503, self.sent_on(&why)),
+            reply => reply,
+        }
+    }
+
+    /// Whether what this one says of the operator's configuration is the newest.
+    fn ready(&self) -> (u16, String) {
+        let vouches = self.office.borrow_mut().vouches(self.clock.now());
+        match vouches {
+            (true, version) => (200, format!("version {version} is the newest")),
+            (false, version) => {
+                let why = format!("it is not known whether version {version} is the newest");
+                (503, self.sent_on(&why))
+            }
+        }
+    }
+
+    fn sent_on(&self, why: &str) -> String {
+        let others = self.others();
+        let whom = if others.is_empty() { "another prompter".into() } else { others.join(" or ") };
+        format!("{why}; ask {whom}")
+    }
+
+    /// Where else an operator may call, in an order drawn anew: the other voters, at the port where this one is called.
+    fn others(&self) -> Vec<String> {
+        let (own, port) = (self.told.borrow().inner(), self.control.port());
+        let office = self.office.borrow();
+        let others = office.voters().into_iter().filter(|v| *v != own);
+        let hosts = others.filter_map(|v| v.parse::<SocketAddr>().ok());
+        let mut all: Vec<String> = hosts.map(|a| SocketAddr::new(a.ip(), port).to_string()).collect();
+        let first = (seed() % all.len().max(1) as u64) as usize;
+        all.rotate_left(first);
+        all
     }
 }
 
@@ -240,6 +300,8 @@
     let keep = Duration::from_micros((window.0 + 2_000_000) as u64);
     let (trapdoor, found) = open(&folder, keep).await?;
     found.torn.iter().for_each(|name| warn!(target: "trapdoor", "{name} was torn and is left out"));
+    let mut texts = Texts::open(TEXTS);
+    found.entry.iter().for_each(|e| texts.hold(e.value.as_bytes()));
     let seeds: Vec<String> = told.seeds.iter().map(|s| told.inner_of(s)).collect();
     let window = notchspool::units::Micros(window.0 + 2_000_000);
     let opening = Opening {
@@ -264,6 +326,7 @@
     let house = Rc::new(House {
         office: RefCell::new(office),
         clock,
+        control,
         life,
         ropes: RefCell::default(),
         next: std::cell::Cell::new(1),
@@ -271,6 +334,7 @@
         calls: RefCell::default(),
         dialed: RefCell::default(),
         told: RefCell::new(told),
+        texts: RefCell::new(texts),
     });
     house.act(acts);
     // Whoever is known there tells of the set, though all that this one knew may be gone by now.
--- a/crates/prompter/src/office/members.rs
+++ b/crates/prompter/src/office/members.rs
@@ -21,6 +21,8 @@
 const GIVEN_UP: Micros = Micros::ms(1_000);
 /// Machines that serve control, as far as this one keeps count of them.
 const MOST_CORES: usize = 64;
+/// Incarnations of one machine that are remembered as over.
+const MOST_RETIRED: usize = 16;
 
 /// A prompter as it was heard here.
 #[derive(Clone, Debug)]
@@ -203,6 +205,7 @@
         for member in &mut renewed {
             if let Some(core) = self.cores.get(&member.address).filter(|c| now - c.heard < REACH)
                 && core.incarnation != member.incarnation
+                && !self.is_retired(&member.address, core.incarnation)
             {
                 why.push(format!("{} comes with an empty disk", member.address));
                 member.incarnation = core.incarnation;
@@ -485,6 +488,28 @@
         guests.into_iter().for_each(|conn| acts.push(Act::Send(conn, self.welcome(None))));
     }
 
+    /// Incarnations that the set has replaced: what was heard of them, or still is on its way, never brings them back.
+    fn retire(&mut self, old: &VoterSet) {
+        let before = old.members.iter().chain(self.previous.iter().flat_map(|p| &p.members));
+        for member in before {
+            let now = self.set.place(&member.address).map(|at| self.set.members[at].incarnation);
+            if now.is_some_and(|n| n != member.incarnation) {
+                let retired = self.retired.entry(member.address.clone()).or_default();
+                if !retired.contains(&member.incarnation) {
+                    retired.push_back(member.incarnation);
+                }
+                if retired.len() > MOST_RETIRED {
+                    retired.pop_front();
+                }
+            }
+        }
+        self.retired.retain(|address, _| self.set.place(address).is_some());
+    }
+
+    fn is_retired(&self, address: &str, incarnation: u64) -> bool {
+        self.retired.get(address).is_some_and(|r| r.contains(&incarnation))
+    }
+
     /// From here on this set is the one that is known.
     pub(super) fn adopt(
         &mut self,
@@ -493,8 +518,9 @@
         previous: Option<VoterSet>,
         acts: &mut Vec<Act>,
     ) {
-        self.set = set;
+        let old = std::mem::replace(&mut self.set, set);
         self.previous = previous.filter(|p| p.number + 1 == self.set.number);
+        self.retire(&old);
         self.change = None;
         self.wished_at = None;
         self.sealed_at = None;
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -1,6 +1,6 @@
 //! All that one prompter decides. It is told the time, chance, what came on its connections and what its disk has done, and gives back
 //! what is to be sent, kept and answered. Nothing of a vote leaves before the disk has it.
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use notchspool::units::Micros;
 use notchspool_callboard::board::Board;
@@ -10,6 +10,7 @@
 use notchspool_election::sets::{Change, Register, VoterSet};
 use notchspool_election::voter::{Disk, Voter};
 use notchspool_election::{Answer, Ballot, ContenderId, Entry, Said, Terms, VoterId};
+use notchspool_promptbook::digest::Digest;
 use notchspool_promptbook::pen::{self, End, Held, KEY, Order, Pen, Step};
 use notchspool_promptbook::script::Script;
 pub use notchspool_rigging::told::Tolerate;
@@ -36,6 +37,8 @@
 const GATHER: Micros = Micros::ms(1_200);
 /// What was accepted and not known to be chosen is looked into after this, and as much again by chance.
 const UNSURE: Micros = Micros::ms(150);
+/// Whose clock goes on by more than this between two wakes has stood still meanwhile.
+const STILL: Micros = Micros::ms(1_000);
 /// Operators' calls in hand, votes that wait for the disk.
 const MOST: usize = 8_192;
 
@@ -133,6 +136,8 @@
     /// The last set that is known to be decided, and the one before where that is known.
     set: VoterSet,
     previous: Option<VoterSet>,
+    /// Incarnations that are over, by address, as far as this process has learnt of it.
+    retired: BTreeMap<String, VecDeque<u64>>,
     terms: Terms,
     state: State,
     /// What it has of the successor of the set that it votes in, and whether that is on its way to the disk.
@@ -165,7 +170,11 @@
     packed: Word,
     /// The version accepted here and not known to be chosen, and when it is looked into.
     unsure: Option<Micros>,
+    /// What is chosen here was the newest at some moment since `doubted`.
     sure: bool,
+    /// When it last stood still, or was last without more than half: only a round begun since makes it sure.
+    doubted: Micros,
+    last: Micros,
     guests: BTreeMap<Conn, Guest>,
     /// Connections that this prompter opened, and where to; among them those to other voters, by place.
     dialed: BTreeMap<Conn, String>,
@@ -197,7 +206,8 @@
 /// Whose call it is, by the host's number.
 #[derive(Clone, Debug)]
 enum Call {
-    Put(u64),
+    /// With its version.
+    Put(u64, u64),
     Read(u64),
     Own,
 }
@@ -225,6 +235,7 @@
             started: now,
             set: VoterSet::default(),
             previous: None,
+            retired: BTreeMap::new(),
             terms: terms(1),
             state: State::Unknown,
             register: Register::default(),
@@ -250,6 +261,8 @@
             packed: Word::default(),
             unsure: None,
             sure: false,
+            doubted: now,
+            last: now,
             guests: BTreeMap::new(),
             dialed: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -314,6 +327,7 @@
             recalled,
             set: known.then(|| members::to_wire(&self.set)),
             previous: self.previous.as_ref().map(members::to_wire),
+            ..Welcome::default()
         })
     }
 
@@ -352,11 +366,31 @@
         self.set.number > 0 && reached + own >= self.terms.majority()
     }
 
+    /// Time as whoever calls in has it. After a standstill nothing is sure: the others have gone on.
+    fn tick(&mut self, now: Micros) {
+        if now - self.last > STILL {
+            self.doubt(now);
+        }
+        self.last = self.last.max(now);
+    }
+
+    fn doubt(&mut self, now: Micros) {
+        self.sure = false;
+        self.doubted = now;
+    }
+
+    /// Whether what is chosen here was the newest a moment ago, and the version.
+    pub fn vouches(&mut self, now: Micros) -> (bool, u64) {
+        self.tick(now);
+        (self.sure, self.chosen.as_ref().map_or(0, |h| h.version))
+    }
+
     // ---- Connections ------------------------------------------------------------------------------------
 
     /// Another voter, connected from here; `hello` has been sent.
     pub fn peer(&mut self, now: Micros, conn: Conn, address: &str) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         self.dialed.insert(conn, address.to_string());
         self.meet(now, conn, &mut acts);
         acts
@@ -386,6 +420,7 @@
     /// A message. One that makes no sense here is counted and dropped.
     pub fn hear(&mut self, now: Micros, conn: Conn, what: What) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         if let Some(guest) = self.guests.get_mut(&conn) {
             guest.heard = now;
             if let Some(peer) = guest.voter.and_then(|at| self.peers.get_mut(&at)).filter(|p| p.0 == conn) {
@@ -431,6 +466,11 @@
                 }
             }
             What::Watch(watch) => self.watch(now, conn, watch, &mut acts),
+            What::Unwatch(_) => {
+                if let Some(guest) = self.guests.get_mut(&conn) {
+                    guest.follows = None;
+                }
+            }
             What::Claim(claim) => self.claim(now, conn, claim, &mut acts),
             What::Withdraw(w) => {
                 let ticket = w.ticket.unwrap_or_default();
@@ -501,6 +541,7 @@
     /// The disk has done this, or could not.
     pub fn saved(&mut self, now: Micros, number: u64, done: bool) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         let Some(pending) = self.pending.remove(&number) else { return acts };
         match pending {
             Pending::Claimed(conn, mut said) => {
@@ -539,6 +580,7 @@
     /// To be called every 50 ms or so.
     pub fn wake(&mut self, now: Micros) -> Vec<Act> {
         let mut acts = Vec::new();
+        self.tick(now);
         let jitter = self.chance.rand_float();
         let steps = self.pen.wake(now, jitter);
         self.steps(now, steps, &mut acts);
@@ -547,7 +589,9 @@
         self.wake_leaving(now, &mut acts);
         let reaches = self.reaches_most(now);
         self.reached = reaches;
-        self.sure &= reaches || self.set.members.len() == 1;
+        if !reaches && self.set.members.len() != 1 {
+            self.doubt(now);
+        }
         self.board.wake(now, reaches);
         self.tell_board(now, &mut acts);
         if self.unsure.is_some_and(|at| at <= now) && self.pen.idle() {
@@ -559,6 +603,17 @@
         if self.sure != self.told_sure {
             self.told_sure = self.sure;
             let chosen = self.chosen.as_ref().map_or(0, |h| h.version);
+            let line = match self.sure {
+                true => format!("is sure: version {chosen} is the newest"),
+                false => format!(
+                    "is not sure any more that version {chosen} is the newest: {}",
+                    match reaches {
+                        true => "it stood still",
+                        false => "more than half of the prompters are not in reach; operators are sent on",
+                    }
+                ),
+            };
+            acts.push(Act::Log(line));
             let holding = What::Holding(Holding { chosen, sure: self.sure });
             let ushers = self.guests.iter().filter(|(_, g)| g.usher);
             acts.extend(ushers.map(|(conn, _)| Act::Send(*conn, holding.clone())));
--- a/crates/prompter/tests/members.rs
+++ b/crates/prompter/tests/members.rs
@@ -65,6 +65,7 @@
             role: 2,
             incarnation,
             counted,
+            ..Hello::default()
         };
         let acts = self.office.hear(self.now, conn, What::Hello(hello));
         self.act(acts);
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -7,7 +7,8 @@
 
 use notchspool::units::Micros;
 use notchspool_cloakroom::round::{Round, Verdict};
-use notchspool_cues::{Claim, Claimed, Hello, Ping, Ticket, Want, Watch, What, Withdraw};
+use notchspool_cues::texts::{Heard, Texts};
+use notchspool_cues::{Claim, Claimed, Hello, Ping, Ticket, Unwatch, Want, Watch, What, Withdraw};
 use notchspool_rigging::rope::{self, Rope};
 use tokio::sync::oneshot;
 
@@ -28,6 +29,12 @@
 /// is followed, sooner.
 const BEFORE_ASKING: Duration = Duration::from_millis(500);
 const UNFOLLOWED: Duration = Duration::from_millis(40);
+/// A board that is nearer than the one followed is followed instead, after this and as much again by chance: by then it has gathered.
+const NEARER: Duration = Duration::from_millis(2_000);
+/// Configurations that are held, so that the next can be told as a difference.
+const TEXTS: usize = 2;
+/// What a prompter has that isn't sure of it is taken only where no sure one has answered for so long.
+const BEFORE_UNSURE: Duration = Duration::from_millis(1_000);
 
 #[derive(Clone)]
 struct Voter {
@@ -45,7 +52,6 @@
 }
 
 /// The prompters as this usher knows them.
-#[derive(Default)]
 pub struct Voters {
     /// Who votes, once one has told, and the number of that set; until then the seeds are asked.
     set: Cell<u64>,
@@ -58,6 +64,24 @@
     failures: Cell<u32>,
     /// The version that is waited for before somebody is asked.
     awaited: Cell<u64>,
+    texts: RefCell<Texts>,
+}
+
+impl Default for Voters {
+    fn default() -> Voters {
+        Voters {
+            set: Cell::default(),
+            list: RefCell::default(),
+            open: RefCell::default(),
+            dialed: RefCell::default(),
+            hands: RefCell::default(),
+            followed: RefCell::default(),
+            line: Cell::default(),
+            failures: Cell::default(),
+            awaited: Cell::default(),
+            texts: RefCell::new(Texts::open(TEXTS)),
+        }
+    }
 }
 
 impl Voters {
@@ -94,8 +118,10 @@
                 if let Ok(stream) = rope::dial(to, Duration::from_millis(800)).await {
                     failures = 0;
                     let rope = Rope::default();
-                    rope.send(house.hello());
-                    let end = house.attend(stream, &address, rope).await;
+                    let conn = house.number();
+                    rope.send(house.voters.texts.borrow_mut().send(conn, house.hello()));
+                    let end = house.attend(stream, &address, conn, rope).await;
+                    house.voters.texts.borrow_mut().closed(conn);
                     log::debug!(target: "callboy", "lose {address}: {end}");
                     house.lost(&address);
                 }
@@ -122,12 +148,17 @@
             zone: told.zone.clone(),
             address: self.own.clone(),
             role: 1,
-            incarnation: 0,
-            counted: false,
+            ..Hello::default()
         })
     }
 
-    async fn attend(self: &Rc<House>, stream: tokio::net::TcpStream, address: &str, rope: Rope) -> rope::End {
+    async fn attend(
+        self: &Rc<House>,
+        stream: tokio::net::TcpStream,
+        address: &str,
+        conn: u64,
+        rope: Rope,
+    ) -> rope::End {
         let pulse = async {
             let mut number = 0;
             loop {
@@ -137,8 +168,17 @@
             }
         };
         let (sends, house) = (rope.clone(), self.clone());
-        let run =
-            rope::run(stream, rope.clone(), Some(SILENCE), |what| house.prompted(address, &sends, what));
+        let run = rope::run(stream, rope.clone(), Some(SILENCE), |what| {
+            let heard = house.voters.texts.borrow_mut().hear(conn, what);
+            match heard {
+                Heard::Says(what) => house.prompted(address, &sends, what),
+                Heard::Ask(what) => {
+                    house.count("differences_refused");
+                    sends.send(what);
+                }
+                Heard::Done => house.count("messages_unknown"),
+            }
+        });
         tokio::select! { end = run => end, () = pulse => rope::End::Dropped }
     }
 
@@ -158,13 +198,15 @@
         }
     }
 
-    /// Follows one of the boards in reach, a near one before others.
+    /// Follows one of the boards in reach, a near one before others: what holds then crosses zones once for a prompter, not once for an usher.
     fn follow(&self) {
-        if self.voters.followed.borrow().is_some() {
-            return;
-        }
         let own = self.told.borrow().zone.clone();
         let open = self.voters.open.borrow();
+        if let Some(address) = self.voters.followed.borrow().as_ref() {
+            let far = open.get(address).filter(|v| v.zone != own);
+            let Some(far) = far.filter(|_| open.values().any(|v| v.zone == own)) else { return };
+            far.rope.send(What::Unwatch(Unwatch {}));
+        }
         let mut all: Vec<(&String, &Voter)> = open.iter().collect();
         all.sort_by_key(|(_, v)| v.zone != own);
         let near = all.iter().filter(|(_, v)| v.zone == own).count();
@@ -195,16 +237,21 @@
                     if let Some(station) = self.station() {
                         rope.send(What::Station(station));
                     }
-                    self.follow();
+                    if self.voters.followed.borrow().is_none() {
+                        self.follow();
+                    } else {
+                        self.nearer();
+                    }
                     let bare = self.script.borrow().is_none();
-                    self.holding(rope, welcome.chosen, bare);
+                    self.holding(rope, (welcome.chosen, welcome.sure), bare);
                 }
             }
             What::Holding(holding) => {
                 if let Some(voter) = self.voters.open.borrow_mut().get_mut(address) {
                     voter.holds = Some((holding.chosen, holding.sure));
                 }
-                self.holding(rope, holding.chosen, false);
+                let bare = self.script.borrow().is_none();
+                self.holding(rope, (holding.chosen, holding.sure), bare);
             }
             What::Word(word) => match notchspool_cues::unpack(&word) {
                 Some(body) => self.word(word.version, &body),
@@ -223,6 +270,16 @@
         }
     }
 
+    /// Another board is in reach: should it be a nearer one, it is followed before long.
+    fn nearer(self: &Rc<House>) {
+        let house = self.clone();
+        let wait = NEARER.mul_f64(1.0 + self.dart());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(wait).await;
+            house.follow();
+        });
+    }
+
     /// Another set of voters is decided: who votes no more is followed no more, and claims in hand are asked anew of the new ones.
     fn learn(self: &Rc<House>, set: notchspool_cues::Set) {
         let list: Vec<String> = set.members.into_iter().map(|m| m.address).collect();
@@ -242,17 +299,20 @@
     }
 
     /// That a version holds: where it does not come by itself it is asked for.
-    fn holding(self: &Rc<House>, rope: &Rope, chosen: u64, at_once: bool) {
+    fn holding(self: &Rc<House>, rope: &Rope, (chosen, sure): (u64, bool), at_once: bool) {
         let lacks = move |house: &House| house.script.borrow().as_ref().map_or(0, |s| s.version) < chosen;
-        if chosen <= self.voters.awaited.get() || !lacks(self) {
+        if !lacks(self) || (sure && chosen <= self.voters.awaited.get()) {
             return;
         }
         let wait = match (at_once, self.voters.followed.borrow().is_some()) {
+            _ if !sure => BEFORE_UNSURE,
             (true, _) => Duration::ZERO,
             (false, true) => BEFORE_ASKING,
             (false, false) => UNFOLLOWED,
         };
-        self.voters.awaited.set(chosen);
+        if sure {
+            self.voters.awaited.set(chosen);
+        }
         let (house, rope) = (self.clone(), rope.clone());
         tokio::task::spawn_local(async move {
             tokio::time::sleep(wait).await;
@@ -264,15 +324,15 @@
                 // Whoever says next that it holds may be asked.
                 house.voters.awaited.set(0);
             }
-            if lacks(&house) {
-                let other = house
-                    .voters
-                    .open
-                    .borrow()
-                    .values()
-                    .find(|v| v.holds.is_some_and(|h| h.0 >= chosen))
-                    .cloned();
-                other.into_iter().for_each(|v| house.holding(&v.rope, chosen, false));
+            if sure && lacks(&house) {
+                let open = house.voters.open.borrow();
+                let has = |v: &&Voter| v.holds.is_some_and(|h| h.0 >= chosen);
+                // One that is sure rather than one that isn't.
+                let other = open.values().filter(has).max_by_key(|v| v.holds.is_some_and(|h| h.1)).cloned();
+                drop(open);
+                if let Some((other, holds)) = other.and_then(|v| Some((v.rope, v.holds?))) {
+                    house.holding(&other, (chosen, holds.1), false);
+                }
             }
         });
     }
