--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -44,8 +44,8 @@
                     self.found.entry = Some(entry.clone());
                 }
             }
-            Deed::Install(snapshot) => self.install(snapshot),
             Deed::Seat(_) if keep_first && self.found.seat.is_some() => {}
+            Deed::Install(snapshot) => self.install(snapshot, breach),
             Deed::Seat(seat) => self.found.seat = Some(seat.clone()),
             Deed::Claim(claim) => {
                 let ticket = claim.ticket.unwrap_or_default();
@@ -60,15 +60,17 @@
         }
     }
     /// All of it at once, as the disk does it.
-    fn install(&mut self, snapshot: &Snapshot) {
+    fn install(&mut self, snapshot: &Snapshot, breach: Breach) {
         let told = |b: Option<notchspool_cues::Ballot>| {
             let b = b.unwrap_or_default();
             Ballot { token: Token(0), round: b.round, by: ContenderId(b.by) }
         };
         let entry = snapshot.body.clone().map(|value| Entry { at: told(snapshot.under), nth: 1, value });
-        self.found.seat = serde_json::from_slice(&snapshot.seat).ok();
+        if breach != Breach::SealNotKept || self.found.seat.is_none() {
+            self.found.seat = serde_json::from_slice(&snapshot.seat).ok();
+        }
         (self.found.promised, self.found.entry) = (told(snapshot.promised), entry);
-        snapshot.claims.iter().for_each(|c| self.apply(&Deed::Claim(c.clone()), Breach::Nothing));
+        snapshot.claims.iter().for_each(|c| self.apply(&Deed::Claim(c.clone()), breach));
     }
     fn found(&self) -> Found {
         Found { claims: self.claims.values().cloned().collect(), ..self.found.clone() }
