--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -40,6 +40,9 @@
         /// How many.
         #[arg(long, default_value_t = 200)]
         seeds: u64,
+        /// The data plane instead: ushers, links and backends, judged by who got which answer and what ran twice.
+        #[arg(long)]
+        traffic: bool,
     },
     /// A plain agent: a baseline, told what any agent is told. The lab starts it by itself.
     #[command(hide = true)]
@@ -47,14 +50,19 @@
 }
 
 /// Plays drawn days of the mesh, on all cores.
-fn mesh(from: u64, seeds: u64) -> ExitCode {
+fn mesh(from: u64, seeds: u64, traffic: bool) -> ExitCode {
+    let day = move |seed: u64| match traffic {
+        false => notchspool_lab::mesh::drawn(seed),
+        true => {
+            let day = notchspool_lab::mesh::traffic::drawn(seed, None);
+            day.wrong.into_iter().map(|(rule, what)| format!("{rule:?}: {what}")).collect()
+        }
+    };
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get()).min(64) as u64;
     let broken: Vec<(u64, Vec<String>)> = std::thread::scope(|scope| {
         let part = move |nth: u64| -> Vec<(u64, Vec<String>)> {
             let all = (from..from.saturating_add(seeds)).filter(move |seed| seed % threads == nth);
-            all.map(|seed| (seed, notchspool_lab::mesh::drawn(seed)))
-                .filter(|(_, wrong)| !wrong.is_empty())
-                .collect()
+            all.map(|seed| (seed, day(seed))).filter(|(_, wrong)| !wrong.is_empty()).collect()
         };
         let hands: Vec<_> = (0..threads).map(|nth| scope.spawn(move || part(nth))).collect();
         hands.into_iter().filter_map(|hand| hand.join().ok()).flatten().collect()
@@ -111,7 +119,7 @@
         Lab::Audit { books } => judge(&books),
         Lab::Report(asked) => report(&asked),
         Lab::Fleet(asked) => crate::ground::run(&asked),
-        Lab::Mesh { from, seeds } => Ok(mesh(from, seeds)),
+        Lab::Mesh { from, seeds, traffic } => Ok(mesh(from, seeds, traffic)),
         Lab::Plain { policy } => {
             let policy = Policy::named(&policy).ok_or_else(|| format!("no policy `{policy}`"))?;
             agent::run(policy).map(|()| ExitCode::SUCCESS)
--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -168,6 +168,9 @@
     /// The route's whole aim, by which the door tells kinds of work apart.
     #[prost(uint32, tag = "17")]
     pub target_ms: u32,
+    /// Milliseconds since its client sent it, as far as is known.
+    #[prost(uint32, tag = "18")]
+    pub age_ms: u32,
 }
 
 /// Who claims: the first usher's life, its number for the request, and which backend in turn it is tried at.
--- a/crates/lab/src/mesh/timeline.rs
+++ b/crates/lab/src/mesh/timeline.rs
@@ -11,6 +11,12 @@
 }
 
 impl Timeline {
+    pub fn columns(&self) -> &[String] {
+        &self.columns
+    }
+    pub fn rows(&self) -> &[(Micros, Vec<String>)] {
+        &self.rows
+    }
     /// Reads it; what can't be read names its line.
     pub fn read(text: &str) -> Result<Timeline, String> {
         let mut lines = text
--- /dev/null
+++ b/crates/lab/src/mesh/traffic/lobby.rs
@@ -0,0 +1,478 @@
+//! An usher where requests begin: what they are told, and the links to other ushers.
+use notchspool::units::Micros;
+use notchspool_cues::{Ask, Cancel, Fetch, Ping, Said, Ticket, Verdict, What};
+use notchspool_stage::attempts::{Attempts, Event, Next, Terms};
+use notchspool_stage::exchange::{Asking, Event as Heard, LONGEST, Step};
+use notchspool_stage::link::only;
+use notchspool_stage::operation::NOT_HERE;
+use notchspool_stage::standstill::FROZEN;
+
+use super::Breach;
+use super::door::{From, Purpose};
+use super::judge::{Got, Kind};
+use super::world::{MOST, World, cue};
+
+/// A link on which something is out is given up after this silence.
+const LOST: Micros = Micros::ms(700);
+
+/// Who waits on a link: a request, and which of its tries.
+type Wait = (String, u64);
+
+pub struct Asker {
+    asking: Asking<Wait, Wait>,
+    /// What waits for the link to be there.
+    pending: Option<Vec<What>>,
+    reads: u64,
+}
+
+enum Stage {
+    /// Sent: over a link, or to the door here.
+    Out(u64, u64),
+    Here(u64),
+    Fencing,
+    Fetching(u64, u64),
+    /// Its answer comes in pieces.
+    Streaming(Option<(u64, u64)>, Got),
+    /// Between two tries.
+    Idle,
+}
+
+pub struct Request {
+    key: String,
+    ticket: Ticket,
+    began: Micros,
+    until: Micros,
+    attempts: Attempts,
+    stage: Stage,
+    serial: u64,
+    failed: Option<Said>,
+}
+
+fn header(said: &Said, name: &str) -> String {
+    let found = said.headers.iter().find(|p| p.name == name);
+    found.map_or_else(String::new, |p| String::from_utf8_lossy(&p.value).into_owned())
+}
+
+impl World {
+    pub(super) fn lobby_wakes(&mut self, at: usize) {
+        let now = self.now;
+        for attempt in std::mem::take(&mut self.ushers[at].leavers) {
+            self.drop_request(at, &attempt);
+        }
+        for attempt in std::mem::take(&mut self.ushers[at].inbox) {
+            self.takes(at, &attempt);
+        }
+        let due: Vec<String> = self.ushers[at]
+            .requests
+            .iter()
+            .filter(|(_, r)| {
+                now >= r.until && matches!(r.stage, Stage::Out(..) | Stage::Here(_) | Stage::Fetching(..))
+            })
+            .map(|r| r.0.clone())
+            .collect();
+        for attempt in due {
+            let fetching = matches!(self.ushers[at].requests[&attempt].stage, Stage::Fetching(..));
+            let serial = self.ushers[at].requests[&attempt].serial;
+            self.give_up(at, &attempt);
+            if fetching {
+                self.answers(at, &attempt, 504, None);
+            } else {
+                self.came(at, &attempt, serial, only(0, Verdict::MayHaveRun, "no answer in time"));
+            }
+        }
+    }
+
+    /// A client's request is read.
+    fn takes(&mut self, at: usize, attempt: &str) {
+        let now = self.now;
+        let age = self.ushers[at].still.runs(now);
+        let Some(client) = self.judge.clients.get(attempt).filter(|c| !c.gone) else { return };
+        let (kind, left) = (client.kind.clone(), client.until - client.sent);
+        let usher = &mut self.ushers[at];
+        let number = usher.number();
+        let ticket = Ticket { life: usher.life, number, turn: 0 };
+        let key = if let Kind::Keyed(key) = &kind { key.clone() } else { String::new() };
+        let began = now - age;
+        let until = if age >= FROZEN { began } else { now } + left;
+        let terms = Terms {
+            repeatable: kind == Kind::Safe || self.breach == Some(Breach::Repeat),
+            most: MOST,
+            until,
+            ticket: (!key.is_empty()).then_some(ticket),
+        };
+        let began = if self.breach == Some(Breach::Ages) { now } else { began };
+        let request = Request {
+            key,
+            ticket,
+            began,
+            until,
+            attempts: Attempts::open(terms),
+            stage: Stage::Idle,
+            serial: 0,
+            failed: None,
+        };
+        self.ushers[at].requests.insert(attempt.into(), request);
+        self.goes(at, attempt);
+    }
+
+    /// It goes to some backend, or nowhere.
+    fn goes(&mut self, at: usize, attempt: &str) {
+        let now = self.now;
+        let aims = &self.ushers[at].aims;
+        let nth = self.ushers[at].requests.get(attempt).map_or(0, |r| r.attempts.posted() as usize);
+        let aim = aims.get(nth.min(aims.len().saturating_sub(1))).copied();
+        let nobody = aim.is_none() && self.luck(0.05);
+        let anywhere = self.below(self.ushers.len() as u64) as usize;
+        let to = aim.unwrap_or(anywhere);
+        let instance = self.ushers[to].knows.clone();
+        let ages = self.is(Breach::Ages);
+        let Some(request) = self.ushers[at].requests.get_mut(attempt) else { return };
+        let event = if nobody { Event::Nobody } else { Event::Post };
+        let ticket = match request.attempts.turn(now, event, &|| true) {
+            Next::Send(_, ticket) => ticket,
+            next => {
+                return match request.failed.take() {
+                    Some(said) => self.relays(at, attempt, said),
+                    None => self.given_up(at, attempt, next),
+                };
+            }
+        };
+        request.failed = None;
+        request.serial += 1;
+        let (serial, key, until, began) = (request.serial, request.key.clone(), request.until, request.began);
+        let id = self.ushers[at].number();
+        let ask = Ask {
+            id,
+            instance,
+            left_ms: ((until - now).0 / 1_000).clamp(1, 600_000) as u32,
+            target_ms: 200,
+            aim_ms: 600,
+            key,
+            ticket,
+            attempt: attempt.into(),
+            age_ms: if ages { 0 } else { ((now - began).0 / 1_000).clamp(0, 600_000) as u32 },
+            ..Ask::default()
+        };
+        if to == at {
+            self.stage(at, attempt, Stage::Here(id));
+            return self.perform(at, id, From::Here(attempt.into(), serial), ask);
+        }
+        let wire = self.asks(at, to, id, (attempt.into(), serial), What::Ask(ask));
+        self.stage_if(at, attempt, serial, Stage::Out(wire, id));
+    }
+
+    fn stage(&mut self, at: usize, attempt: &str, stage: Stage) {
+        if let Some(request) = self.ushers[at].requests.get_mut(attempt) {
+            request.stage = stage;
+        }
+    }
+
+    /// Where it was not answered at once.
+    fn stage_if(&mut self, at: usize, attempt: &str, serial: u64, stage: Stage) {
+        if let Some(request) = self.ushers[at].requests.get_mut(attempt).filter(|r| r.serial == serial)
+            && matches!(request.stage, Stage::Idle)
+        {
+            request.stage = stage;
+        }
+    }
+
+    /// That came of a try.
+    pub(super) fn came(&mut self, at: usize, attempt: &str, serial: u64, said: Said) {
+        let now = self.now;
+        let spends = self.luck(0.8);
+        let (fences, links) = (self.is(Breach::Fences), self.is(Breach::Links));
+        let Some(request) = self.ushers[at].requests.get_mut(attempt).filter(|r| r.serial == serial) else {
+            return;
+        };
+        if let Stage::Fetching(..) = request.stage {
+            return self.fetched(at, attempt, said);
+        }
+        let way = match request.stage {
+            Stage::Out(wire, id) => Some((wire, id)),
+            _ => None,
+        };
+        request.stage = Stage::Idle;
+        let said = match said.verdict() {
+            Verdict::MayHaveRun if links && said.why == "the link ended" => {
+                only(0, Verdict::NotRun, "the link ended")
+            }
+            _ => said,
+        };
+        match request.attempts.turn(now, Event::Came(&said), &|| spends) {
+            Next::Fence => {
+                let life = self.ushers[at].life;
+                let number = self.ushers[at].number();
+                let Some(request) = self.ushers[at].requests.get_mut(attempt) else { return };
+                let fence = Ticket { life, number, turn: request.attempts.posted().saturating_sub(1) };
+                let key = request.key.clone();
+                request.stage = Stage::Fencing;
+                if fences {
+                    let same = request.ticket;
+                    return self.fenced(at, attempt, serial, same, true);
+                }
+                self.claim(at, &key, fence, Purpose::Fence(attempt.into(), serial, fence));
+            }
+            Next::Again => {
+                if said.verdict() == Verdict::Answered {
+                    request.failed = Some(said);
+                }
+                self.goes(at, attempt);
+            }
+            Next::Relay if said.more => {
+                let got = Got {
+                    status: said.status,
+                    id: attempt.into(),
+                    seal: header(&said, "seal"),
+                    bytes: said.body.len() as u64,
+                };
+                request.stage = Stage::Streaming(way, got);
+            }
+            Next::Relay => self.relays(at, attempt, said),
+            Next::FromHolder => self.fetches(at, attempt, &said),
+            next => self.given_up(at, attempt, next),
+        }
+    }
+
+    pub(super) fn fenced(&mut self, at: usize, attempt: &str, serial: u64, ticket: Ticket, granted: bool) {
+        let now = self.now;
+        let Some(request) = self.ushers[at].requests.get_mut(attempt).filter(|r| r.serial == serial) else {
+            return;
+        };
+        request.stage = Stage::Idle;
+        match request.attempts.turn(now, Event::Fenced(ticket, granted), &|| true) {
+            Next::Again => self.goes(at, attempt),
+            next => self.given_up(at, attempt, next),
+        }
+    }
+
+    fn fetches(&mut self, at: usize, attempt: &str, held: &Said) {
+        let Some(request) = self.ushers[at].requests.get_mut(attempt) else { return };
+        let (key, serial) = (request.key.clone(), request.serial);
+        let holder: usize = held.holder.parse().unwrap_or(0);
+        let id = self.ushers[at].number();
+        if holder == at {
+            let said = self.held(at, &key, held.holder_life);
+            return self.fetched(at, attempt, said);
+        }
+        let fetch = Fetch { id, key, holder_life: held.holder_life };
+        self.stage(at, attempt, Stage::Fetching(0, id));
+        let wire = self.asks(at, holder, id, (attempt.into(), serial), What::Fetch(fetch));
+        if let Some(request) = self.ushers[at].requests.get_mut(attempt)
+            && let Stage::Fetching(0, _) = request.stage
+        {
+            request.stage = Stage::Fetching(wire, id);
+        }
+    }
+
+    fn fetched(&mut self, at: usize, attempt: &str, said: Said) {
+        match said.verdict() {
+            Verdict::Answered => self.relays(at, attempt, said),
+            Verdict::Working => self.answers(at, attempt, 409, None),
+            Verdict::NotRun if said.why == NOT_HERE => self.answers(at, attempt, 503, None),
+            _ => self.answers(at, attempt, 502, None),
+        }
+    }
+
+    fn given_up(&mut self, at: usize, attempt: &str, next: Next) {
+        let status = match next {
+            Next::Refuse => 503,
+            Next::AtWork => 409,
+            Next::Unanswered { over: true } => 504,
+            _ => 502,
+        };
+        self.answers(at, attempt, status, None);
+    }
+
+    fn relays(&mut self, at: usize, attempt: &str, said: Said) {
+        let got = Got {
+            status: said.status,
+            id: attempt.into(),
+            seal: header(&said, "seal"),
+            bytes: said.body.len() as u64,
+        };
+        self.answers(at, attempt, said.status, Some(got));
+    }
+
+    fn answers(&mut self, at: usize, attempt: &str, status: u32, got: Option<Got>) {
+        self.ushers[at].requests.remove(attempt);
+        if let Some(client) = self.judge.clients.get_mut(attempt).filter(|c| !c.gone) {
+            let own = Got { status, id: attempt.into(), seal: String::new(), bytes: 0 };
+            client.got = Some(got.unwrap_or(own));
+        }
+    }
+
+    /// A piece of its answer.
+    pub(super) fn piece(
+        &mut self,
+        at: usize,
+        attempt: &str,
+        serial: u64,
+        bytes: u64,
+        last: bool,
+        broken: bool,
+    ) {
+        let Some(request) = self.ushers[at].requests.get_mut(attempt).filter(|r| r.serial == serial) else {
+            return;
+        };
+        let Stage::Streaming(_, got) = &mut request.stage else { return };
+        got.bytes += bytes;
+        if broken {
+            self.ushers[at].requests.remove(attempt);
+            if let Some(client) = self.judge.clients.get_mut(attempt) {
+                client.gone = true;
+            }
+        } else if last {
+            let got = got.clone();
+            self.answers(at, attempt, got.status, Some(got));
+        }
+    }
+
+    /// It is not waited for any more: whoever has it is told.
+    fn give_up(&mut self, at: usize, attempt: &str) {
+        let now = self.now;
+        let Some(request) = self.ushers[at].requests.get_mut(attempt) else { return };
+        match std::mem::replace(&mut request.stage, Stage::Idle) {
+            Stage::Out(wire, id) | Stage::Fetching(wire, id) | Stage::Streaming(Some((wire, id)), _) => {
+                self.turn(at, wire, now, Heard::GiveUp(id));
+            }
+            Stage::Here(work) => self.abort(at, work),
+            Stage::Streaming(None, _) | Stage::Fencing | Stage::Idle => {}
+        }
+    }
+
+    fn drop_request(&mut self, at: usize, attempt: &str) {
+        self.give_up(at, attempt);
+        self.ushers[at].requests.remove(attempt);
+    }
+
+    // ---- Links ------------------------------------------------------------------------------------------
+
+    fn asks(&mut self, at: usize, to: usize, id: u64, wait: Wait, what: What) -> u64 {
+        let now = self.now;
+        let known = self.ushers[at].links.get(&to).copied();
+        let open = known.filter(|w| self.ushers[at].askers.get(w).is_some_and(|a| a.asking.takes()));
+        let wire = open.unwrap_or_else(|| {
+            let wire = self.dial(at, to);
+            let asker = Asker { asking: Asking::open(now), pending: Some(Vec::new()), reads: 0 };
+            self.ushers[at].links.insert(to, wire);
+            self.ushers[at].askers.insert(wire, asker);
+            wire
+        });
+        let Some(asker) = self.ushers[at].askers.get_mut(&wire) else { return wire };
+        match asker.asking.turn(now, Heard::Ask(id, wait)) {
+            Step::Send => match &mut asker.pending {
+                Some(pending) => pending.push(what),
+                None => self.send(wire, 0, cue(what)),
+            },
+            Step::NotRun(why, (attempt, serial)) => {
+                self.came(at, &attempt, serial, only(0, Verdict::NotRun, why));
+            }
+            _ => {}
+        }
+        wire
+    }
+
+    pub(super) fn link_up(&mut self, at: usize, wire: u64) {
+        let now = self.now;
+        self.turn(at, wire, now, Heard::Up);
+        let pending = self.ushers[at].askers.get_mut(&wire).and_then(|a| a.pending.take());
+        for what in pending.unwrap_or_default() {
+            self.send(wire, 0, cue(what));
+        }
+    }
+
+    pub(super) fn link_ends(&mut self, at: usize, wire: u64) {
+        let now = self.now;
+        self.turn(at, wire, now, Heard::Ends);
+    }
+
+    pub(super) fn link_hears(&mut self, at: usize, wire: u64, what: What) {
+        let now = self.now;
+        if let Some(asker) = self.ushers[at].askers.get_mut(&wire) {
+            asker.reads += 1;
+        }
+        match what {
+            What::Said(said) => {
+                let id = said.id;
+                let Some(asker) = self.ushers[at].askers.get_mut(&wire) else { return };
+                // Who it is for is known by the id alone.
+                let step = asker.asking.turn(now, Heard::Said(id, said.more.then(|| (String::new(), id))));
+                match step {
+                    Step::Give((attempt, serial)) => self.came(at, &attempt, serial, said),
+                    Step::Cut(_) => self.cuts_link(at, wire),
+                    _ => {}
+                }
+            }
+            What::Part(part) => {
+                let Some(asker) = self.ushers[at].askers.get_mut(&wire) else { return };
+                match asker.asking.turn(now, Heard::Part { id: part.id, last: part.last }) {
+                    Step::Pass((_, id)) => {
+                        let to = self.ushers[at].requests.iter().find_map(|(attempt, r)| {
+                            matches!(r.stage, Stage::Streaming(Some((w, i)), _) if (w, i) == (wire, id))
+                                .then(|| (attempt.clone(), r.serial))
+                        });
+                        if let Some((attempt, serial)) = to {
+                            let bytes = part.bytes.len() as u64;
+                            self.piece(at, &attempt, serial, bytes, part.last, part.broken);
+                        }
+                    }
+                    Step::Cut(_) => self.cuts_link(at, wire),
+                    _ => {}
+                }
+            }
+            What::Pong(pong) => self.turn(at, wire, now, Heard::Pong(pong.number)),
+            _ => {}
+        }
+    }
+
+    fn cuts_link(&mut self, at: usize, wire: u64) {
+        self.close(wire, 0, true);
+        self.link_ends(at, wire);
+    }
+
+    fn turn(&mut self, at: usize, wire: u64, now: Micros, event: Heard<Wait, Wait>) {
+        let id = if let Heard::GiveUp(id) = &event { *id } else { 0 };
+        let Some(asker) = self.ushers[at].askers.get_mut(&wire) else { return };
+        let up = asker.pending.is_none();
+        match asker.asking.turn(now, event) {
+            Step::Cancel => match &mut asker.pending {
+                Some(pending) => pending.push(What::Cancel(Cancel { id })),
+                None => self.send(wire, 0, cue(What::Cancel(Cancel { id }))),
+            },
+            Step::Ping(number) if up => self.send(wire, 0, cue(What::Ping(Ping { number }))),
+            Step::Finish => {
+                self.close(wire, 0, false);
+                self.link_ends(at, wire);
+            }
+            Step::Cut(_) => self.cuts_link(at, wire),
+            Step::Ended(verdict, waiters, streams) => {
+                self.ushers[at].askers.remove(&wire);
+                self.ushers[at].links.retain(|_, w| *w != wire);
+                let broken: Vec<(String, u64)> = self.ushers[at]
+                    .requests
+                    .iter()
+                    .filter(|(_, r)| {
+                        matches!(r.stage, Stage::Streaming(Some((w, id)), _)
+                            if w == wire && streams.iter().any(|s| s.1 == id))
+                    })
+                    .map(|(attempt, r)| (attempt.clone(), r.serial))
+                    .collect();
+                for (attempt, serial) in broken {
+                    self.piece(at, &attempt, serial, 0, true, true);
+                }
+                for (_, (attempt, serial)) in waiters {
+                    self.came(at, &attempt, serial, only(0, verdict, "the link ended"));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn looks(&mut self, at: usize) {
+        let now = self.now;
+        let all: Vec<(u64, u64)> = self.ushers[at].askers.iter().map(|a| (*a.0, a.1.reads)).collect();
+        for (wire, reads) in all {
+            self.turn(at, wire, now, Heard::Look { reads, lost: LOST.min(LONGEST) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/traffic.rs
@@ -0,0 +1,42 @@
+//! Timelines of traffic, and drawn ones. No bench, no sleep: virtual time.
+use notchspool_lab::mesh::Timeline;
+use notchspool_lab::mesh::traffic::{Breach, Rule, drawn, play_traffic};
+use rstest::rstest;
+
+fn wrong(text: &str, seed: u64, breach: Option<Breach>) -> Vec<(Option<Rule>, String)> {
+    play_traffic(&Timeline::read(text).unwrap(), seed, breach)
+}
+
+#[rstest]
+fn timelines(#[files("tests/timelines-traffic/*.txt")] path: std::path::PathBuf) {
+    let text = std::fs::read_to_string(path).unwrap();
+    for seed in 1..=5 {
+        let wrong = wrong(&text, seed, None);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+    }
+}
+
+#[test]
+fn drawn_days_break_no_promise() {
+    for seed in 1..=12 {
+        let day = drawn(seed, None);
+        assert!(day.wrong.is_empty(), "seed {seed}: {day:#?}");
+    }
+}
+
+/// With one safeguard off the judge names the rule that it guards.
+#[rstest]
+#[case(Breach::Ids, Rule::Mixed)]
+#[case(Breach::Bare, Rule::Twice)]
+#[case(Breach::Repeat, Rule::Twice)]
+#[case(Breach::Links, Rule::Twice)]
+#[case(Breach::Lives, Rule::Mixed)]
+#[case(Breach::Claims, Rule::Twice)]
+#[case(Breach::Fences, Rule::Twice)]
+#[case(Breach::TakesBack, Rule::Twice)]
+#[case(Breach::Promises, Rule::Refused)]
+#[case(Breach::Bodies, Rule::Mixed)]
+fn one_safeguard_off_is_noticed(#[case] breach: Breach, #[case] rule: Rule) {
+    let seen = (1..=60).find(|seed| drawn(*seed, Some(breach)).wrong.iter().any(|w| w.0 == rule));
+    assert!(seen.is_some(), "{breach:?} broke no {rule:?}");
+}
--- a/crates/rigging/src/rope.rs
+++ b/crates/rigging/src/rope.rs
@@ -113,6 +113,13 @@
     let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
 }
 
+/// Nothing stands to be read on it, and it has not ended: asked of the system itself, since what the runtime was told last may be old.
+pub fn quiet(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 /// A connection within `patience`.
 pub async fn dial(to: SocketAddr, patience: Duration) -> std::io::Result<TcpStream> {
     let timed = tokio::time::timeout(patience, TcpStream::connect(to)).await;
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -1,6 +1,4 @@
 //! Connections to the prompters: all of them for stations, claims and what holds; one of them is followed for the list.
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +10,7 @@
 use tokio::sync::oneshot;
 
 use crate::house::{House, within};
+use crate::voters::{Hand, Voter};
 
 /// How often a prompter is told that this usher lives.
 const PULSE: Duration = Duration::from_millis(500);
@@ -25,54 +24,6 @@
 const BEFORE_ASKING: Duration = Duration::from_millis(500);
 const UNFOLLOWED: Duration = Duration::from_millis(40);
 
-#[derive(Clone)]
-struct Voter {
-    rope: Rope,
-    zone: String,
-    /// The highest version that it says holds, and whether it has compared.
-    holds: Option<(u64, bool)>,
-}
-
-struct Hand {
-    round: Round,
-    done: Option<oneshot::Sender<Verdict>>,
-}
-
-/// The prompters as this usher knows them.
-#[derive(Default)]
-pub struct Voters {
-    /// Who votes, once one has told; until then the seeds are asked.
-    list: RefCell<Vec<String>>,
-    open: RefCell<BTreeMap<String, Voter>>,
-    dialed: RefCell<std::collections::BTreeSet<String>>,
-    hands: RefCell<HashMap<u64, Hand>>,
-    followed: RefCell<Option<String>>,
-    line: Cell<u64>,
-    failures: Cell<u32>,
-    /// The version that is waited for before somebody is asked.
-    awaited: Cell<u64>,
-}
-
-impl Voters {
-    pub fn send_all(&self, what: What) {
-        for voter in self.open.borrow().values() {
-            voter.rope.send(what.clone());
-        }
-    }
-
-    /// The highest version that more than half know of; none while fewer have told and compared.
-    pub fn newest(&self) -> Option<u64> {
-        let (list, open) = (self.list.borrow(), self.open.borrow());
-        let told: Vec<u64> =
-            list.iter().filter_map(|a| open.get(a)?.holds).filter(|h| h.1).map(|h| h.0).collect();
-        (!list.is_empty() && told.len() > list.len() / 2).then(|| told.into_iter().max().unwrap_or(0))
-    }
-
-    pub fn reached(&self) -> (usize, usize) {
-        (self.open.borrow().len(), self.list.borrow().len())
-    }
-}
-
 impl House {
     /// Keeps a connection to a prompter for as long as this process lives and it votes.
     pub fn call(self: &Rc<House>, address: String) {
--- a/crates/stage/src/dressing.rs
+++ b/crates/stage/src/dressing.rs
@@ -1,17 +1,16 @@
 //! The backend of this machine, over HTTP/1.1: connections kept for some time, one request at a time on each. An answer counts only where
 //! it carries the id of the request and comes whole; what else comes is left out, and ends the connection where it can't be told apart.
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use notchspool::units::Micros;
-use notchspool_cues::{Ask, MOST_PAIRS, Pair, Said};
+use notchspool_cues::{Ask, MOST_PAIRS, Pair, Said, Verdict};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::connection::{Connection, Event, Head, Id, Step, Word};
 use crate::house::{House, within};
-use crate::links::PIECE;
-use crate::pipe::{End, Pipe};
+use crate::pipe::{End, PIECE, Pipe};
 
 pub const ATTEMPT: &str = "notchspool-attempt-id";
 pub const TIME_LEFT: &str = "notchspool-time-left-ms";
@@ -33,41 +32,28 @@
 /// of that size: whole ones can be asked for again where they break off, so pieces are for what needs them.
 const HOLDS_UP: f64 = 0.01;
 const LARGE: (usize, usize) = (16 << 10, 256 << 10);
-/// Answers to other requests that are passed over in the place of the one due.
-const MOST_ASTRAY: usize = 4;
+/// With less time left a request is not sent any more.
+const TOO_LATE: Micros = Micros::ms(2);
 
-/// What came of a request at the backend.
-pub enum Outcome {
-    Answered(Said),
-    /// A large answer: its head and first part, and the rest by a pipe.
-    Pieces(Said, Pipe),
-    /// It said that it did not run it.
-    NotRun(String),
-    /// It took no connection: not a byte was sent.
-    NotReached(String),
-    /// Another backend has the address.
-    Elsewhere,
-    MayHaveRun(String),
+/// What came of a request at the backend: its answer, or what else is known, as it goes on to where it began.
+pub struct Played {
+    pub said: Said,
+    /// The rest of a large answer.
+    pub rest: Option<Pipe>,
 }
 
-struct Kept {
-    stream: TcpStream,
-    until: Micros,
+/// The backend took no connection, or none was asked for: not a byte was sent.
+fn not_reached(why: &str) -> Played {
+    Played { said: Said { verdict: Verdict::NotRun.into(), why: why.into(), ..Said::default() }, rest: None }
 }
 
-#[derive(Default)]
-pub struct Dressing {
-    idle: RefCell<Vec<Kept>>,
-    open: Cell<usize>,
+fn may_have_run(why: &str) -> Played {
+    let verdict = Verdict::MayHaveRun.into();
+    Played { said: Said { verdict, arrived: true, why: why.into(), ..Said::default() }, rest: None }
 }
 
-/// Counts an open connection till it is dropped.
-struct Held(Rc<House>);
-impl Drop for Held {
-    fn drop(&mut self) {
-        let open = &self.0.dressing.open;
-        open.set(open.get().saturating_sub(1));
-    }
+fn played(word: Word, answer: Answer) -> Played {
+    Played { said: word.said(0, answer.said), rest: None }
 }
 
 /// Whether a header concerns one connection only, or is set anew at each step.
@@ -89,10 +75,7 @@
 
 struct Answer {
     said: Said,
-    attempt: Option<String>,
-    sealed: bool,
-    not_run: bool,
-    encoded: bool,
+    head: Head,
     /// Till when the connection may be used again; none where it may not.
     keep: Option<Micros>,
     /// Bytes of a large body, of which none has been read yet.
@@ -100,121 +83,119 @@
 }
 
 impl House {
-    /// A connection that stood unused and is sound: nothing came on it, and it has not ended.
-    fn unused(&self) -> Option<TcpStream> {
-        let now = self.now();
-        while let Some(kept) = self.dressing.idle.borrow_mut().pop() {
-            let mut byte = [0u8; 1];
-            let quiet = matches!(kept.stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
-            if quiet && now < kept.until {
-                return Some(kept.stream);
-            }
-        }
-        None
-    }
-
-    /// Lets connections go that stood unused for long.
-    pub fn tidy(&self) {
-        let now = self.now();
-        self.dressing.idle.borrow_mut().retain(|k| now < k.until);
-    }
-
-    pub async fn play(self: &Rc<House>, ask: &Ask, until: Micros) -> Outcome {
+    pub async fn play(self: &Rc<House>, ask: &Ask, until: Micros) -> Played {
         let Some(app) = self.told.borrow().app else {
-            return Outcome::NotReached("no backend is told".into());
+            return not_reached("no backend is told");
         };
         let left = until - self.now();
-        let (stream, reused) = match self.unused() {
-            Some(stream) => (stream, true),
+        let (stream, connection) = match self.pool.take(self.now(), &ask.attempt) {
+            Some(kept) => kept,
             None => match within(CONNECT.min(left), TcpStream::connect(app)).await {
-                Some(Ok(stream)) => (stream, false),
-                Some(Err(e)) => return Outcome::NotReached(format!("the backend takes no connection: {e}")),
-                None => return Outcome::NotReached("the backend takes no connection".into()),
+                Some(Ok(stream)) => {
+                    let mut connection = Connection::fresh();
+                    connection.turn(Event::Ask { now: self.now(), attempt: &ask.attempt, quiet: true });
+                    (stream, connection)
+                }
+                Some(Err(e)) => return not_reached(&format!("the backend takes no connection: {e}")),
+                None => return not_reached("the backend takes no connection"),
             },
         };
-        self.dressing.open.set(self.dressing.open.get() + 1);
-        let held = Held(self.clone());
         let _ = stream.set_nodelay(true);
         let left = until - self.now();
-        let outcome = within(left, self.exchange(stream, ask, left, reused, held, until)).await;
-        outcome.unwrap_or_else(|| Outcome::MayHaveRun("no answer in time".into()))
+        if left <= TOO_LATE {
+            return not_reached("its time is over");
+        }
+        let played = within(left, self.exchange(stream, connection, ask, left, until)).await;
+        played.unwrap_or_else(|| may_have_run("no answer in time"))
     }
 
     async fn exchange(
         self: &Rc<House>,
         mut stream: TcpStream,
+        mut connection: Connection,
         ask: &Ask,
         left: Micros,
-        reused: bool,
-        held: Held,
         until: Micros,
-    ) -> Outcome {
-        let head = request(ask, left);
-        let sent = async {
-            stream.write_all(&head).await?;
-            if !ask.body.is_empty() {
-                stream.write_all(&ask.body).await?;
-            }
-            Ok::<(), std::io::Error>(())
+    ) -> Played {
+        match send(&mut stream, &request(ask, left), &ask.body).await {
+            Ok(Sent::Whole) => connection.turn(Event::Written),
+            Ok(Sent::Early) => connection.turn(Event::Early),
+            Err(e) => return may_have_run(&format!("writing: {e}")),
         };
-        if let Err(e) = sent.await {
-            return Outcome::MayHaveRun(format!("writing: {e}"));
-        }
+        let speed = self.told.borrow().link_mbps * 1e6 / 8.0;
+        let least = ((speed * HOLDS_UP) as usize).clamp(LARGE.0, LARGE.1);
+        let large = ask.key.is_empty().then_some((ask.attempt.as_str(), least));
         let mut got = BytesMut::with_capacity(4096);
-        for _ in 0..MOST_ASTRAY {
-            let speed = self.told.borrow().link_mbps * 1e6 / 8.0;
-            let least = ((speed * HOLDS_UP) as usize).clamp(LARGE.0, LARGE.1);
-            let large = ask.key.is_empty().then_some((ask.attempt.as_str(), least));
+        loop {
             let answer =
                 match read_answer(&mut stream, &mut got, ask.method == "HEAD", self.now(), large).await {
                     Ok(answer) => answer,
                     Err(why) => {
-                        if reused {
+                        if connection.reused() {
                             self.count("reused_broke");
                         }
-                        return Outcome::MayHaveRun(why);
+                        return may_have_run(&why);
                     }
                 };
-            if answer.attempt.as_deref() != Some(&ask.attempt) {
-                if answer.not_run && answer.attempt.is_none() {
-                    return Outcome::NotRun(format!("status {}", answer.said.status));
+            match connection.turn(Event::Head(&answer.head)) {
+                Step::Ours => {}
+                Step::PassOver => {
+                    // An answer to an earlier request, in the place of this one's.
+                    self.count("answers_astray");
+                    match connection.turn(Event::Whole { keep: answer.keep, surplus: false }) {
+                        Step::Go => continue,
+                        Step::MayHaveRun(why) => return may_have_run(why),
+                        _ => return may_have_run("the connection broke"),
+                    }
                 }
-                // An answer to an earlier request, in the place of this one's.
-                self.count("answers_astray");
-                if answer.keep.is_none() {
-                    return Outcome::MayHaveRun("an answer to another request, and the end".into());
+                Step::TurnedAway(word) => return played(word, answer),
+                Step::MayHaveRun(why) => {
+                    self.count("answers_astray");
+                    return may_have_run(why);
                 }
-                continue;
+                _ => return may_have_run("the connection broke"),
             }
             if let Some(length) = answer.rest {
                 let first = got.split_to(got.len().min(length)).freeze();
                 let (pipe, left) = (Pipe::default(), length - first.len());
-                let keep = answer.keep.filter(|_| got.is_empty());
-                self.large(ask.target_ms, length);
+                // Bytes behind the first part can only be part of the answer.
                 let (house, filled) = (self.clone(), pipe.clone());
-                tokio::task::spawn_local(async move {
-                    pass_on(house, stream, left, filled, keep, until).await;
-                    drop(held);
-                });
-                let said = Said { body: first, more: true, length: length as u64, ..answer.said };
-                return Outcome::Pieces(said, pipe);
+                self.large(ask.target_ms, length);
+                let rest = Rest { stream, connection, left, keep: answer.keep, surplus: !got.is_empty() };
+                tokio::task::spawn_local(pass_on(house, rest, filled, until));
+                let answer = Said { body: first, more: true, length: length as u64, ..answer.said };
+                return Played { said: Word::Answered.said(0, answer), rest: Some(pipe) };
             }
-            if let Some(keep) = answer.keep.filter(|_| got.is_empty()) {
-                let mut idle = self.dressing.idle.borrow_mut();
-                if idle.len() < 64 {
-                    idle.push(Kept { stream, until: keep });
-                }
+            let whole = Event::Whole { keep: answer.keep, surplus: !got.is_empty() };
+            if let Step::Keep(_) = connection.turn(whole) {
+                self.pool.keep(stream, connection);
             }
-            let status = answer.said.status;
-            return match status {
-                421 => Outcome::Elsewhere,
-                _ if answer.not_run => Outcome::NotRun(format!("status {status}")),
-                200..=299 if !answer.sealed => Outcome::MayHaveRun("a success without the seal".into()),
-                200..=299 if answer.encoded => Outcome::MayHaveRun("an encoded body".into()),
-                _ => Outcome::Answered(answer.said),
-            };
+            return played(answer.head.word(), answer);
         }
-        Outcome::MayHaveRun("too many answers to other requests".into())
+    }
+}
+
+enum Sent {
+    Whole,
+    /// Bytes, or the end, came before it was whole: nothing more is written.
+    Early,
+}
+
+async fn send(stream: &mut TcpStream, head: &[u8], body: &[u8]) -> std::io::Result<Sent> {
+    let (mut reads, mut writes) = stream.split();
+    let mut byte = [0u8; 1];
+    let write = async {
+        writes.write_all(head).await?;
+        if !body.is_empty() {
+            writes.write_all(body).await?;
+        }
+        Ok(Sent::Whole)
+    };
+    // What can be written at once is: only then it is looked whether something comes.
+    tokio::select! {
+        biased;
+        sent = write => sent,
+        came = reads.peek(&mut byte) => came.map(|_| Sent::Early),
     }
 }
 
@@ -289,10 +270,9 @@
         if let Framing::Length(n) = framing
             && let Some((attempt, least)) = large
             && n >= least
-            && answer.attempt.as_deref() == Some(attempt)
+            && answer.head.id == Id::One(attempt.to_string())
             && (200..300).contains(&status)
-            && answer.sealed
-            && !answer.encoded
+            && answer.head.word() == Word::Answered
         {
             // The caller passes the rest on as it comes.
             answer.rest = Some(n);
@@ -303,15 +283,18 @@
     }
 }
 
-/// Reads the rest of a large answer into its pipe. The connection is kept where it came whole and nothing after it.
-async fn pass_on(
-    house: Rc<House>,
-    mut stream: TcpStream,
-    mut left: usize,
-    pipe: Pipe,
+/// What is left of a large answer, and its connection.
+struct Rest {
+    stream: TcpStream,
+    connection: Connection,
+    left: usize,
     keep: Option<Micros>,
-    until: Micros,
-) {
+    surplus: bool,
+}
+
+/// Reads the rest of a large answer into its pipe. The connection is kept where it came whole and nothing after it.
+async fn pass_on(house: Rc<House>, rest: Rest, pipe: Pipe, until: Micros) {
+    let Rest { mut stream, mut connection, mut left, keep, surplus } = rest;
     let mut got = BytesMut::new();
     while left > 0 {
         let wait = until - house.now();
@@ -338,11 +321,9 @@
         }
     }
     pipe.end(End::Whole);
-    if let Some(until) = keep.filter(|_| got.is_empty()) {
-        let mut idle = house.dressing.idle.borrow_mut();
-        if idle.len() < 64 {
-            idle.push(Kept { stream, until });
-        }
+    let whole = Event::Whole { keep, surplus: surplus || !got.is_empty() };
+    if let Step::Keep(_) = connection.turn(whole) {
+        house.pool.keep(stream, connection);
     }
 }
 
@@ -353,10 +334,7 @@
 ) -> Result<(Answer, Framing), String> {
     let mut answer = Answer {
         said: Said { status: u32::from(status), ..Said::default() },
-        attempt: None,
-        sealed: false,
-        not_run: status == 421,
-        encoded: false,
+        head: Head { status, ..Head::default() },
         keep: (response.version == Some(1)).then_some(now + KEEP),
         rest: None,
     };
@@ -387,10 +365,17 @@
                     answer.keep = Some(now + Micros::ms(span.clamp(0, 3_600) * 1_000) - MARGIN);
                 }
             }
-            ATTEMPT => answer.attempt = Some(text()?.to_string()),
-            SEAL => answer.sealed = true,
-            NOT_RUN => answer.not_run = true,
-            "content-encoding" => answer.encoded = !text()?.eq_ignore_ascii_case("identity"),
+            ATTEMPT => {
+                let id = std::str::from_utf8(header.value).map(|v| Id::One(v.trim().to_string()));
+                answer.head.id = match (&answer.head.id, id) {
+                    (Id::Missing, Ok(id)) => id,
+                    (old, Ok(id)) if *old == id => id,
+                    _ => Id::Garbled,
+                };
+            }
+            SEAL => answer.head.sealed = true,
+            NOT_RUN => answer.head.not_run = true,
+            "content-encoding" => answer.head.encoded = !text()?.eq_ignore_ascii_case("identity"),
             _ => {}
         }
         if !of_one_connection(&name) {
--- a/crates/stage/src/house.rs
+++ b/crates/stage/src/house.rs
@@ -15,12 +15,13 @@
 use oorandom::Rand64;
 use tokio::sync::oneshot;
 
-use crate::callboy::Voters;
 use crate::company::{Company, Order};
 use crate::door::Door;
-use crate::dressing::Dressing;
-use crate::links::Links;
+use crate::link::Links;
+use crate::pool::Pool;
 use crate::purse::Purse;
+use crate::standstill::Standstill;
+use crate::voters::Voters;
 
 /// Bytes of answers to keyed operations that are kept, as a part of the memory.
 const KEPT_PART: u64 = 5;
@@ -39,7 +40,8 @@
     pub beats: RefCell<Beats>,
     pub door: RefCell<Door>,
     pub waiting: RefCell<HashMap<u64, oneshot::Sender<()>>>,
-    pub dressing: Dressing,
+    /// Connections to the backend here that stand unused.
+    pub pool: Pool,
     pub coats: RefCell<Coats<Rc<Said>>>,
     /// Since when this usher ends; whether others are told to send nothing here.
     pub stopping: Cell<Option<Micros>>,
@@ -51,6 +53,7 @@
     /// Part of requests that were refused lately, smoothed.
     pub refusing: Cell<f64>,
     pub counts: RefCell<BTreeMap<&'static str, u64>>,
+    standstill: Cell<Standstill>,
     number: Cell<u64>,
 }
 
@@ -73,7 +76,7 @@
             beats: RefCell::new(Beats::open(told.beat_interval, now)),
             door: RefCell::new(Door::open(now)),
             waiting: RefCell::default(),
-            dressing: Dressing::default(),
+            pool: Pool::default(),
             coats: RefCell::new(Coats::open(window, kept)),
             stopping: Cell::new(None),
             away: Cell::new(false),
@@ -82,6 +85,7 @@
             sizes: RefCell::default(),
             refusing: Cell::new(0.0),
             counts: RefCell::default(),
+            standstill: Cell::new(Standstill::open(now)),
             number: Cell::new(0),
             told: RefCell::new(told),
         })
@@ -91,6 +95,15 @@
         self.clock.now()
     }
 
+    /// The process runs. How old what is read now may be, where it stood still.
+    pub fn runs(&self) -> Micros {
+        let mut standstill = self.standstill.get();
+        let age = standstill.runs(self.now());
+        self.standstill.set(standstill);
+        age
+    }
+
+    /// An id that this life of the process has not given before.
     pub fn number(&self) -> u64 {
         self.number.set(self.number.get() + 1);
         self.number.get()
--- a/crates/stage/src/links.rs
+++ b/crates/stage/src/links.rs
@@ -1,53 +1,35 @@
 //! Connections to other ushers: one each way a pair, many requests at once. What was sent and not answered when a connection ends may have
 //! run; what never left has not.
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use notchspool::units::Micros;
-use notchspool_cues::{Ask, Cancel, Fetch, Hello, Part, Ping, Said, Taken, Verdict, What};
+use notchspool_cues::{Ask, Fetch, Hello, Part, Said, Verdict, What};
 use notchspool_rigging::rope::{self, Rope};
-use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
+use crate::exchange::{Answering, Asked, Does, Event, LONGEST};
 use crate::house::House;
-use crate::pipe::{End, Pipe};
+use crate::link::{Link, Told, only};
+use crate::pipe::{End, PIECE, Pipe};
+use crate::standstill;
 
 /// A machine that does not take a connection by then is not there.
 const DIAL: Duration = Duration::from_millis(300);
-/// Something is out and nothing heard for this long: the other side is asked whether it lives.
-const DOUBT: Micros = Micros::ms(150);
-/// And after this the connection is given up.
+/// A connection on which something is out is given up after this silence.
 const LOST: Micros = Micros::ms(500);
-/// On thin links answers wait behind others: so many milliseconds more for a speed of 1 Mbit/s, less for faster ones, but no more than this.
+/// On thin links answers wait behind others: so many milliseconds more for a speed of 1 Mbit/s, less for faster ones, but no more than
+/// the longest silence.
 const THIN: f64 = 20_000.0;
-const LONGEST: Micros = Micros::ms(2_500);
-/// Requests out on one link at most.
-const MOST_OUT: usize = 4_096;
 /// Links at most, each way.
 const MOST_LINKS: usize = 1_000;
-/// A link unused for this long is let go.
-const UNUSED: Micros = Micros::ms(60_000);
 
-/// An answer, and the rest of it where it comes in pieces; `taken` tells who sends them that so many bytes were passed on.
-pub struct Told {
-    pub said: Said,
-    pub pipe: Option<Pipe>,
-    pub taken: Box<dyn Fn(usize)>,
-}
-
-impl From<Said> for Told {
-    fn from(said: Said) -> Told {
-        Told { said, pipe: None, taken: Box::new(|_| ()) }
-    }
-}
-
-/// Bytes of an answer in pieces that may be on their way: what the link carries in this time, within bounds; and bytes of one piece.
+/// Bytes of an answer in pieces that may be on their way: what the link carries in this time, within bounds.
 const ON_WAY: (usize, usize) = (32 << 10, 256 << 10);
 const ON_WAY_TIME: f64 = 0.05;
-pub const PIECE: usize = 16 << 10;
 
 /// How much of an answer in pieces was sent and taken.
 #[derive(Default)]
@@ -56,100 +38,16 @@
     wake: tokio::sync::Notify,
 }
 
-pub struct Link {
-    rope: Rope,
-    out: RefCell<HashMap<u64, oneshot::Sender<Told>>>,
-    pieces: RefCell<HashMap<u64, Pipe>>,
-    /// Up: what is written may have left.
-    up: std::cell::Cell<bool>,
-    heard: std::cell::Cell<Micros>,
-    reads: std::cell::Cell<u64>,
-    asked: std::cell::Cell<Micros>,
-    used: std::cell::Cell<Micros>,
-}
-
-#[derive(Default)]
-pub struct Links {
-    all: RefCell<BTreeMap<String, Rc<Link>>>,
-    accepted: std::cell::Cell<usize>,
-}
-
-/// An answer of this kind, with nothing in it but why.
-pub fn only(id: u64, verdict: Verdict, why: &str) -> Said {
-    Said { id, verdict: verdict.into(), why: why.to_string(), ..Said::default() }
-}
-
-/// Gives a request up where its wait is dropped: the other side is told.
-struct Out {
-    link: Rc<Link>,
-    id: u64,
-}
-
-impl Drop for Out {
-    fn drop(&mut self) {
-        if self.link.out.borrow_mut().remove(&self.id).is_some() {
-            self.link.rope.send(What::Cancel(Cancel { id: self.id }));
-        }
-    }
-}
-
-impl Link {
-    fn heard(link: &Rc<Link>, what: What) {
-        match what {
-            What::Said(said) => {
-                let Some(done) = link.out.borrow_mut().remove(&said.id) else { return };
-                let id = said.id;
-                let mut told = Told::from(said);
-                if told.said.more {
-                    let pipe = Pipe::default();
-                    link.pieces.borrow_mut().insert(id, pipe.clone());
-                    let rope = link.rope.clone();
-                    told.pipe = Some(pipe);
-                    told.taken = Box::new(move |n| {
-                        rope.send(What::Taken(Taken { id, bytes: n as u64 }));
-                    });
-                }
-                // Whoever waited may have given up.
-                let _ = done.send(told);
-            }
-            What::Part(part) => {
-                let mut all = link.pieces.borrow_mut();
-                let Some(pipe) = all.get(&part.id) else { return };
-                pipe.put(part.bytes);
-                if part.last {
-                    pipe.end(if part.broken { End::Broken } else { End::Whole });
-                } else if pipe.left() {
-                    link.rope.send(What::Cancel(Cancel { id: part.id }));
-                } else {
-                    return;
-                }
-                all.remove(&part.id);
-            }
-            _ => {}
-        }
-    }
-}
-
 impl House {
     fn link(self: &Rc<House>, address: &str) -> Option<Rc<Link>> {
-        if let Some(link) = self.links.all.borrow().get(address).filter(|l| l.rope.open()) {
+        if let Some(link) = self.links.all.borrow().get(address).filter(|l| l.takes()) {
             return Some(link.clone());
         }
         if self.links.all.borrow().len() >= MOST_LINKS {
             return None;
         }
         let to: SocketAddr = address.parse().ok()?;
-        let now = self.now();
-        let link = Rc::new(Link {
-            rope: Rope::default(),
-            out: RefCell::default(),
-            pieces: RefCell::default(),
-            up: std::cell::Cell::new(false),
-            heard: std::cell::Cell::new(now),
-            reads: std::cell::Cell::new(0),
-            asked: std::cell::Cell::new(Micros(0)),
-            used: std::cell::Cell::new(now),
-        });
+        let link = Link::open(self.now());
         link.rope.send(What::Hello(Hello {
             node: self.told.borrow().node.clone(),
             life: self.life,
@@ -162,14 +60,9 @@
         tokio::task::spawn_local(async move {
             let end = match rope::dial(to, DIAL).await {
                 Ok(stream) => {
-                    held.up.set(true);
-                    held.heard.set(house.now());
+                    held.turn(house.now(), Event::Up);
                     let (link, at) = (held.clone(), house.clone());
-                    let end = rope::run(stream, held.rope.clone(), None, move |what| {
-                        link.heard.set(at.now());
-                        link.asked.set(Micros(0));
-                        Link::heard(&link, what);
-                    });
+                    let end = rope::run(stream, held.rope.clone(), None, move |what| at.heard(&link, what));
                     end.await.to_string()
                 }
                 Err(e) => {
@@ -178,11 +71,7 @@
                 }
             };
             log::debug!(target: "links", "lose {address}: {end}");
-            let verdict = if held.up.get() { Verdict::MayHaveRun } else { Verdict::NotRun };
-            for (id, done) in held.out.take() {
-                let _ = done.send(only(id, verdict, "the link ended").into());
-            }
-            held.pieces.take().values().for_each(|pipe| pipe.end(End::Broken));
+            held.turn(house.now(), Event::Ends);
             let mut all = house.links.all.borrow_mut();
             if all.get(&address).is_some_and(|l| Rc::ptr_eq(l, &held)) {
                 all.remove(&address);
@@ -191,24 +80,26 @@
         Some(link)
     }
 
+    fn heard(&self, link: &Rc<Link>, what: What) {
+        let now = self.now();
+        let ended = match what {
+            What::Said(said) => link.said(now, said),
+            What::Part(part) => link.part(now, part),
+            What::Pong(pong) => link.turn(now, Event::Pong(pong.number)),
+            _ => None,
+        };
+        if let Some(why) = ended {
+            self.count("links_astray");
+            log::debug!(target: "links", "end one: {why}");
+        }
+    }
+
     async fn out(self: &Rc<House>, address: &str, id: u64, what: What) -> Told {
         let Some(link) = self.link(address) else { return only(id, Verdict::NotRun, "no link").into() };
-        let (done, wait) = oneshot::channel();
-        if link.out.borrow().len() >= MOST_OUT {
-            return only(id, Verdict::NotRun, "too many requests on the link").into();
-        }
-        link.used.set(self.now());
-        if link.out.borrow().is_empty() {
-            link.heard.set(self.now());
-        }
-        link.out.borrow_mut().insert(id, done);
-        let out = Out { link: link.clone(), id };
-        if !link.rope.send(what) {
-            link.out.borrow_mut().remove(&id);
-            return only(id, Verdict::NotRun, "the link has ended").into();
-        }
+        let (wait, out) = link.ask(self.now(), id, what);
         let told = wait.await.unwrap_or_else(|_| only(id, Verdict::MayHaveRun, "the link ended").into());
-        drop(out);
+        // An answer of which more follows is given up by who has it.
+        out.answered();
         told
     }
 
@@ -236,28 +127,9 @@
         let lost = (LOST + thin).min(LONGEST);
         let all: Vec<Rc<Link>> = self.links.all.borrow().values().cloned().collect();
         for link in all {
-            let pieces = !link.pieces.borrow().is_empty();
-            let idle = link.out.borrow().is_empty() && !pieces;
-            let reads = link.rope.reads();
-            if link.reads.replace(reads) != reads {
-                // Part of a message is a sign of life, too.
-                link.heard.set(now);
-                link.asked.set(Micros(0));
-            }
-            // An answer of which the client has a part is not given up for a short silence.
-            let lost = if pieces { LONGEST } else { lost };
-            if idle && now - link.used.get() > UNUSED {
-                link.rope.finish();
-            }
-            if idle || !link.up.get() || now - link.heard.get() < DOUBT {
-                continue;
-            }
-            if link.asked.get() == Micros(0) {
-                link.asked.set(now);
-                link.rope.send(What::Ping(Ping { number: 0 }));
-            } else if now - link.asked.get() >= lost - DOUBT {
+            let look = Event::Look { reads: link.rope.reads(), lost };
+            if link.turn(now, look).is_some() {
                 self.count("links_silent");
-                link.rope.cut();
             }
         }
     }
@@ -270,17 +142,26 @@
         self.links.accepted.set(self.links.accepted.get() + 1);
         rope::tune(&stream);
         let rope = Rope::default();
-        let running: Rc<RefCell<HashMap<u64, AbortHandle>>> = Rc::default();
+        let running: Rc<RefCell<Answering<AbortHandle>>> = Rc::default();
         let (house, answers, mine) = (self.clone(), rope.clone(), running.clone());
         let credits: Rc<RefCell<HashMap<u64, Rc<Credit>>>> = Rc::default();
         let end = rope::run(stream, rope, None, move |what| match what {
             What::Ask(ask) => {
                 let id = ask.id;
+                let ask = standstill::older(ask, house.runs());
                 let (house, rope, mine_too) = (house.clone(), answers.clone(), mine.clone());
                 let credits = credits.clone();
-                if mine.borrow().len() >= MOST_OUT {
-                    rope.send(What::Said(only(id, Verdict::NotRun, "too many requests on the link")));
-                    return;
+                let does = mine.borrow_mut().turn(Asked::Ask(id));
+                match does {
+                    Does::Begin => {}
+                    Does::Full => {
+                        rope.send(What::Said(only(id, Verdict::NotRun, "too many requests on the link")));
+                        return;
+                    }
+                    _ => {
+                        house.count("links_astray");
+                        return rope.cut();
+                    }
                 }
                 let task = tokio::task::spawn_local(async move {
                     let told = house.clone().perform(ask).await;
@@ -295,15 +176,14 @@
                         drop(to_send);
                         credits.borrow_mut().remove(&id);
                     }
-                    mine_too.borrow_mut().remove(&id);
+                    mine_too.borrow_mut().turn(Asked::Done(id));
                 });
-                if !task.is_finished() {
-                    mine.borrow_mut().insert(id, task.abort_handle());
-                }
+                mine.borrow_mut().turn(Asked::Began(id, task.abort_handle()));
             }
             What::Cancel(cancel) => {
                 credits.borrow_mut().remove(&cancel.id);
-                if let Some(task) = mine.borrow_mut().remove(&cancel.id) {
+                let does = mine.borrow_mut().turn(Asked::Cancel(cancel.id));
+                if let Does::Abort(task) = does {
                     task.abort();
                 }
             }
@@ -325,7 +205,10 @@
         });
         let end = end.await;
         log::debug!(target: "links", "a link from outside ends: {end}");
-        running.borrow().values().for_each(AbortHandle::abort);
+        let does = running.borrow_mut().turn(Asked::Ends);
+        if let Does::AbortAll(all) = does {
+            all.iter().for_each(AbortHandle::abort);
+        }
         self.links.accepted.set(self.links.accepted.get() - 1);
     }
 }
--- a/crates/stage/src/lobby.rs
+++ b/crates/stage/src/lobby.rs
@@ -13,11 +13,14 @@
 use notchspool_cues::{Ask, Pair, Said, Ticket, Verdict};
 use notchspool_promptbook::script::{Route, RouteKind};
 
+use crate::attempts::{Attempts, Event, Next, Terms};
 use crate::company::Order;
 use crate::dressing::{ATTEMPT, CALLER, KEY, TARGET, TIME_LEFT, of_one_connection};
 use crate::house::{House, within};
-use crate::links::Told;
+use crate::link::{Told, only};
+use crate::operation::NOT_HERE;
 use crate::pipe;
+use crate::standstill::FROZEN;
 
 type Answer = Response<pipe::Answer>;
 
@@ -25,10 +28,6 @@
 const USUAL: Micros = Micros::ms(30_000);
 /// Requests in hand at most.
 const MOST: usize = 4_000;
-/// With less time left nobody asks whether a key was claimed.
-const FENCE: Micros = Micros::ms(60);
-/// Doors that may turn one request away before it is given up.
-const MOST_REFUSALS: u32 = 4;
 
 /// A request read whole.
 struct Asked {
@@ -39,7 +38,8 @@
     body: Bytes,
     attempt: String,
     key: String,
-    /// Till when an answer has its full worth.
+    /// Since when it stands here, and till when an answer has its full worth.
+    began: Micros,
     aim: Micros,
 }
 
@@ -84,7 +84,18 @@
     answer
 }
 
-fn relayed(told: Told) -> Answer {
+/// The one value of a header that says what the request is; an empty one where there is none, nothing where it can't be told.
+fn single(headers: &hyper::HeaderMap, name: &str) -> Option<String> {
+    let mut all = headers.get_all(name).iter();
+    let first = match all.next() {
+        None => return Some(String::new()),
+        Some(first) => first.to_str().ok()?,
+    };
+    all.all(|other| other == first).then(|| first.to_string())
+}
+
+/// `attempt`: the request's own id; what is kept for a key came with that of its first try.
+fn relayed(told: Told, attempt: &str) -> Answer {
     let Told { said, pipe, taken } = told;
     let first = Some(said.body).filter(|b| !b.is_empty());
     let mut answer = Response::new(match pipe {
@@ -98,6 +109,9 @@
             answer.headers_mut().append(name, value);
         }
     }
+    if let Ok(own) = HeaderValue::from_str(attempt) {
+        answer.headers_mut().insert(ATTEMPT, own);
+    }
     answer
 }
 
@@ -114,7 +128,9 @@
         }
         self.in_hand.set(self.in_hand.get() + 1);
         let _in_hand = InHand(self.clone());
-        let began = self.now();
+        // Where this process stood still the request may have come as long ago.
+        let (now, age) = (self.now(), self.runs());
+        let began = now - age;
         let (head, body) = request.into_parts();
         let text =
             |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_string();
@@ -131,7 +147,7 @@
             .ok()
             .filter(|ms| *ms > 0)
             .map_or(USUAL, |ms| Micros::ms(ms.min(600_000)));
-        let until = began + left.min(route.timeout);
+        let until = if age >= FROZEN { began } else { now } + left.min(route.timeout);
         let mut headers = Vec::new();
         let named = text("connection").to_ascii_lowercase();
         for (name, value) in &head.headers {
@@ -142,11 +158,12 @@
                     .push(Pair { name: name.to_string(), value: Bytes::copy_from_slice(value.as_bytes()) });
             }
         }
-        let attempt = text(ATTEMPT);
-        if attempt.is_empty() {
-            return plain(400, "a request needs its Notchspool-Attempt-Id");
-        }
-        let key = text(KEY);
+        let Some(attempt) = single(&head.headers, ATTEMPT).filter(|id| !id.is_empty()) else {
+            return plain(400, "a request needs its Notchspool-Attempt-Id, and one");
+        };
+        let Some(key) = single(&head.headers, KEY) else {
+            return plain(400, "the Notchspool-Operation-Key can't be told");
+        };
         let limit = script.limits.body_bytes;
         let body = match Limited::new(body, limit).collect().await {
             Ok(body) => body.to_bytes(),
@@ -155,8 +172,8 @@
         };
         let target = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string();
         let method = head.method.to_string();
-        let aim = began + route.target;
-        let asked = Asked { method, target, host, headers, body, attempt, key, aim };
+        let aim = now + route.target;
+        let asked = Asked { method, target, host, headers, body, attempt, key, began, aim };
         let route = route.clone();
         self.route(&route, asked, until).await
     }
@@ -171,7 +188,7 @@
         answer
     }
 
-    /// Follows what the module wants done with one txn, to its answer.
+    /// Sends it where the module wants it, as long as `Attempts` lets it go on, to its answer.
     async fn see_through(
         self: &Rc<House>,
         route: &Route,
@@ -182,117 +199,111 @@
         mut orders: Vec<Order>,
     ) -> Answer {
         let keyed = route.kind == RouteKind::Keyed && !asked.key.is_empty();
-        let (mut arrivals, mut posting, mut refusals) = (0u32, 0u32, 0u32);
-        // What may have run without an answer, and the last reason why there was none.
-        let (mut may_have_run, mut why) = (false, String::from("no backend is in reach"));
-        let mut retry = Micros::ms(60);
-        let mut ticket = Ticket { life: self.life, number: txn.0, turn: 0 };
+        let ticket = keyed.then_some(Ticket { life: self.life, number: txn.0, turn: 0 });
+        let (repeatable, most) = (route.kind.repeatable(), route.attempts);
+        let mut attempts = Attempts::open(Terms { repeatable, most, until, ticket });
+        let spend = || self.company(service, |c| c.purse.spend());
+        // A failure that is answered where no other backend is found.
+        let mut failed: Option<Told> = None;
         loop {
             let order = orders.iter().find(
                 |o| matches!(o, Order::Post(t, _) | Order::Decline(t, _) | Order::Reverse(t) if *t == txn),
             );
             let to = match order {
-                Some(Order::Post(_, to)) => *to,
-                _ if may_have_run => return self.unanswered(route, &why, self.now() >= until),
-                _ => {
-                    self.count("declined");
-                    log::debug!(target: "lobby", "decline {} {} after {posting}: {why}, {:?} left", route.name, asked.attempt, until - self.now());
-                    self.ended(true);
-                    return refused(&why, self.come_back(retry));
+                Some(Order::Post(_, to)) => Some(*to),
+                _ => None,
+            };
+            let next =
+                attempts.turn(self.now(), if to.is_some() { Event::Post } else { Event::Nobody }, &spend);
+            let (to, number, ticket) = match (to, next) {
+                (Some(to), Next::Send(number, ticket)) => (to, number, ticket),
+                (to, next) => {
+                    if to.is_some() {
+                        let now = self.now();
+                        let (number, never) = (attempts.posted(), Fate::NeverSent);
+                        self.company(service, |c| c.returned(now, txn, number, never, Micros(0), true));
+                    }
+                    return match failed.take() {
+                        Some(told) => relayed(told, &asked.attempt),
+                        None => self.given_up(route, &asked, &attempts, next, until),
+                    };
                 }
             };
-            let number = posting;
-            posting += 1;
+            failed = None;
             let began = self.now();
-            ticket.turn = number;
-            let told = self.post(route, service, to, &asked, until, keyed.then_some(ticket)).await;
+            let told = self.post(route, service, to, &asked, until, ticket).await;
             let (now, took) = (self.now(), self.now() - began);
-            let told = told
-                .unwrap_or_else(|| crate::links::only(0, Verdict::MayHaveRun, "no answer in time").into());
+            let told = told.unwrap_or_else(|| only(0, Verdict::MayHaveRun, "no answer in time").into());
             let said = &told.said;
-            let mut verdict = said.verdict();
             self.company(service, |c| c.reported(now, to, said.busy));
-            // A link that ended leaves open whether the key was claimed there. Who claims it now with another ticket knows: where that is
-            // granted the first one has not run and never will.
-            if keyed && verdict == Verdict::MayHaveRun && !said.arrived && until - now > FENCE {
-                let fence = Ticket { number: self.number(), ..ticket };
-                if self.claim(&asked.key, fence).await == Claimed::Ours {
+            let mut verdict = said.verdict();
+            let mut next = attempts.turn(now, Event::Came(said), &spend);
+            if next == Next::Fence {
+                let fence = Ticket { life: self.life, number: self.number(), turn: number };
+                let granted = self.claim(&asked.key, fence).await == Claimed::Ours;
+                if granted {
                     self.count("fenced");
-                    // Where nobody takes it after all this is not promised to the client: the fence has to stand.
-                    may_have_run = true;
-                    (ticket, verdict) = (fence, Verdict::NotRun);
+                    verdict = Verdict::NotRun;
                 }
+                next = attempts.turn(self.now(), Event::Fenced(fence, granted), &spend);
             }
             let now = self.now();
-            arrivals += u32::from(said.arrived || verdict == Verdict::MayHaveRun);
-            let back = |fate: Fate, closed: bool| {
-                self.company(service, |c| c.returned(now, txn, number, fate, took, closed))
-            };
-            let again = |spend: bool| {
-                route.kind.repeatable()
-                    && arrivals < route.attempts
-                    && now < until
-                    && (!spend || self.company(service, |c| c.purse.spend()))
+            // A door that is full speaks of load, which it reports, and not of illness.
+            let fate = match verdict {
+                Verdict::Answered if said.status >= 500 => Fate::Errored,
+                Verdict::Answered => Fate::Settled,
+                Verdict::Elsewhere => Fate::TurnedAway,
+                Verdict::NotRun if said.busy == 0 => Fate::NoLink,
+                Verdict::MayHaveRun if now >= until => Fate::TimedOut,
+                Verdict::MayHaveRun => Fate::Broken,
+                _ => Fate::NeverSent,
             };
-            match verdict {
-                Verdict::Answered if said.status >= 500 && again(true) => {
-                    self.count("further_after_failure");
-                    (may_have_run, why) = (true, format!("status {}", said.status));
-                    orders = back(Fate::Errored, false);
-                    let goes_on = orders.iter().any(|o| matches!(o, Order::Post(t, _) if *t == txn));
-                    if !goes_on {
-                        return relayed(told);
+            let goes_on = next == Next::Again;
+            orders = self.company(service, |c| c.returned(now, txn, number, fate, took, !goes_on));
+            match next {
+                Next::Again => match verdict {
+                    Verdict::Answered => {
+                        self.count("further_after_failure");
+                        failed = Some(told);
                     }
-                }
-                Verdict::Answered => {
-                    back(if said.status >= 500 { Fate::Errored } else { Fate::Settled }, true);
+                    Verdict::MayHaveRun => self.count("further_after_silence"),
+                    _ => {}
+                },
+                Next::Relay => {
                     self.ended(false);
-                    return relayed(told);
-                }
-                Verdict::NotRun | Verdict::Elsewhere => {
-                    refusals += 1;
-                    why.clone_from(&said.why);
-                    if said.retry_ms > 0 {
-                        retry = Micros::ms(i64::from(said.retry_ms));
-                    }
-                    let over = refusals >= MOST_REFUSALS || now >= until || said.ends;
-                    // A door that is full speaks of load, which it reports, and not of illness.
-                    let fate = match verdict {
-                        Verdict::Elsewhere => Fate::TurnedAway,
-                        _ if said.busy == 0 => Fate::NoLink,
-                        _ => Fate::NeverSent,
-                    };
-                    orders = back(fate, over);
-                    if over && may_have_run {
-                        return self.unanswered(route, &why, now >= until);
-                    }
-                }
-                Verdict::Working => {
-                    back(Fate::NeverSent, true);
-                    return plain(409, "the operation is at work");
-                }
-                Verdict::Lost => {
-                    back(Fate::NeverSent, true);
-                    return plain(502, "the operation ran, and its answer is not known");
-                }
-                Verdict::Held => {
-                    back(Fate::NeverSent, true);
-                    return self.from_holder(said, &asked.key, until).await;
-                }
-                Verdict::MayHaveRun => {
-                    (may_have_run, why) = (true, said.why.clone());
-                    let fate = if now >= until { Fate::TimedOut } else { Fate::Broken };
-                    let on = again(true);
-                    orders = back(fate, !on);
-                    if !on {
-                        return self.unanswered(route, &why, now >= until);
-                    }
-                    self.count("further_after_silence");
+                    return relayed(told, &asked.attempt);
                 }
+                Next::FromHolder => return self.from_holder(said, &asked, until).await,
+                next => return self.given_up(route, &asked, &attempts, next, until),
             }
         }
     }
 
+    /// There is no answer of a backend.
+    fn given_up(
+        &self,
+        route: &Route,
+        asked: &Asked,
+        attempts: &Attempts,
+        next: Next,
+        until: Micros,
+    ) -> Answer {
+        let why = &attempts.why;
+        match next {
+            Next::Refuse => {
+                let (posted, left) = (attempts.posted(), until - self.now());
+                self.count("declined");
+                log::debug!(target: "lobby", "decline {} {} after {posted}: {why}, {left:?} left", route.name, asked.attempt);
+                self.ended(true);
+                refused(why, self.come_back(attempts.retry))
+            }
+            Next::AtWork => plain(409, "the operation is at work"),
+            Next::Lost => plain(502, "the operation ran, and its answer is not known"),
+            Next::Unanswered { over } => self.unanswered(route, why, over),
+            _ => self.unanswered(route, why, false),
+        }
+    }
+
     /// It may have run, and there is no answer.
     fn unanswered(&self, route: &Route, why: &str, over: bool) -> Answer {
         self.count("unanswered");
@@ -301,14 +312,15 @@
     }
 
     /// The answer to a key that another usher holds.
-    async fn from_holder(self: &Rc<House>, held: &Said, key: &str, until: Micros) -> Answer {
-        let said = within(until - self.now(), self.fetch(&held.holder, key, held.holder_life)).await;
+    async fn from_holder(self: &Rc<House>, held: &Said, asked: &Asked, until: Micros) -> Answer {
+        let fetch = self.fetch(&held.holder, &asked.key, held.holder_life);
+        let said = within(until - self.now(), fetch).await;
         let Some(said) = said else { return plain(504, "the holder of the key does not answer") };
         match said.verdict() {
-            Verdict::Answered => relayed(said.into()),
+            Verdict::Answered => relayed(said.into(), &asked.attempt),
             Verdict::Working => plain(409, "the operation is at work"),
             // It has not run there in that life, and is taken back: the next try claims it anew.
-            Verdict::NotRun if said.why == "it has not run here" => refused(&said.why, Micros::ms(50)),
+            Verdict::NotRun if said.why == NOT_HERE => refused(&said.why, Micros::ms(50)),
             _ => plain(502, "the operation may have run, and its answer is not known"),
         }
     }
@@ -324,7 +336,10 @@
         ticket: Option<Ticket>,
     ) -> Option<Told> {
         let found = self.company(service, |c| c.station(to).map(|s| (s.instance.clone(), s.usher.clone())));
-        let (instance, usher) = found?;
+        // It has left the list since it was drawn: nothing was sent.
+        let Some((instance, usher)) = found else {
+            return Some(only(0, Verdict::NotRun, "the backend is not listed any more").into());
+        };
         let left = until - self.now();
         let ask = Ask {
             id: self.number(),
@@ -344,6 +359,7 @@
             attempt: asked.attempt.clone(),
             caller: self.told.borrow().service.clone(),
             host: asked.host.clone(),
+            age_ms: ((self.now() - asked.began).0 / 1000).clamp(0, 600_000) as u32,
         };
         within(left, self.ask(&usher, ask)).await
     }
--- a/crates/stage/src/perform.rs
+++ b/crates/stage/src/perform.rs
@@ -3,15 +3,14 @@
 use std::rc::Rc;
 
 use notchspool::units::Micros;
-use notchspool_cloakroom::coats::{Coat, Event};
-use notchspool_cloakroom::round::Verdict as Claimed;
 use notchspool_cues::{Ask, Said, State, Ticket, Verdict};
 use tokio::sync::oneshot;
 
 use crate::door::{Admit, Comer};
-use crate::dressing::Outcome;
+use crate::dressing::Played;
 use crate::house::House;
-use crate::links::{Told, only};
+use crate::link::{Told, only};
+use crate::operation::{self, Step};
 
 /// Part of the drain's span after which nothing new begins at a backend that drains.
 const DRAINED: f64 = 0.6;
@@ -58,6 +57,7 @@
     house: Rc<House>,
     key: String,
     ticket: Ticket,
+    since: Micros,
     open: bool,
 }
 
@@ -65,7 +65,7 @@
     fn not_run(&mut self) {
         if std::mem::take(&mut self.open) {
             let now = self.house.now();
-            self.house.coats.borrow_mut().turn(now, &self.key, Event::NotRun);
+            operation::not_begun(&mut self.house.coats.borrow_mut(), now, &self.key);
             self.house.withdraw(&self.key, self.ticket);
         }
     }
@@ -123,12 +123,34 @@
         if holder_life != self.life {
             return only(id, Verdict::Lost, "the process that held it has ended");
         }
-        match self.coats.borrow().get(key) {
-            Some(Coat::Claiming | Coat::Working) => only(id, Verdict::Working, "it works"),
-            Some(Coat::Kept(said)) => Said { id, arrived: false, ..(**said).clone() },
-            Some(Coat::Lost) => only(id, Verdict::Lost, "it broke off"),
-            None => only(id, Verdict::NotRun, "it has not run here"),
+        Said { id, ..operation::known(&self.coats.borrow(), key) }
+    }
+
+    /// Claims the key of an operation. Its claim, where it may go on; else what is answered.
+    async fn claims(self: &Rc<House>, ask: &Ask, ticket: Ticket) -> Result<Claim, Said> {
+        let (id, since) = (ask.id, self.now());
+        let age = Micros::ms(i64::from(ask.age_ms));
+        let mut step = operation::arrives(&mut self.coats.borrow_mut(), since, &ask.key, age);
+        let mut own = Claim { house: self.clone(), key: ask.key.clone(), ticket, since, open: false };
+        if step == Step::Claim {
+            own.open = true;
+            step = operation::claimed(ticket, self.claim(&ask.key, ticket).await);
+        }
+        match step {
+            Step::Enter => Ok(own),
+            Step::Known(said) => Err(Said { id, ..said }),
+            Step::Held { holder, holder_life } => {
+                Err(Said { holder, holder_life, ..only(id, Verdict::Held, "another has the key") })
+            }
+            Step::No { why, retry, ends, take_back } => {
+                if ends {
+                    self.count(if take_back { "claims_without_majority" } else { "claims_too_old" });
+                }
+                Err(Said { ends, ..self.turned_away(id, why, retry) })
+            }
+            Step::Claim => Err(only(id, Verdict::NotRun, "it is not claimed")),
         }
+        // Where it does not go on its claim is taken back, as it is dropped.
     }
 
     /// Runs a request at the backend here, or says why not.
@@ -139,6 +161,9 @@
             self.count("astray");
             return self.marked(only(id, verdict, why)).into();
         }
+        if until - self.now() <= MARGIN {
+            return self.turned_away(id, "its time is over", Micros(0)).into();
+        }
         // Large answers stand before all else on a thin link: one more is begun only while they are soon worked off.
         let backlog = self.backlog(ask.target_ms);
         if backlog > Micros::ms(i64::from(ask.target_ms)).times(BACKLOG) {
@@ -147,33 +172,10 @@
         }
         let mut claim = None;
         if let (false, Some(ticket)) = (ask.key.is_empty(), ask.ticket) {
-            let known = self.coats.borrow().get(&ask.key).is_some();
-            if known {
-                return self.held(id, &ask.key, self.life).into();
+            match self.claims(&ask, ticket).await {
+                Ok(own) => claim = Some(own),
+                Err(said) => return said.into(),
             }
-            if !self.coats.borrow_mut().turn(self.now(), &ask.key, Event::Claim) {
-                return self.turned_away(id, "too many keys", Micros::ms(200)).into();
-            }
-            let mut own = Claim { house: self.clone(), key: ask.key.clone(), ticket, open: true };
-            match self.claim(&ask.key, ticket).await {
-                Claimed::Ours => {}
-                Claimed::Theirs { ticket: other, holder, holder_life } => {
-                    own.not_run();
-                    // The same request at another backend, later than here: this one is not wanted any more.
-                    if (other.life, other.number) == (ticket.life, ticket.number) {
-                        return self.turned_away(id, "it went elsewhere", Micros(0)).into();
-                    }
-                    return Said { holder, holder_life, ..only(id, Verdict::Held, "another has the key") }
-                        .into();
-                }
-                Claimed::Nobody | Claimed::Open => {
-                    own.not_run();
-                    self.count("claims_without_majority");
-                    let said = self.turned_away(id, "no majority for the key", Micros::ms(150));
-                    return Said { ends: true, ..said }.into();
-                }
-            }
-            claim = Some(own);
         }
         let aim = self.now() + Micros::ms(i64::from(ask.aim_ms));
         let place = match self.enter(Comer { rank: ask.rank, kind: ask.target_ms, aim, until }).await {
@@ -188,7 +190,9 @@
             return self.turned_away(id, "its time is over", Micros(0)).into();
         }
         if let Some(claim) = &mut claim {
-            if !self.coats.borrow_mut().turn(self.now(), &ask.key, Event::Granted) {
+            let window = self.told.borrow().bounds.key_window;
+            let (now, since) = (self.now(), claim.since);
+            if !operation::begins(&mut self.coats.borrow_mut(), now, &ask.key, since, window) {
                 return self.turned_away(id, "the key is gone", Micros::ms(50)).into();
             }
             // From here on it goes to its end, whether anybody waits or not: its answer is kept.
@@ -207,20 +211,10 @@
     }
 
     fn keep(&self, ask: &Ask, said: &Said) {
-        let event = match said.verdict() {
-            Verdict::Answered => {
-                let size = said.body.len() + 512;
-                Event::Answer(Rc::new(said.clone()), size)
-            }
-            Verdict::NotRun | Verdict::Elsewhere => Event::NotRun,
-            _ => Event::BrokeOff,
-        };
-        if event == Event::NotRun
-            && let Some(ticket) = ask.ticket
-        {
+        let back = operation::ended(&mut self.coats.borrow_mut(), self.now(), &ask.key, said);
+        if let Some(ticket) = ask.ticket.filter(|_| back) {
             self.withdraw(&ask.key, ticket);
         }
-        self.coats.borrow_mut().turn(self.now(), &ask.key, event);
     }
 
     async fn enter(self: &Rc<House>, comer: Comer) -> Result<Place, Micros> {
@@ -251,36 +245,13 @@
 
     async fn at_backend(self: Rc<House>, mut place: Place, ask: &Ask, until: Micros) -> Told {
         let began = self.now();
-        let outcome = self.play(ask, until).await;
+        let Played { mut said, rest } = self.play(ask, until).await;
         let took = self.now() - began;
-        let mut rest = None;
-        let said = match outcome {
-            Outcome::Pieces(answer, pipe) => {
-                (place.took, rest) = (Some(took), Some(pipe));
-                Said {
-                    verdict: Verdict::Answered.into(),
-                    arrived: true,
-                    took_us: took.0.max(0) as u64,
-                    ..answer
-                }
-            }
-            Outcome::Answered(answer) => {
-                place.took = Some(took);
-                Said {
-                    verdict: Verdict::Answered.into(),
-                    arrived: true,
-                    took_us: took.0.max(0) as u64,
-                    ..answer
-                }
-            }
-            Outcome::NotRun(why) => only(ask.id, Verdict::NotRun, &why),
-            Outcome::NotReached(why) => only(ask.id, Verdict::NotRun, &why),
-            Outcome::Elsewhere => only(ask.id, Verdict::Elsewhere, "another backend has the address"),
-            Outcome::MayHaveRun(why) => {
-                self.count("broke_off");
-                Said { arrived: true, ..only(ask.id, Verdict::MayHaveRun, &why) }
-            }
-        };
+        match said.verdict() {
+            Verdict::Answered => (place.took, said.took_us) = (Some(took), took.0.max(0) as u64),
+            Verdict::MayHaveRun => self.count("broke_off"),
+            _ => {}
+        }
         drop(place);
         Told { pipe: rest, ..self.marked(Said { id: ask.id, ..said }).into() }
     }
--- a/crates/stage/src/pipe.rs
+++ b/crates/stage/src/pipe.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
-/// Bytes that may stand in a pipe.
+/// Bytes that may stand in a pipe, and bytes of one piece.
 pub const ROOM: usize = 256 << 10;
+pub const PIECE: usize = 16 << 10;
 
 /// What ends a pipe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/stage/src/run.rs
+++ b/crates/stage/src/run.rs
@@ -154,6 +154,7 @@
         loop {
             tick.tick().await;
             n += 1;
+            ticks.runs();
             ticks.look_at_links();
             let now = ticks.now();
             ticks.companies.borrow_mut().values_mut().for_each(|c| drop(c.wake(now)));
@@ -162,7 +163,7 @@
             }
             if n.is_multiple_of(5) {
                 ticks.backend(Event::Time);
-                ticks.tidy();
+                ticks.pool.tidy(now);
                 ticks.coats.borrow_mut().wake(now);
             }
         }
--- /dev/null
+++ b/crates/stage/src/voters.rs
@@ -0,0 +1,57 @@
+//! The prompters as this usher knows them, and the claims that are open at them. `callboy` carries the connections.
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use notchspool_cloakroom::round::{Round, Verdict};
+use notchspool_cues::What;
+use notchspool_rigging::rope::Rope;
+use tokio::sync::oneshot;
+
+#[derive(Clone)]
+pub struct Voter {
+    pub rope: Rope,
+    pub zone: String,
+    /// The highest version that it says holds, and whether it has compared.
+    pub holds: Option<(u64, bool)>,
+}
+
+/// A claim that is open.
+pub struct Hand {
+    pub round: Round,
+    pub done: Option<oneshot::Sender<Verdict>>,
+}
+
+/// The prompters as this usher knows them.
+#[derive(Default)]
+pub struct Voters {
+    /// Who votes, once one has told; until then the seeds are asked.
+    pub list: RefCell<Vec<String>>,
+    pub open: RefCell<BTreeMap<String, Voter>>,
+    pub dialed: RefCell<BTreeSet<String>>,
+    pub hands: RefCell<HashMap<u64, Hand>>,
+    pub followed: RefCell<Option<String>>,
+    pub line: Cell<u64>,
+    pub failures: Cell<u32>,
+    /// The version that is waited for before somebody is asked.
+    pub awaited: Cell<u64>,
+}
+
+impl Voters {
+    pub fn send_all(&self, what: What) {
+        for voter in self.open.borrow().values() {
+            voter.rope.send(what.clone());
+        }
+    }
+
+    /// The highest version that more than half know of; none while fewer have told and compared.
+    pub fn newest(&self) -> Option<u64> {
+        let (list, open) = (self.list.borrow(), self.open.borrow());
+        let told: Vec<u64> =
+            list.iter().filter_map(|a| open.get(a)?.holds).filter(|h| h.1).map(|h| h.0).collect();
+        (!list.is_empty() && told.len() > list.len() / 2).then(|| told.into_iter().max().unwrap_or(0))
+    }
+
+    pub fn reached(&self) -> (usize, usize) {
+        (self.open.borrow().len(), self.list.borrow().len())
+    }
+}
--- /dev/null
+++ b/crates/stage/tests/operation.rs
@@ -0,0 +1,68 @@
+//! A keyed operation beside its backend: it runs under a claim or not at all, and its claim is taken back only where it has not run.
+use notchspool::units::Micros;
+use notchspool_cloakroom::coats::Coats;
+use notchspool_cloakroom::round::Verdict as Claimed;
+use notchspool_cues::{Said, Ticket, Verdict};
+use notchspool_stage::operation::{self, Kept, Step};
+
+const TICKET: Ticket = Ticket { life: 7, number: 1, turn: 0 };
+const WINDOW: Micros = Micros(60_000_000);
+
+fn coats() -> Kept {
+    Coats::open(WINDOW, 1 << 20)
+}
+fn theirs(life: u64, number: u64) -> Claimed {
+    Claimed::Theirs { ticket: Ticket { life, number, turn: 1 }, holder: "h".into(), holder_life: 9 }
+}
+fn said(verdict: Verdict) -> Said {
+    Said { verdict: verdict.into(), arrived: true, status: 200, ..Said::default() }
+}
+
+#[test]
+fn it_runs_only_under_a_claim_and_what_is_known_is_said_again() {
+    let mut coats = coats();
+    assert_eq!(operation::arrives(&mut coats, Micros(1), "k", Micros(0)), Step::Claim);
+    assert!(
+        matches!(operation::arrives(&mut coats, Micros(1), "k", Micros(0)), Step::Known(s) if s.verdict() == Verdict::Working)
+    );
+    assert_eq!(operation::claimed(TICKET, Claimed::Ours), Step::Enter);
+    assert!(operation::begins(&mut coats, Micros(2), "k", Micros(1), WINDOW));
+    assert!(!operation::begins(&mut coats, Micros(2), "k", Micros(1), WINDOW), "it begins twice");
+    assert!(!operation::ended(&mut coats, Micros(3), "k", &said(Verdict::Answered)));
+    let known = operation::known(&coats, "k");
+    assert_eq!((known.verdict(), known.arrived), (Verdict::Answered, false));
+}
+
+#[test]
+fn a_claim_is_taken_back_only_where_it_has_not_run() {
+    for (verdict, back) in [
+        (Verdict::NotRun, true),
+        (Verdict::Elsewhere, true),
+        (Verdict::Answered, false),
+        (Verdict::MayHaveRun, false),
+    ] {
+        let mut coats = coats();
+        operation::arrives(&mut coats, Micros(1), "k", Micros(0));
+        operation::begins(&mut coats, Micros(1), "k", Micros(1), WINDOW);
+        assert_eq!(operation::ended(&mut coats, Micros(2), "k", &said(verdict)), back, "{verdict:?}");
+    }
+}
+
+#[test]
+fn another_ticket_is_sent_to_its_holder_and_the_same_one_is_not_wanted() {
+    assert!(matches!(operation::claimed(TICKET, theirs(8, 1)), Step::Held { holder_life: 9, .. }));
+    assert!(matches!(operation::claimed(TICKET, theirs(7, 1)), Step::No { take_back: true, .. }));
+    assert!(matches!(
+        operation::claimed(TICKET, Claimed::Nobody),
+        Step::No { take_back: true, ends: true, .. }
+    ));
+}
+
+#[test]
+fn one_that_stood_for_long_or_whose_claim_may_be_forgotten_does_not_begin() {
+    let mut coats = coats();
+    let old = operation::arrives(&mut coats, Micros(1), "k", Micros::ms(1_600));
+    assert!(matches!(old, Step::No { take_back: false, .. }), "{old:?}");
+    assert_eq!(operation::arrives(&mut coats, Micros(1), "k", Micros::ms(1_400)), Step::Claim);
+    assert!(!operation::begins(&mut coats, WINDOW + Micros(1), "k", Micros(1), WINDOW));
+}
--- a/crates/usher/tests/whole.rs
+++ b/crates/usher/tests/whole.rs
@@ -227,6 +227,14 @@
     assert_eq!((status(&first), status(&again)), ("200", "200"));
     let seal = |m: &Message| m.1.get("notchspool-server-seal").cloned();
     assert_eq!((seal(&first), &first.2, runs("/k/1")), (seal(&again), &again.2, 1));
+    // Each answer has the id of the try that it answers; what can't be told by its id or key is not sent on.
+    let id = |m: &Message| m.1.get("notchspool-attempt-id").cloned().unwrap_or_default();
+    assert_eq!((id(&first), id(&again)), ("t-7".to_string(), "t-8".to_string()));
+    let two_keys = "\r\nnotchspool-operation-key: k-2\r\nnotchspool-operation-key: k-3";
+    for odd in ["\r\nnotchspool-operation-key: k-\u{e9}", two_keys, "\r\nnotchspool-attempt-id: other"] {
+        assert_eq!(status(&request("/k/2", "t-9", odd).unwrap()), "400", "{odd:?}");
+    }
+    assert_eq!(runs("/k/2"), 0);
 
     // Who drains gets nothing new once its part of the drain is over, and who is left takes all.
     assert!(beat(ushers[1], "i-2", "draining", 2));
