Sixteen timelines of traffic, each named after what it guards

Change: `crates/lab/tests/timelines-traffic`, and nine cases with one safeguard off, in the timeline that guards it.

--- a/crates/lab/src/mesh/traffic/backend.rs
+++ b/crates/lab/src/mesh/traffic/backend.rs
@@ -234,7 +234,7 @@
                     not_run: false,
                     encoded: false,
                 };
-                let keep = self.luck(0.9);
+                let keep = self.backends[at].mood != Mood::Any || self.luck(0.9);
                 let reply = Reply { head, id, seal, bytes, whole: true, keep };
                 serving.replies.extend(self.says(mood, done, reply));
             }
--- a/crates/lab/src/mesh/traffic/lobby.rs
+++ b/crates/lab/src/mesh/traffic/lobby.rs
@@ -179,7 +179,7 @@
     /// That came of a try.
     pub(super) fn came(&mut self, at: usize, attempt: &str, serial: u64, said: Said) {
         let now = self.now;
-        let spends = self.luck(0.8);
+        let spends = self.luck(0.8) || !self.ushers[at].aims.is_empty();
         let (fences, links) = (self.is(Breach::Fences), self.is(Breach::Links));
         let Some(request) = self.ushers[at].requests.get_mut(attempt).filter(|r| r.serial == serial) else {
             return;
--- a/crates/lab/tests/traffic.rs
+++ b/crates/lab/tests/traffic.rs
@@ -40,3 +40,20 @@
     let seen = (1..=60).find(|seed| drawn(*seed, Some(breach)).wrong.iter().any(|w| w.0 == rule));
     assert!(seen.is_some(), "{breach:?} broke no {rule:?}");
 }
+
+/// One safeguard off, in the timeline that is named after what it guards.
+#[rstest]
+#[case("too-old-for-its-key", Breach::Ages, Rule::Twice)]
+#[case("a-promise-that-is-none", Breach::Promises, Rule::Refused)]
+#[case("a-link-that-ends-may-have-run", Breach::Repeat, Rule::Twice)]
+#[case("a-link-that-ends-may-have-run", Breach::Links, Rule::Twice)]
+#[case("an-answer-lost-at-the-backend", Breach::TakesBack, Rule::Twice)]
+#[case("an-answer-lost-at-the-backend", Breach::Bodies, Rule::Mixed)]
+#[case("an-answer-lost-with-its-holder", Breach::Claims, Rule::Twice)]
+#[case("the-same-ids-in-a-new-life", Breach::Lives, Rule::Mixed)]
+#[case("a-strangers-answer", Breach::Ids, Rule::Mixed)]
+fn a_timeline_notices_what_it_guards(#[case] name: &str, #[case] breach: Breach, #[case] rule: Rule) {
+    let text = std::fs::read_to_string(format!("tests/timelines-traffic/{name}.txt")).unwrap();
+    let seen = (1..=30).any(|seed| wrong(&text, seed, Some(breach)).iter().any(|w| w.0 == Some(rule)));
+    assert!(seen, "{breach:?} broke no {rule:?}");
+}
