A vote on a key counts for the prompter on whose connection it came

Cause: whose vote it is was read from the message alone; a prompter with another list of who votes could count for two. Change: the place in the message has to be that of the connection's address; else it is counted as `votes_astray` and dropped. Measured: the new test in wire.rs fails without the change and passes with it; the ten tests there pass.

--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -161,7 +161,15 @@
                     self.listed(bill);
                 }
             }
-            What::Claimed(claimed) => self.claimed(claimed),
+            // A vote counts for who it came from.
+            What::Claimed(claimed) => {
+                let place = claimed.voter as usize;
+                let own = self.voters.list.borrow().get(place).is_some_and(|v| v == address);
+                match own {
+                    true => self.claimed(claimed),
+                    false => self.count("votes_astray"),
+                }
+            }
             What::Pong(_) => {}
             _ => self.count("messages_unknown"),
         }
--- a/crates/stage/tests/wire.rs
+++ b/crates/stage/tests/wire.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use notchspool::units::Micros;
-use notchspool_cues::{Ask, Cancel, Part, Said, Verdict, What, read, write};
+use notchspool_cues::{Ask, Cancel, Claimed, Part, Said, Verdict, Welcome, What, read, write};
 use notchspool_rigging::rope::quiet;
 use notchspool_rigging::told::Told;
 use notchspool_stage::house::House;
@@ -262,3 +262,42 @@
         tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
     });
 }
+
+#[test]
+fn a_vote_counts_for_the_prompter_that_it_came_from() {
+    plays(async {
+        let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+        let voters = listeners.each_ref().map(|l| l.local_addr().unwrap().to_string()).to_vec();
+        for (own, listener) in listeners.into_iter().enumerate() {
+            let voters = voters.clone();
+            std::thread::spawn(move || {
+                let mut other = Other::of(listener.accept().unwrap().0);
+                other.say(What::Welcome(Welcome { voters, own: own as u32, ..Welcome::default() }));
+                while let Some(what) = other.next() {
+                    // The first votes for the second, too, which says nothing.
+                    if let (What::Claim(claim), 0) = (what, own) {
+                        for voter in [0, 1] {
+                            let (id, ticket) = (claim.id, claim.ticket);
+                            let lives = vec![1, 1];
+                            other.say(What::Claimed(Claimed {
+                                id,
+                                vote: 1,
+                                ticket,
+                                voter,
+                                lives,
+                                ..Claimed::default()
+                            }));
+                        }
+                    }
+                }
+            });
+        }
+        let house = house(nowhere());
+        house.call(voters[0].clone());
+        while house.voters.reached() != (2, 2) {
+            tokio::task::yield_now().await;
+        }
+        let ticket = notchspool_cues::Ticket { life: 7, number: 1, turn: 0 };
+        assert_eq!(house.claim("k", ticket).await, notchspool_cloakroom::round::Verdict::Nobody);
+    });
+}
