--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -46,6 +46,9 @@
         /// Changes of who votes: wipes, removals, successors, cuts.
         #[arg(long, conflicts_with = "storms")]
         members: bool,
+        /// The data plane instead: ushers, links and backends, judged by who got which answer and what ran twice.
+        #[arg(long, conflicts_with_all = ["storms", "members"])]
+        traffic: bool,
         /// Processors to use; 0: all.
         #[arg(long, default_value_t = 0)]
         jobs: u64,
@@ -71,6 +74,12 @@
     Plain { policy: String },
 }
 
+/// A drawn day of the data plane.
+fn traffic_of(seed: u64) -> Vec<String> {
+    let day = notchspool_lab::mesh::traffic::drawn(seed, None);
+    day.wrong.into_iter().map(|(rule, what)| format!("{rule:?}: {what}")).collect()
+}
+
 /// Plays drawn days of the mesh, on all cores.
 fn mesh(from: u64, seeds: u64, play: fn(u64) -> Vec<String>, jobs: u64) -> ExitCode {
     let all = std::thread::available_parallelism().map_or(1, |n| n.get()).min(64) as u64;
@@ -170,10 +179,11 @@
         Lab::Audit { books } => judge(&books),
         Lab::Report(asked) => report(&asked),
         Lab::Fleet(asked) => crate::ground::run(&asked),
-        Lab::Mesh { from, seeds, storms, members, jobs } => {
-            let play = match (storms, members) {
-                (true, _) => notchspool_lab::mesh::storms,
-                (_, true) => notchspool_lab::mesh::drawn_members,
+        Lab::Mesh { from, seeds, storms, members, traffic, jobs } => {
+            let play = match (storms, members, traffic) {
+                (true, ..) => notchspool_lab::mesh::storms,
+                (_, true, _) => notchspool_lab::mesh::drawn_members,
+                (.., true) => traffic_of,
                 _ => notchspool_lab::mesh::drawn,
             };
             Ok(mesh(from, seeds, play, jobs))
--- a/crates/prompter/src/house.rs
+++ b/crates/prompter/src/house.rs
@@ -33,6 +33,8 @@
 const SILENCE: Duration = Duration::from_millis(2_200);
 /// So much of the grace one that leaves waits for the others.
 const LEAVES: f64 = 0.8;
+/// Microseconds for which claims are kept beyond their window: a request may stand for its whole time on the way before it claims.
+const KEPT_LONGER: i64 = 8_000_000;
 const TICK: Duration = Duration::from_millis(50);
 /// Configurations that are held, so that others can be told and made out as differences.
 const TEXTS: usize = 4;
@@ -296,14 +298,13 @@
     let life = seed();
     let window = told.bounds.key_window;
     let folder = told.data.clone().ok_or("dataPath: a prompter needs a disk")?;
-    // The window is kept a little longer than it is promised.
-    let keep = Duration::from_micros((window.0 + 2_000_000) as u64);
+    let keep = Duration::from_micros((window.0 + KEPT_LONGER) as u64);
     let (trapdoor, found) = open(&folder, keep).await?;
     found.torn.iter().for_each(|name| warn!(target: "trapdoor", "{name} was torn and is left out"));
     let mut texts = Texts::open(TEXTS);
     found.entry.iter().for_each(|e| texts.hold(e.value.as_bytes()));
     let seeds: Vec<String> = told.seeds.iter().map(|s| told.inner_of(s)).collect();
-    let window = notchspool::units::Micros(window.0 + 2_000_000);
+    let window = notchspool::units::Micros(window.0 + KEPT_LONGER);
     let opening = Opening {
         own: told.inner(),
         zone: told.zone.clone(),
--- a/crates/stage/src/callboy.rs
+++ b/crates/stage/src/callboy.rs
@@ -1,18 +1,17 @@
 //! Connections to the prompters: all of them for stations, claims and what holds; one of them is followed for the list.
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use notchspool::units::Micros;
 use notchspool_cloakroom::round::{Round, Verdict};
-use notchspool_cues::texts::{Heard, Texts};
+use notchspool_cues::texts::Heard;
 use notchspool_cues::{Claim, Claimed, Hello, Ping, Ticket, Unwatch, Want, Watch, What, Withdraw};
 use notchspool_rigging::rope::{self, Rope};
 use tokio::sync::oneshot;
 
 use crate::house::{House, within};
+use crate::voters::{Hand, Voter};
 
 /// How often a prompter is told that this usher lives.
 const PULSE: Duration = Duration::from_millis(500);
@@ -31,79 +30,9 @@
 const UNFOLLOWED: Duration = Duration::from_millis(40);
 /// A board that is nearer than the one followed is followed instead, after this and as much again by chance: by then it has gathered.
 const NEARER: Duration = Duration::from_millis(2_000);
-/// Configurations that are held, so that the next can be told as a difference.
-const TEXTS: usize = 2;
 /// What a prompter has that isn't sure of it is taken only where no sure one has answered for so long.
 const BEFORE_UNSURE: Duration = Duration::from_millis(1_000);
 
-#[derive(Clone)]
-struct Voter {
-    rope: Rope,
-    zone: String,
-    /// The highest version that it says holds, and whether it has compared.
-    holds: Option<(u64, bool)>,
-}
-
-struct Hand {
-    round: Round,
-    /// To be asked anew: the set has changed, or is being changed.
-    again: bool,
-    done: Option<oneshot::Sender<Verdict>>,
-}
-
-/// The prompters as this usher knows them.
-pub struct Voters {
-    /// Who votes, once one has told, and the number of that set; until then the seeds are asked.
-    set: Cell<u64>,
-    list: RefCell<Vec<String>>,
-    open: RefCell<BTreeMap<String, Voter>>,
-    dialed: RefCell<std::collections::BTreeSet<String>>,
-    hands: RefCell<HashMap<u64, Hand>>,
-    followed: RefCell<Option<String>>,
-    line: Cell<u64>,
-    failures: Cell<u32>,
-    /// The version that is waited for before somebody is asked.
-    awaited: Cell<u64>,
-    texts: RefCell<Texts>,
-}
-
-impl Default for Voters {
-    fn default() -> Voters {
-        Voters {
-            set: Cell::default(),
-            list: RefCell::default(),
-            open: RefCell::default(),
-            dialed: RefCell::default(),
-            hands: RefCell::default(),
-            followed: RefCell::default(),
-            line: Cell::default(),
-            failures: Cell::default(),
-            awaited: Cell::default(),
-            texts: RefCell::new(Texts::open(TEXTS)),
-        }
-    }
-}
-
-impl Voters {
-    pub fn send_all(&self, what: What) {
-        for voter in self.open.borrow().values() {
-            voter.rope.send(what.clone());
-        }
-    }
-
-    /// The highest version that more than half know of; none while fewer have told and compared.
-    pub fn newest(&self) -> Option<u64> {
-        let (list, open) = (self.list.borrow(), self.open.borrow());
-        let told: Vec<u64> =
-            list.iter().filter_map(|a| open.get(a)?.holds).filter(|h| h.1).map(|h| h.0).collect();
-        (!list.is_empty() && told.len() > list.len() / 2).then(|| told.into_iter().max().unwrap_or(0))
-    }
-
-    pub fn reached(&self) -> (usize, usize) {
-        (self.open.borrow().len(), self.list.borrow().len())
-    }
-}
-
 /// Which board is to be followed from now on, of those in reach (address and zone): a near one before others. None: the one that is followed goes on,
 /// or there is none.
 pub fn board<'a>(own: &str, followed: Option<&str>, open: &[(&'a str, &str)], dart: f64) -> Option<&'a str> {
@@ -277,7 +206,15 @@
                     self.listed(bill);
                 }
             }
-            What::Claimed(claimed) => self.claimed(claimed),
+            // A vote counts for who it came from.
+            What::Claimed(claimed) => {
+                let place = claimed.voter as usize;
+                let own = self.voters.list.borrow().get(place).is_some_and(|v| v == address);
+                match own || claimed.vote == 0 {
+                    true => self.claimed(claimed),
+                    false => self.count("votes_astray"),
+                }
+            }
             What::Pong(_) => {}
             _ => self.count("messages_unknown"),
         }
--- a/crates/stage/src/run.rs
+++ b/crates/stage/src/run.rs
@@ -162,6 +162,7 @@
         loop {
             tick.tick().await;
             n += 1;
+            ticks.runs();
             ticks.look_at_links();
             let now = ticks.now();
             ticks.companies.borrow_mut().values_mut().for_each(|c| drop(c.wake(now)));
@@ -170,7 +171,7 @@
             }
             if n.is_multiple_of(5) {
                 ticks.backend(Event::Time);
-                ticks.tidy();
+                ticks.pool.tidy(now);
                 ticks.coats.borrow_mut().wake(now);
             }
         }
