--- a/crates/cues/src/lib.rs
+++ b/crates/cues/src/lib.rs
@@ -727,6 +727,9 @@
     /// Claims inside their window.
     #[prost(message, repeated, tag = "6")]
     pub claims: Vec<Claim>,
+    /// Whose it is: its place in that set.
+    #[prost(uint32, tag = "7")]
+    pub voter: u32,
 }
 
 /// Bytes of a snapshot from an offset.
--- a/crates/cues/src/snapshot.rs
+++ b/crates/cues/src/snapshot.rs
@@ -45,6 +45,10 @@
         Some(Sending { id: Bytes::copy_from_slice(&difference::digest(&all)), all: all.into() })
     }
 
+    pub fn id(&self) -> &Bytes {
+        &self.id
+    }
+
     /// Bytes of the whole as it goes.
     pub fn size(&self) -> usize {
         self.all.len()
--- a/crates/cues/tests/snapshot.rs
+++ b/crates/cues/tests/snapshot.rs
@@ -22,6 +22,7 @@
         ..Claim::default()
     };
     Snapshot {
+        voter: 0,
         set: 3,
         seat: Bytes::from_static(b"{}"),
         promised: Some(Ballot { round: 9, by: 7 }),
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -37,7 +37,6 @@
     fn apply(&mut self, deed: &Deed, breach: Breach) {
         let keep_first = breach == Breach::SealNotKept;
         match deed {
-            Deed::Clear => *self = Store::default(),
             Deed::Promise(ballot) => self.found.promised = self.found.promised.max(*ballot),
             Deed::Word(_, entry) => {
                 if self.found.entry.as_ref().is_none_or(|old| (old.at, old.nth) < (entry.at, entry.nth)) {
--- a/crates/prompter/src/office/members.rs
+++ b/crates/prompter/src/office/members.rs
@@ -525,6 +525,7 @@
         self.wished_at = None;
         self.sealed_at = None;
         self.told.clear();
+        self.assemblies.clear();
         self.withdrawn.clear();
         self.gather_wait = repair::GATHER_AGAIN;
         self.terms = terms(self.set.members.len());
--- a/crates/prompter/src/office/mod.rs
+++ b/crates/prompter/src/office/mod.rs
@@ -6,6 +6,7 @@
 use notchspool_callboard::board::Board;
 use notchspool_cloakroom::rack::{Rack, Vote};
 use notchspool_cues as cues;
+use notchspool_cues::snapshot::Sending;
 use notchspool_cues::{Age, Claim, Claimed, Holding, Want, Watch, Welcome, What, Word};
 use notchspool_election::sets::{Change, Register, VoterSet};
 use notchspool_election::voter::{Disk, Voter};
@@ -138,6 +139,9 @@
     previous: Option<VoterSet>,
     /// Incarnations that are over, by address, as far as this process has learnt of it.
     retired: BTreeMap<String, VecDeque<u64>>,
+    /// Snapshots that others are being told, and those that are being told here, by address.
+    sendings: VecDeque<Sending>,
+    assemblies: BTreeMap<String, repair::Incoming>,
     terms: Terms,
     state: State,
     /// What it has of the successor of the set that it votes in, and whether that is on its way to the disk.
@@ -236,6 +240,8 @@
             set: VoterSet::default(),
             previous: None,
             retired: BTreeMap::new(),
+            sendings: VecDeque::new(),
+            assemblies: BTreeMap::new(),
             terms: terms(1),
             state: State::Unknown,
             register: Register::default(),
@@ -527,7 +533,8 @@
             What::Change(change) => self.asked_change(now, Some(conn), change, &mut acts),
             What::Changed(said) => self.changed(now, said, &mut acts),
             What::Transfer(ask) => self.transfer(now, conn, ask, &mut acts),
-            What::All(all) => self.told_all(now, all, &mut acts),
+            What::More(more) => self.more(conn, &more, &mut acts),
+            What::Piece(piece) => self.piece(now, conn, piece, &mut acts),
             What::Handover(all) => self.handover(now, conn, all, &mut acts),
             What::Handed(said) => self.taken_over(said),
             What::Pong(_) => {}
--- a/crates/prompter/src/office/repair.rs
+++ b/crates/prompter/src/office/repair.rs
@@ -3,7 +3,8 @@
 //! A member of set n votes in it once it has, on its disk as one unit, the merged states of a majority of set n - 1, each sealed on its
 //! disk; or the state of a member that has installed n.
 use super::*;
-use notchspool_cues::{All, Handed, Transfer};
+use notchspool_cues::snapshot::{Assembly, Step as Got};
+use notchspool_cues::{All, Handed, More, Piece, Snapshot, Transfer};
 use notchspool_trapdoor::Seat;
 
 /// What was not told yet is asked for again after this, and after twice as long each time, so that a thin link is not filled with states.
@@ -14,6 +15,17 @@
 /// Claims that are taken back while a set is being installed, kept apart at most.
 const MOST_WITHDRAWN: usize = 10_000;
 
+/// Snapshots that are held for others who ask on.
+const MOST_SENDINGS: usize = 8;
+
+/// A snapshot of which pieces come.
+#[derive(Debug, Default)]
+pub(super) struct Incoming {
+    assembly: Assembly,
+    /// Bytes that were there when it was last looked after.
+    seen: usize,
+}
+
 /// What this one had under the set before, in which it is sealed.
 pub(super) struct Frozen {
     pub set: VoterSet,
@@ -87,8 +99,22 @@
         };
         let of_before = |address: &String| self.previous.as_ref().is_some_and(|p| p.place(address).is_some());
         for (conn, address) in self.dialed.iter().filter(|d| only.is_none_or(|o| o == *d.0)) {
-            if self.set.place(address).is_some() || of_before(address) {
-                acts.push(Act::Send(*conn, What::Transfer(ask.clone())));
+            if self.set.place(address).is_none() && !of_before(address) {
+                continue;
+            }
+            match self.assemblies.get_mut(address).filter(|i| i.assembly.size() > 0) {
+                // The connection is another one: it goes on from what is here.
+                Some(incoming) if only.is_some() => {
+                    acts.push(Act::Send(*conn, What::More(incoming.assembly.ask())));
+                }
+                Some(incoming) if incoming.assembly.size() > incoming.seen => {
+                    incoming.seen = incoming.assembly.size();
+                }
+                // Nothing has come of it for some time: it is begun anew.
+                _ => {
+                    self.assemblies.remove(address);
+                    acts.push(Act::Send(*conn, What::Transfer(ask.clone())));
+                }
             }
         }
         self.install(now, acts);
@@ -103,10 +129,51 @@
             self.other_set(conn, number, acts);
         } else if let State::Seated(voter) = &self.state {
             let all = self.all_of(now, voter, number);
-            acts.push(Act::Send(conn, What::All(all)));
+            self.tell(conn, all, acts);
         } else if let Some(frozen) = self.frozen.as_ref().filter(|f| f.on_disk) {
             let all = self.all_of(now, &frozen.voter, frozen.set.number);
-            acts.push(Act::Send(conn, What::All(all)));
+            self.tell(conn, all, acts);
+        }
+    }
+
+    /// Tells what a voter has as a snapshot: the first piece, the others as they are asked for.
+    fn tell(&mut self, conn: Conn, all: All, acts: &mut Vec<Act>) {
+        let All { voter, set, promised, under, body, claims } = all;
+        let snapshot = Snapshot { set, promised, under, body, claims, voter, ..Snapshot::default() };
+        let Some(sending) = Sending::open(&snapshot) else {
+            acts.push(Act::Log("members: what it has is too large to be told".into()));
+            return;
+        };
+        acts.push(Act::Send(conn, What::Piece(sending.piece(&More::default()))));
+        self.sendings.push_back(sending);
+        while self.sendings.len() > MOST_SENDINGS {
+            self.sendings.pop_front();
+        }
+    }
+
+    /// Another asks on, on whatever connection. Of a snapshot that is not held any more it hears nothing, and begins anew.
+    pub(super) fn more(&mut self, conn: Conn, more: &More, acts: &mut Vec<Act>) {
+        match self.sendings.iter().find(|s| *s.id() == more.id) {
+            Some(sending) => acts.push(Act::Send(conn, What::Piece(sending.piece(more)))),
+            None => self.counts.unheard += 1,
+        }
+    }
+
+    /// A piece of what another has.
+    pub(super) fn piece(&mut self, now: Micros, conn: Conn, piece: Piece, acts: &mut Vec<Act>) {
+        let installing = matches!(self.state, State::Installing);
+        let Some(address) = self.dialed.get(&conn).filter(|_| installing).cloned() else { return };
+        match self.assemblies.entry(address.clone()).or_default().assembly.hear(piece) {
+            Got::More(more) => acts.push(Act::Send(conn, What::More(more))),
+            Got::Whole(snapshot) => {
+                self.assemblies.remove(&address);
+                let Snapshot { set, promised, under, body, claims, voter, .. } = *snapshot;
+                self.told_all(now, All { voter, set, promised, under, body, claims }, acts);
+            }
+            Got::Refused(_) => {
+                self.counts.unheard += 1;
+                self.assemblies.remove(&address);
+            }
         }
     }
 
@@ -181,26 +248,33 @@
         for (key, ticket) in &self.withdrawn {
             rack.withdraw(key, *ticket);
         }
-        // What an older set left here, under which others have decided since, must not come back.
-        let mut deeds = if self.frozen.is_some() { Vec::new() } else { vec![Deed::Clear] };
         let gone = self.rack.all(now).into_iter().map(|c| (c.key, c.ticket.unwrap_or_default()));
-        if self.frozen.is_some() {
-            let taken_back = self.withdrawn.iter().cloned().chain(gone).filter(|(key, t)| !rack.has(key, *t));
-            deeds.extend(taken_back.map(|(key, ticket)| Deed::Withdraw(key, ticket)));
-        }
-        // One that goes on has most of them on its disk.
-        let had = |c: &Claim| self.frozen.is_some() && self.rack.has(&c.key, c.ticket.unwrap_or_default());
-        deeds.extend(rack.all(now).into_iter().filter(|c| !had(c)).map(Deed::Claim));
+        let taken_back = self.withdrawn.iter().cloned().chain(gone).filter(|(key, t)| !rack.has(key, *t));
+        let mut deeds: Vec<Deed> = taken_back.map(|(key, ticket)| Deed::Withdraw(key, ticket)).collect();
         let (promised, entry) = kept;
-        if let Some(entry) = &entry {
-            deeds.push(Deed::Word(
-                VersionedConfig::read(&entry.value).map_or(0, |h| h.version),
-                entry.clone(),
-            ));
-        }
-        deeds.push(Deed::Promise(promised));
         self.register = Register::default();
-        deeds.push(Deed::Seat(self.seat()));
+        let seat = self.seat();
+        if self.frozen.is_some() {
+            // It goes on, and has most of it on its disk: what comes on top is a history of the set before until the seat is there.
+            let had = |c: &Claim| self.rack.has(&c.key, c.ticket.unwrap_or_default());
+            deeds.extend(rack.all(now).into_iter().filter(|c| !had(c)).map(Deed::Claim));
+            if let Some(entry) = &entry {
+                let version = VersionedConfig::read(&entry.value).map_or(0, |h| h.version);
+                deeds.push(Deed::Word(version, entry.clone()));
+            }
+            deeds.extend([Deed::Promise(promised), Deed::Seat(seat)]);
+        } else {
+            // What an older set left here, under which others have decided since, must not come back: all of it is replaced, or nothing.
+            deeds.push(Deed::Install(Box::new(Snapshot {
+                set: self.set.number,
+                seat: serde_json::to_vec(&seat).unwrap_or_default().into(),
+                promised: seats::told(promised),
+                under: entry.as_ref().and_then(|e| seats::told(e.at)),
+                body: entry.as_ref().map(|e| e.value.clone()),
+                claims: rack.all(now),
+                voter: own as u32,
+            })));
+        }
         self.rack = rack;
         let entries = entry.map(|e| (KEY.to_string(), e)).into_iter().collect();
         let disk = Disk { spaces: vec![(pen::space(), promised, entries, None)], ..Disk::default() };
--- a/crates/trapdoor/src/claims.rs
+++ b/crates/trapdoor/src/claims.rs
@@ -153,15 +153,6 @@
         self.failed = Some(self.failed.map_or(at, |first| first.min(at)));
     }
 
-    /// Takes all back: each claim that is here, as its holder would.
-    pub fn clear(&mut self) -> Result<(), Broken> {
-        let gone: Vec<Deed> = self.keeper.with(|table| {
-            let all = table.values().map(|(c, _)| (c.key.clone(), c.ticket.unwrap_or_default()));
-            all.map(|(key, ticket)| Deed::Withdraw(key, ticket)).collect()
-        });
-        self.write(&gone)
-    }
-
     fn append(&mut self, lines: &[Line]) -> Result<(), Broken> {
         let log = self.log()?;
         let mut entry = log.begin_entry().map_err(broken("claims"))?;
--- a/crates/trapdoor/src/lib.rs
+++ b/crates/trapdoor/src/lib.rs
@@ -33,8 +33,6 @@
 /// One thing to be kept.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
-    /// All that is here is of no account any more: the seat goes first, so that what is left after a loss of power is an empty disk.
-    Clear,
     /// The register of the operator's word: what was promised, and what was accepted.
     Promise(Ballot),
     Word(u64, Entry),
@@ -90,17 +88,11 @@
         self.finish()?;
         let mut rest = deeds;
         // What stands before a snapshot is replaced by it, what stands after it is not.
-        while let Some(at) = rest.iter().position(|d| matches!(d, Deed::Install(_) | Deed::Clear)) {
+        while let Some(at) = rest.iter().position(|d| matches!(d, Deed::Install(_))) {
             self.plain(&rest[..at])?;
-            match &rest[at] {
-                Deed::Install(snapshot) => {
-                    self.state.install(snapshot)?;
-                    self.finish()?;
-                }
-                _ => {
-                    self.state.clear()?;
-                    self.claims.clear()?;
-                }
+            if let Deed::Install(snapshot) = &rest[at] {
+                self.state.install(snapshot)?;
+                self.finish()?;
             }
             rest = &rest[at + 1..];
         }
--- a/crates/trapdoor/src/state.rs
+++ b/crates/trapdoor/src/state.rs
@@ -42,7 +42,9 @@
 /// The configuration in a snapshot: its version and how it was accepted.
 fn entry(of: &Snapshot) -> Option<(u64, Entry)> {
     let value = of.body.clone()?;
-    let version = value.split_once('\n').and_then(|(v, _)| v.parse().ok()).unwrap_or(0);
+    // The version stands first in the line in front, alone or before what was taken earlier.
+    let digits = value.bytes().take_while(u8::is_ascii_digit).count();
+    let version = value[..digits].parse().unwrap_or(0);
     Some((version, Entry { at: ballot(of.under), nth: 1, value }))
 }
 
@@ -127,17 +129,6 @@
         }
     }
 
-    /// All of it goes; the seat first, so that what is left after a loss of power is an empty disk.
-    pub fn clear(&mut self) -> Result<(), Broken> {
-        self.free()?;
-        self.shelf.drop_all(&["seat".to_string()])?;
-        let mut old = self.shelf.names()?;
-        old.retain(|name| name.starts_with(WORD) || name == "promise");
-        self.shelf.drop_all(&old)?;
-        self.words.clear();
-        Ok(())
-    }
-
     fn word(&mut self, version: u64, entry: Entry) -> Result<(), Broken> {
         let (name, at) = (format!("{WORD}{version}"), entry.at);
         let file = WordFile { version, entry };
--- a/crates/trapdoor/tests/install.rs
+++ b/crates/trapdoor/tests/install.rs
@@ -1,10 +1,12 @@
-//! A set that is installed on a disk that has something of an older one: half of it is no seat.
+//! A set that is installed on a disk that has something of an older one: whole, or not at all.
 use std::path::PathBuf;
 use std::time::Duration;
 
-use notchspool_cues::{Claim, Ticket};
+use notchspool_cues::snapshot::encode;
+use notchspool_cues::{Claim, Snapshot, Ticket};
 use notchspool_election::sets::VoterSet;
 use notchspool_election::{Ballot, ContenderId, Entry};
+use notchspool_trapdoor::shelf::sealed;
 use notchspool_trapdoor::{Deed, Found, Seat, Trapdoor};
 
 const WINDOW: Duration = Duration::from_secs(60);
@@ -27,6 +29,28 @@
     Deed::Seat(Seat { incarnation: 5, set, ..Seat::default() })
 }
 
+fn withdraw(key: &str) -> Deed {
+    Deed::Withdraw(key.into(), Ticket { life: 1, number: 1, turn: 0 })
+}
+
+fn snapshot(number: u64) -> Snapshot {
+    let told = |round| Some(notchspool_cues::Ballot { round, by: 1 });
+    let (Deed::Seat(seat), Deed::Claim(claim)) = (seat(number), claim("new")) else { unreachable!() };
+    Snapshot {
+        set: number,
+        seat: serde_json::to_vec(&seat).unwrap().into(),
+        promised: told(4),
+        under: told(3),
+        body: Some("7\nbody".into()),
+        claims: vec![claim],
+        voter: 0,
+    }
+}
+
+fn install(number: u64) -> Deed {
+    Deed::Install(Box::new(snapshot(number)))
+}
+
 struct Folder(PathBuf);
 impl Folder {
     fn new(name: &str) -> Folder {
@@ -56,7 +80,7 @@
     let folder = Folder::new("older");
     // Accepted under a high ballot by this one alone, and a key that others know nothing of.
     folder.write(&[seat(1), Deed::Promise(ballot(40)), word(9, 40), claim("old")]);
-    folder.write(&[claim("older"), Deed::Clear, claim("new"), word(7, 3), Deed::Promise(ballot(4)), seat(5)]);
+    folder.write(&[claim("older"), withdraw("old"), withdraw("older"), install(5)]);
     let found = folder.found();
     assert_eq!((number(&found), found.promised), (Some(5), ballot(4)));
     assert_eq!(found.entry.map(|e| e.at), Some(ballot(3)));
@@ -64,12 +88,23 @@
 }
 
 #[test]
-fn half_of_it_is_an_empty_disk() {
+fn half_of_it_changes_nothing() {
     let folder = Folder::new("half");
     folder.write(&[seat(1), Deed::Promise(ballot(40)), word(9, 40), claim("old")]);
-    folder.write(&[Deed::Clear, claim("new"), word(7, 3)]);
+    let whole = sealed(&encode(&snapshot(5)).unwrap());
+    for end in [0, 1, whole.len() / 2, whole.len() - 1] {
+        std::fs::write(folder.0.join("installed"), &whole[..end]).unwrap();
+        let found = folder.found();
+        assert_eq!(
+            (number(&found), found.promised, found.claims.len()),
+            (Some(1), ballot(40), 1),
+            "at {end}"
+        );
+    }
+    std::fs::write(folder.0.join("installed"), &whole).unwrap();
     let found = folder.found();
-    assert_eq!((number(&found), found.torn.len()), (None, 0));
+    assert_eq!((number(&found), found.promised), (Some(5), ballot(4)));
+    assert!(found.claims.iter().any(|c| c.key == "new"));
 }
 
 #[test]
--- a/crates/trapdoor/tests/state.rs
+++ b/crates/trapdoor/tests/state.rs
@@ -216,6 +216,7 @@
 fn snapshot() -> Snapshot {
     let told = |round| Some(notchspool_cues::Ballot { round, by: 7 });
     Snapshot {
+        voter: 0,
         set: 2,
         seat: serde_json::to_vec(&seat(9)).unwrap().into(),
         promised: told(3),
