A seat of the form before sets had numbers is read as set 1

Cause: a prompter of the build before kept who votes in another form; read as no seat, all of a running core would have come back as empty disks after the upgrade, and nothing would vote again. Change: that form is read as set 1 with incarnation 0 for all, which all who kept one agree on; its register, promise and claims are read as they were. Still, all prompters are stopped before the first is started.

--- a/crates/trapdoor/src/state.rs
+++ b/crates/trapdoor/src/state.rs
@@ -5,11 +5,12 @@
 //! next start, before anything is read; should a write fail, before anything else is written.
 use notchspool_cues::snapshot;
 use notchspool_cues::{Claim, Snapshot};
+use notchspool_election::sets::VoterSet;
 use notchspool_election::{Ballot, ContenderId, Entry, Token};
 use serde::{Deserialize, Serialize};
 
 use crate::shelf::Shelf;
-use crate::{Broken, Deed, Found, broken};
+use crate::{Broken, Deed, Found, Seat, broken};
 
 /// Configurations accepted that stay on the disk.
 const KEPT_WORDS: usize = 4;
@@ -22,6 +23,18 @@
     entry: Entry,
 }
 
+/// A seat of the form before sets had numbers: who votes, once and for all. All who kept one take it for set 1, so that they agree.
+#[derive(Deserialize)]
+struct OlderSeat {
+    voters: Vec<String>,
+}
+
+fn older(text: &[u8]) -> Option<Seat> {
+    let OlderSeat { voters } = serde_json::from_slice(text).ok()?;
+    let set = VoterSet::first(&voters);
+    set.sound().then(|| Seat { set, ..Seat::default() })
+}
+
 /// The files of configurations accepted: ballot, version, name.
 type Words = Vec<(Ballot, u64, String)>;
 
@@ -74,7 +87,7 @@
                 continue;
             };
             if name == "seat" {
-                found.seat = serde_json::from_slice(&text).ok();
+                found.seat = serde_json::from_slice(&text).ok().or_else(|| older(&text));
             } else if name == "promise" {
                 found.promised = serde_json::from_slice(&text).unwrap_or_default();
             } else if name.starts_with(WORD)
--- a/crates/trapdoor/tests/install.rs
+++ b/crates/trapdoor/tests/install.rs
@@ -120,3 +120,18 @@
         (Some(2), 2, Some(ballot(3)))
     );
 }
+
+#[test]
+fn a_seat_of_the_form_before_sets_had_numbers_is_set_1() {
+    let folder = Folder::new("older-form");
+    folder.write(&[Deed::Promise(ballot(4)), word(7, 3), claim("own")]);
+    let text = br#"{"voters":["10.0.0.2:1","10.0.0.1:1","10.0.0.3:1"],"life":1,"lives":{"0":2}}"#;
+    std::fs::write(folder.0.join("seat"), sealed(text)).unwrap();
+    let found = folder.found();
+    let all = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"].map(String::from);
+    let seat = found.seat.unwrap();
+    assert_eq!((seat.incarnation, seat.set, seat.previous), (0, VoterSet::first(&all), None));
+    assert_eq!((found.promised, found.entry.map(|e| e.at)), (ballot(4), Some(ballot(3))));
+    std::fs::write(folder.0.join("seat"), sealed(br#"{"voters":[]}"#)).unwrap();
+    assert_eq!(folder.found().seat, None);
+}
