--- a/crates/agent/src/process/platform_agent.rs
+++ b/crates/agent/src/process/platform_agent.rs
@@ -269,10 +269,12 @@
 /// its first answer on, and what it knows may be old: it asks at once.
 async fn take_over(parts: &Parts, shared_state: Option<&SharedState>, clock: Clock, started_at: Micros) {
     parts.registry.do_send(StartWatch);
-    let deadline = clock.now() + FRESH_LIST_TIMEOUT;
+    let asked_at = clock.now();
+    let deadline = asked_at + FRESH_LIST_TIMEOUT;
     while clock.now() < deadline && !parts.list.send(IsFresh).await.unwrap_or(true) {
         actix_rt::time::sleep(LOOK_INTERVAL).await;
     }
+    log::info!("taking over: waited {} ms for a fresh list", (clock.now() - asked_at).0 / 1000);
     let Some(shared_state) = shared_state else { return };
     loop {
         let names = ask(|sender| parts.list.do_send(GetNames(sender))).await;
--- a/crates/agent/src/state/endpoint_list.rs
+++ b/crates/agent/src/state/endpoint_list.rs
@@ -297,6 +297,7 @@
     fn handle(&mut self, line: WatchLine, _: &mut Context<EndpointListActor>) {
         match line {
             WatchLine::Heartbeat => {
+                log::debug!("list: an empty line of the watch");
                 self.is_watched = true;
                 if self.versions.is_known() {
                     self.send_update(Refresh::Delta, self.versions.generation(), Vec::new());
--- a/crates/agent/src/wire/registry_client.rs
+++ b/crates/agent/src/wire/registry_client.rs
@@ -139,6 +139,10 @@
     counters: Rc<Counters>,
 ) -> WatchEnd {
     let since = list.send(GetResumeRevision).await.ok().flatten();
+    match since {
+        Some(revision) => log::info!("watch at {address} asked for, from revision {revision}"),
+        None => log::info!("watch at {address} asked for, from the whole list"),
+    }
     let since = since.map(|revision| format!("&since={revision}")).unwrap_or_default();
     let request = client.get(format!("http://{address}/v1/servers?follow=1{since}")).no_decompress().send();
     let mut answer = match actix_rt::time::timeout(SILENCE_TIMEOUT, request).await {
@@ -149,6 +153,7 @@
         Ok(Ok(answer)) => answer,
     };
     counters.add("watches_answered");
+    log::debug!("watch at {address} answered");
     let (mut buffer, mut last_line) = (BytesMut::new(), Instant::now());
     loop {
         match actix_rt::time::timeout(SILENCE_TIMEOUT, answer.next()).await {
--- a/crates/agent/tests/peers.rs
+++ b/crates/agent/tests/peers.rs
@@ -230,6 +230,12 @@
 
 impl Drop for Play {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            // Both processes write to it: without it a failure beside load can't be told apart from the others.
+            let log =
+                self.log.lock().map_or_else(|poisoned| poisoned.into_inner().clone(), |log| log.clone());
+            eprintln!("the log of the agent:\n{log}");
+        }
         for agent in self.agent.iter_mut().chain(&mut self.elder) {
             let _ = agent.kill();
             let _ = agent.wait();
