Agent: an answer that has begun is judged from its last byte, not by the connect time-out

Cause: the connect time-out was also the bound on an answer that stands still, and it was judged in windows laid from the attempt's beginning: a pause longer than the bound passed or not by where it fell (log: 'stands still after 25 bytes', 100 ms after they came). Change: the module says when an attempt is given up for a stalled answer (src/stalled_answers.rs): after half of the class's latency target, where the request may be repeated and has an attempt left; else the silence of a backend ends nothing before the deadline (5 s at most, as for answers that pass through). It is judged from the last byte. The same in FastCGI, where a record of 64 KiB that came slowly counted as no bytes at all.

--- a/crates/agent/src/base/limits.rs
+++ b/crates/agent/src/base/limits.rs
@@ -1,6 +1,7 @@
 //! What the agent may hold at once, derived from the limits that it is given. Each limit is stated where it acts.
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Bytes of one body that are held without a share of the body budget, either way.
 pub const SMALL_BODY_BYTES: usize = 64 * 1024;
@@ -8,6 +9,8 @@
 pub const HELD_BODY_BYTES: usize = 512 * 1024;
 /// Bytes of an attempt that the system may hold unsent.
 pub const SEND_BUFFER_BYTES: u32 = 16 * 1024;
+/// An answer that has begun and of which nothing more came for so long was broken off, whatever its deadline.
+pub const STALLED_ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bytes of one line of the server list.
 pub const LIST_LINE_BYTES: usize = 1024 * 1024;
 
--- a/crates/agent/src/state/balancer_actor.rs
+++ b/crates/agent/src/state/balancer_actor.rs
@@ -268,6 +268,7 @@
             last_answer: None,
             earlier_attempts: message.earlier_attempts,
             payer: message.payer,
+            stalled_answer_rule: self.balancer.stalled_answer_rule(class),
         };
         self.effects.begin(request, in_flight);
         self.call(ctx, |balancer, effects| {
--- a/crates/agent/src/state/messages.rs
+++ b/crates/agent/src/state/messages.rs
@@ -22,6 +22,8 @@
         until: Micros,
         /// What it takes along.
         outgoing: Arc<OutgoingRequest>,
+        /// An answer that has begun and stands still for so long is given up for a retry; nothing where none may follow.
+        stalled_answer_wait: Option<Micros>,
     },
     /// Give an attempt up: its connection closes.
     Cancel {
--- a/crates/agent/src/state/module_effects.rs
+++ b/crates/agent/src/state/module_effects.rs
@@ -148,7 +148,8 @@
         self.counters.add("postings");
         log::debug!("txn {} to backend {}", request.0, to.0);
         let outgoing = in_flight.outgoing.clone();
-        backend.do_send(ToBackend::Send { request, attempt, until, outgoing });
+        let stalled_answer_wait = in_flight.stalled_answer_rule.wait(attempt);
+        backend.do_send(ToBackend::Send { request, attempt, until, outgoing, stalled_answer_wait });
     }
 
     fn cancel(&mut self, request: RequestId, attempt: u32) {
--- a/crates/agent/src/state/request.rs
+++ b/crates/agent/src/state/request.rs
@@ -8,6 +8,7 @@
 use awc::http::header::{HeaderName, HeaderValue};
 use awc::http::uri::PathAndQuery;
 use bytes::Bytes;
+use notchspool::stalled_answers::StalledAnswerRule;
 use notchspool::units::{BackendId, Micros};
 use notchspool_routes::retry_budget::RetryBudget;
 use tokio::sync::oneshot;
@@ -123,4 +124,6 @@
     pub earlier_attempts: u32,
     /// Whose budget pays for all attempts but the first; nothing: nobody has to.
     pub payer: Option<RouteId>,
+    /// When its attempts are given up for an answer that stands still.
+    pub stalled_answer_rule: StalledAnswerRule,
 }
--- a/crates/agent/src/wire/attempt.rs
+++ b/crates/agent/src/wire/attempt.rs
@@ -19,15 +19,15 @@
 use super::attempt_body::AttemptBody;
 use super::attempt_progress::{AttemptProgress, CURRENT_ATTEMPT};
 use super::http_client::NO_ROOM;
-use crate::base::limits::SMALL_BODY_BYTES;
+use crate::base::limits::{SMALL_BODY_BYTES, STALLED_ANSWER_TIMEOUT};
 use crate::state::body_stream::{BodyBroken, BodySender, MAX_BODY_BYTES, body_stream};
 use crate::state::counters::Counters;
 use crate::state::request::{AnswerRules, BackendAnswer, OutgoingRequest, RemainingAnswer};
 
 /// A backend that takes nothing of a body for so long will not: longer than a client may take to give more of it.
 const UNTAKEN_BODY_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// An answer that passes through and stands still for so long was broken off.
-const STREAM_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often an attempt is looked at whose body passes through: its deadline moves when the body ends.
+const BODY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// What an attempt waits at most for its body to pass.
 const MAX_BODY_TIME: Duration = Duration::from_secs(600);
 
@@ -40,7 +40,7 @@
     pub backend: SocketAddr,
     /// The attempt's time.
     pub timeout: Duration,
-    /// An answer that has begun and stands still for so long never comes complete.
+    /// An answer that has begun and stands still for so long, since its last byte, is given up.
     pub stall_timeout: Duration,
     /// The counters.
     pub counters: Rc<Counters>,
@@ -78,26 +78,33 @@
     let exchange = exchange(target, outgoing, progress.clone());
     let mut exchange = pin!(CURRENT_ATTEMPT.scope(progress.clone(), exchange));
     loop {
-        let received = progress.received();
-        let left = deadline.now().saturating_duration_since(Instant::now());
-        if let Ok(result) = actix_rt::time::timeout(left.min(stall_timeout), &mut exchange).await {
-            return result;
-        }
-        if received > 0 && received == progress.received() && left > stall_timeout {
-            log::warn!("backend {backend}: an answer that stands still after {received} bytes");
-            return AttemptResult::only(AttemptOutcome::ConnectionLost);
+        let now = Instant::now();
+        let mut check_at = progress.arrival().next_check(stall_timeout, deadline.now(), now);
+        if passes_body {
+            check_at = check_at.min(now + BODY_CHECK_INTERVAL);
         }
-        if body_watch.is_stuck(&progress, passes_body) {
-            log::warn!("backend {backend}: it takes no more after {} bytes", body_watch.written);
-            return AttemptResult::only(AttemptOutcome::ConnectFailed);
+        let wait = check_at.saturating_duration_since(now);
+        if let Ok(result) = actix_rt::time::timeout(wait, &mut exchange).await {
+            return result;
         }
-        if Instant::now() >= deadline.now() {
+        let now = Instant::now();
+        if now >= deadline.now() {
             return AttemptResult::only(if progress.is_fully_written() {
                 AttemptOutcome::TimedOut
             } else {
                 AttemptOutcome::ConnectFailed
             });
         }
+        let arrival = progress.arrival();
+        if arrival.is_stalled(stall_timeout, now) {
+            let (bytes, waited) = (arrival.bytes(), stall_timeout.as_millis());
+            log::warn!("backend {backend}: an answer that stands still after {bytes} bytes, for {waited} ms");
+            return AttemptResult::only(AttemptOutcome::ConnectionLost);
+        }
+        if body_watch.is_stuck(&progress, passes_body) {
+            log::warn!("backend {backend}: it takes no more after {} bytes", body_watch.written);
+            return AttemptResult::only(AttemptOutcome::ConnectFailed);
+        }
     }
 }
 
@@ -277,7 +284,7 @@
     pub const BROKEN: &str = "FLOW_BROKEN";
     /// The backend closed the connection before its end.
     pub const CUT_SHORT: &str = "FLOW_CUT_SHORT";
-    /// Nothing came within the connect time-out.
+    /// Nothing came for [`STALLED_ANSWER_TIMEOUT`](crate::base::limits::STALLED_ANSWER_TIMEOUT).
     pub const STALLED: &str = "FLOW_STANDS_STILL";
 }
 
@@ -313,7 +320,7 @@
     ) -> &'static str {
         loop {
             let chunk = tokio::select! {
-                chunk = actix_rt::time::timeout(STREAM_TIMEOUT, answer.next()) => chunk,
+                chunk = actix_rt::time::timeout(STALLED_ANSWER_TIMEOUT, answer.next()) => chunk,
                 () = sender.closed() => return stream_end::CLIENT_LEFT,
             };
             let (chunk, end) = match chunk {
--- a/crates/agent/src/wire/attempt_progress.rs
+++ b/crates/agent/src/wire/attempt_progress.rs
@@ -1,7 +1,9 @@
 //! How far one attempt got on its connection: what was written of the request, and what came of the answer.
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Instant;
 
+use super::answer_arrival::AnswerArrival;
 use super::chunked_tracker::ChunkedTracker;
 
 /// The end of a head, and the end of a body in chunks, as the last bytes written.
@@ -45,8 +47,8 @@
     /// The client broke its body off: no fault of this connection's.
     pub body_broken: Cell<bool>,
     answer: PassingMessage,
-    /// Bytes of the answer that were read, its head held back or not.
-    received: Cell<usize>,
+    /// What was read of the answer, its head held back or not.
+    arrival: Cell<AnswerArrival>,
     /// Length of the request's body; nothing: in chunks.
     body_length: Option<usize>,
     /// The answer has no body, whatever its head says.
@@ -92,19 +94,23 @@
         self.request.all_bytes.get()
     }
 
-    /// Bytes of the answer that came, interim heads left out.
-    pub fn received(&self) -> usize {
-        self.received.get()
+    /// What has come of the answer, interim heads left out.
+    pub fn arrival(&self) -> AnswerArrival {
+        self.arrival.get()
     }
 
     /// So many bytes of the answer came.
     pub fn on_received(&self, bytes: usize) {
-        self.received.set(self.received.get() + bytes);
+        let mut arrival = self.arrival.get();
+        arrival.on_bytes(bytes, Instant::now());
+        self.arrival.set(arrival);
     }
 
     /// So many of the bytes that came were an interim answer.
     pub fn on_interim(&self, bytes: usize) {
-        self.received.set(self.received.get().saturating_sub(bytes));
+        let mut arrival = self.arrival.get();
+        arrival.on_interim(bytes);
+        self.arrival.set(arrival);
     }
 
     /// The answer is over, with a body of so many bytes, in chunks, or else to the connection's end.
--- a/crates/agent/src/wire/fastcgi/backend.rs
+++ b/crates/agent/src/wire/fastcgi/backend.rs
@@ -26,7 +26,7 @@
 use crate::wire::attempt::ProbeResult;
 use crate::wire::connection_history::reason;
 use crate::wire::http_backend::{
-    AttemptKey, BackendContext, IDLE_CHECK_INTERVAL, OngoingAttempt, PROBE_TIMEOUT,
+    AttemptKey, BackendContext, IDLE_CHECK_INTERVAL, OngoingAttempt, PROBE_TIMEOUT, stall_timeout,
 };
 use crate::wire::http_client::connect_within;
 
@@ -154,7 +154,12 @@
     }
 }
 
-async fn send(pool: Rc<ConnectionPool>, outgoing: Arc<OutgoingRequest>, timeout: Duration) -> AttemptResult {
+async fn send(
+    pool: Rc<ConnectionPool>,
+    outgoing: Arc<OutgoingRequest>,
+    timeout: Duration,
+    stall_timeout: Duration,
+) -> AttemptResult {
     let deadline = Instant::now() + timeout;
     let connection = match pool.acquire().await {
         Ok(connection) => connection,
@@ -168,11 +173,11 @@
     let params = cgi::request_params(method, path, headers.chain(deadline_header), outgoing.body.len());
     let (id, mut reply) = connection.send(|id| encode_request(id, true, &params, &outgoing.body));
     let mut sent = SentRequest { connection, id, is_over: false };
-    let stall_timeout = pool.context.connect_timeout;
     loop {
-        let received = sent.connection.received(id);
-        let left = deadline.saturating_duration_since(Instant::now());
-        if let Ok(reply) = actix_rt::time::timeout(left.min(stall_timeout), &mut reply).await {
+        let now = Instant::now();
+        let check_at = sent.connection.arrival(id).next_check(stall_timeout, deadline, now);
+        let wait = check_at.saturating_duration_since(now);
+        if let Ok(reply) = actix_rt::time::timeout(wait, &mut reply).await {
             sent.is_over = true;
             return match reply {
                 Ok(ServerReply::Answer(answer)) => result(answer, outgoing.rules, pool.address.get()),
@@ -180,19 +185,20 @@
                 Err(_) => AttemptResult::only(AttemptOutcome::ConnectionLost),
             };
         }
-        // One that has begun and then stands still never becomes complete.
-        if received > 0 && received == sent.connection.received(id) && left > stall_timeout {
-            let address = pool.address.get();
-            log::warn!("backend {address}: an answer that stands still after {received} bytes");
-            return AttemptResult::only(AttemptOutcome::ConnectionLost);
-        }
-        if Instant::now() >= deadline {
+        let now = Instant::now();
+        if now >= deadline {
             return AttemptResult::only(if sent.connection.may_have_begun(id) {
                 AttemptOutcome::TimedOut
             } else {
                 AttemptOutcome::ConnectFailed
             });
         }
+        let arrival = sent.connection.arrival(id);
+        if arrival.is_stalled(stall_timeout, now) {
+            let (address, bytes, waited) = (pool.address.get(), arrival.bytes(), stall_timeout.as_millis());
+            log::warn!("backend {address}: an answer that stands still after {bytes} bytes, for {waited} ms");
+            return AttemptResult::only(AttemptOutcome::ConnectionLost);
+        }
     }
 }
 
@@ -302,6 +308,7 @@
         key: AttemptKey,
         until: Micros,
         outgoing: Arc<OutgoingRequest>,
+        stall_timeout: Duration,
         ctx: &mut Context<FastcgiBackend>,
     ) {
         let context = &self.pool.context;
@@ -309,7 +316,8 @@
             context.counters.add("no_room_at_backend");
             return self.report(key, Micros(0), AttemptResult::only(AttemptOutcome::NotSent));
         }
-        let sent = send(self.pool.clone(), outgoing, context.clock.until(until)).into_actor(self);
+        let timeout = context.clock.until(until);
+        let sent = send(self.pool.clone(), outgoing, timeout, stall_timeout).into_actor(self);
         let ended = sent.map(move |result, backend: &mut FastcgiBackend, _| {
             backend.on_attempt_end(key, result);
         });
@@ -362,8 +370,9 @@
 
     fn handle(&mut self, message: ToBackend, ctx: &mut Context<FastcgiBackend>) {
         match message {
-            ToBackend::Send { request, attempt, until, outgoing } => {
-                self.send((request, attempt), until, outgoing, ctx);
+            ToBackend::Send { request, attempt, until, outgoing, stalled_answer_wait } => {
+                let stall_timeout = stall_timeout(stalled_answer_wait);
+                self.send((request, attempt), until, outgoing, stall_timeout, ctx);
             }
             ToBackend::Cancel { request, attempt } => self.cancel((request, attempt), ctx),
             ToBackend::Probe => self.probe(ctx),
--- a/crates/agent/src/wire/fastcgi/connection.rs
+++ b/crates/agent/src/wire/fastcgi/connection.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use actix_rt::net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
@@ -19,6 +20,7 @@
 
 use crate::base::limits::SMALL_BODY_BYTES;
 use crate::state::counters::Counters;
+use crate::wire::answer_arrival::AnswerArrival;
 use crate::wire::connection_history::reason;
 
 /// Bytes of stderr of one answer.
@@ -44,6 +46,7 @@
     /// As many bytes have to be written before a server can have begun it.
     begins_at: usize,
     written: usize,
+    arrival: AnswerArrival,
 }
 
 impl PendingRequest {
@@ -142,7 +145,8 @@
         let id = self.assign_id();
         let (reply, received) = oneshot::channel();
         let EncodedRequest { bytes, begins_at } = encode(id);
-        let pending = PendingRequest { reply: Some(reply), begins_at, written: 0 };
+        let pending =
+            PendingRequest { reply: Some(reply), begins_at, written: 0, arrival: AnswerArrival::default() };
         self.pending.borrow_mut().insert(id, pending);
         self.client.borrow_mut().expect_answer(id);
         self.enqueue(Some(id), bytes);
@@ -192,9 +196,20 @@
         may_withdraw
     }
 
-    /// Bytes of its answer that have come.
-    pub fn received(&self, id: RequestId) -> usize {
-        self.client.borrow().received(id)
+    /// What has come of its answer.
+    pub fn arrival(&self, id: RequestId) -> AnswerArrival {
+        self.pending.borrow().get(&id).map_or_else(AnswerArrival::default, |request| request.arrival)
+    }
+
+    /// Bytes came. A record may hold 64 KiB and come slowly: until it is complete its bytes count for every answer that has begun.
+    fn note_arrivals(&self) {
+        let (now, client) = (Instant::now(), self.client.borrow());
+        for (&id, request) in self.pending.borrow_mut().iter_mut() {
+            let more = client.received(id).saturating_sub(request.arrival.bytes());
+            if more > 0 || client.has_partial_record() {
+                request.arrival.on_bytes(more, now);
+            }
+        }
     }
 
     /// Whether the server can have begun this one by now.
@@ -271,6 +286,7 @@
                         let mut events = Vec::new();
                         let taken = self.client.borrow_mut().receive(&received.split(), &mut events);
                         events.into_iter().for_each(|event| self.on_event(event));
+                        self.note_arrivals();
                         if let Err(error) = taken {
                             return ConnectionEnd::with_error(reason::NO_FASTCGI, &error);
                         }
--- a/crates/agent/src/wire/http_backend.rs
+++ b/crates/agent/src/wire/http_backend.rs
@@ -16,7 +16,7 @@
 use super::connection_history::ConnectionHistory;
 use super::http_client::{ClientConfig, http_client};
 use crate::base::clock::{Clock, to_duration};
-use crate::base::limits::SharedLimits;
+use crate::base::limits::{STALLED_ANSWER_TIMEOUT, SharedLimits};
 use crate::state::balancer_actor::{AttemptEnded, BalancerActor, ConnectionsExhausted, ProbeEnded};
 use crate::state::body_stream::RemainingBody;
 use crate::state::counters::Counters;
@@ -81,6 +81,11 @@
     is_gone: bool,
 }
 
+/// How long an answer may stand still, given how long it may where a retry can follow.
+pub fn stall_timeout(wait_for_retry: Option<Micros>) -> Duration {
+    wait_for_retry.map_or(STALLED_ANSWER_TIMEOUT, |wait| to_duration(wait).min(STALLED_ANSWER_TIMEOUT))
+}
+
 /// Makes actors of backends that speak HTTP.
 pub fn http_backends(balancer: Addr<BalancerActor>, context: Rc<BackendContext>) -> BackendFactory {
     Box::new(move |id, address| {
@@ -149,6 +154,7 @@
         key: AttemptKey,
         until: Micros,
         outgoing: Arc<OutgoingRequest>,
+        stall_timeout: Duration,
         ctx: &mut Context<HttpBackend>,
     ) {
         let now = self.context.clock.now();
@@ -164,7 +170,7 @@
             client: self.client.clone(),
             backend: self.address,
             timeout: self.context.clock.until(until),
-            stall_timeout: self.context.connect_timeout,
+            stall_timeout,
             counters: self.context.counters.clone(),
         };
         let sent = attempt::send(target, outgoing.clone()).into_actor(self);
@@ -219,8 +225,9 @@
 
     fn handle(&mut self, message: ToBackend, ctx: &mut Context<HttpBackend>) {
         match message {
-            ToBackend::Send { request, attempt, until, outgoing } => {
-                self.send((request, attempt), until, outgoing, ctx);
+            ToBackend::Send { request, attempt, until, outgoing, stalled_answer_wait } => {
+                let stall_timeout = stall_timeout(stalled_answer_wait);
+                self.send((request, attempt), until, outgoing, stall_timeout, ctx);
             }
             ToBackend::Cancel { request, attempt } => self.cancel((request, attempt), ctx),
             ToBackend::Probe => self.probe(ctx),
--- a/crates/agent/src/wire/mod.rs
+++ b/crates/agent/src/wire/mod.rs
@@ -5,6 +5,7 @@
 //! [`backend_connection`] one connection. [`fastcgi`] speaks `FastCGI` on both sides.
 pub mod acceptor;
 pub mod answer;
+pub mod answer_arrival;
 pub mod answer_head;
 pub mod attempt;
 mod attempt_body;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod request;
 mod selection;
 mod send_rules;
+pub mod stalled_answers;
 pub mod state_transfer;
 mod statistics;
 pub mod tenant_rates;
