Agent: a call for the watch that waits for discovery is not given up to be made again

Symptom: with a discovery that takes over 0.7 s to answer (askWithinMs 1000) an agent never has a list, and a process that takes over says yes after 3 s by the old one. Cause: the module asks again after 0.7 of the time where it has heard nothing, and the registry's client ended the call that was waiting to make another (log: LINK_GIVEN_UP and 'watch asked for' every 0.72 s, without end).

--- a/crates/agent/src/wire/registry_client.rs
+++ b/crates/agent/src/wire/registry_client.rs
@@ -1,4 +1,5 @@
 //! The actor of discovery: holds the watch, hands its lines to the list, and says when it failed.
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -7,8 +8,8 @@
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, SpawnHandle,
     WrapFuture,
 };
-use awc::Client;
 use awc::error::SendRequestError;
+use awc::{Client, ClientResponse};
 use bytes::BytesMut;
 use futures_util::StreamExt;
 
@@ -53,12 +54,19 @@
     }
 }
 
+/// A watch, from the call for it to its end.
+struct Watch {
+    handle: SpawnHandle,
+    /// A line of it has come.
+    has_begun: Rc<Cell<bool>>,
+}
+
 /// See the module.
 pub struct RegistryClient {
     address: SocketAddr,
     client: Client,
     list: Addr<EndpointListActor>,
-    watch: Option<SpawnHandle>,
+    watch: Option<Watch>,
     counters: Rc<Counters>,
 }
 
@@ -89,14 +97,26 @@
     type Result = ();
 
     fn handle(&mut self, _: StartWatch, ctx: &mut Context<RegistryClient>) {
+        if self.watch.as_ref().is_some_and(|watch| !watch.has_begun.get()) {
+            // Discovery works through calls in turn: one that is given up and made again waits longer, and so does everybody else's. It fails
+            // by itself where no answer comes.
+            return self.counters.add("watches_awaited");
+        }
         if let Some(before) = self.watch.take() {
-            ctx.cancel_future(before);
+            ctx.cancel_future(before.handle);
             self.counters.add("watches_asked_again");
         }
-        let (list, counters) = (self.list.clone(), self.counters.clone());
-        let watch = follow_watch(self.address, self.client.clone(), list, counters).into_actor(self);
+        let has_begun = Rc::new(Cell::new(false));
+        let call = WatchCall {
+            address: self.address,
+            client: self.client.clone(),
+            list: self.list.clone(),
+            counters: self.counters.clone(),
+            has_begun: has_begun.clone(),
+        };
+        let watch = call.follow().into_actor(self);
         let ended = watch.map(|end, registry: &mut RegistryClient, _| registry.on_watch_end(end));
-        self.watch = Some(ctx.spawn(ended));
+        self.watch = Some(Watch { handle: ctx.spawn(ended), has_begun });
     }
 }
 
@@ -124,53 +144,69 @@
         log::info!("configuration taken: discovery moves from {} to {address}", self.address);
         self.address = address;
         if let Some(before) = self.watch.take() {
-            ctx.cancel_future(before);
+            ctx.cancel_future(before.handle);
             log::info!("watch ended: WATCH_MOVED");
         }
         self.list.do_send(SourceChanged);
     }
 }
 
-/// Follows one watch to its end.
-async fn follow_watch(
+/// What one watch needs.
+struct WatchCall {
     address: SocketAddr,
     client: Client,
     list: Addr<EndpointListActor>,
     counters: Rc<Counters>,
-) -> WatchEnd {
-    let since = list.send(GetResumeRevision).await.ok().flatten();
-    match since {
-        Some(revision) => log::info!("watch at {address} asked for, from revision {revision}"),
-        None => log::info!("watch at {address} asked for, from the whole list"),
-    }
-    let since = since.map(|revision| format!("&since={revision}")).unwrap_or_default();
-    let request = client.get(format!("http://{address}/v1/servers?follow=1{since}")).no_decompress().send();
-    let mut answer = match actix_rt::time::timeout(SILENCE_TIMEOUT, request).await {
-        Err(_) => return WatchEnd::Silent,
-        Ok(Err(SendRequestError::Connect(_))) => return WatchEnd::NoConnection,
-        Ok(Err(_)) => return WatchEnd::Reset,
-        Ok(Ok(answer)) if answer.status() != 200 => return WatchEnd::Rejected,
-        Ok(Ok(answer)) => answer,
-    };
-    counters.add("watches_answered");
-    log::debug!("watch at {address} answered");
-    let (mut buffer, mut last_line) = (BytesMut::new(), Instant::now());
-    loop {
-        match actix_rt::time::timeout(SILENCE_TIMEOUT, answer.next()).await {
-            Err(_) => return WatchEnd::Silent,
-            Ok(None) => return WatchEnd::Closed,
-            Ok(Some(Err(_))) => return WatchEnd::Reset,
-            Ok(Some(Ok(chunk))) => buffer.extend_from_slice(&chunk),
-        }
-        while let Some(end) = buffer.iter().position(|&byte| byte == b'\n') {
-            list.do_send(list_format::parse_line(&buffer.split_to(end + 1)));
-            last_line = Instant::now();
+    has_begun: Rc<Cell<bool>>,
+}
+
+impl WatchCall {
+    /// Asks for the watch and follows it to its end.
+    async fn follow(self) -> WatchEnd {
+        let mut answer = match self.ask().await {
+            Ok(answer) => answer,
+            Err(end) => return end,
+        };
+        self.counters.add("watches_answered");
+        log::debug!("watch at {} answered", self.address);
+        let (mut buffer, mut last_line) = (BytesMut::new(), Instant::now());
+        loop {
+            match actix_rt::time::timeout(SILENCE_TIMEOUT, answer.next()).await {
+                Err(_) => return WatchEnd::Silent,
+                Ok(None) => return WatchEnd::Closed,
+                Ok(Some(Err(_))) => return WatchEnd::Reset,
+                Ok(Some(Ok(chunk))) => buffer.extend_from_slice(&chunk),
+            }
+            while let Some(end) = buffer.iter().position(|&byte| byte == b'\n') {
+                self.has_begun.set(true);
+                self.list.do_send(list_format::parse_line(&buffer.split_to(end + 1)));
+                last_line = Instant::now();
+            }
+            if last_line.elapsed() > LINE_TIMEOUT {
+                return WatchEnd::Silent;
+            }
+            if buffer.len() > LIST_LINE_BYTES {
+                return WatchEnd::LineTooLong;
+            }
         }
-        if last_line.elapsed() > LINE_TIMEOUT {
-            return WatchEnd::Silent;
+    }
+
+    /// Makes the call, and waits for the head of its answer.
+    async fn ask(&self) -> Result<ClientResponse, WatchEnd> {
+        let address = self.address;
+        let since = self.list.send(GetResumeRevision).await.ok().flatten();
+        match since {
+            Some(revision) => log::info!("watch at {address} asked for, from revision {revision}"),
+            None => log::info!("watch at {address} asked for, from the whole list"),
         }
-        if buffer.len() > LIST_LINE_BYTES {
-            return WatchEnd::LineTooLong;
+        let since = since.map(|revision| format!("&since={revision}")).unwrap_or_default();
+        let request = self.client.get(format!("http://{address}/v1/servers?follow=1{since}"));
+        match actix_rt::time::timeout(SILENCE_TIMEOUT, request.no_decompress().send()).await {
+            Err(_) => Err(WatchEnd::Silent),
+            Ok(Err(SendRequestError::Connect(_))) => Err(WatchEnd::NoConnection),
+            Ok(Err(_)) => Err(WatchEnd::Reset),
+            Ok(Ok(answer)) if answer.status() != 200 => Err(WatchEnd::Rejected),
+            Ok(Ok(answer)) => Ok(answer),
         }
     }
 }
