Agent: who takes over sends nothing to backends that had been taken away before

Cause, from the log of both processes: it had read the list in which A is gone. 1 of 2 entries were gone, the guard froze the removal, and a frozen backend is drawn by weight like any other for the grace of a drain, which began with this process's own first look; A or B was chance, and the draw moved with the number of ticks before it. The 3 s of FRESH_LIST_TIMEOUT and a line that came behind the first had nothing to do with it. Change: what is told before the first answer of a process that takes over has no grace left (Balancer::expire_drain_graces); frozen removals stay frozen. Beside it: the elder leaves the revision that it had read, and the younger waits till it has read as far (state/handover.rs).

--- a/crates/agent/src/process/platform_agent.rs
+++ b/crates/agent/src/process/platform_agent.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix::{Actor, Addr};
+use notchspool::state_transfer::LearnedState;
 use notchspool::units::{Micros, Policy};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -21,12 +22,15 @@
 use crate::front::platform_front::{FrontClass, PlatformFront};
 use crate::routing::pool::KEPT_IDLE_FRACTION;
 use crate::state::balancer_actor::{
-    AdoptState, BalancerActor, BalancerContext, GetLearnedState, SetRegistry,
+    AdoptState, BalancerActor, BalancerContext, ExpireDrainGraces, GetLearnedState, SetRegistry,
 };
 use crate::state::body_budget::BodyBudget;
 use crate::state::counters::Counters;
-use crate::state::endpoint_list::{EndpointListActor, GetNames, IsFresh, ListContext, RestoreList, SetBans};
-use crate::state::learned_state::{self, FleetShape};
+use crate::state::endpoint_list::{
+    EndpointListActor, GetNames, GetResumeRevision, IsFresh, ListContext, RestoreList, SetBans,
+};
+use crate::state::handover::{self, Handover};
+use crate::state::learned_state::FleetShape;
 use crate::state::messages::StartWatch;
 use crate::state::request::RetryBudgets;
 use crate::wire::acceptor::{Acceptor, Listener, ServeConnection};
@@ -228,9 +232,10 @@
 async fn leave_state(handle: &SharedState, parts: &Parts) {
     let names = ask(|sender| parts.list.do_send(GetNames(sender))).await;
     let names = names.into_iter().map(|(name, id)| (id, name)).collect();
-    let state = ask(|sender| parts.balancer.do_send(GetLearnedState(sender))).await;
+    let learned = ask(|sender| parts.balancer.do_send(GetLearnedState(sender))).await;
+    let list_revision = parts.list.send(GetResumeRevision).await.ok().flatten();
     let now = parts.backends.clock.now();
-    handle.leave_state(learned_state::encode(&state, &names, &parts.shape, now));
+    handle.leave_state(handover::encode(&Handover { learned, list_revision }, &names, &parts.shape, now));
 }
 
 /// The mailboxes keep the order: the known list is with the module before the first request is.
@@ -265,37 +270,79 @@
     http_service(move |request| front.clone().answer(request)).await
 }
 
-/// Waits for a fresh list and for what the process before has learned, each for a limited time. Whoever takes over is bound by what discovery says from
+/// Waits for a fresh list and for what the process before has left, each for a limited time. Whoever takes over is bound by what discovery says from
 /// its first answer on, and what it knows may be old: it asks at once.
 async fn take_over(parts: &Parts, shared_state: Option<&SharedState>, clock: Clock, started_at: Micros) {
     parts.registry.do_send(StartWatch);
     let asked_at = clock.now();
     let deadline = asked_at + FRESH_LIST_TIMEOUT;
-    while clock.now() < deadline && !parts.list.send(IsFresh).await.unwrap_or(true) {
+    let mut is_fresh = wait_until(clock, deadline, || is_fresh(parts)).await;
+    if let Some(shared_state) = shared_state
+        && let Some(handover) = wait_for_handover(parts, shared_state, clock, started_at).await
+    {
+        if let Some(revision) = handover.list_revision {
+            // The elder has read this far, so discovery has told this agent.
+            is_fresh &= wait_until(clock, deadline, || has_read(parts, revision)).await;
+        }
+        adopt(parts, handover.learned);
+    }
+    let waited = (clock.now() - asked_at).0 / 1000;
+    if is_fresh {
+        log::info!("taking over: the list is fresh after {waited} ms");
+    } else {
+        log::warn!("taking over: no fresh list after {waited} ms, what is known counts");
+    }
+    // What it was told until now may have been told long ago.
+    parts.balancer.do_send(ExpireDrainGraces);
+}
+
+/// Looks again and again until it holds; false where it does not by the deadline.
+async fn wait_until<F: Future<Output = bool>>(clock: Clock, deadline: Micros, holds: impl Fn() -> F) -> bool {
+    while !holds().await {
+        if clock.now() >= deadline {
+            return false;
+        }
         actix_rt::time::sleep(LOOK_INTERVAL).await;
     }
-    log::info!("taking over: waited {} ms for a fresh list", (clock.now() - asked_at).0 / 1000);
-    let Some(shared_state) = shared_state else { return };
+    true
+}
+
+async fn is_fresh(parts: &Parts) -> bool {
+    parts.list.send(IsFresh).await.unwrap_or(true)
+}
+
+async fn has_read(parts: &Parts, revision: u64) -> bool {
+    let read = parts.list.send(GetResumeRevision).await.ok().flatten();
+    read.is_some_and(|read| read >= revision)
+}
+
+/// What the process before has left for this one.
+async fn wait_for_handover(
+    parts: &Parts,
+    shared_state: &SharedState,
+    clock: Clock,
+    started_at: Micros,
+) -> Option<Handover> {
     loop {
         let names = ask(|sender| parts.list.do_send(GetNames(sender))).await;
         let left = shared_state.left_state();
-        let learned = left.and_then(|text| learned_state::decode(&text, &names, &parts.shape, started_at));
-        if let Some(learned) = learned {
-            if learned.same_shape {
-                log::info!("taken over from the elder: a window of {:.1}", learned.window);
-            } else {
-                log::info!("taken over from an elder of another shape: windows begin afresh");
-            }
-            parts.balancer.do_send(AdoptState(learned));
-            return;
-        }
-        if clock.now() - started_at > LEFT_STATE_TIMEOUT {
-            return;
+        let handover = left.and_then(|text| handover::decode(&text, &names, &parts.shape, started_at));
+        if handover.is_some() || clock.now() - started_at > LEFT_STATE_TIMEOUT {
+            return handover;
         }
         actix_rt::time::sleep(LOOK_INTERVAL).await;
     }
 }
 
+fn adopt(parts: &Parts, learned: LearnedState) {
+    if learned.same_shape {
+        log::info!("taken over from the elder: a window of {:.1}", learned.window);
+    } else {
+        log::info!("taken over from an elder of another shape: windows begin afresh");
+    }
+    parts.balancer.do_send(AdoptState(learned));
+}
+
 /// What an actor answers.
 async fn ask<T: Default>(question: impl FnOnce(oneshot::Sender<T>)) -> T {
     let (sender, answer) = oneshot::channel();
--- a/crates/agent/src/state/balancer_actor.rs
+++ b/crates/agent/src/state/balancer_actor.rs
@@ -157,6 +157,19 @@
     }
 }
 
+/// This process is about to serve in another one's place: see [`Balancer::expire_drain_graces`].
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct ExpireDrainGraces;
+
+impl Handler<ExpireDrainGraces> for BalancerActor {
+    type Result = ();
+
+    fn handle(&mut self, _: ExpireDrainGraces, ctx: &mut Context<BalancerActor>) {
+        self.call(ctx, |balancer, _| balancer.expire_drain_graces());
+    }
+}
+
 /// A backend that the list names for the first time.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/agent/src/state/learned_state.rs
+++ b/crates/agent/src/state/learned_state.rs
@@ -1,4 +1,4 @@
-//! What a process leaves for the one that takes over, as text: figures of the decision module, and of backends by their names, as numbers differ from
+//! What a process learned, for the one that takes over, as text: figures of the decision module, and of backends by their names, as numbers differ from
 //! process to process. Read defensively: what makes no sense is left out, and all of it where it is none of ours. Names of fields are those of the
 //! first release.
 use std::collections::BTreeMap;
@@ -39,6 +39,16 @@
     shape: &FleetShape,
     at: Micros,
 ) -> String {
+    to_json(state, names, shape, at).to_string()
+}
+
+/// The same as a JSON object.
+pub fn to_json(
+    state: &LearnedState,
+    names: &BTreeMap<BackendId, String>,
+    shape: &FleetShape,
+    at: Micros,
+) -> Value {
     let backend = |(id, known): &(BackendId, LearnedBackend)| {
         let sent_while_warming: Vec<i64> = known.sent_while_warming.iter().map(|at| at.0).collect();
         let value = json!({
@@ -57,7 +67,6 @@
         "rest": state.base_pressure, "fails": state.failure_rate, "held": state.in_flight_per_size,
         "busy": state.utilisation, "opening": state.fast_start, "took": latencies, "backends": backends,
     })
-    .to_string()
 }
 
 /// Nothing where it is no such text, or older than `since`. What was learned of a fleet of another shape, or written by an older version, keeps only
@@ -68,7 +77,16 @@
     shape: &FleetShape,
     since: Micros,
 ) -> Option<LearnedState> {
-    let root: Value = serde_json::from_str(text).ok()?;
+    from_json(&serde_json::from_str(text).ok()?, names, shape, since)
+}
+
+/// The same of a JSON object.
+pub fn from_json(
+    root: &Value,
+    names: &BTreeMap<String, BackendId>,
+    shape: &FleetShape,
+    since: Micros,
+) -> Option<LearnedState> {
     let is_older = root["form"] == OLDER_FORMAT;
     if !is_older && root["form"] != FORMAT || root["at"].as_i64()? < since.0 {
         return None;
--- a/crates/agent/src/state/mod.rs
+++ b/crates/agent/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub mod body_stream;
 pub mod counters;
 pub mod endpoint_list;
+pub mod handover;
 pub mod learned_state;
 pub mod list_checks;
 pub mod list_row;
--- a/src/endpoint_list.rs
+++ b/src/endpoint_list.rs
@@ -59,6 +59,20 @@
         }
     }
 
+    /// Backends that were told to drain or to be gone take nothing new from here on. For a process that takes over from another one: what it is
+    /// told before its first request may have been told long ago, and the grace, which would begin with its own first look, may be over.
+    /// Frozen removals stay frozen. Changes nothing where no drain grace is stated.
+    pub fn expire_drain_graces(&mut self) {
+        let Some(grace) = self.policy.drain_grace else { return };
+        let now = self.now;
+        for backend in self.backends.iter_mut().flatten() {
+            if let Some(since) = &mut backend.leaving_since {
+                *since = (*since).min(now - grace);
+                backend.takes_part_until = now;
+            }
+        }
+    }
+
     /// The mass-removal guard: few entries that turn gone leave the list, many at once are frozen on it.
     pub(crate) fn guard(&mut self, turned_gone: &[BackendId], effects: &mut dyn Effects) {
         let (now, backend_admission) = (self.now, self.policy.backend_admission);
