--- a/crates/cli/tests/fastcgi.rs
+++ b/crates/cli/tests/fastcgi.rs
@@ -35,6 +35,8 @@
     EndWithoutStdout,
     /// Half an answer, and then nothing.
     StandStill,
+    /// A good answer whose second record comes in two halves, with a pause longer than the connect time-out.
+    SlowRecord,
     Flood,
     OtherId,
     Hang,
@@ -68,6 +70,8 @@
     put_end(&mut output, id, app_status, ProtocolStatus::Complete);
     output
 }
+/// Bytes of a record's header, and the first of its content.
+const HALF_RECORD: usize = 9;
 const FINE: &str = "Status: 200 OK\r\nX-Own: yes\r\n\r\nok\n";
 
 impl Server {
@@ -220,6 +224,18 @@
                 waiting.pop();
                 return io.write_all(&out(id, "Status: 200 OK\r\n")).ok();
             }
+            Way::SlowRecord => {
+                waiting.pop();
+                let (head, body) = FINE.split_at(FINE.len() - 3);
+                io.write_all(&out(id, head)).ok()?;
+                let mut rest = out(id, body);
+                end_stream(&mut rest, RecordType::Stdout, id);
+                put_end(&mut rest, id, 0, ProtocolStatus::Complete);
+                io.write_all(&rest[..HALF_RECORD]).ok()?;
+                std::thread::sleep(Duration::from_millis(700));
+                io.write_all(&rest[HALF_RECORD..]).ok()?;
+                return Some(());
+            }
             Way::Flood => {
                 let mut output = BytesMut::new();
                 (0..40).for_each(|_| put(&mut output, RecordType::Stderr, id, &[b'e'; 4000]));
@@ -258,6 +274,7 @@
 #[case::other_id(Way::OtherId, 502)]
 #[case::hang(Way::Hang, 502)]
 #[case::stands_still(Way::StandStill, 502)]
+#[case::slow_record(Way::SlowRecord, 200)]
 fn a_non_idempotent_request_runs_once_however_its_server_fails(#[case] way: Way, #[case] status: u16) {
     let server = Server::new(way);
     let agent = AgentProcess::start(
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Plays the text scenarios, commands on a line apart by `;`. `list N full|delta|restored
 //! A:ZONE[:draining|:gone|:start=MS]...`; `lost`: the list call failed, `moved`: it goes elsewhere; `at MS`
 //! moves the clock; `take REF SCHEME EXPIRY_MS`, `back REF FATE TOOK`, `left REF`; `report A UTIL|- HELD|-`:
-//! probes tell the same at once. `flow N SCHEME`: N txns in turn, answered as `answers A FATE TOOK` says;
+//! probes tell the same at once. `takeover`: it serves in another process's place from here on. `flow N SCHEME`: N txns in turn, answered as `answers A FATE TOOK` says;
 //! `heard FIGURES`: other agents told this, often; a tenant's number may follow an expiry or a flow's scheme.
 //! `burst`: N at once, left out till `backs TOOK`. `share A LEAST MOST`: percent of them that went to A, or
 //! was `declined`; `spread`: to how many; `expect ACTION`: the next; `seen`: how many.
@@ -225,6 +225,7 @@
             }
             "lost" => self.desk.on_list_failed(),
             "moved" => self.desk.on_list_source_changed(),
+            "takeover" => self.desk.expire_drain_graces(),
             "at" => self.to(number(words[1])),
             "take" => self.take(number(words[1]) as u64, words[2], number(words[3]), words.get(4)),
             "back" => self.back(number(words[1]) as u64, outcome(words[2]), number(words[3])),
