Proxy: each answer that promises nothing is counted by its cause

Change: responses_lost (the answer to a key is lost) beside unanswered; at debug a line each with route, attempt, cause and how long it was here. A 503 would promise that they never ran, and they did: 502 is right there.

--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -477,18 +477,27 @@
             }
             Action::InProgress => client_response::plain(409, "the operation is at work"),
             Action::ResponseLost => {
-                client_response::plain(502, "the operation ran, and its answer is not known")
+                let reason = "the operation ran, and its answer is not known";
+                self.unanswered(delivery, 502, "responses_lost", reason)
             }
-            Action::Unanswered { timed_out } => self.unanswered(delivery, reason, timed_out),
-            _ => self.unanswered(delivery, reason, false),
+            Action::Unanswered { timed_out: true } => self.unanswered(delivery, 504, "unanswered", reason),
+            _ => self.unanswered(delivery, 502, "unanswered", reason),
         }
     }
 
-    /// It may have run, and there is no answer.
-    fn unanswered(&self, delivery: &Delivery<'_>, reason: &str, timed_out: bool) -> ClientResponse {
-        self.context.count("unanswered");
-        log::debug!(target: "outbound", "unanswered {}: {reason}", delivery.route.name);
-        client_response::plain(if timed_out { 504 } else { 502 }, reason)
+    /// It may have run, and there is no answer: `status` promises nothing. `counter`: the figure that tells why.
+    fn unanswered(
+        &self,
+        delivery: &Delivery<'_>,
+        status: u16,
+        counter: &'static str,
+        reason: &str,
+    ) -> ClientResponse {
+        self.context.count(counter);
+        let (route, attempt_id) = (&delivery.route.name, &delivery.client.attempt_id);
+        let waited = self.context.now() - delivery.client.received_at;
+        log::debug!(target: "outbound", "{counter} {route} {attempt_id} after {waited:?}: {status}, {reason}");
+        client_response::plain(status, reason)
     }
 
     /// The response to a key that another proxy holds.
@@ -500,7 +509,7 @@
         let client = delivery.client;
         let fetch = self.peers.fetch_response(&held.holder, &client.key, held.holder_boot_id);
         let Some(response) = within(client.deadline - self.context.now(), fetch).await else {
-            return client_response::plain(504, "the holder of the key does not answer");
+            return self.unanswered(delivery, 504, "responses_lost", "the holder of the key does not answer");
         };
         match response.verdict() {
             Verdict::Answered => client_response::relayed(response.into(), &client.attempt_id),
@@ -509,7 +518,10 @@
             Verdict::NotRun if response.reason == NOT_RUN_HERE => {
                 client_response::refused(&response.reason, WITHDRAWN_RETRY_AFTER)
             }
-            _ => client_response::plain(502, "the operation may have run, and its answer is not known"),
+            _ => {
+                let reason = "the operation may have run, and its answer is not known";
+                self.unanswered(delivery, 502, "responses_lost", reason)
+            }
         }
     }
 
