--- a/crates/proxy/tests/soak.rs
+++ b/crates/proxy/tests/soak.rs
@@ -459,8 +459,7 @@
     }
 }
 
-/// Losses alone; with seeds of its own, as both tests may run at once. How much is served hangs on how often clients come back to a proxy that ends:
-/// see `KNOWN-RED.txt`.
+/// Losses alone; with seeds of its own, as both tests may run at once. How much is served is judged by the test below: see `KNOWN-RED.txt`.
 #[test]
 fn planned_work_loses_no_request() {
     if std::env::var_os(SEEDS_VARIABLE).is_none() {
