--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 /// Seconds for which the backend serves on after the acknowledgement.
-const SERVES_ON_S: f64 = 7.0;
+const SERVES_ON_S: f64 = 4.2;
 /// SIGTERM comes so long after the acknowledgement.
 const TERM_AFTER_S: f64 = 0.6;
-const REQUESTS_A_SECOND: f64 = 25.0;
+const REQUESTS_A_SECOND: f64 = 15.0;
+/// `repeat-order` of the site.
+const WORK_MS: u64 = 290;
 
 fn main() {
     let code = std::panic::catch_unwind(run).unwrap_or(NO_RUN);
@@ -30,7 +32,7 @@
     let backends: Vec<Arc<Backend>> = (0..4)
         .filter_map(|n| {
             let machine = &deployment.sidecar(n).machine;
-            Backend::start(machine, &format!("i-{}-{n}", machine.service), 6, 60, &record, &runs, false)
+            Backend::start(machine, &format!("i-{}-{n}", machine.service), 6, WORK_MS, &record, &runs, false)
         })
         .collect();
     let text = config(1, &[("buy", "shop.example", "unsafe", "orders", 3.0, 0.8)], &["orders", "front"]);
@@ -84,8 +86,8 @@
     }
     sleep_until(&record, acked + SERVES_ON_S);
     let left_at = record.now();
-    while !leaver.leave() && record.now() < left_at + 4.0 {
-        std::thread::sleep(Duration::from_millis(500));
+    while !leaver.leave() && record.now() < left_at + 3.0 {
+        std::thread::sleep(Duration::from_millis(200));
     }
     leaver.end();
     std::thread::sleep(Duration::from_secs(2));
@@ -100,9 +102,11 @@
         record.say(&format!("DRAIN: {} reached {} {:.3} s after the acknowledgement", run.attempt, run.instance, run.at - acked));
     }
     let answers = answers.lock().unwrap();
+    let status_of = |attempt: &str| answers.iter().find(|(id, _)| id == attempt).map_or(0, |(_, status)| *status);
+    let lost = after.iter().filter(|run| status_of(&run.attempt) != 200).count();
     let served = answers.iter().filter(|(_, status)| *status == 200).count();
     record.say(&format!(
-        "{} requests, {served} served; {before} reached the backend before it drained, {} later than drainS after the acknowledgement",
+        "{} requests, {served} served; {before} reached the backend before it drained, {} later than drainS after the acknowledgement, {lost} of them were at work as it ended and are lost",
         answers.len(),
         after.len()
     ));
--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -141,6 +141,13 @@
         *self.restart.lock().unwrap() = Some(seconds);
     }
 
+    /// Memory that it has now.
+    pub fn resident_bytes(&self) -> u64 {
+        let Some(pid) = self.child.lock().unwrap().as_ref().map(|child| child.id()) else { return 0 };
+        let statm = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+        statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * 4_096
+    }
+
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
@@ -542,18 +549,24 @@
         {
             std::thread::sleep(Duration::from_millis(1));
         }
+        // A path that ends with a number asks for so many milliseconds of work.
+        let asked = path.rsplit('/').next().and_then(|text| text.parse::<u64>().ok()).filter(|ms| *ms > 10);
+        let work = asked.map_or(self.work, Duration::from_millis);
         let run = Run { at: self.record.now(), instance: self.instance.clone(), attempt: attempt.clone(), key: key.clone(), path };
         if !self.quiet {
             self.record.say(&format!("{} runs attempt {attempt} key {key:?}", self.instance));
         }
         self.runs.lock().unwrap().push(run);
-        std::thread::sleep(self.work);
+        std::thread::sleep(work);
         self.at_work.fetch_sub(1, Ordering::SeqCst);
         if self.ended.load(Ordering::SeqCst) {
             return None;
         }
         let seal = format!("{}.{}", self.instance, self.seals.fetch_add(1, Ordering::SeqCst) + 1);
         let more = format!("notchspool-server-seal: {seal}\r\n{leaving}");
+        if !self.quiet {
+            self.record.say(&format!("{} has done attempt {attempt} key {key:?}", self.instance));
+        }
         self.answer(stream, "200 OK", &attempt, &more, &format!("{} did {key}", self.instance))?;
         leaving.is_empty().then_some(())
     }
