--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -199,6 +199,11 @@
 impl Deployment {
     /// Three core machines and these sidecars (zone, service); all start at once, on empty disks.
     pub fn start(record: &Arc<Record>, sidecars: &[(&str, &str)]) -> Option<Deployment> {
+        Deployment::start_on_links(record, sidecars, 1_000.0)
+    }
+
+    /// The same with links of this speed on the sidecar machines.
+    pub fn start_on_links(record: &Arc<Record>, sidecars: &[(&str, &str)], mbps: f64) -> Option<Deployment> {
         let prefix = free_prefix(CORES + sidecars.len())?;
         let folder = std::env::temp_dir().join(format!("notchspool-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).ok()?;
@@ -233,6 +238,7 @@
                 std::fs::create_dir_all(&data).ok()?;
             }
             let text = settings_text(&machine, is_core, &seeds, &data, BOUNDS);
+            let text = if is_core { text } else { text.replace(r#""linkMbps":1000.0"#, &format!(r#""linkMbps":{mbps}"#)) };
             std::fs::write(&machine.settings, text).ok()?;
             let process = Arc::new(Process {
                 log: folder.join(format!("{}.log", machine.name)),
@@ -549,15 +555,15 @@
         {
             std::thread::sleep(Duration::from_millis(1));
         }
-        // A path that ends with a number asks for so many milliseconds of work.
-        let asked = path.rsplit('/').next().and_then(|text| text.parse::<u64>().ok()).filter(|ms| *ms > 10);
-        let work = asked.map_or(self.work, Duration::from_millis);
+        // A path that ends with a number asks for an answer of so many bytes.
+        let asked = path.rsplit('/').next().and_then(|text| text.parse::<usize>().ok()).filter(|bytes| *bytes > 10);
+        let asked = asked.map(|bytes| "x".repeat(bytes));
         let run = Run { at: self.record.now(), instance: self.instance.clone(), attempt: attempt.clone(), key: key.clone(), path };
         if !self.quiet {
             self.record.say(&format!("{} runs attempt {attempt} key {key:?}", self.instance));
         }
         self.runs.lock().unwrap().push(run);
-        std::thread::sleep(work);
+        std::thread::sleep(self.work);
         self.at_work.fetch_sub(1, Ordering::SeqCst);
         if self.ended.load(Ordering::SeqCst) {
             return None;
@@ -567,7 +573,7 @@
         if !self.quiet {
             self.record.say(&format!("{} has done attempt {attempt} key {key:?}", self.instance));
         }
-        self.answer(stream, "200 OK", &attempt, &more, &format!("{} did {key}", self.instance))?;
+        self.answer(stream, "200 OK", &attempt, &more, &asked.unwrap_or(format!("{} did {key}", self.instance)))?;
         leaving.is_empty().then_some(())
     }
 
