--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -1,8 +1,8 @@
 //! A backend drains, and its proxy is restarted in order right after it acknowledged that. Judged: DRAIN.
 mod harness;
 use harness::*;
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Seconds for which the backend serves on after the acknowledgement.
@@ -99,10 +99,16 @@
         runs.iter().filter(|run| run.instance == leaver.instance && run.at > acked + DRAIN_S).collect();
     let before = runs.iter().filter(|run| run.instance == leaver.instance && run.at < acked).count();
     for run in &after {
-        record.say(&format!("DRAIN: {} reached {} {:.3} s after the acknowledgement", run.attempt, run.instance, run.at - acked));
+        record.say(&format!(
+            "DRAIN: {} reached {} {:.3} s after the acknowledgement",
+            run.attempt,
+            run.instance,
+            run.at - acked
+        ));
     }
     let answers = answers.lock().unwrap();
-    let status_of = |attempt: &str| answers.iter().find(|(id, _)| id == attempt).map_or(0, |(_, status)| *status);
+    let status_of =
+        |attempt: &str| answers.iter().find(|(id, _)| id == attempt).map_or(0, |(_, status)| *status);
     let lost = after.iter().filter(|run| status_of(&run.attempt) != 200).count();
     let served = answers.iter().filter(|(_, status)| *status == 200).count();
     record.say(&format!(
--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -154,7 +154,8 @@
 }
 
 fn free_prefix(machines: usize) -> Option<String> {
-    let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |t| t.subsec_nanos());
+    let nanos =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |t| t.subsec_nanos());
     let seed = std::process::id().wrapping_mul(40_503) ^ (nanos >> 6);
     (0..50u32).find_map(|round| {
         let a = 20 + (seed / 200 + round * 7) % 200;
@@ -239,7 +240,11 @@
                 std::fs::create_dir_all(&data).ok()?;
             }
             let text = settings_text(&machine, is_core, &seeds, &data, BOUNDS);
-            let text = if is_core { text } else { text.replace(r#""linkMbps":1000.0"#, &format!(r#""linkMbps":{mbps}"#)) };
+            let text = if is_core {
+                text
+            } else {
+                text.replace(r#""linkMbps":1000.0"#, &format!(r#""linkMbps":{mbps}"#))
+            };
             std::fs::write(&machine.settings, text).ok()?;
             let process = Arc::new(Process {
                 log: folder.join(format!("{}.log", machine.name)),
@@ -502,7 +507,8 @@
             self.ip, self.service, self.zone, self.slots
         );
         let path = format!("/notchspool/rpc?call=instances.heartbeat&of={}", self.instance);
-        let acked = post(&self.ip, &path, &body, 1.0).is_some_and(|answer| (200..300).contains(&answer.status));
+        let acked =
+            post(&self.ip, &path, &body, 1.0).is_some_and(|answer| (200..300).contains(&answer.status));
         let answered = if acked { "acknowledged" } else { "no acknowledgement" };
         if !self.quiet {
             self.record.say(&format!("{} says {state}, call {count}: {answered}", self.instance));
@@ -520,8 +526,13 @@
 
     pub fn leave(&self) -> bool {
         let path = format!("/notchspool/rpc?call=instances.leave&of={}", self.instance);
-        let acked = post(&self.ip, &path, "{}", 1.0).is_some_and(|answer| (200..300).contains(&answer.status));
-        self.record.say(&format!("{} says that it leaves: {}", self.instance, if acked { "acknowledged" } else { "no acknowledgement" }));
+        let acked =
+            post(&self.ip, &path, "{}", 1.0).is_some_and(|answer| (200..300).contains(&answer.status));
+        self.record.say(&format!(
+            "{} says that it leaves: {}",
+            self.instance,
+            if acked { "acknowledged" } else { "no acknowledgement" }
+        ));
         acked
     }
 
@@ -557,9 +568,16 @@
             std::thread::sleep(Duration::from_millis(1));
         }
         // A path that ends with a number asks for an answer of so many bytes.
-        let asked = path.rsplit('/').next().and_then(|text| text.parse::<usize>().ok()).filter(|bytes| *bytes > 10);
+        let asked =
+            path.rsplit('/').next().and_then(|text| text.parse::<usize>().ok()).filter(|bytes| *bytes > 10);
         let asked = asked.map(|bytes| "x".repeat(bytes));
-        let run = Run { at: self.record.now(), instance: self.instance.clone(), attempt: attempt.clone(), key: key.clone(), path };
+        let run = Run {
+            at: self.record.now(),
+            instance: self.instance.clone(),
+            attempt: attempt.clone(),
+            key: key.clone(),
+            path,
+        };
         if !self.quiet {
             self.record.say(&format!("{} runs attempt {attempt} key {key:?}", self.instance));
         }
@@ -574,11 +592,24 @@
         if !self.quiet {
             self.record.say(&format!("{} has done attempt {attempt} key {key:?}", self.instance));
         }
-        self.answer(stream, "200 OK", &attempt, &more, &asked.unwrap_or(format!("{} did {key}", self.instance)))?;
+        self.answer(
+            stream,
+            "200 OK",
+            &attempt,
+            &more,
+            &asked.unwrap_or(format!("{} did {key}", self.instance)),
+        )?;
         leaving.is_empty().then_some(())
     }
 
-    fn answer(&self, mut stream: &TcpStream, status: &str, attempt: &str, more: &str, body: &str) -> Option<()> {
+    fn answer(
+        &self,
+        mut stream: &TcpStream,
+        status: &str,
+        attempt: &str,
+        more: &str,
+        body: &str,
+    ) -> Option<()> {
         let text = format!(
             "HTTP/1.1 {status}\r\nnotchspool-attempt-id: {attempt}\r\n{more}content-length: {}\r\n\r\n{body}",
             body.len()
--- a/review/standin/link_full.rs
+++ b/review/standin/link_full.rs
@@ -27,17 +27,22 @@
 }
 
 /// A client: one try and, as the site has it, one more, after what it was told to wait.
-fn ask(ip: &str, bytes: usize) -> (u16, String) {
+fn ask(record: &Record, ip: &str, bytes: usize) -> (u16, String) {
     let (mut last, mut left_ms) = ((0, String::new()), (TIMEOUT_S * 1e3) as u64);
     for _ in 0..2 {
         let began = std::time::Instant::now();
-        let answer = send_try(ip, "shop.example", &format!("/slip/{bytes}"), &new_attempt(), "", left_ms);
+        let attempt = new_attempt();
+        record.say(&format!("client sends {attempt}, {left_ms} ms left"));
+        let answer = send_try(ip, "shop.example", &format!("/slip/{bytes}"), &attempt, "", left_ms);
+        record
+            .say(&format!("client gets {} for {attempt}", answer.as_ref().map_or(0, |answer| answer.status)));
         left_ms = left_ms.saturating_sub(began.elapsed().as_millis() as u64);
         let Some(answer) = answer else { continue };
         if answer.status == 200 {
             return (if answer.whole && answer.body.len() == bytes { 200 } else { 1 }, String::new());
         }
-        let after = answer.headers.get("retry-after").and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.05);
+        let after =
+            answer.headers.get("retry-after").and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.05);
         last = (answer.status, answer.body.trim().to_string());
         let wait = ((after * 1e3) as u64).min(left_ms / 3);
         std::thread::sleep(Duration::from_millis(wait));
@@ -59,11 +64,15 @@
     let backends: Vec<Arc<Backend>> = (0..places.len())
         .filter_map(|n| {
             let machine = &deployment.sidecar(n).machine;
-            Backend::start(machine, &format!("i-{}-{n}", machine.service), 6, WORK_MS, &record, &runs, true)
+            Backend::start(machine, &format!("i-{}-{n}", machine.service), 6, WORK_MS, &record, &runs, false)
         })
         .collect();
-    let text = config(1, &[("slip", "shop.example", "download", "slips", TIMEOUT_S, TARGET_S)], &["slips", "front"]);
-    if backends.len() < places.len() || !deployment.replace_config(&text, 15.0) || !deployment.wait_ready(15.0) {
+    let text =
+        config(1, &[("slip", "shop.example", "download", "slips", TIMEOUT_S, TARGET_S)], &["slips", "front"]);
+    if backends.len() < places.len()
+        || !deployment.replace_config(&text, 15.0)
+        || !deployment.wait_ready(15.0)
+    {
         record.say("the deployment does not come up");
         return NO_RUN;
     }
@@ -76,7 +85,8 @@
         let (front, answers, record) = (front.clone(), answers.clone(), record.clone());
         clients.push(std::thread::spawn(move || {
             let sent = record.now();
-            let (status, reason) = ask(&front, bytes);
+            record.say(&format!("client asks for a file of {bytes} bytes"));
+            let (status, reason) = ask(&record, &front, bytes);
             record.say(&format!("file of {bytes} bytes, sent at {sent:.2}: {status} {reason}"));
             answers.lock().unwrap().push((sent, bytes, status, reason));
         }));
@@ -108,7 +118,11 @@
     usual(late_from, begin + LENGTH_S, &mut send);
     clients.into_iter().for_each(|one| drop(one.join()));
     for n in SERVICE {
-        record.say(&format!("figures of {}: {}", deployment.sidecar(n).machine.name, figures(&deployment.sidecar(n).machine.ip).replace('\n', ", ")));
+        record.say(&format!(
+            "figures of {}: {}",
+            deployment.sidecar(n).machine.name,
+            figures(&deployment.sidecar(n).machine.ip).replace('\n', ", ")
+        ));
     }
     deployment.record_logs();
     let answers = answers.lock().unwrap();
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -23,8 +23,7 @@
 }
 
 /// The status of the answer to a large request; 0 where the connection ended without one.
-fn upload(ip: &str, body: &[u8]) -> u16 {
-    let attempt = new_attempt();
+fn upload(ip: &str, attempt: &str, body: &[u8]) -> u16 {
     let head = format!(
         "POST /put/1 HTTP/1.1\r\nhost: shop.example\r\nnotchspool-attempt-id: {attempt}\r\nnotchspool-time-left-ms: 10000\r\ncontent-length: {}\r\n\r\n",
         body.len()
@@ -51,11 +50,14 @@
     let backends: Vec<Arc<Backend>> = (0..places.len())
         .filter_map(|n| {
             let machine = &deployment.sidecar(n).machine;
-            Backend::start(machine, &format!("i-{}-{n}", machine.service), 6, 30, &record, &runs, true)
+            Backend::start(machine, &format!("i-{}-{n}", machine.service), 6, 30, &record, &runs, false)
         })
         .collect();
     let text = config(1, &[("put", "shop.example", "unsafe", "orders", 10.0, 5.0)], &["orders", "front"]);
-    if backends.len() < places.len() || !deployment.replace_config(&text, 15.0) || !deployment.wait_ready(15.0) {
+    if backends.len() < places.len()
+        || !deployment.replace_config(&text, 15.0)
+        || !deployment.wait_ready(15.0)
+    {
         record.say("the deployment does not come up");
         return NO_RUN;
     }
@@ -74,7 +76,11 @@
                     *most = (*most).max(bytes);
                     drop(most);
                     if bytes > MEMORY_BYTES {
-                        record.say(&format!("{} has {} MB, more than memoryMb", process.machine.name, bytes >> 20));
+                        record.say(&format!(
+                            "{} has {} MB, more than memoryMb",
+                            process.machine.name,
+                            bytes >> 20
+                        ));
                         process.signal(&record, SIGKILL);
                         kills[n].fetch_add(1, Ordering::SeqCst);
                         std::thread::sleep(Duration::from_millis(100));
@@ -100,9 +106,15 @@
                     // Clients go where the agent is there; a connection that can't be made is no request.
                     let Some(stream) = connect(&format!("{ip}:8304"), 3.0) else { continue };
                     let attempt = new_attempt();
-                    let _ = (&stream).write_all(try_text("shop.example", "/put/1", &attempt, "", 3_000).as_bytes());
+                    let _ = (&stream)
+                        .write_all(try_text("shop.example", "/put/1", &attempt, "", 3_000).as_bytes());
                     let mut first = [0u8; 12];
                     let answered = BufReader::new(&stream).read_exact(&mut first).is_ok();
+                    let got = String::from_utf8_lossy(&first[9..]).into_owned();
+                    record.say(&format!(
+                        "client sent {attempt} to {ip}: {}",
+                        if answered { &got } else { "no answer" }
+                    ));
                     small.lock().unwrap().push((attempt, answered));
                 }
             })
@@ -120,8 +132,13 @@
                         // One after the other, and each machine for itself.
                         std::thread::sleep(Duration::from_millis(900 * (client * FRONTS + front) as u64));
                     }
-                    let status = upload(&ip, &body);
-                    record.say(&format!("round {round}: client {client} of {ip} gets {status} for {} MB", body.len() >> 20));
+                    let attempt = new_attempt();
+                    record.say(&format!(
+                        "round {round}: client {client} sends {attempt} to {ip}, {} MB",
+                        body.len() >> 20
+                    ));
+                    let status = upload(&ip, &attempt, &body);
+                    record.say(&format!("round {round}: client {client} gets {status} for {attempt}"));
                     large.lock().unwrap().push(status);
                 })
             })
@@ -136,9 +153,13 @@
     let ended: Vec<usize> = kills.iter().map(|count| count.load(Ordering::SeqCst)).collect();
     let (large, small) = (large.lock().unwrap(), small.lock().unwrap());
     let runs = runs.lock().unwrap();
-    let unanswered: Vec<&String> = small.iter().filter(|(_, answered)| !answered).map(|(attempt, _)| attempt).collect();
+    let unanswered: Vec<&String> =
+        small.iter().filter(|(_, answered)| !answered).map(|(attempt, _)| attempt).collect();
     let ran = unanswered.iter().filter(|attempt| runs.iter().any(|run| run.attempt == ***attempt)).count();
     let served = large.iter().filter(|status| **status == 200).count();
+    for attempt in unanswered.iter().filter(|attempt| runs.iter().any(|run| run.attempt == ***attempt)) {
+        record.say(&format!("{attempt} was run, and its client got no answer"));
+    }
     record.say(&format!(
         "ends for memory by sidecar machine: {ended:?}; most memory of one: {} MB; large requests served {served} of {}; small ones cut off without an answer {} of {}, {ran} of them had been run",
         *most.lock().unwrap() >> 20,
