Proxy: the log says who told what of the backend, and what replicas recall

Change: a line for each change of the backend's state with its source, and one for each recall; EndpointState is printed by its name.

--- a/crates/data-plane/src/control_client.rs
+++ b/crates/data-plane/src/control_client.rs
@@ -187,10 +187,12 @@
         if let Some(set) = welcome.voter_set.filter(|set| set.number > self.replicas.set_number()) {
             self.on_voter_set(set);
         }
-        if let Some(endpoint) = &welcome.recalled
-            && self.backend.recall(endpoint)
-        {
-            self.report_endpoint();
+        if let Some(endpoint) = &welcome.recalled {
+            let (instance, state) = (&endpoint.instance, endpoint.state());
+            log::info!(target: "control-client", "{address} recalls {instance} as {state}");
+            if self.backend.recall(endpoint) {
+                self.report_endpoint();
+            }
         }
         if !self.replicas.is_voter(address) {
             return;
--- a/crates/data-plane/src/local_backend.rs
+++ b/crates/data-plane/src/local_backend.rs
@@ -42,9 +42,14 @@
 
     /// Something happened to it. Whether the others have to be told.
     pub fn apply(&self, event: Event) -> bool {
+        let source = event.source();
         let changed = self.tracker.borrow_mut().apply(self.context.now(), event);
         if let Some(backend) = &self.tracker.borrow().backend {
             self.admission.borrow_mut().set_slots(backend.heartbeat.slots);
+            if changed {
+                let (instance, state) = (&backend.heartbeat.instance, backend.state);
+                log::info!(target: "backend", "{instance} is {state} by {source}");
+            }
         }
         changed
     }
--- a/crates/endpoint-registry/src/heartbeats.rs
+++ b/crates/endpoint-registry/src/heartbeats.rs
@@ -60,6 +60,18 @@
     Tick,
 }
 
+impl Event {
+    /// Who tells of it, for logs.
+    pub fn source(&self) -> &'static str {
+        match self {
+            Event::Heartbeat(_) => "its heartbeat",
+            Event::Recalled(_) => "what a replica recalls",
+            Event::Leave(_) => "its leave",
+            Event::Tick => "its silence",
+        }
+    }
+}
+
 /// Follows the heartbeats of one backend after the other.
 #[derive(Clone, Debug, Default)]
 pub struct HeartbeatTracker {
--- a/crates/mesh-protocol/src/message/endpoint.rs
+++ b/crates/mesh-protocol/src/message/endpoint.rs
@@ -1,4 +1,6 @@
 //! Endpoints: which backends there are, and who was heard when.
+use std::fmt;
+
 use prost::Message;
 
 /// The state of an endpoint.
@@ -19,6 +21,19 @@
     Away = 5,
 }
 
+impl fmt::Display for EndpointState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            EndpointState::Unknown => "unknown",
+            EndpointState::Ready => "ready",
+            EndpointState::Draining => "draining",
+            EndpointState::Left => "left",
+            EndpointState::Missing => "missing",
+            EndpointState::Away => "away",
+        })
+    }
+}
+
 /// One backend as the proxy beside it knows it. `call_count` orders what is said of an instance, over all runs of its proxy.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Endpoint {
