Mesh: a backend that drains does so through the end and the silence of its proxy

Cause: one field held four things, and what was said last hid the others. A proxy that ended reported Away in place of Draining, silence put Missing in its place, supersedes() took both, and the next run of the proxy was told that state by the replicas and took all but Draining for ready.

Change: the state of an instance goes from ready to draining to left and never back, in the order of what supersedes what, at the proxy beside it (neither its own end nor silence hides a drain), at the replicas (not marked as missing; forgotten 90 s after its proxy was heard last) and on the proxies' lists (one that drained and is listed no more has left, and is not frozen). No field is new: builds of before report and mark as they did, and a replica or list that knows of the drain keeps it.

--- a/crates/data-plane/src/local_backend.rs
+++ b/crates/data-plane/src/local_backend.rs
@@ -90,10 +90,9 @@
     pub fn endpoint(&self) -> Option<Endpoint> {
         let (tracker, now) = (self.tracker.borrow(), self.context.now());
         let backend = tracker.backend.as_ref()?;
+        // One that drains is told as such: the next run of this proxy has it from the replicas.
         let state = match backend.state {
-            EndpointState::Ready | EndpointState::Draining if self.is_proxy_leaving.get() => {
-                EndpointState::Away
-            }
+            EndpointState::Ready if self.is_proxy_leaving.get() => EndpointState::Away,
             state => state,
         };
         let heartbeat = &backend.heartbeat;
--- a/crates/endpoint-registry/src/endpoint_list.rs
+++ b/crates/endpoint-registry/src/endpoint_list.rs
@@ -62,11 +62,19 @@
         let absent = self.endpoints.values().filter(|known| !present.contains(known.instance.as_str()));
         let mut removed: Vec<Endpoint> = absent.cloned().collect();
         for endpoint in &mut removed {
-            if endpoint.state() != EndpointState::Left {
-                endpoint.set_state(EndpointState::Missing);
-            }
+            endpoint.set_state(state_after_removal(endpoint.state()));
             self.endpoints.remove(&endpoint.instance);
         }
         removed
     }
 }
+
+/// What becomes of an endpoint of which no replica knows any more. One that drained has ended by now: it is not to be frozen on the list.
+fn state_after_removal(state: EndpointState) -> EndpointState {
+    match state {
+        EndpointState::Draining | EndpointState::Left => EndpointState::Left,
+        EndpointState::Ready | EndpointState::Missing | EndpointState::Away | EndpointState::Unknown => {
+            EndpointState::Missing
+        }
+    }
+}
--- a/crates/endpoint-registry/src/heartbeats.rs
+++ b/crates/endpoint-registry/src/heartbeats.rs
@@ -121,9 +121,9 @@
 
     fn on_tick(&mut self, now: Micros) -> bool {
         let Some(backend) = &mut self.backend else { return false };
-        let is_live = matches!(backend.state, EndpointState::Ready | EndpointState::Draining);
         let silent = now - backend.last_heartbeat_at >= self.missing_after;
-        let is_missing = is_live && silent && now >= self.blind_until;
+        // One that drains does so through its silence, until it has left.
+        let is_missing = backend.state == EndpointState::Ready && silent && now >= self.blind_until;
         if is_missing {
             backend.state = EndpointState::Missing;
         }
--- a/crates/endpoint-registry/src/lib.rs
+++ b/crates/endpoint-registry/src/lib.rs
@@ -12,13 +12,15 @@
 
 /// Whether `new` replaces `old`, of the same instance.
 ///
-/// The backend's own count of calls orders what is said of it, over all runs of its proxy. A backend that has left never comes back, and
-/// one that drains does so until it has left.
+/// An instance goes from ready to draining to left, and never back: what was said of that holds over its silence, the end of its proxy and
+/// all that is said later. For the rest, the backend's own count of calls orders what is said of it, over all runs of its proxy.
 pub fn supersedes(new: &Endpoint, old: &Endpoint) -> bool {
     match (old.state(), new.state()) {
         (EndpointState::Left, _) => false,
         (_, EndpointState::Left) => true,
-        (EndpointState::Draining, EndpointState::Ready) => false,
+        (EndpointState::Draining, EndpointState::Draining) => new.call_count > old.call_count,
+        (EndpointState::Draining, _) => false,
+        (_, EndpointState::Draining) => true,
         (before, now) => {
             new.call_count > old.call_count || (new.call_count == old.call_count && before != now)
         }
--- a/crates/endpoint-registry/src/registry.rs
+++ b/crates/endpoint-registry/src/registry.rs
@@ -3,6 +3,7 @@
 //! It numbers them by a version that is never behind any version it has heard of, so that the numbers that a proxy sees rise whichever
 //! replica it follows. Invariants:
 //! - an older report on an instance changes nothing;
+//! - an instance that was reported as draining is draining until it has left or is forgotten;
 //! - nobody is marked as missing by a replica that does not reach a majority of the replicas, that has itself stood still, or while another
 //!   replica hears of it;
 //! - [`Registry::update_since`] and then every later change give what `update_since(0)` gives.
@@ -34,15 +35,16 @@
 
 impl Registration {
     fn is_forgettable(&self, now: Micros) -> bool {
-        let is_gone = matches!(self.endpoint.state(), EndpointState::Missing | EndpointState::Left);
-        is_gone && now - self.changed_at >= FORGET_AFTER
+        match self.endpoint.state() {
+            EndpointState::Missing | EndpointState::Left => now - self.changed_at >= FORGET_AFTER,
+            EndpointState::Draining => now - self.last_seen_at >= FORGET_AFTER,
+            EndpointState::Ready | EndpointState::Away | EndpointState::Unknown => false,
+        }
     }
 
+    /// Whether it is to be marked as missing. One that drains is not: it gets nothing new anyway, and the mark would hide that it drains.
     fn is_silent(&self, now: Micros) -> bool {
-        let is_live = matches!(
-            self.endpoint.state(),
-            EndpointState::Ready | EndpointState::Draining | EndpointState::Away
-        );
+        let is_live = matches!(self.endpoint.state(), EndpointState::Ready | EndpointState::Away);
         is_live && now - self.last_seen_at >= MISSING_AFTER
     }
 }
--- a/crates/mesh-protocol/src/message/endpoint.rs
+++ b/crates/mesh-protocol/src/message/endpoint.rs
@@ -3,7 +3,7 @@
 
 use prost::Message;
 
-/// The state of an endpoint.
+/// The state of an endpoint. `Ready`, `Missing` and `Away` follow each other in any order; `Draining` and then `Left` are for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
 pub enum EndpointState {
--- a/crates/proxy/tests/soak.rs
+++ b/crates/proxy/tests/soak.rs
@@ -6,19 +6,15 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use notchspool_runtime::node_settings::NodeSettings;
-use notchspool_runtime::program::CheckedSettings;
-use notchspool_runtime::signals::Signals;
 use oorandom::Rand64;
 
 mod support;
 
-use support::{BOUND, BackendLog, BackendRequest, Proxy, ProxySite, read_headers};
+use support::{BOUND, BackendLog, BackendRequest, Proxy, ProxySite, read_headers, start_replicas};
 
 const SEEDS_VARIABLE: &str = "NOTCHSPOOL_SOAK_SEEDS";
 const DEFAULT_SEEDS: Range<u64> = 0..4;
@@ -106,26 +102,6 @@
     )
 }
 
-/// One replica, on a thread that goes on until the tests end.
-fn start_replica(ip: &str, data: PathBuf) {
-    let text = format!(
-        r#"{{"node":"{ip}","zone":"a","ipAddress":"{ip}","portRange":[7620,7635],"listenAddresses":{{"controlPlane":"{ip}:8306"}},
-        "seedNodes":["{ip}:8306"],"firstStart":true,"dataPath":{:?},"beatIntervalS":1.5,"bounds":["drainS=2","graceS=6","keyWindowS=60"],
-        "limits":{{"memoryMb":64}}}}"#,
-        data.display().to_string()
-    );
-    let file = PathBuf::from(ip);
-    let node = NodeSettings::parse(&file, text.as_bytes()).unwrap();
-    let listeners = node.listener(&file, "controlPlane").unwrap();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, async move {
-            let settings = CheckedSettings { node, file, listeners };
-            notchspool_control_plane::server::run(settings, Signals::install().unwrap()).await.unwrap();
-        });
-    });
-}
-
 /// A connection of a client, kept for as long as the other side keeps it.
 struct ClientConnection {
     stream: TcpStream,
@@ -294,7 +270,7 @@
     let net = 100 + seed % 100;
     let data = std::env::temp_dir().join(format!("notchspool-soak-{seed}-{}", std::process::id()));
     let replica_ip = format!("127.78.{net}.250");
-    start_replica(&replica_ip, data.clone());
+    start_replicas(std::slice::from_ref(&replica_ip), &data);
     let sites: Vec<ProxySite> = (0..proxies())
         .map(|index| ProxySite {
             ip: format!("127.78.{net}.{}", index + 1),
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use notchspool_runtime::node_settings::NodeSettings;
+use notchspool_runtime::program::CheckedSettings;
+use notchspool_runtime::signals::Signals;
+
 /// Whatever is waited for happens within this.
 pub const BOUND: Duration = Duration::from_secs(30);
 /// So large a response is streamed.
@@ -155,26 +159,37 @@
 
     /// Whether the proxy has taken a heartbeat of the backend.
     pub fn send_heartbeat(&self, call_count: u64) -> bool {
+        self.send_heartbeat_as("ready", call_count)
+    }
+
+    /// The same for a backend in this state, `ready` or `draining`.
+    pub fn send_heartbeat_as(&self, state: &str, call_count: u64) -> bool {
         let body = format!(
             r#"{{"address":"{}:8301","details":{{"service":"{}","version":"v1","zone":"a","freeSlots":{}}},
-            "status":{{"state":"ready","callCount":{call_count},"coldLeftS":0}}}}"#,
+            "status":{{"state":"{state}","callCount":{call_count},"coldLeftS":0}}}}"#,
             self.ip, self.service, self.slots
         );
         let call = format!("POST /notchspool/rpc?call=instances.heartbeat&of={}", self.instance);
         self.http("8306", &call, &body).as_deref() == Some("200")
     }
 
+    /// The status of the answer to a client's request for the host `x`; `None` where there is none.
+    pub fn request(&self, path: &str, attempt_id: &str) -> Option<String> {
+        self.exchange("8304", &format!("GET {path} HTTP/1.1\r\nnotchspool-attempt-id: {attempt_id}"), "")
+    }
+
     /// The status of the answer to a call; `None` where there is none.
     pub fn http(&self, port: &str, call: &str, body: &str) -> Option<String> {
+        self.exchange(port, &format!("{call} HTTP/1.1"), body)
+    }
+
+    fn exchange(&self, port: &str, head: &str, body: &str) -> Option<String> {
         let address: SocketAddr = format!("{}:{port}", self.ip).parse().unwrap();
         let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
         let length = body.len();
-        write!(
-            stream,
-            "{call} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
-        )
-        .ok()?;
+        write!(stream, "{head}\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+            .ok()?;
         let mut answer = String::new();
         // What came before an error counts.
         let _ = stream.read_to_string(&mut answer);
@@ -182,6 +197,31 @@
     }
 }
 
+/// Replicas of one control plane, each on a thread that goes on until the tests end; their disks are below `data`.
+pub fn start_replicas(ips: &[String], data: &Path) {
+    let seeds = ips.iter().map(|ip| format!(r#""{ip}:8306""#)).collect::<Vec<_>>().join(",");
+    for ip in ips {
+        let disk = data.join(ip);
+        std::fs::create_dir_all(&disk).unwrap();
+        let text = format!(
+            r#"{{"node":"{ip}","zone":"a","ipAddress":"{ip}","portRange":[7620,7635],"listenAddresses":{{"controlPlane":"{ip}:8306"}},
+            "seedNodes":[{seeds}],"firstStart":true,"counted":true,"dataPath":{:?},"beatIntervalS":1.5,
+            "bounds":["drainS=2","graceS=6","keyWindowS=60"],"limits":{{"memoryMb":64}}}}"#,
+            disk.display().to_string()
+        );
+        let file = PathBuf::from(ip);
+        let node = NodeSettings::parse(&file, text.as_bytes()).unwrap();
+        let listeners = node.listener(&file, "controlPlane").unwrap();
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            tokio::task::LocalSet::new().block_on(&runtime, async move {
+                let settings = CheckedSettings { node, file, listeners };
+                notchspool_control_plane::server::run(settings, Signals::install().unwrap()).await.unwrap();
+            });
+        });
+    }
+}
+
 /// A running proxy; killed where a test fails.
 pub struct Proxy {
     pub site: ProxySite,
