Proxy: a drain that an earlier run acknowledged is over here, whenever it is told

Seen: a proxy that starts again beside a draining backend let in, for 0.6 of drainS, what callers that had not heard sent too late; and where a heartbeat from before the drain came late, as the first thing that the new run heard, what the replicas recalled afterwards was passed over and the backend stayed ready until it beat again.

Cause: the clock of a drain began with the first word of it in this run of the process, and HeartbeatTracker took what is recalled only while nothing was known.

Change: the start of a drain has a type of its own: at a time of this run, or before this run, and then nothing begins. A recalled drain counts whatever was heard before it; a recalled ready state still counts for nothing then.

Peer of the shutdown tests moves to the tests' support, unchanged.

--- a/crates/data-plane/src/local_backend.rs
+++ b/crates/data-plane/src/local_backend.rs
@@ -121,11 +121,12 @@
         if backend.heartbeat.instance != instance || backend.heartbeat.service != service {
             return unavailable(Verdict::OtherInstance, "another backend is here");
         }
-        let drain = self.context.settings().bounds.drain.times(DRAIN_PART);
-        let is_drained = backend.draining_since.is_some_and(|since| self.context.now() >= since + drain);
+        let drain_time = self.context.settings().bounds.drain.times(DRAIN_PART);
         match backend.state {
             EndpointState::Left => unavailable(Verdict::OtherInstance, "it has left"),
-            _ if is_drained => unavailable(Verdict::OtherInstance, "it drains"),
+            _ if backend.is_drained(self.context.now(), drain_time) => {
+                unavailable(Verdict::OtherInstance, "it drains")
+            }
             _ => None,
         }
     }
--- a/crates/endpoint-registry/src/heartbeats.rs
+++ b/crates/endpoint-registry/src/heartbeats.rs
@@ -41,18 +41,27 @@
     pub state: EndpointState,
     /// When the last heartbeat came.
     pub last_heartbeat_at: Micros,
-    /// When the first heartbeat that said `draining` was acknowledged.
-    pub draining_since: Option<Micros>,
+    /// Since when it drains, where it does.
+    pub drain: Option<DrainStart>,
     /// Until when it is slow.
     pub warm_at: Micros,
 }
 
+/// When the drain of a backend began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainStart {
+    /// This proxy heard of it then, and had known the backend as ready before.
+    At(Micros),
+    /// Nobody knows when: this run of the proxy has never known the backend as ready.
+    BeforeThisRun,
+}
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A heartbeat came.
     Heartbeat(Heartbeat),
-    /// A replica tells what an earlier run of this proxy knew; a backend that is another one says so itself.
+    /// The replicas tell what an earlier run of this proxy knew. A drain counts whatever is known here; else the backend itself knows better.
     Recalled(Heartbeat),
     /// The backend said that it leaves (`instances.leave`).
     Leave(String),
@@ -100,7 +109,7 @@
         }
         match event {
             Event::Heartbeat(heartbeat) => self.on_heartbeat(now, heartbeat),
-            Event::Recalled(heartbeat) => self.backend.is_none() && self.on_heartbeat(now, heartbeat),
+            Event::Recalled(heartbeat) => self.on_recalled(now, heartbeat),
             Event::Leave(instance) => self.on_leave(now, instance),
             Event::Tick => self.on_tick(now),
         }
@@ -115,7 +124,19 @@
             |b: &&mut LocalBackend| b.heartbeat.instance == instance && b.state != EndpointState::Left;
         let Some(backend) = self.backend.as_mut().filter(is_here) else { return false };
         backend.state = EndpointState::Left;
-        backend.draining_since = backend.draining_since.or(Some(now));
+        backend.drain = backend.drain.or(Some(DrainStart::At(now)));
+        true
+    }
+
+    fn on_recalled(&mut self, now: Micros, heartbeat: Heartbeat) -> bool {
+        let Some(backend) = &mut self.backend else { return self.on_heartbeat(now, heartbeat) };
+        let is_here = backend.heartbeat.instance == heartbeat.instance;
+        let is_news = matches!(backend.state, EndpointState::Ready | EndpointState::Missing);
+        if !is_here || !heartbeat.draining || !is_news {
+            return false;
+        }
+        backend.state = EndpointState::Draining;
+        backend.drain = Some(DrainStart::BeforeThisRun);
         true
     }
 
@@ -141,10 +162,9 @@
                 backend.on_heartbeat(now, heartbeat, state, warm_at)
             }
             _ => {
-                let draining_since = heartbeat.draining.then_some(now);
+                let drain = heartbeat.draining.then_some(DrainStart::BeforeThisRun);
                 let last_heartbeat_at = now;
-                self.backend =
-                    Some(LocalBackend { heartbeat, state, last_heartbeat_at, draining_since, warm_at });
+                self.backend = Some(LocalBackend { heartbeat, state, last_heartbeat_at, drain, warm_at });
                 true
             }
         }
@@ -152,6 +172,15 @@
 }
 
 impl LocalBackend {
+    /// Whether it has drained for this long, so that nothing more may begin at it.
+    pub fn is_drained(&self, now: Micros, drain_time: Micros) -> bool {
+        match self.drain {
+            Some(DrainStart::At(since)) => now >= since + drain_time,
+            Some(DrainStart::BeforeThisRun) => true,
+            None => false,
+        }
+    }
+
     /// A further heartbeat of the same instance. Whether anything that the others have to know has changed.
     fn on_heartbeat(
         &mut self,
@@ -176,7 +205,7 @@
             || self.heartbeat.service != heartbeat.service
             || self.heartbeat.address != heartbeat.address;
         if state == EndpointState::Draining {
-            self.draining_since = self.draining_since.or(Some(now));
+            self.drain = self.drain.or(Some(DrainStart::At(now)));
         }
         self.heartbeat = heartbeat;
         self.state = state;
--- a/crates/endpoint-registry/tests/drain.rs
+++ b/crates/endpoint-registry/tests/drain.rs
@@ -72,6 +72,45 @@
     assert_eq!(tracker.backend.map(|backend| backend.state), Some(EndpointState::Draining));
 }
 
+/// Guards against: a proxy that starts again begins the drain of its backend anew, and lets in what was sent too late.
+#[test]
+fn a_drain_of_before_this_run_is_over() {
+    let drain_time = Micros::ms(1_200);
+    let told: [Event; 2] = [Event::Recalled(heartbeat(true, 2)), Event::Heartbeat(heartbeat(true, 3))];
+    for event in told {
+        let mut tracker = HeartbeatTracker::new(INTERVAL, Micros(0));
+        assert!(tracker.apply(Micros::ms(1), event));
+        assert!(tracker.backend.unwrap().is_drained(Micros::ms(1), drain_time));
+    }
+    // One that was ready here drains for its time.
+    let mut tracker = HeartbeatTracker::new(INTERVAL, Micros(0));
+    tracker.apply(Micros(0), Event::Heartbeat(heartbeat(false, 1)));
+    tracker.apply(Micros::ms(500), Event::Heartbeat(heartbeat(true, 2)));
+    let backend = tracker.backend.unwrap();
+    assert!(
+        !backend.is_drained(Micros::ms(1_600), drain_time)
+            && backend.is_drained(Micros::ms(1_700), drain_time)
+    );
+}
+
+/// Guards against: a heartbeat from before the drain comes late, at the next run of the proxy, and what the replicas recall is not heard.
+#[test]
+fn a_recalled_drain_counts_after_a_late_heartbeat() {
+    let mut tracker = HeartbeatTracker::new(INTERVAL, Micros(0));
+    tracker.apply(Micros(0), Event::Heartbeat(heartbeat(false, 4)));
+    assert!(tracker.apply(Micros::ms(5), Event::Recalled(heartbeat(true, 5))));
+    // A replica that was cut off knows less.
+    assert!(!tracker.apply(Micros::ms(6), Event::Recalled(heartbeat(false, 3))));
+    let backend = tracker.backend.clone().unwrap();
+    assert_eq!(backend.state, EndpointState::Draining);
+    assert!(backend.is_drained(Micros::ms(6), Micros::ms(1_200)));
+    // Of another instance it says nothing.
+    let other = Heartbeat { instance: "i-2".into(), ..heartbeat(false, 1) };
+    tracker.apply(Micros::ms(7), Event::Heartbeat(other));
+    assert!(!tracker.apply(Micros::ms(8), Event::Recalled(heartbeat(true, 5))));
+    assert_eq!(tracker.backend.map(|backend| backend.state), Some(EndpointState::Ready));
+}
+
 /// Guards against: an endpoint that drained and is on no replica's list any more counts as missing, and may be frozen on the list.
 #[test]
 fn one_that_drained_and_is_listed_no_more_has_left() {
--- a/crates/proxy/tests/shutdown.rs
+++ b/crates/proxy/tests/shutdown.rs
@@ -1,21 +1,15 @@
 //! The end of a proxy on SIGTERM: the real program, a stand-in backend beside it, and a peer that has not heard that it ends and goes on
 //! sending. Nothing that the backend has begun may be cut off.
-use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use notchspool_mesh_protocol::{Header, Payload, Request, Response, Verdict};
-use notchspool_runtime::frame_connection::{self, FrameSender};
+use notchspool_mesh_protocol::Verdict;
 
 mod support;
 
+use support::peer::{INSTANCE, Peer, SERVICE, run};
 use support::{BOUND, Proxy, ProxySite, start_backend};
 
-const SERVICE: &str = "orders";
-const INSTANCE: &str = "i-1";
-
 /// Starts a proxy whose backend has so many slots.
 fn start_proxy(ip: &str, slots: u32) -> Proxy {
     let nobody = format!("{ip}:9306");
@@ -24,84 +18,6 @@
     Proxy::start_with_backend(site)
 }
 
-/// The proxy of another machine.
-#[derive(Clone, Default)]
-struct Peer {
-    sender: FrameSender,
-    responses: Rc<RefCell<Vec<Response>>>,
-}
-
-impl Peer {
-    async fn connect(to: SocketAddr) -> Peer {
-        let peer = Peer::default();
-        let stream = frame_connection::connect(to, Duration::from_secs(5)).await.unwrap();
-        let (sender, responses) = (peer.sender.clone(), peer.responses.clone());
-        tokio::task::spawn_local(async move {
-            let on_message = |payload| {
-                if let Payload::Response(response) = payload {
-                    responses.borrow_mut().push(response);
-                }
-            };
-            frame_connection::run(stream, sender, None, on_message).await;
-        });
-        peer
-    }
-
-    /// Sends a request that takes so long; false where the connection has ended.
-    fn send(&self, id: u64, work_ms: u64, priority: u32) -> bool {
-        self.send_to(id, format!("/{work_ms}/{id}"), priority, 15_000)
-    }
-
-    /// Sends a request whose response is large. Requests of one latency target are taken for one kind of work.
-    fn send_large(&self, id: u64) -> bool {
-        self.send_to(id, format!("/0/{id}/large"), 1, 9_000)
-    }
-
-    fn send_to(&self, id: u64, target: String, priority: u32, latency_target_ms: u32) -> bool {
-        let attempt_id = format!("a-{id}");
-        let header = Header { name: "notchspool-attempt-id".into(), value: attempt_id.clone().into() };
-        self.sender.send(Payload::Request(Request {
-            id,
-            headers: vec![header],
-            service: SERVICE.into(),
-            instance: INSTANCE.into(),
-            method: "GET".into(),
-            target,
-            time_left_ms: 20_000,
-            priority,
-            idempotent: true,
-            attempt_id,
-            caller: "shop".into(),
-            host: "h.example".into(),
-            target_left_ms: 15_000,
-            latency_target_ms,
-            ..Request::default()
-        }))
-    }
-
-    async fn wait_for_responses(&self, count: usize) {
-        let began = Instant::now();
-        while self.responses.borrow().len() < count {
-            assert!(began.elapsed() < BOUND, "{} responses, not {count}", self.responses.borrow().len());
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    }
-
-    fn ids(&self, verdict: Verdict) -> BTreeSet<u64> {
-        let responses = self.responses.borrow();
-        responses
-            .iter()
-            .filter(|response| response.verdict() == verdict)
-            .map(|response| response.id)
-            .collect()
-    }
-}
-
-fn run<F: Future<Output = ()>>(test: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn a_displaced_request_gives_back_no_slot() {
     run(async {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -13,6 +13,9 @@
 use notchspool_runtime::program::CheckedSettings;
 use notchspool_runtime::signals::Signals;
 
+pub mod peer;
+pub mod stand_in_replica;
+
 /// Whatever is waited for happens within this.
 pub const BOUND: Duration = Duration::from_secs(30);
 /// So large a response is streamed.
