Registry: a proxy is told of the instance that it reported last, not of its predecessor

Cause: endpoint_beside() compared the counts of calls of two instances; each counts its own.

Change: the instance whose proxy was heard last with it counts, the count of calls only between reports of one moment.

Measured: the_instance_that_was_reported_last_is_recalled fails before ("i-1" for "i-2") and passes after.

--- a/crates/endpoint-registry/src/registry.rs
+++ b/crates/endpoint-registry/src/registry.rs
@@ -144,10 +144,14 @@
         EndpointUpdate { version: self.version, complete, endpoints, numbered_by: 0 }
     }
 
-    /// What is known of the backend beside this proxy; none that has left.
+    /// What is known of the backend beside this proxy: of several instances, the one that the proxy reported last; none that has left.
     pub fn endpoint_beside(&self, proxy: &str) -> Option<&Endpoint> {
-        let here = self.endpoints().filter(|e| e.proxy == proxy && e.state() != EndpointState::Left);
-        here.max_by_key(|endpoint| endpoint.call_count)
+        let here = self
+            .registrations
+            .values()
+            .filter(|known| known.endpoint.proxy == proxy && known.endpoint.state() != EndpointState::Left);
+        let last = here.max_by_key(|known| (known.last_seen_at, known.endpoint.call_count))?;
+        Some(&last.endpoint)
     }
 
     /// All endpoints, by instance.
--- a/crates/endpoint-registry/tests/drain.rs
+++ b/crates/endpoint-registry/tests/drain.rs
@@ -111,6 +111,17 @@
     assert_eq!(tracker.backend.map(|backend| backend.state), Some(EndpointState::Ready));
 }
 
+/// Guards against: a proxy that starts again is told of the instance before the one beside it, which made more calls.
+#[test]
+fn the_instance_that_was_reported_last_is_recalled() {
+    let mut registry = Registry::default();
+    registry.report(Micros(0), endpoint(EndpointState::Draining, 900));
+    let successor = Endpoint { instance: "i-2".into(), ..endpoint(EndpointState::Ready, 1) };
+    registry.report(Micros::ms(700), successor);
+    let recalled = registry.endpoint_beside(PROXY).map(|endpoint| endpoint.instance.as_str());
+    assert_eq!(recalled, Some("i-2"));
+}
+
 /// Guards against: an endpoint that drained and is on no replica's list any more counts as missing, and may be frozen on the list.
 #[test]
 fn one_that_drained_and_is_listed_no_more_has_left() {
