Mesh: a departure is acknowledged once a majority knows of it, and ready needs one

Seen: a proxy acknowledged that its backend drains or leaves, and told the replicas at the same moment. One that lost power then, or was cut off from some of them, had told nobody or few, and its next run took the backend for ready as soon as one replica recalled it so, until the backend's next heartbeat. A leave that came before anything was recalled was acknowledged and told to nobody at all.

Cause: the acknowledgement binds whoever gave it, but nothing made it outlast the process: proxies have no disk, and the first replica that answered was believed. Evidence: three cases with the real program and stand-in replicas (crates/proxy/tests/recall.rs).

Change: instances.heartbeat and instances.leave of a backend on its way out are answered 200 once a majority of the voters has taken the report, else 503 after 0.8 s; the backend calls again, and drains here all the same. No message is new: a connection keeps its order, so a replica that answers a ping has taken what came before it, builds of before too. What is recalled as ready is believed of a majority, a drain of any one replica: a majority that took a drain and one that recalls ready have a replica in common. A backend that left before it was recalled has left. Figure: departures_unconfirmed.

--- a/crates/data-plane/src/control_client.rs
+++ b/crates/data-plane/src/control_client.rs
@@ -5,19 +5,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use notchspool_endpoint_registry::recall::Recollection;
 use notchspool_mesh_protocol::text_transfer::{Incoming, TextStore};
 use notchspool_mesh_protocol::{
-    ClaimReply, ClaimVote, ConfigRequest, Hello, KnownVersion, Payload, Ping, UnwatchEndpoints, VoterSet,
-    WatchEndpoints, Welcome,
+    ClaimReply, ClaimVote, ConfigRequest, Endpoint, Hello, KnownVersion, Payload, Ping, UnwatchEndpoints,
+    VoterSet, WatchEndpoints, Welcome,
 };
 use notchspool_runtime::frame_connection::{self, CloseReason, FrameSender};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use crate::claim_client::ClaimClient;
 use crate::config_store::ConfigStore;
 use crate::context::Context;
 use crate::local_backend::LocalBackend;
 use crate::replicas::{Replica, Replicas};
+use crate::report_confirmation::{PingNumber, ReportConfirmations};
 use crate::services::Services;
 use crate::watched_replica::{self, Candidate};
 
@@ -39,6 +42,8 @@
 const UNCONFIRMED_CONFIG_REQUEST_DELAY: Duration = Duration::from_millis(1_000);
 /// A replica that is nearer than the one watched is watched instead, after this and as much again by chance: by then it has gathered.
 const NEARER_REPLICA_DELAY: Duration = Duration::from_millis(2_000);
+/// A caller of `instances.heartbeat` or `instances.leave` waits for a second; the answer has to be on its way by then.
+const CONFIRM_REPORT_WITHIN: Duration = Duration::from_millis(800);
 /// Configurations that are held, so that the next can be told as a difference.
 const MAX_HELD_TEXTS: usize = 2;
 
@@ -56,6 +61,13 @@
     /// The boot id of the replica that numbered the endpoint list.
     list_numbered_by: Cell<u64>,
     watch_failures: Cell<u32>,
+    /// What the replicas recall of the backend here.
+    recollection: RefCell<Recollection>,
+    /// How often the backend here was reported to the replicas.
+    reports: Cell<u64>,
+    confirmations: RefCell<ReportConfirmations>,
+    /// A replica has confirmed a report.
+    confirmed: Notify,
     /// The version that is waited for before another replica is asked.
     awaited_version: Cell<u64>,
 }
@@ -81,6 +93,10 @@
             watched: RefCell::default(),
             list_numbered_by: Cell::default(),
             watch_failures: Cell::default(),
+            recollection: RefCell::default(),
+            reports: Cell::default(),
+            confirmations: RefCell::default(),
+            confirmed: Notify::new(),
             awaited_version: Cell::default(),
         }
     }
@@ -176,7 +192,11 @@
                 }
             }
             Payload::ClaimReply(reply) => self.on_claim_reply(address, reply),
-            Payload::Pong(_) => {}
+            Payload::Pong(pong) => {
+                if self.confirmations.borrow_mut().on_pong(pong.number, address) {
+                    self.confirmed.notify_waiters();
+                }
+            }
             _ => self.context.count("messages_unknown"),
         }
     }
@@ -187,13 +207,7 @@
         if let Some(set) = welcome.voter_set.filter(|set| set.number > self.replicas.set_number()) {
             self.on_voter_set(set);
         }
-        if let Some(endpoint) = &welcome.recalled {
-            let (instance, state) = (&endpoint.instance, endpoint.state());
-            log::info!(target: "control-client", "{address} recalls {instance} as {state}");
-            if self.backend.recall(endpoint) {
-                self.report_endpoint();
-            }
-        }
+        self.on_recalled(address, welcome.recalled.as_ref());
         if !self.replicas.is_voter(address) {
             return;
         }
@@ -201,6 +215,9 @@
         if let Some(endpoint) = self.backend.endpoint() {
             sender.send(Payload::Endpoint(endpoint));
         }
+        for number in self.confirmations.borrow().open() {
+            sender.send(ping(number));
+        }
         if self.watched.borrow().is_none() {
             self.watch();
         } else {
@@ -210,6 +227,19 @@
         self.on_known_version(sender, known_version);
     }
 
+    /// A replica tells what it recalls of the backend here.
+    fn on_recalled(&self, address: &str, recalled: Option<&Endpoint>) {
+        if let Some(endpoint) = recalled {
+            let (instance, state) = (&endpoint.instance, endpoint.state());
+            log::info!(target: "control-client", "{address} recalls {instance} as {state}");
+        }
+        let voters = self.replicas.voters();
+        let believed = self.recollection.borrow_mut().on_told(address, recalled, &voters);
+        if believed.is_some_and(|endpoint| self.backend.recall(&endpoint)) {
+            self.report_endpoint();
+        }
+    }
+
     /// A vote counts for the voter that it came from.
     fn on_claim_reply(&self, address: &str, reply: ClaimReply) {
         let is_own_vote = self.replicas.is_voter_at(reply.voter as usize, address);
@@ -235,11 +265,41 @@
 
     /// Tells the replicas of the backend here.
     pub fn report_endpoint(&self) {
+        self.reports.set(self.reports.get() + 1);
         if let Some(endpoint) = self.backend.endpoint() {
             self.replicas.send_to_all(&Payload::Endpoint(endpoint));
         }
     }
 
+    /// Waits until a majority of the voters knows what is known here of the backend; false where that takes over
+    /// [`CONFIRM_REPORT_WITHIN`].
+    pub async fn confirm_report(&self) -> bool {
+        let confirmed = tokio::time::timeout(CONFIRM_REPORT_WITHIN, async {
+            // What came meanwhile has to be known too: a replica that connects may recall what was not known here.
+            loop {
+                let reports = self.reports.get();
+                self.confirm_sent().await;
+                if self.reports.get() == reports {
+                    return;
+                }
+            }
+        });
+        confirmed.await.is_ok()
+    }
+
+    /// Waits until a majority of the voters has taken what was sent to it up to now.
+    async fn confirm_sent(&self) {
+        let open = OpenConfirmation::new(&self.confirmations);
+        self.replicas.send_to_all(&ping(open.number));
+        loop {
+            let confirmed = self.confirmed.notified();
+            if self.confirmations.borrow().is_confirmed(open.number, &self.replicas.voters()) {
+                return;
+            }
+            confirmed.await;
+        }
+    }
+
     // ---- The endpoint list --------------------------------------------------------------------------------
 
     fn watch_after(self: &Rc<ControlClient>, delay: Duration) {
@@ -325,6 +385,28 @@
     }
 }
 
+/// A ping that is open for as long as somebody waits for it.
+struct OpenConfirmation<'a> {
+    confirmations: &'a RefCell<ReportConfirmations>,
+    number: PingNumber,
+}
+
+impl OpenConfirmation<'_> {
+    fn new(confirmations: &RefCell<ReportConfirmations>) -> OpenConfirmation<'_> {
+        OpenConfirmation { confirmations, number: confirmations.borrow_mut().begin() }
+    }
+}
+
+impl Drop for OpenConfirmation<'_> {
+    fn drop(&mut self) {
+        self.confirmations.borrow_mut().end(self.number);
+    }
+}
+
+fn ping(number: PingNumber) -> Payload {
+    Payload::Ping(Ping { number: number.as_u64() })
+}
+
 async fn send_pings(sender: &FrameSender) {
     let mut number = 0;
     loop {
--- a/crates/data-plane/src/inbound.rs
+++ b/crates/data-plane/src/inbound.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use notchspool::units::Micros;
-use notchspool_endpoint_registry::heartbeats::Event as BackendEvent;
+use notchspool_endpoint_registry::heartbeats::{Departure, Event as BackendEvent};
 use notchspool_mesh_protocol::{Request, Response, Ticket, Verdict};
 use tokio::sync::oneshot;
 
@@ -186,6 +186,11 @@
         }
     }
 
+    /// How far this instance of the backend has come on its way out.
+    pub fn departure(&self, instance: &str) -> Option<Departure> {
+        self.backend.departure(instance)
+    }
+
     /// Time has passed.
     pub fn tick(&self, now: Micros) {
         self.on_backend_event(BackendEvent::Tick);
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod peer_server;
 pub mod proxy;
 pub mod replicas;
+pub mod report_confirmation;
 pub mod retry_budget;
 pub mod run;
 pub mod running_requests;
--- a/crates/data-plane/src/local_api.rs
+++ b/crates/data-plane/src/local_api.rs
@@ -1,5 +1,5 @@
 //! What the platform and the backend here call: readiness, heartbeats, leave calls, figures.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use http_body_util::{BodyExt, Limited};
@@ -7,12 +7,13 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use notchspool::units::Micros;
-use notchspool_endpoint_registry::heartbeats::Event;
+use notchspool_endpoint_registry::heartbeats::{Departure, Event};
 
 use crate::body_pipe::ResponseBody;
 use crate::client_response::ClientResponse;
 use crate::config_store::ConfigStore;
 use crate::context::Context;
+use crate::control_client::ControlClient;
 use crate::heartbeat;
 use crate::inbound::Inbound;
 use crate::outbound::Outbound;
@@ -42,6 +43,10 @@
     pub outbound: Rc<Outbound>,
     /// Requests for the backend here.
     pub inbound: Rc<Inbound>,
+    /// Connections to the replicas.
+    pub control: Rc<ControlClient>,
+    /// What was acknowledged last of a backend on its way out.
+    pub confirmed_departure: RefCell<Option<(String, Departure)>>,
     /// The process ends.
     pub is_stopping: Cell<bool>,
 }
@@ -82,18 +87,34 @@
             "instances.heartbeat" => match heartbeat::parse(instance, &body.to_bytes()) {
                 Ok(heartbeat) => {
                     self.inbound.on_backend_event(Event::Heartbeat(heartbeat));
-                    respond(200, "{}")
+                    self.acknowledge(instance).await
                 }
                 Err(reason) => self.invalid_call(400, &format!("{reason}\n")),
             },
             "instances.leave" => {
                 self.inbound.on_backend_event(Event::Leave(instance.to_string()));
-                respond(200, "{}")
+                self.acknowledge(instance).await
             }
             _ => self.invalid_call(404, "no such call here\n"),
         }
     }
 
+    /// Acknowledges a call of a backend. That it drains or leaves binds once it is acknowledged, also the next run of this process, which has
+    /// nothing but the replicas to know it from: a majority has to know of it first.
+    async fn acknowledge(&self, instance: &str) -> ClientResponse {
+        let Some(departure) = self.inbound.departure(instance) else { return respond(200, "{}") };
+        let departed = Some((instance.to_string(), departure));
+        if *self.confirmed_departure.borrow() == departed {
+            return respond(200, "{}");
+        }
+        if !self.control.confirm_report().await {
+            self.context.count("departures_unconfirmed");
+            return respond(503, "no majority of replicas knows of it yet\n");
+        }
+        self.confirmed_departure.replace(departed);
+        respond(200, "{}")
+    }
+
     fn invalid_call(&self, status: u16, reason: &str) -> ClientResponse {
         self.context.count("calls_senseless");
         respond(status, reason)
--- a/crates/data-plane/src/local_backend.rs
+++ b/crates/data-plane/src/local_backend.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use notchspool::units::Micros;
-use notchspool_endpoint_registry::heartbeats::{Event, Heartbeat, HeartbeatTracker};
+use notchspool_endpoint_registry::heartbeats::{Departure, Event, Heartbeat, HeartbeatTracker};
 use notchspool_mesh_protocol::{Endpoint, EndpointState, Verdict};
 
 use crate::admission::AdmissionQueue;
@@ -81,6 +81,11 @@
         }))
     }
 
+    /// How far this instance has come on its way out.
+    pub fn departure(&self, instance: &str) -> Option<Departure> {
+        self.tracker.borrow().departure(instance)
+    }
+
     /// This proxy ends: others are told to send nothing here.
     pub fn set_proxy_leaving(&self) {
         self.is_proxy_leaving.set(true);
--- a/crates/data-plane/src/proxy.rs
+++ b/crates/data-plane/src/proxy.rs
@@ -1,5 +1,5 @@
 //! The parts of one proxy, put together.
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::path::Path;
 use std::rc::Rc;
 
@@ -97,6 +97,8 @@
             replicas,
             outbound: outbound.clone(),
             inbound: inbound.clone(),
+            control: control.clone(),
+            confirmed_departure: RefCell::default(),
             is_stopping: Cell::new(false),
         });
         Proxy {
--- a/crates/endpoint-registry/src/heartbeats.rs
+++ b/crates/endpoint-registry/src/heartbeats.rs
@@ -47,6 +47,15 @@
     pub warm_at: Micros,
 }
 
+/// How far a backend has come on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Departure {
+    /// It said that it drains.
+    Draining,
+    /// It said that it leaves.
+    Left,
+}
+
 /// When the drain of a backend began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DrainStart {
@@ -115,6 +124,15 @@
         }
     }
 
+    /// How far this instance has come on its way out, as far as is known; `None` where it is ready or nothing is known of it.
+    pub fn departure(&self, instance: &str) -> Option<Departure> {
+        if self.left.iter().any(|left| left == instance) {
+            return Some(Departure::Left);
+        }
+        let backend = self.backend.as_ref().filter(|backend| backend.heartbeat.instance == instance)?;
+        (backend.state == EndpointState::Draining).then_some(Departure::Draining)
+    }
+
     fn on_leave(&mut self, now: Micros, instance: String) -> bool {
         if self.left.len() >= MAX_LEFT {
             self.left.pop_front();
@@ -129,7 +147,14 @@
     }
 
     fn on_recalled(&mut self, now: Micros, heartbeat: Heartbeat) -> bool {
-        let Some(backend) = &mut self.backend else { return self.on_heartbeat(now, heartbeat) };
+        let has_left = self.left.contains(&heartbeat.instance);
+        let Some(backend) = &mut self.backend else {
+            if has_left {
+                self.backend = Some(LocalBackend::that_left(now, heartbeat));
+                return true;
+            }
+            return self.on_heartbeat(now, heartbeat);
+        };
         let is_here = backend.heartbeat.instance == heartbeat.instance;
         let is_news = matches!(backend.state, EndpointState::Ready | EndpointState::Missing);
         if !is_here || !heartbeat.draining || !is_news {
@@ -172,6 +197,17 @@
 }
 
 impl LocalBackend {
+    /// One that said that it leaves before anything else was known of it.
+    fn that_left(now: Micros, heartbeat: Heartbeat) -> LocalBackend {
+        LocalBackend {
+            heartbeat,
+            state: EndpointState::Left,
+            last_heartbeat_at: now,
+            drain: Some(DrainStart::BeforeThisRun),
+            warm_at: Micros(0),
+        }
+    }
+
     /// Whether it has drained for this long, so that nothing more may begin at it.
     pub fn is_drained(&self, now: Micros, drain_time: Micros) -> bool {
         match self.drain {
--- /dev/null
+++ b/crates/endpoint-registry/src/recall.rs
@@ -0,0 +1,38 @@
+//! What the replicas recall of the backend beside a proxy that has started, and what of that is believed.
+//!
+//! A departure (a drain or a leave) is acknowledged once a majority of the voters knows of it. So a backend is taken for ready only where a
+//! majority recalls it as such: one of them would know. That it drains is believed of any one.
+use std::collections::BTreeMap;
+
+use notchspool_mesh_protocol::{Endpoint, EndpointState};
+
+/// What each replica recalls, by its address.
+#[derive(Clone, Debug, Default)]
+pub struct Recollection {
+    by_replica: BTreeMap<String, Endpoint>,
+}
+
+impl Recollection {
+    /// A replica has told what it recalls. The endpoint that is to be believed from now on, if there is one.
+    pub fn on_told(
+        &mut self,
+        replica: &str,
+        recalled: Option<&Endpoint>,
+        voters: &[String],
+    ) -> Option<Endpoint> {
+        let Some(endpoint) = recalled else {
+            self.by_replica.remove(replica);
+            return None;
+        };
+        if endpoint.state() == EndpointState::Draining {
+            return Some(endpoint.clone());
+        }
+        self.by_replica.retain(|known, _| voters.contains(known));
+        self.by_replica.insert(replica.to_string(), endpoint.clone());
+        let agreeing = voters.iter().filter_map(|voter| self.by_replica.get(voter));
+        let agreeing: Vec<&Endpoint> = agreeing.filter(|other| other.instance == endpoint.instance).collect();
+        let is_majority = agreeing.len() > voters.len() / 2;
+        let newest = agreeing.into_iter().max_by_key(|endpoint| endpoint.call_count);
+        newest.filter(|_| is_majority).cloned()
+    }
+}
--- a/crates/proxy/tests/recall.rs
+++ b/crates/proxy/tests/recall.rs
@@ -100,3 +100,92 @@
         assert_eq!(log.lock().unwrap().begun, 0);
     });
 }
+
+/// Guards against: a proxy takes its backend for ready because one replica does, which was cut off while the others were told that it drains.
+#[test]
+fn a_backend_is_ready_again_once_a_majority_recalls_it_so() {
+    run(async {
+        let addresses = Addresses::new(3);
+        let log = start_backend(&format!("{}:8301", addresses.proxy));
+        let ready = Some(addresses.endpoint(EndpointState::Ready));
+        let first = StandInReplica::start(&addresses.replicas, 0, ready.clone()).await;
+        let _forgetful = StandInReplica::start(&addresses.replicas, 1, None).await;
+        let proxy = Proxy::start(addresses.site());
+        let peer = connect(&proxy).await;
+        // Both are connected well before the last of these is answered.
+        for id in 1..=20 {
+            assert!(peer.send(id, 1, 1));
+            peer.wait_for_responses(id as usize).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(peer.ids(Verdict::NotRun).len(), 20, "refused, to go elsewhere");
+        assert_eq!((log.lock().unwrap().begun, first.reported().len()), (0, 0));
+        let _third = StandInReplica::start(&addresses.replicas, 2, ready).await;
+        wait_for_report(&first, EndpointState::Ready).await;
+        assert!(peer.send(21, 1, 1));
+        peer.wait_for_responses(21).await;
+        assert_eq!(peer.ids(Verdict::Answered).len(), 1);
+    });
+}
+
+/// Guards against: a drain or a leave is acknowledged, its proxy loses power, and its next run finds nobody who knows of it.
+#[test]
+fn a_departure_is_acknowledged_once_a_majority_knows_of_it() {
+    run(async {
+        let addresses = Addresses::new(4);
+        start_backend(&format!("{}:8301", addresses.proxy));
+        let first = StandInReplica::start(&addresses.replicas, 0, None).await;
+        let second = StandInReplica::start(&addresses.replicas, 1, None).await;
+        second.set_answers(false);
+        let proxy = Proxy::start_with_backend(addresses.site());
+        wait_for_report(&second, EndpointState::Ready).await;
+        assert!(!heartbeat(&proxy, "draining", 2).await, "one of three knows of it");
+        // It drains all the same.
+        wait_for_report(&first, EndpointState::Draining).await;
+        second.set_answers(true);
+        assert!(heartbeat(&proxy, "draining", 3).await, "two of three know of it");
+        second.set_answers(false);
+        assert!(heartbeat(&proxy, "draining", 4).await, "it has been confirmed");
+        assert!(!leave(&proxy).await, "one of three knows of it");
+        second.set_answers(true);
+        assert!(leave(&proxy).await, "two of three know of it");
+        assert_eq!(second.reported().last().map(Endpoint::state), Some(EndpointState::Left));
+    });
+}
+
+/// Guards against: a proxy that has just started acknowledges the leave of a backend that it does not know, and takes it for ready as soon as it
+/// is recalled.
+#[test]
+fn a_leave_counts_though_the_backend_is_recalled_after_it() {
+    run(async {
+        let addresses = Addresses::new(5);
+        let log = start_backend(&format!("{}:8301", addresses.proxy));
+        let proxy = Proxy::start(addresses.site());
+        let peer = connect(&proxy).await;
+        assert!(!leave(&proxy).await, "no replica knows of it");
+        let ready = Some(addresses.endpoint(EndpointState::Ready));
+        let first = StandInReplica::start(&addresses.replicas, 0, ready.clone()).await;
+        let _second = StandInReplica::start(&addresses.replicas, 1, ready).await;
+        wait_for_report(&first, EndpointState::Left).await;
+        assert!(leave(&proxy).await);
+        assert!(peer.send(1, 1, 1));
+        peer.wait_for_responses(1).await;
+        assert_eq!(peer.ids(Verdict::OtherInstance).len(), 1, "refused, to go elsewhere");
+        assert_eq!(log.lock().unwrap().begun, 0);
+    });
+}
+
+/// Whether a heartbeat is acknowledged; the stand-ins go on meanwhile.
+async fn heartbeat(proxy: &Proxy, state: &'static str, call_count: u64) -> bool {
+    let site = proxy.site.clone();
+    let call = move || site.send_heartbeat_as(state, call_count);
+    tokio::task::spawn_blocking(call).await.unwrap()
+}
+
+/// Whether the backend's leave is acknowledged.
+async fn leave(proxy: &Proxy) -> bool {
+    let site = proxy.site.clone();
+    let path = format!("POST /notchspool/rpc?call=instances.leave&of={INSTANCE}");
+    let call = move || site.http("8306", &path, "{}").as_deref() == Some("200");
+    tokio::task::spawn_blocking(call).await.unwrap()
+}
