Registry: a warm-up is told by what is left of it, and outlasts its proxy's restart

Cause: recall() set it to nothing; the registry kept the figure, which counts from the message, without the time of that message.

Change: the registry knows when an endpoint was reported and tells what is left; recall() takes it.

--- a/crates/control-plane/src/replica/endpoints.rs
+++ b/crates/control-plane/src/replica/endpoints.rs
@@ -103,7 +103,7 @@
             let registry = &self.endpoints.registry;
             let update = updates.entry(watch.version).or_insert_with(|| EndpointUpdate {
                 numbered_by: self.boot_id,
-                ..registry.update_since(watch.version)
+                ..registry.update_since(now, watch.version)
             });
             self.outbox.send(connection, Payload::EndpointUpdate(update.clone()));
             watch.version = version;
--- a/crates/control-plane/src/replica/mod.rs
+++ b/crates/control-plane/src/replica/mod.rs
@@ -342,7 +342,7 @@
         let replica = (!is_proxy).then(|| hello.address.clone());
         self.connections.on_hello(now, connection, is_proxy, replica);
         let registry = self.endpoints.registry();
-        let recalled = registry.endpoint_beside(&hello.address).filter(|_| is_proxy).cloned();
+        let recalled = registry.endpoint_beside(now, &hello.address).filter(|_| is_proxy);
         self.outbox.send(connection, self.welcome(recalled));
         if !is_proxy {
             self.peers.on_hello(now, hello);
--- a/crates/data-plane/src/local_backend.rs
+++ b/crates/data-plane/src/local_backend.rs
@@ -76,7 +76,7 @@
             zone: endpoint.zone.clone(),
             slots: endpoint.slots,
             draining: endpoint.state() == EndpointState::Draining,
-            warmup: Micros(0),
+            warmup: Micros::ms(i64::from(endpoint.warmup_ms).min(MAX_WARMUP_MS)),
             call_count: endpoint.call_count,
         }))
     }
--- a/crates/endpoint-registry/src/registry.rs
+++ b/crates/endpoint-registry/src/registry.rs
@@ -6,7 +6,7 @@
 //! - an instance that was reported as draining is draining until it has left or is forgotten;
 //! - nobody is marked as missing by a replica that does not reach a majority of the replicas, that has itself stood still, or while another
 //!   replica hears of it;
-//! - [`Registry::update_since`] and then every later change give what `update_since(0)` gives.
+//! - [`Registry::update_since`] and then every later change give what an update since version 0 gives.
 use std::collections::BTreeMap;
 
 use notchspool::units::Micros;
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 struct Registration {
     endpoint: Endpoint,
+    /// When the endpoint was reported as it is here, but for a mark of this replica.
+    reported_at: Micros,
     /// When its proxy was heard last, here or by another replica.
     last_seen_at: Micros,
     /// The version with which it changed last.
@@ -34,6 +36,13 @@
 }
 
 impl Registration {
+    /// The endpoint as it is to be told now: a warm-up is counted from the message that tells it.
+    fn endpoint_at(&self, now: Micros) -> Endpoint {
+        let age_ms = ((now - self.reported_at).0 / 1000).clamp(0, i64::from(u32::MAX)) as u32;
+        let warmup_ms = self.endpoint.warmup_ms.saturating_sub(age_ms);
+        Endpoint { warmup_ms, ..self.endpoint.clone() }
+    }
+
     fn is_forgettable(&self, now: Micros) -> bool {
         match self.endpoint.state() {
             EndpointState::Missing | EndpointState::Left => now - self.changed_at >= FORGET_AFTER,
@@ -85,7 +94,8 @@
                 self.version += 1;
                 let instance = endpoint.instance.clone();
                 let version = self.version;
-                let registration = Registration { endpoint, last_seen_at: now, version, changed_at: now };
+                let registration =
+                    Registration { endpoint, reported_at: now, last_seen_at: now, version, changed_at: now };
                 self.registrations.insert(instance, registration);
                 true
             }
@@ -137,21 +147,21 @@
     }
 
     /// What a follower lacks that has this version; all of it where that can't be told by changes.
-    pub fn update_since(&self, since: u64) -> EndpointUpdate {
+    pub fn update_since(&self, now: Micros, since: u64) -> EndpointUpdate {
         let complete = since == 0 || since < self.complete_below || since > self.version;
         let changed_since = self.registrations.values().filter(|known| complete || known.version > since);
-        let endpoints = changed_since.map(|known| known.endpoint.clone()).collect();
+        let endpoints = changed_since.map(|known| known.endpoint_at(now)).collect();
         EndpointUpdate { version: self.version, complete, endpoints, numbered_by: 0 }
     }
 
     /// What is known of the backend beside this proxy: of several instances, the one that the proxy reported last; none that has left.
-    pub fn endpoint_beside(&self, proxy: &str) -> Option<&Endpoint> {
+    pub fn endpoint_beside(&self, now: Micros, proxy: &str) -> Option<Endpoint> {
         let here = self
             .registrations
             .values()
             .filter(|known| known.endpoint.proxy == proxy && known.endpoint.state() != EndpointState::Left);
         let last = here.max_by_key(|known| (known.last_seen_at, known.endpoint.call_count))?;
-        Some(&last.endpoint)
+        Some(last.endpoint_at(now))
     }
 
     /// All endpoints, by instance.
--- a/crates/endpoint-registry/tests/drain.rs
+++ b/crates/endpoint-registry/tests/drain.rs
@@ -38,7 +38,7 @@
     // The proxy of an earlier build reports this as it ends, and this as it is back.
     assert!(!registry.report(Micros::ms(2), endpoint(EndpointState::Away, 2)));
     assert!(!registry.report(Micros::ms(3), endpoint(EndpointState::Ready, 3)));
-    let recalled = registry.endpoint_beside(PROXY).map(Endpoint::state);
+    let recalled = registry.endpoint_beside(Micros::ms(4), PROXY).map(|endpoint| endpoint.state());
     assert_eq!(recalled, Some(EndpointState::Draining));
     assert!(registry.report(Micros::ms(4), endpoint(EndpointState::Left, 2)));
     assert!(!registry.report(Micros::ms(5), endpoint(EndpointState::Draining, 9)));
@@ -118,8 +118,8 @@
     registry.report(Micros(0), endpoint(EndpointState::Draining, 900));
     let successor = Endpoint { instance: "i-2".into(), ..endpoint(EndpointState::Ready, 1) };
     registry.report(Micros::ms(700), successor);
-    let recalled = registry.endpoint_beside(PROXY).map(|endpoint| endpoint.instance.as_str());
-    assert_eq!(recalled, Some("i-2"));
+    let recalled = registry.endpoint_beside(Micros::ms(700), PROXY).map(|endpoint| endpoint.instance);
+    assert_eq!(recalled.as_deref(), Some("i-2"));
 }
 
 /// Guards against: an endpoint that drained and is on no replica's list any more counts as missing, and may be frozen on the list.
@@ -187,7 +187,7 @@
                 }
             }
             if now < FORGET_AFTER {
-                list.apply(registry.update_since(list.version()));
+                list.apply(registry.update_since(now, list.version()));
                 let listed = list.get("i-1").map(|endpoint| stage(endpoint.state()));
                 return state_in(&registry).map(stage) == Some(furthest) && listed == Some(furthest);
             }
--- a/crates/proxy/tests/recall.rs
+++ b/crates/proxy/tests/recall.rs
@@ -128,6 +128,21 @@
     });
 }
 
+/// Guards against: a backend that warms up is taken for warm once its proxy was restarted, and gets its whole part at once.
+#[test]
+fn a_recalled_backend_goes_on_warming_up() {
+    run(async {
+        let addresses = Addresses::new(6);
+        let cold = Endpoint { warmup_ms: 20_000, ..addresses.endpoint(EndpointState::Ready) };
+        let first = StandInReplica::start(&addresses.replicas, 0, Some(cold.clone())).await;
+        let _second = StandInReplica::start(&addresses.replicas, 1, Some(cold)).await;
+        let _proxy = Proxy::start(addresses.site());
+        wait_for_report(&first, EndpointState::Ready).await;
+        let warmup_ms = first.reported()[0].warmup_ms;
+        assert!((10_000..=20_000).contains(&warmup_ms), "{warmup_ms} ms of warm-up are left");
+    });
+}
+
 /// Guards against: a drain or a leave is acknowledged, its proxy loses power, and its next run finds nobody who knows of it.
 #[test]
 fn a_departure_is_acknowledged_once_a_majority_knows_of_it() {
