Registry: one that drains and is heard no more has left after 90 s, and lists are told

Need: since a drain is not marked as missing, an instance that ended without an acknowledged leave was forgotten by the replicas without a new version, and stayed on the lists of proxies that were up to date until they got a complete update.

Change: after 90 s without a word of its proxy it is marked as having left, with a version; 90 s later it is forgotten as any other.

Measured: a_drain_outlasts_the_silence_of_its_proxy asks for both and passes.

--- a/crates/endpoint-registry/src/registry.rs
+++ b/crates/endpoint-registry/src/registry.rs
@@ -3,7 +3,7 @@
 //! It numbers them by a version that is never behind any version it has heard of, so that the numbers that a proxy sees rise whichever
 //! replica it follows. Invariants:
 //! - an older report on an instance changes nothing;
-//! - an instance that was reported as draining is draining until it has left or is forgotten;
+//! - an instance that was reported as draining is draining until it has left;
 //! - nobody is marked as missing by a replica that does not reach a majority of the replicas, that has itself stood still, or while another
 //!   replica hears of it;
 //! - [`Registry::update_since`] and then every later change give what an update since version 0 gives.
@@ -16,6 +16,8 @@
 
 /// A proxy that nobody has heard for this long is missing, with its backend.
 pub const MISSING_AFTER: Micros = Micros::ms(3_000);
+/// One that drains and whose proxy nobody has heard for this long has left.
+const DRAIN_ENDS_AFTER: Micros = Micros::ms(90_000);
 /// An endpoint that is gone is told for this long, then forgotten.
 pub const FORGET_AFTER: Micros = Micros::ms(90_000);
 /// A step of time longer than this means that this process stood still: it has heard nobody, and knows nothing.
@@ -44,17 +46,21 @@
     }
 
     fn is_forgettable(&self, now: Micros) -> bool {
-        match self.endpoint.state() {
-            EndpointState::Missing | EndpointState::Left => now - self.changed_at >= FORGET_AFTER,
-            EndpointState::Draining => now - self.last_seen_at >= FORGET_AFTER,
-            EndpointState::Ready | EndpointState::Away | EndpointState::Unknown => false,
-        }
+        let is_gone = matches!(self.endpoint.state(), EndpointState::Missing | EndpointState::Left);
+        is_gone && now - self.changed_at >= FORGET_AFTER
     }
 
-    /// Whether it is to be marked as missing. One that drains is not: it gets nothing new anyway, and the mark would hide that it drains.
-    fn is_silent(&self, now: Micros) -> bool {
-        let is_live = matches!(self.endpoint.state(), EndpointState::Ready | EndpointState::Away);
-        is_live && now - self.last_seen_at >= MISSING_AFTER
+    /// What becomes of it by the silence of its proxy, if anything. One that drains is not marked as missing: it gets nothing new anyway, and
+    /// the mark would hide that it drains.
+    fn state_by_silence(&self, now: Micros) -> Option<EndpointState> {
+        let silence = now - self.last_seen_at;
+        match self.endpoint.state() {
+            EndpointState::Ready | EndpointState::Away => {
+                (silence >= MISSING_AFTER).then_some(EndpointState::Missing)
+            }
+            EndpointState::Draining => (silence >= DRAIN_ENDS_AFTER).then_some(EndpointState::Left),
+            EndpointState::Missing | EndpointState::Left | EndpointState::Unknown => None,
+        }
     }
 }
 
@@ -121,16 +127,17 @@
         if step >= STALL || !reaches_majority {
             self.blind_until = now + MISSING_AFTER;
         }
-        let changed = now >= self.blind_until && self.mark_missing(now);
+        let changed = now >= self.blind_until && self.mark_silent(now);
         self.forget_gone(now);
         changed
     }
 
-    fn mark_missing(&mut self, now: Micros) -> bool {
+    fn mark_silent(&mut self, now: Micros) -> bool {
         let mut changed = false;
-        for known in self.registrations.values_mut().filter(|known| known.is_silent(now)) {
+        for known in self.registrations.values_mut() {
+            let Some(state) = known.state_by_silence(now) else { continue };
             self.version += 1;
-            known.endpoint.set_state(EndpointState::Missing);
+            known.endpoint.set_state(state);
             known.version = self.version;
             known.changed_at = now;
             changed = true;
--- a/crates/endpoint-registry/tests/drain.rs
+++ b/crates/endpoint-registry/tests/drain.rs
@@ -56,9 +56,11 @@
         registry.tick(now, true);
         assert_eq!(state_in(&registry), Some(EndpointState::Draining), "at {now:?}");
     }
-    // Nobody has heard of it for so long: it has ended.
+    // Nobody has heard of it for so long: it has ended, and the lists that have it are told.
+    let listed = registry.version();
     registry.tick(now + Micros::ms(500), true);
-    assert_eq!(state_in(&registry), None);
+    assert_eq!(state_in(&registry), Some(EndpointState::Left));
+    assert_eq!(registry.update_since(now, listed).endpoints.len(), 1);
 }
 
 #[test]
