--- a/crates/cli/src/lab/mesh.rs
+++ b/crates/cli/src/lab/mesh.rs
@@ -27,8 +27,11 @@
     /// Changes of who votes: wipes, removals, successors, cuts.
     #[arg(long, conflicts_with = "storms")]
     members: bool,
-    /// The data plane instead: proxies, links and backends, judged by who got which answer and what ran twice.
+    /// Backends that drain and leave while their proxies and the replicas are lost.
     #[arg(long, conflicts_with_all = ["storms", "members"])]
+    departures: bool,
+    /// The data plane instead: proxies, links and backends, judged by who got which answer and what ran twice.
+    #[arg(long, conflicts_with_all = ["storms", "members", "departures"])]
     traffic: bool,
     /// Processors to use; 0: all.
     #[arg(long, default_value_t = 0)]
@@ -49,9 +52,10 @@
 
 /// Plays drawn days of the mesh on several threads.
 pub fn run(args: &MeshArgs) -> ExitCode {
-    let play = match (args.storms, args.members, args.traffic) {
+    let play = match (args.storms, args.members, args.departures, args.traffic) {
         (true, ..) => mesh::storms,
-        (_, true, _) => mesh::drawn_members,
+        (_, true, ..) => mesh::drawn_members,
+        (_, _, true, _) => mesh::drawn_departures,
         (.., true) => traffic_day,
         _ => mesh::drawn,
     };
--- a/crates/lab/src/mesh/mod.rs
+++ b/crates/lab/src/mesh/mod.rs
@@ -1,6 +1,7 @@
 //! The mesh in virtual time: replicas (their whole `Office`) and proxies (their decisions) with links, disks and clocks that fail. Played by
 //! timelines drawn as text, one column an agent, and by drawn ones; one checker for all. `traffic` is the data plane, with a player and a judge of its own.
 mod changes;
+mod departures;
 mod disk;
 mod drawn;
 mod player;
@@ -10,6 +11,7 @@
 pub mod traffic;
 
 pub use changes::{Figures, Return, changes};
+pub use departures::{drawn_departures, drawn_departures_with};
 pub use disk::{Disk, Store, WriteReport};
 pub use drawn::{drawn, drawn_members, drawn_members_with};
 pub use player::{Breach, Player, routes};
--- a/crates/lab/src/mesh/player.rs
+++ b/crates/lab/src/mesh/player.rs
@@ -17,6 +17,7 @@
 use notchspool_storage::MembershipRecord;
 use oorandom::Rand64;
 
+use super::departures::Departures;
 use super::disk::{Disk, Store};
 use super::proxy::{HEARTBEAT_INTERVAL, Proxy};
 
@@ -45,7 +46,7 @@
 const TEXTS: (usize, usize) = (4, 2);
 
 /// One end of a link: core or proxy, by place, and its number of the connection.
-type End = (bool, usize, u64);
+pub(super) type End = (bool, usize, u64);
 
 struct Link {
     ends: [End; 2],
@@ -90,6 +91,7 @@
     announced: BTreeMap<u64, String>,
     pub ran: BTreeMap<String, Vec<Micros>>,
     pub violations: Vec<String>,
+    pub departures: Departures,
     pub breach: Breach,
     /// A planted fault of those that start from now on: a text is taken whatever its digest says.
     trusting: bool,
@@ -125,6 +127,10 @@
     NumberNotChecked,
     /// One that leaves ends at once.
     NotHandedOver,
+    /// That a backend drains or leaves is acknowledged before anybody else knows of it.
+    AcknowledgesDeparturesAtOnce,
+    /// A proxy that starts takes its backend for ready as soon as one replica does.
+    BelievesAnyReplica,
 }
 
 /// An operator's call that has no answer yet.
@@ -195,6 +201,7 @@
             announced: BTreeMap::new(),
             ran: BTreeMap::new(),
             violations: Vec::new(),
+            departures: Departures::default(),
             breach: Breach::Nothing,
             trusting: false,
             logs: Vec::new(),
@@ -362,7 +369,7 @@
         if end.0 { &mut self.cores[end.1].texts } else { &mut self.proxies[end.1].texts }
     }
 
-    fn send(&mut self, from: End, mut what: Payload) {
+    pub(super) fn send(&mut self, from: End, mut what: Payload) {
         match &mut what {
             Payload::Welcome(w) if from.0 && w.confirmed => self.vouches(from.1, w.chosen_version),
             Payload::KnownVersion(h) if from.0 && h.confirmed => self.vouches(from.1, h.version),
@@ -390,7 +397,7 @@
     }
 
     /// Sends to all voters that a proxy is connected with.
-    fn tell(&mut self, proxy: usize, what: Payload) {
+    pub(super) fn tell(&mut self, proxy: usize, what: Payload) {
         let ends = self.to_voters(proxy);
         ends.into_iter().for_each(|end| self.send(end, what.clone()));
     }
@@ -447,11 +454,18 @@
                 {
                     self.tell(at, Payload::Endpoint(station));
                 }
+                let replica = self.cores[from.1].address.clone();
+                self.on_recalled(at, &replica, welcome.recalled.as_ref());
                 if let Some(station) = self.proxies[at].station() {
                     self.send(to, Payload::Endpoint(station));
                 }
+                self.ask_for_confirmation(to);
                 self.holding(to, welcome.chosen_version, welcome.confirmed);
             }
+            Payload::Pong(pong) => {
+                let replica = self.cores[from.1].address.clone();
+                self.on_confirmation(at, &replica, pong.number);
+            }
             Payload::KnownVersion(holding) => self.holding(to, holding.version, holding.confirmed),
             Payload::ConfigUpdate(word) => {
                 let body = word.checked_body().unwrap_or_default();
@@ -860,6 +874,7 @@
             }
         };
         what.into_iter().for_each(|what| self.tell(proxy, what));
+        self.acknowledge_departure(proxy, instance);
     }
 
     // ---- Time -------------------------------------------------------------------------------------------
@@ -1074,9 +1089,11 @@
             return;
         }
         let mut announced = Vec::new();
+        let mut has_beaten = false;
         if now >= self.proxies[at].next_heartbeat {
             self.proxies[at].next_heartbeat = now + HEARTBEAT_INTERVAL;
             announced.extend(self.proxies[at].heartbeat_payload(now));
+            has_beaten = true;
         }
         if (now.0 / 1_000) % 100 == 0 {
             let proxy = &mut self.proxies[at];
@@ -1089,6 +1106,10 @@
             announced.push(Payload::Ping(Ping { number: 1 }));
         }
         announced.into_iter().for_each(|what| self.tell(at, what));
+        if let Some((instance, ..)) = self.proxies[at].backend.clone().filter(|_| has_beaten) {
+            self.acknowledge_departure(at, &instance);
+        }
+        self.judge_departure(at);
         for (address, claim) in self.proxies[at].again(now) {
             let ends = self.to_voters(at);
             let to = |l: &&Link| ends.contains(&l.ends[0]) && self.cores[l.ends[1].1].address == address;
--- a/crates/lab/src/mesh/proxy.rs
+++ b/crates/lab/src/mesh/proxy.rs
@@ -2,15 +2,19 @@
 use std::collections::BTreeMap;
 
 use notchspool::units::Micros;
+use notchspool_data_plane::report_confirmation::ReportConfirmations;
 use notchspool_data_plane::retry_budget::RetryBudget;
 use notchspool_data_plane::service_balancer::{AttemptEnd, BalancerAction, ServiceBalancer};
 use notchspool_endpoint_registry::endpoint_list::EndpointList;
 use notchspool_endpoint_registry::heartbeats::{Event, Heartbeat, HeartbeatTracker};
+use notchspool_endpoint_registry::recall::Recollection;
 use notchspool_idempotency::claim_proposal::{ClaimProposal, Outcome as ClaimOutcome};
 use notchspool_idempotency::response_cache::{OperationState, ResponseCache};
 use notchspool_mesh_protocol::text_transfer::TextStore;
 use notchspool_mesh_protocol::{Claim, Endpoint, EndpointState, Payload, Ticket};
 
+use super::departures::OpenDeparture;
+
 /// A claim that is waited for.
 pub struct Hand {
     pub key: String,
@@ -50,6 +54,11 @@
     /// What the last request for a key was answered.
     pub answers: BTreeMap<String, String>,
     pub texts: TextStore,
+    /// What the replicas recall of the backend, and which of them have taken what was reported of it.
+    pub recollection: Recollection,
+    pub confirmations: ReportConfirmations,
+    /// A departure of the backend that is to be acknowledged.
+    pub departure: Option<OpenDeparture>,
     next: u64,
 }
 
@@ -83,6 +92,9 @@
             runs: Vec::new(),
             answers: BTreeMap::new(),
             texts: TextStore::new(2),
+            recollection: Recollection::default(),
+            confirmations: ReportConfirmations::default(),
+            departure: None,
             next: 0,
         }
     }
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -1,7 +1,8 @@
 //! Timelines of the mesh, and drawn ones. No bench, no sleep: virtual time.
 use notchspool::units::Micros;
 use notchspool_lab::mesh::{
-    Breach, Disk, Timeline, changes, drawn, drawn_members, drawn_members_with, play, storms,
+    Breach, Disk, Timeline, changes, drawn, drawn_departures, drawn_departures_with, drawn_members,
+    drawn_members_with, play, storms,
 };
 use rstest::rstest;
 
@@ -318,3 +319,21 @@
         assert!(seen, "{breach:?} was noticed by none of 24");
     }
 }
+
+/// Guards against: a backend that said that it drains or leaves takes requests again, after whatever losses of its proxy and of replicas.
+#[test]
+fn drawn_departures_break_no_promise() {
+    for seed in 1..=24 {
+        let violations = drawn_departures(seed);
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
+#[test]
+fn drawn_departures_notice_a_safeguard_that_is_off() {
+    for breach in [Breach::AcknowledgesDeparturesAtOnce, Breach::BelievesAnyReplica] {
+        let is_noticed =
+            |seed| drawn_departures_with(seed, breach).iter().any(|w| w.contains("takes requests"));
+        assert!((1..=40).any(is_noticed), "{breach:?} was noticed by none of 40");
+    }
+}
