Lists: an instance that has left is remembered though no replica lists it any more

Cause: a complete update, as replicas that have started again send it, took from the lists of proxies also what they knew of instances on their way out.

Test changed: an_older_list_changes_nothing_and_an_older_report_on_one_neither expected that an instance that drains and is on no complete update is missing; missing ones may be frozen on the list, which one that drains must not be, and since it has left. The row asks for that now, and for one that was ready, which is missing as before.

Measured: who_has_left_is_remembered_though_no_replica_knows_of_it fails before and passes after.

--- a/crates/data-plane/tests/service_balancer.rs
+++ b/crates/data-plane/tests/service_balancer.rs
@@ -166,9 +166,9 @@
     let update =
         |version, complete, endpoints| EndpointUpdate { version, complete, endpoints, numbered_by: 1 };
     let take = list
-        .apply(update(5, true, vec![ready("a"), endpoint("b", 6, 0, EndpointState::Draining, 7)]))
+        .apply(update(5, true, vec![ready("a"), endpoint("b", 6, 0, EndpointState::Draining, 7), ready("c")]))
         .unwrap();
-    assert_eq!(take.updated.len(), 2);
+    assert_eq!(take.updated.len(), 3);
     assert_eq!(list.apply(update(4, true, vec![])), None);
     // Another replica, a later number, but what it says of b is older.
     let take = list.apply(update(6, false, vec![endpoint("b", 6, 0, EndpointState::Ready, 3)])).unwrap();
@@ -176,7 +176,7 @@
     let take = list.apply(update(7, true, vec![ready("a")])).unwrap();
     assert_eq!(
         take.removed.iter().map(|s| (s.instance.as_str(), s.state())).collect::<Vec<_>>(),
-        [("b", EndpointState::Missing)]
+        [("b", EndpointState::Left), ("c", EndpointState::Missing)]
     );
     assert_eq!(list.version(), 7);
 }
--- a/crates/endpoint-registry/tests/drain.rs
+++ b/crates/endpoint-registry/tests/drain.rs
@@ -1,7 +1,7 @@
 //! An instance that drains does so until it has left, whatever is said of it later, in whatever order, and by proxies and replicas of earlier
 //! builds too.
 use notchspool::units::Micros;
-use notchspool_endpoint_registry::endpoint_list::EndpointList;
+use notchspool_endpoint_registry::endpoint_list::{EndpointList, MAX_DEPARTED};
 use notchspool_endpoint_registry::heartbeats::{Event, Heartbeat, HeartbeatTracker};
 use notchspool_endpoint_registry::registry::{FORGET_AFTER, MISSING_AFTER, Registry};
 use notchspool_mesh_protocol::{Endpoint, EndpointState, EndpointUpdate};
@@ -135,6 +135,34 @@
     assert_eq!(removed, [EndpointState::Left]);
 }
 
+/// Guards against: all replicas start again with nothing, their complete list makes a proxy forget who has left, and the instance is ready again.
+#[test]
+fn who_has_left_is_remembered_though_no_replica_knows_of_it() {
+    for last in [EndpointState::Draining, EndpointState::Left] {
+        let mut list = EndpointList::default();
+        let update =
+            |version, complete, endpoints| EndpointUpdate { version, complete, endpoints, numbered_by: 1 };
+        list.apply(update(1, true, vec![endpoint(EndpointState::Ready, 1)])).unwrap();
+        list.apply(update(2, false, vec![endpoint(last, 2)])).unwrap();
+        list.apply(update(3, true, Vec::new())).unwrap();
+        let changes = list.apply(update(4, false, vec![endpoint(EndpointState::Ready, 9)])).unwrap();
+        assert_eq!(changes.updated, []);
+        assert_eq!(list.get("i-1").map(Endpoint::state), Some(EndpointState::Left));
+    }
+}
+
+#[test]
+fn a_bounded_number_of_departed_instances_is_remembered() {
+    let mut list = EndpointList::default();
+    for n in 0..2 * MAX_DEPARTED as u64 {
+        let left = Endpoint { instance: format!("i-{n}"), ..endpoint(EndpointState::Left, 1) };
+        list.apply(EndpointUpdate { version: 1 + n, endpoints: vec![left], ..EndpointUpdate::default() })
+            .unwrap();
+    }
+    assert_eq!(list.endpoints().count(), MAX_DEPARTED);
+    assert!(list.get("i-0").is_none() && list.get(&format!("i-{}", 2 * MAX_DEPARTED - 1)).is_some());
+}
+
 /// What may be said of an instance, by old and new builds, or happens to a replica.
 #[derive(Clone, Copy, Debug)]
 enum Step {
