--- a/crates/lab/src/mesh/departures.rs
+++ b/crates/lab/src/mesh/departures.rs
@@ -21,6 +21,8 @@
 const STEPS: usize = 220;
 /// A core machine counts as lost for so long after its return.
 const CATCH_UP: Micros = Micros::ms(4_000);
+/// More calls than a backend makes in a day.
+const LATE_CALL_COUNT: u64 = 10_000;
 /// A day in which fewer departures are acknowledged shows nothing.
 const MIN_DEPARTURES: usize = 3;
 
@@ -146,20 +148,14 @@
 
 /// The same with a safeguard that is off.
 pub fn drawn_departures_with(seed: u64, breach: Breach) -> Vec<String> {
-    let mut day = Day::new(seed, breach);
-    for _ in 0..STEPS {
-        let pause_ms = 20 + day.below(180) as i64;
-        let next = day.player.now + Micros::ms(pause_ms);
-        day.player.play(next);
-        day.repair();
-        day.step();
-    }
-    day.player.settle();
-    let departures = day.player.departures.acknowledged.len();
-    if departures < MIN_DEPARTURES {
-        day.player.violations.push(format!("too little came about: {departures} departures"));
-    }
-    day.player.violations
+    Day::new(seed, breach).play()
+}
+
+/// The same where heartbeats of backends that leave first, and say that they are ready, go on coming after that.
+pub fn drawn_departures_with_late_heartbeats(seed: u64) -> Vec<String> {
+    let mut day = Day::new(seed, Breach::Nothing);
+    day.has_late_heartbeats = true;
+    day.play()
 }
 
 struct Day {
@@ -172,6 +168,8 @@
     back: Vec<(Micros, usize)>,
     /// No core machine is lost before.
     calm_until: Micros,
+    /// Heartbeats of a backend that leaves first go on coming.
+    has_late_heartbeats: bool,
 }
 
 impl Day {
@@ -182,11 +180,30 @@
         let chance = Rand64::new(u128::from(seed) * 53 + 11);
         let (back, calm_until) = (Vec::new(), Micros(0));
         let stages = [Stage::Ready; PROXIES];
-        let mut day = Day { player, chance, stages, instances: [0; PROXIES], back, calm_until };
+        let instances = [0; PROXIES];
+        let has_late_heartbeats = false;
+        let mut day = Day { player, chance, stages, instances, back, calm_until, has_late_heartbeats };
         (0..PROXIES).for_each(|proxy| day.call(proxy, "beat"));
         day
     }
 
+    /// Plays the day: what was broken.
+    fn play(mut self) -> Vec<String> {
+        for _ in 0..STEPS {
+            let pause_ms = 20 + self.below(180) as i64;
+            let next = self.player.now + Micros::ms(pause_ms);
+            self.player.play(next);
+            self.repair();
+            self.step();
+        }
+        self.player.settle();
+        let departures = self.player.departures.acknowledged.len();
+        if departures < MIN_DEPARTURES {
+            self.player.violations.push(format!("too little came about: {departures} departures"));
+        }
+        self.player.violations
+    }
+
     fn below(&mut self, n: u64) -> u64 {
         (self.chance.rand_float() * n as f64) as u64
     }
@@ -229,6 +246,10 @@
                 self.stages[proxy] = Stage::Draining(now);
                 let leaves_first = self.below(4) == 0;
                 self.call(proxy, if leaves_first { "leave" } else { "drain" });
+                if leaves_first && self.has_late_heartbeats {
+                    let instance = format!("i-{proxy}-{}", self.instances[proxy]);
+                    self.player.proxies[proxy].backend = Some((instance, false, LATE_CALL_COUNT));
+                }
                 self.delay_heartbeat(proxy);
                 if self.below(3) == 0 {
                     self.kill_after_acknowledgement(proxy);
--- a/crates/lab/tests/mesh.rs
+++ b/crates/lab/tests/mesh.rs
@@ -1,8 +1,8 @@
 //! Timelines of the mesh, and drawn ones. No bench, no sleep: virtual time.
 use notchspool::units::Micros;
 use notchspool_lab::mesh::{
-    Breach, Disk, Timeline, changes, drawn, drawn_departures, drawn_departures_with, drawn_members,
-    drawn_members_with, play, storms,
+    Breach, Disk, Timeline, changes, drawn, drawn_departures, drawn_departures_with,
+    drawn_departures_with_late_heartbeats, drawn_members, drawn_members_with, play, storms,
 };
 use rstest::rstest;
 
@@ -329,6 +329,15 @@
     }
 }
 
+/// Guards against: a backend that left takes requests again, since all replicas and its proxy have ended and a heartbeat comes late.
+#[test]
+fn late_heartbeats_of_drawn_departures_break_no_promise() {
+    for seed in 1..=24 {
+        let violations = drawn_departures_with_late_heartbeats(seed);
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
 #[test]
 fn drawn_departures_notice_a_safeguard_that_is_off() {
     for breach in [Breach::AcknowledgesDeparturesAtOnce, Breach::BelievesAnyReplica] {
