--- a/crates/data-plane/src/control_client.rs
+++ b/crates/data-plane/src/control_client.rs
@@ -272,7 +272,7 @@
     }
 
     /// Waits until a majority of the voters knows what is known here of the backend; false where that takes over
-    /// [`CONFIRM_REPORT_WITHIN`].
+    /// `CONFIRM_REPORT_WITHIN`.
     pub async fn confirm_report(&self) -> bool {
         let confirmed = tokio::time::timeout(CONFIRM_REPORT_WITHIN, async {
             // What came meanwhile has to be known too: a replica that connects may recall what was not known here.
