Mesh: who refuses, who waits and what broke off stands in log and figures

Need: a record in which every request is refused at once didn't tell why, nor a request cut at its backend by whom. A replica that waits for its disk, for states or for others said nothing; a proxy only if verbose. Change: `Impediment` of a replica, logged after a second and each five, and in figures of its own at the operator's address; a disk that is silent or slow, checkpoints of the claims; at a proxy one line each five seconds where most is refused, and up to eight about requests that broke off, were left without an answer, or were open on a link that ended. No decision has changed. Measured: tests of data-plane, control-plane and storage pass.

--- a/crates/control-plane/src/replica/installation.rs
+++ b/crates/control-plane/src/replica/installation.rs
@@ -80,6 +80,11 @@
         self.sealed.as_ref()
     }
 
+    /// How many states were told.
+    pub fn state_count(&self) -> usize {
+        self.states.len()
+    }
+
     /// Keeps or drops what it had under the set before.
     pub fn set_sealed(&mut self, sealed: Option<SealedState>) {
         self.sealed = sealed;
--- a/crates/control-plane/src/replica/mod.rs
+++ b/crates/control-plane/src/replica/mod.rs
@@ -4,9 +4,10 @@
 //! leaves before the disk has it.
 //!
 //! Each part owns its state: `connections` (peer contact), `peers` (the other replicas), `membership` (voter sets) with `voting` (the place
-//! in them), `config` (the register of configurations), `claims`, `endpoints`, `installation` (state transfer between sets), `handover` and
-//! `writes` (what waits for the disk). [`Replica`] passes events on to them; what concerns several parts is a method of it in the file of
+//! in them), `config` (the register of configurations), `claims`, `endpoints`, `installation` (state transfer between sets), `handover`,
+//! `writes` (what waits for the disk) and `availability` (why it does not serve, for the log). [`Replica`] passes events on to them; what concerns several parts is a method of it in the file of
 //! the part that leads.
+mod availability;
 mod claims;
 mod config;
 mod connections;
@@ -30,6 +31,8 @@
 use oorandom::Rand64;
 
 use crate::wire;
+use availability::Availability;
+pub use availability::{Impediment, Seal};
 use claims::Claims;
 use config::ConfigRegister;
 pub use config::ConfirmedVersion;
@@ -112,6 +115,7 @@
     transfer: StateTransfer,
     handover: Handover,
     writes: PendingWrites,
+    availability: Availability,
     outbox: Outbox,
     counters: Counters,
 }
@@ -140,6 +144,7 @@
             transfer: StateTransfer::new(now),
             handover: Handover::new(now),
             writes: PendingWrites::default(),
+            availability: Availability::default(),
             outbox: Outbox::default(),
             counters: Counters::default(),
         };
@@ -230,15 +235,43 @@
         &self.counters
     }
 
+    /// What is held now and sums since the start, a line each.
+    pub fn figures(&self, now: Micros) -> String {
+        let (set, counters) = (&self.membership.set, &self.counters);
+        let figures = [
+            ("configuration_version", self.chosen_version()),
+            ("configuration_confirmed", u64::from(self.config.is_confirmed())),
+            ("voter_set", set.number),
+            ("voters", set.members.len() as u64),
+            ("voters_reached", self.reached_voters(now) as u64),
+            ("votes", u64::from(self.is_voting())),
+            ("claims_held", self.claims.table().len() as u64),
+            ("endpoints", self.endpoints.registry().endpoints().count() as u64),
+            ("claims", counters.claims),
+            ("claims_held_by_other", counters.claims_held_by_other),
+            ("claims_withdrawn", counters.claims_withdrawn),
+            ("configs_proposed", counters.configs_proposed),
+            ("configs_invalid", counters.configs_invalid),
+            ("messages_dropped", counters.messages_dropped),
+            ("other_set_messages", counters.other_set_messages),
+        ];
+        let lines = figures.iter().map(|(name, value)| format!("{name} {value}\n"));
+        lines.collect::<String>()
+            + &self.impediment(now).map_or(String::new(), |reason| format!("impeded {reason}\n"))
+    }
+
     fn own_position(&self) -> Option<usize> {
         self.membership.own_position(&self.address)
     }
 
     /// Whether a majority of the voters, itself included, was heard lately.
     fn reaches_majority(&self, now: Micros) -> bool {
-        let own = usize::from(self.own_position().is_some());
-        let reached = self.connections.reached_voters(now) + own;
-        self.membership.is_known() && reached >= self.membership.set.majority()
+        self.membership.is_known() && self.reached_voters(now) >= self.membership.set.majority()
+    }
+
+    /// How many of the voters were heard lately, itself included.
+    fn reached_voters(&self, now: Micros) -> usize {
+        self.connections.reached_voters(now) + usize::from(self.own_position().is_some())
     }
 
     fn chosen_version(&self) -> u64 {
@@ -439,6 +472,7 @@
         self.update_watchers(now);
         self.tick_confirmation(now, jitter, reaches_majority);
         self.claims.tick(now);
+        self.tick_availability(now);
         if now >= self.next_report_at {
             self.report_to_voters(now);
         }
--- a/crates/control-plane/src/replica/writes.rs
+++ b/crates/control-plane/src/replica/writes.rs
@@ -56,6 +56,11 @@
         self.pending.remove(&id)
     }
 
+    /// The batch that has been waiting longest.
+    pub fn oldest(&self) -> Option<WriteId> {
+        self.pending.first_key_value().map(|(id, _)| *id)
+    }
+
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/crates/control-plane/src/server/operator_api.rs
+++ b/crates/control-plane/src/server/operator_api.rs
@@ -1,4 +1,4 @@
-//! What operators ask a replica over HTTP: `config.replace`, `config.read` and whether its version is the newest.
+//! What operators ask a replica over HTTP: `config.replace`, `config.read`, whether its version is the newest, and its figures.
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +25,7 @@
 const MAX_HEADER_BYTES: usize = 64 << 10;
 
 const READY_PATH: &str = "/notchspool/ready";
+const FIGURES_PATH: &str = "/notchspool/figures";
 const CALL_PATH: &str = "/notchspool/rpc";
 
 /// The answer to a call.
@@ -73,11 +74,11 @@
     }
 
     async fn answer(self: &Rc<Server>, request: Request<Incoming>) -> Answer {
-        if request.uri().path() == READY_PATH {
-            return self.readiness();
-        }
-        if request.uri().path() != CALL_PATH {
-            return Answer::new(404, "no such place");
+        match request.uri().path() {
+            READY_PATH => return self.readiness(),
+            FIGURES_PATH => return Answer::new(200, self.replica.borrow().figures(self.clock.now())),
+            CALL_PATH => {}
+            _ => return Answer::new(404, "no such place"),
         }
         if request.method() != Method::POST {
             return Answer::new(405, "calls are POST");
--- a/crates/data-plane/src/context.rs
+++ b/crates/data-plane/src/context.rs
@@ -9,6 +9,7 @@
 use notchspool_runtime::node_settings::NodeSettings;
 use oorandom::Rand64;
 
+use crate::event_log::EventLog;
 use crate::stall_detector::StallDetector;
 
 /// The surroundings of one proxy.
@@ -23,6 +24,8 @@
     stall_detector: Cell<StallDetector>,
     last_id: Cell<u64>,
     counters: RefCell<BTreeMap<&'static str, u64>>,
+    /// What the log says of single requests.
+    pub event_log: EventLog,
 }
 
 impl Context {
@@ -37,6 +40,7 @@
             stall_detector: Cell::new(StallDetector::new(clock.now())),
             last_id: Cell::new(0),
             counters: RefCell::default(),
+            event_log: EventLog::default(),
             settings: RefCell::new(settings),
         }
     }
--- a/crates/data-plane/src/inbound.rs
+++ b/crates/data-plane/src/inbound.rs
@@ -385,11 +385,20 @@
                 slot.set_took(took);
                 response.backend_us = took.0.max(0) as u64;
             }
-            Verdict::MayHaveRun => self.context.count("broke_off"),
+            Verdict::MayHaveRun => self.on_broke_off(request, took, &response.reason),
             _ => {}
         }
         drop(slot);
         let response = self.with_load(Response { id: request.id, ..response });
         PeerResponse { rest, ..response.into() }
     }
+
+    /// A request that was handed to the backend ended without an answer of it.
+    fn on_broke_off(&self, request: &Request, took: Micros, reason: &str) {
+        self.context.count("broke_off");
+        if self.context.event_log.may_write() {
+            let (attempt_id, ms) = (&request.attempt_id, took.0 / 1_000);
+            log::info!(target: "inbound", "{attempt_id} broke off at the backend after {ms} ms: {reason}");
+        }
+    }
 }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -3,7 +3,7 @@
 //! Decisions without I/O: [`attempts`] (what becomes of a client's request after each attempt), [`peer_exchange`] (what is open between two
 //! proxies), [`keyed_operation`] (a key beside its backend), [`backend_connection`] (what is open at the backend), [`admission`] (what may begin
 //! there), [`retry_budget`], [`service_balancer`] (the decision module for one service), [`stall_detector`], [`watched_replica`],
-//! [`shutdown`] (the end of a proxy in order).
+//! [`shutdown`] (the end of a proxy in order), [`event_log`] (what is said of single requests).
 //!
 //! Parts that own state: [`context`] (identity, settings, clock, counters), [`config_store`], [`services`] (endpoint list and balancers),
 //! [`local_backend`], [`running_requests`], [`link_load`], [`replicas`] and [`claim_client`] (the control plane as it is known here).
@@ -26,6 +26,7 @@
 pub mod config_store;
 pub mod context;
 pub mod control_client;
+pub mod event_log;
 pub mod headers;
 pub mod heartbeat;
 pub mod inbound;
--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -163,16 +163,14 @@
 
     /// Serves one request.
     pub async fn serve(self: Rc<Outbound>, request: hyper::Request<Incoming>) -> ClientResponse {
+        self.context.event_log.on_request();
         let Some(config) = self.config.current() else {
             self.context.count("no_configuration");
-            return client_response::refused("no configuration is known here yet", NO_CONFIG_RETRY_AFTER);
+            return self.refuse("no configuration is known here yet", NO_CONFIG_RETRY_AFTER);
         };
         if self.in_flight.get() >= MAX_IN_FLIGHT {
             self.context.count("in_hand_full");
-            return client_response::refused(
-                "too many requests are in hand here",
-                IN_FLIGHT_FULL_RETRY_AFTER,
-            );
+            return self.refuse("too many requests are in hand here", IN_FLIGHT_FULL_RETRY_AFTER);
         }
         self.in_flight.set(self.in_flight.get() + 1);
         let _counted = InFlightCount(self.clone());
@@ -203,7 +201,7 @@
         let need = Need { deadline, must_be_complete: route.kind == RouteKind::Download };
         if self.end.get().is_some_and(|end| !end.allows(need)) {
             self.context.count("refused_at_end");
-            return Err(client_response::refused("the proxy here ends", ENDING_RETRY_AFTER));
+            return Err(self.refuse("the proxy here ends", ENDING_RETRY_AFTER));
         }
         let headers = headers::forwarded(&head.parts.headers);
         let attempt_id = headers::single_value(&head.parts.headers, ATTEMPT_ID);
@@ -473,7 +471,7 @@
                 let (sent, left) = (attempts.sent(), delivery.client.deadline - self.context.now());
                 log::debug!(target: "outbound", "reject {route} {attempt_id} after {sent}: {reason}, {left:?} left");
                 self.on_answered(true);
-                client_response::refused(reason, self.retry_after(attempts.retry_after))
+                self.refuse(reason, self.retry_after(attempts.retry_after))
             }
             Action::InProgress => client_response::plain(409, "the operation is at work"),
             Action::ResponseLost => {
@@ -495,8 +493,12 @@
     ) -> ClientResponse {
         self.context.count(counter);
         let (route, attempt_id) = (&delivery.route.name, &delivery.client.attempt_id);
-        let waited = self.context.now() - delivery.client.received_at;
-        log::debug!(target: "outbound", "{counter} {route} {attempt_id} after {waited:?}: {status}, {reason}");
+        let waited_ms = (self.context.now() - delivery.client.received_at).0 / 1_000;
+        if counter != "responses_lost" && self.context.event_log.may_write() {
+            log::info!(target: "outbound", "{counter} {route} {attempt_id} after {waited_ms} ms: {status}, {reason}");
+        } else {
+            log::debug!(target: "outbound", "{counter} {route} {attempt_id} after {waited_ms} ms: {status}, {reason}");
+        }
         client_response::plain(status, reason)
     }
 
@@ -516,7 +518,7 @@
             Verdict::InProgress => client_response::plain(409, "the operation is at work"),
             // It has not run there in that run of the holder, and is withdrawn: the next try claims it anew.
             Verdict::NotRun if response.reason == NOT_RUN_HERE => {
-                client_response::refused(&response.reason, WITHDRAWN_RETRY_AFTER)
+                self.refuse(&response.reason, WITHDRAWN_RETRY_AFTER)
             }
             _ => {
                 let reason = "the operation may have run, and its answer is not known";
@@ -525,6 +527,12 @@
         }
     }
 
+    /// 503: it has not run and never will.
+    fn refuse(&self, reason: &str, retry_after: Micros) -> ClientResponse {
+        self.context.event_log.on_refused(reason);
+        client_response::refused(reason, retry_after)
+    }
+
     /// A request was answered, refused or not.
     fn on_answered(&self, refused: bool) {
         let before = self.refused_part.get();
--- a/crates/data-plane/src/peer_connections.rs
+++ b/crates/data-plane/src/peer_connections.rs
@@ -134,7 +134,12 @@
                 e.to_string()
             }
         };
-        log::debug!(target: "peers", "lose {address}: {end}");
+        let open = link.open_count();
+        if open > 0 && self.context.event_log.may_write() {
+            log::info!(target: "peers", "lose {address} with {open} requests open: {end}");
+        } else {
+            log::debug!(target: "peers", "lose {address}: {end}");
+        }
         link.apply(self.context.now(), OutgoingEvent::Closed);
         let mut links = self.links.borrow_mut();
         if links.get(&address).is_some_and(|current| Rc::ptr_eq(current, &link)) {
--- a/crates/data-plane/src/peer_exchange.rs
+++ b/crates/data-plane/src/peer_exchange.rs
@@ -146,6 +146,11 @@
         matches!(self.state, State::Connecting | State::Connected)
     }
 
+    /// How many exchanges are open.
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
     fn on_contact(&mut self, now: Micros) {
         self.last_seen_at = now;
         self.suspected_since = None;
--- a/crates/data-plane/src/peer_link.rs
+++ b/crates/data-plane/src/peer_link.rs
@@ -82,6 +82,11 @@
         self.sender.is_open() && self.exchanges.borrow().accepts_requests()
     }
 
+    /// How many requests on it have no complete response yet.
+    pub fn open_count(&self) -> usize {
+        self.exchanges.borrow().open_count()
+    }
+
     /// Something happened to it; what that asks for is done. Why the connection was ended for it, if so.
     pub fn apply(&self, now: Micros, event: OutgoingEvent<Waiting, BodyPipe>) -> Option<AbortReason> {
         let id = match &event {
--- a/crates/data-plane/src/proxy.rs
+++ b/crates/data-plane/src/proxy.rs
@@ -20,7 +20,7 @@
 use crate::running_requests::RunningRequests;
 use crate::services::Services;
 
-/// The backend is looked after each so many ticks, and figures are logged each so many.
+/// The backend is looked after each so many ticks, and a span of the log is as long as so many.
 const TICKS_A_BACKEND_TICK: u64 = 5;
 const TICKS_A_LOG_LINE: u64 = 50;
 
@@ -138,11 +138,20 @@
         self.peers.tick();
         let now = self.context.now();
         self.services.tick(now);
-        if ticks.is_multiple_of(TICKS_A_LOG_LINE) && log::log_enabled!(log::Level::Debug) {
-            log::debug!(target: "proxy", "{}", self.api.figures().replace('\n', ", "));
+        if ticks.is_multiple_of(TICKS_A_LOG_LINE) {
+            self.log_span();
         }
         if ticks.is_multiple_of(TICKS_A_BACKEND_TICK) {
             self.inbound.tick(now);
         }
     }
+
+    fn log_span(&self) {
+        for summary in self.context.event_log.end_span() {
+            log::info!(target: "outbound", "{summary}");
+        }
+        if log::log_enabled!(log::Level::Debug) {
+            log::debug!(target: "proxy", "{}", self.api.figures().replace('\n', ", "));
+        }
+    }
 }
--- a/crates/storage/src/claim_log.rs
+++ b/crates/storage/src/claim_log.rs
@@ -139,7 +139,14 @@
     }
 
     fn checkpoint_to(&mut self, _: EntryId, _: &mut SegmentReader, _: &WriteAheadLog) -> std::io::Result<()> {
-        self.write_snapshot()
+        let started_at = Instant::now();
+        let written = self.write_snapshot();
+        let (claims, ms) = (self.with_table(|table| table.len()), started_at.elapsed().as_millis());
+        match &written {
+            Ok(()) => log::info!(target: "storage", "a checkpoint of {claims} claims is written, in {ms} ms"),
+            Err(e) => log::warn!(target: "storage", "a checkpoint of {claims} claims failed: {e}"),
+        }
+        written
     }
 }
 
