--- a/crates/storage/tests/claim_log.rs
+++ b/crates/storage/tests/claim_log.rs
@@ -1,4 +1,6 @@
 //! The log of claims.
+use std::fs::File;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use notchspool_mesh_protocol::{Claim, Ticket};
@@ -16,6 +18,13 @@
     })
 }
 
+/// A folder of this test alone, empty.
+fn empty_folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("notchspool-claims-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
 fn keys(claims: &[Claim]) -> Vec<String> {
     let mut keys: Vec<String> = claims.iter().map(|c| c.key.clone()).collect();
     keys.sort();
@@ -24,8 +33,7 @@
 
 #[test]
 fn after_a_failed_write_the_log_is_opened_anew_and_nothing_is_lost() {
-    let folder = std::env::temp_dir().join(format!("notchspool-claims-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
+    let folder = empty_folder("failed");
     let (mut claims, read) = ClaimLog::open(&folder, Duration::from_secs(60)).unwrap();
     assert!(read.is_empty());
     claims.write(&[claim("a")]).unwrap();
@@ -45,3 +53,25 @@
     assert_eq!(keys(&read), ["b", "c"]);
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+/// A process that ends while it makes a segment leaves it without its first bytes: nothing in it was ever acknowledged.
+#[test]
+fn a_segment_that_was_being_made_at_the_end_does_not_keep_the_log_from_opening() {
+    for length in [0, 3, 8_196, 1 << 20] {
+        let folder = empty_folder("half-made");
+        let window = Duration::from_secs(60);
+        let (mut claims, _) = ClaimLog::open(&folder, window).unwrap();
+        claims.write(&[claim("a")]).unwrap();
+        claims.write(&[claim("b")]).unwrap();
+        drop(claims);
+        // A segment is named after the first entry that it may hold.
+        File::create(folder.join("log/wal-3")).unwrap().set_len(length).unwrap();
+        let (mut claims, read) = ClaimLog::open(&folder, window).unwrap_or_else(|e| panic!("{length}: {e}"));
+        assert_eq!(keys(&read), ["a", "b"], "{length}");
+        claims.write(&[claim("c")]).unwrap();
+        drop(claims);
+        let (_, read) = ClaimLog::open(&folder, window).unwrap();
+        assert_eq!(keys(&read), ["a", "b", "c"], "{length}");
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+}
