Storage: a half-made segment of the claims' log no longer keeps a disk shut

Cause: a process that ends while okaywal makes a segment file leaves a file without its first bytes, and the library refuses the whole log from then on. The replica doesn't listen, tries for 120 s and ends; with two other disks lost that leaves no majority, no configuration, every request refused. Change: such files are removed before the log is opened, whether the process starts or a write had failed. Nothing in them was ever acknowledged, since an entry is synced with the head before it.

--- a/crates/storage/src/claim_log.rs
+++ b/crates/storage/src/claim_log.rs
@@ -13,6 +13,7 @@
 use prost::Message;
 
 use crate::file_store::FileStore;
+use crate::segments::SegmentFolder;
 use crate::{StorageError, WriteOp, storage_error};
 
 /// A disk that refused is asked again after this.
@@ -155,7 +156,7 @@
     /// `None` after a failed write: what the log then holds in its hands may never come back (it waits for its own file for ever), so it
     /// is opened anew.
     log: Option<WriteAheadLog>,
-    folder: PathBuf,
+    segments: SegmentFolder,
     checkpointer: Checkpointer,
     failed_at: Option<Instant>,
 }
@@ -170,11 +171,10 @@
         let snapshot_folder = folder.join("snapshot");
         let checkpointer = Checkpointer { table: Arc::default(), snapshot_folder, window };
         checkpointer.read_snapshot()?;
-        let folder = folder.join("log");
-        std::fs::create_dir_all(&folder).map_err(storage_error(SUBJECT))?;
-        let log = Some(open_log(&folder, &checkpointer)?);
+        let segments = SegmentFolder::open(&folder.join("log")).map_err(storage_error(SUBJECT))?;
+        let log = Some(open_log(&segments, &checkpointer)?);
         let claims = checkpointer.claims();
-        Ok((ClaimLog { log, folder, checkpointer, failed_at: None }, claims))
+        Ok((ClaimLog { log, segments, checkpointer, failed_at: None }, claims))
     }
 
     /// The log, opened anew where a write to it failed.
@@ -184,7 +184,7 @@
                 return Err(storage_error(SUBJECT)(std::io::Error::other("the disk has just refused")));
             }
             self.failed_at = Some(Instant::now());
-            self.log = Some(open_log(&self.folder, &self.checkpointer)?);
+            self.log = Some(open_log(&self.segments, &self.checkpointer)?);
         }
         self.log.as_ref().ok_or_else(|| storage_error(SUBJECT)(std::io::Error::other("no log")))
     }
@@ -225,6 +225,9 @@
     }
 }
 
-fn open_log(folder: &Path, checkpointer: &Checkpointer) -> Result<WriteAheadLog, StorageError> {
-    Configuration::default_for(folder).open(checkpointer.clone()).map_err(storage_error(SUBJECT))
+fn open_log(segments: &SegmentFolder, checkpointer: &Checkpointer) -> Result<WriteAheadLog, StorageError> {
+    let opened = segments
+        .remove_half_made()
+        .and_then(|()| Configuration::default_for(segments.path()).open(checkpointer.clone()));
+    opened.map_err(storage_error(SUBJECT))
 }
