Storage: a claim is acknowledged once the name of its segment is durable

Cause: okaywal uses a segment again by renaming it, and syncs the folder only at the next checkpoint, some 30 ms later. After a loss of power in between the file has its old name, wal-N-cp, under which its entries count as done with: claims that were acknowledged are gone, on all replicas at once, since they write the same claims; their keys could run twice. Change: the folder is synced after the first entry of a segment, before it is acknowledged, and when the log was opened.

--- a/crates/storage/src/claim_log.rs
+++ b/crates/storage/src/claim_log.rs
@@ -13,7 +13,7 @@
 use prost::Message;
 
 use crate::file_store::FileStore;
-use crate::segments::SegmentFolder;
+use crate::segments::{self, SegmentFolder, SyncFolder};
 use crate::{StorageError, WriteOp, storage_error};
 
 /// A disk that refused is asked again after this.
@@ -168,10 +168,24 @@
     ///
     /// The folder or the log can't be opened or read.
     pub fn open(folder: &Path, window: Duration) -> Result<(ClaimLog, Vec<Claim>), StorageError> {
+        ClaimLog::open_with(folder, window, segments::sync_folder)
+    }
+
+    /// The same, with another way to sync the folder of its segments.
+    ///
+    /// # Errors
+    ///
+    /// The folder or the log can't be opened or read.
+    pub fn open_with(
+        folder: &Path,
+        window: Duration,
+        sync_folder: SyncFolder,
+    ) -> Result<(ClaimLog, Vec<Claim>), StorageError> {
         let snapshot_folder = folder.join("snapshot");
         let checkpointer = Checkpointer { table: Arc::default(), snapshot_folder, window };
         checkpointer.read_snapshot()?;
-        let segments = SegmentFolder::open(&folder.join("log")).map_err(storage_error(SUBJECT))?;
+        let segments =
+            SegmentFolder::open(&folder.join("log"), sync_folder).map_err(storage_error(SUBJECT))?;
         let log = Some(open_log(&segments, &checkpointer)?);
         let claims = checkpointer.claims();
         Ok((ClaimLog { log, segments, checkpointer, failed_at: None }, claims))
@@ -221,13 +235,19 @@
         for record in records {
             entry.write_chunk(&record.encode_to_vec()).map_err(storage_error(SUBJECT))?;
         }
-        entry.commit().map_err(storage_error(SUBJECT)).map(drop)
+        let id = entry.commit().map_err(storage_error(SUBJECT))?;
+        if self.segments.begins_with(id) {
+            self.segments.sync().map_err(storage_error(SUBJECT))?;
+        }
+        Ok(())
     }
 }
 
+/// The log in this folder, whose segments have durable names from then on.
 fn open_log(segments: &SegmentFolder, checkpointer: &Checkpointer) -> Result<WriteAheadLog, StorageError> {
     let opened = segments
         .remove_half_made()
-        .and_then(|()| Configuration::default_for(segments.path()).open(checkpointer.clone()));
+        .and_then(|()| Configuration::default_for(segments.path()).open(checkpointer.clone()))
+        .and_then(|log| segments.sync().map(|()| log));
     opened.map_err(storage_error(SUBJECT))
 }
--- a/crates/storage/src/segments.rs
+++ b/crates/storage/src/segments.rs
@@ -1,22 +1,31 @@
 //! The segment files of the log of claims, as far as `okaywal` leaves them to its caller.
 //!
-//! A segment that was being made when the process ended has no head, and the library refuses to open a log that holds one. Nothing in it was
-//! acknowledged: an entry is synced together with the head before it.
+//! Two things about their names and first bytes have to hold through a loss of power, which the library does not see to:
+//! - a segment that was being made when the process ended has no head, and the library refuses to open a log that holds one. Nothing in it
+//!   was acknowledged: an entry is synced together with the head before it;
+//! - a segment that is used again is renamed, and the folder is synced only at the next checkpoint. Until then a loss of power may bring the
+//!   old name back, under which its entries count as done with.
 //!
 //! Names and head are those of the documentation of the library, "How it works".
 use std::fs::File;
 use std::io::{ErrorKind, Read, Result};
 use std::path::{Path, PathBuf};
 
+use okaywal::EntryId;
+
 /// How the name of every segment begins; the id of the first entry that it may hold follows.
 const SEGMENT_PREFIX: &str = "wal-";
 /// The first bytes of a segment that was made completely.
 const MAGIC: &[u8] = b"okw";
 
+/// Makes durable what was made, renamed and removed in a folder.
+pub type SyncFolder = fn(&Path) -> Result<()>;
+
 /// The folder of one log.
 #[derive(Clone, Debug)]
 pub struct SegmentFolder {
     path: PathBuf,
+    sync_folder: SyncFolder,
 }
 
 impl SegmentFolder {
@@ -25,13 +34,13 @@
     /// # Errors
     ///
     /// It can't be made.
-    pub fn open(path: &Path) -> Result<SegmentFolder> {
+    pub fn open(path: &Path, sync_folder: SyncFolder) -> Result<SegmentFolder> {
         std::fs::create_dir_all(path)?;
         // The names of the folder itself and of the one that holds it.
         for folder in path.ancestors().skip(1).take(2) {
             sync_folder(folder)?;
         }
-        Ok(SegmentFolder { path: path.to_path_buf() })
+        Ok(SegmentFolder { path: path.to_path_buf(), sync_folder })
     }
 
     /// Where it is.
@@ -54,9 +63,28 @@
         }
         Ok(())
     }
+
+    /// Makes the names of all segments durable.
+    ///
+    /// # Errors
+    ///
+    /// They may not be durable.
+    pub fn sync(&self) -> Result<()> {
+        (self.sync_folder)(&self.path)
+    }
+
+    /// Whether a segment begins with this entry: until the folder is synced its name may be lost, and the entry with it.
+    pub fn begins_with(&self, entry: EntryId) -> bool {
+        self.path.join(format!("{SEGMENT_PREFIX}{}", entry.0)).exists()
+    }
 }
 
-fn sync_folder(path: &Path) -> Result<()> {
+/// [`SyncFolder`] of the machine.
+///
+/// # Errors
+///
+/// What was made, renamed and removed may not be durable.
+pub fn sync_folder(path: &Path) -> Result<()> {
     File::open(path)?.sync_all()
 }
 
