--- a/crates/storage/tests/claim_log.rs
+++ b/crates/storage/tests/claim_log.rs
@@ -125,3 +125,34 @@
     }
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+/// A segment that is used again has bytes of its earlier use behind its last entry, at any offset; here such as would begin an entry with
+/// a chunk of 2.4 GB. They are nobody's, and take no room.
+#[test]
+fn bytes_of_an_earlier_use_behind_the_last_entry_are_nobodys() {
+    const MAX_FILE_BYTES: u64 = 2 << 20;
+    let folder = empty_folder("used-before");
+    let window = Duration::from_secs(60);
+    let (mut claims, _) = ClaimLog::open(&folder, window).unwrap();
+    claims.write(&[claim("a")]).unwrap();
+    drop(claims);
+    let segment = folder.join("log/wal-1");
+    let mut bytes = std::fs::read(&segment).unwrap();
+    let end = bytes.iter().rposition(|byte| *byte != 0).unwrap() + 1;
+    let (entry, chunk, length) = (1, 2, 0x9000_0000u32.to_le_bytes());
+    let earlier = [&[entry], &2u64.to_le_bytes()[..], &[chunk], &length, b"key"].concat();
+    bytes.resize(bytes.len().max(end + earlier.len()), 0);
+    bytes[end..end + earlier.len()].copy_from_slice(&earlier);
+    std::fs::write(&segment, bytes).unwrap();
+    for (key, expected) in [("b", vec!["a"]), ("c", vec!["a", "b"])] {
+        let (mut claims, read) = ClaimLog::open(&folder, window).unwrap();
+        assert_eq!(keys(&read), expected);
+        claims.write(&[claim(key)]).unwrap();
+        drop(claims);
+        for name in names(&folder.join("log")) {
+            let length = std::fs::metadata(folder.join("log").join(&name)).unwrap().len();
+            assert!(length <= MAX_FILE_BYTES, "{name} has {length} bytes");
+        }
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
