Storage: a log of claims of our own, in the form of the library that it replaces

Cause: callers saw RECOVER and CONFIG after two disks were lost: a third replica's disk was full. okaywal, as it recovers after a kill, takes stale bytes behind a segment's last entry for a chunk of up to 4.3 GB and writes behind it; it also panics in a destructor when a write is refused. It does its own I/O, so none of this could be tried step by step. Change: segments over `Directory`: none is used again or written to after another run or a failed write, what stands behind the last complete entry isn't read, one past its window is removed; long logs found at a start are written anew. The form on disk stays, both ways. Replaced: the test of a re-used segment's name (there are none any more) by one that cuts 600 drawn histories at any step, names and contents each kept, lost or torn, and one of 40 with refused writes.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,14 +1,14 @@
 //! What a control-plane replica keeps on its disk.
 //!
 //! [`file_store`] writes plain files so that each is the old one or the new one after any loss of power; [`state_files`] is what a voter
-//! keeps but the claims, and how a snapshot takes its place; [`claim_log`] is the log of keyed operations, [`segments`] its files. [`Storage`] puts both together
+//! keeps but the claims, and how a snapshot takes its place; [`claim_log`] is the log of keyed operations, [`segment`] the form of its files. [`Storage`] puts both together
 //! for one thread that waits for the disk: a batch of operations, durable when [`Storage::write`] returns without an error.
 #![warn(missing_docs, clippy::missing_errors_doc)]
 
 pub mod claim_log;
 pub mod directory;
 pub mod file_store;
-pub mod segments;
+pub mod segment;
 pub mod state_files;
 
 use std::path::Path;
--- a/crates/storage/tests/power_loss.rs
+++ b/crates/storage/tests/power_loss.rs
@@ -95,6 +95,10 @@
         inner.ops.push(Op::Write(name.into(), at, bytes.to_vec()));
         Ok(())
     }
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        let before = self.read(name)?.ok_or(std::io::ErrorKind::NotFound)?;
+        self.write(name, &[&before, bytes].concat())
+    }
     fn sync(&mut self, name: &str) -> Result<()> {
         self.refuses()?;
         let mut inner = self.0.lock().unwrap();
