Link: an idle link takes a response of any usual size, so an estimate can't shut it

Change: LinkLoad::admit lets one through where nothing is at work or being sent; beside others it goes by the estimate as before.

--- a/crates/data-plane/src/inbound.rs
+++ b/crates/data-plane/src/inbound.rs
@@ -21,8 +21,6 @@
 use crate::running_requests::{Origin, RunningRequests};
 use crate::shutdown::{KnownEnd, Need};
 
-/// The part of its latency target for which a large response may find the link at work.
-const MAX_BACKLOG_PART: f64 = 0.5;
 /// Kept clear of the end of a request's time.
 const DEADLINE_MARGIN: Micros = Micros::ms(2);
 /// Responses to keyed operations are kept for this long beyond their window.
@@ -243,13 +241,10 @@
             return Some(refusal);
         }
         // Large responses stand before all else on a thin link: one more is begun only while they are soon worked off.
-        let backlog = self.link_load.backlog_with(request.latency_target_ms);
         let latency_target = Micros::ms(i64::from(request.latency_target_ms));
-        if backlog > latency_target.times(MAX_BACKLOG_PART) {
-            self.context.count("link_full");
-            return Some(self.refused(request.id, "the link is full", backlog));
-        }
-        None
+        let backlog = self.link_load.admit(request.latency_target_ms, latency_target).err()?;
+        self.context.count("link_full");
+        Some(self.refused(request.id, "the link is full", backlog))
     }
 
     /// Why a request may not begin now: another instance is here, it drains, this proxy ends, or the request's time is over.
--- a/crates/data-plane/src/link_load.rs
+++ b/crates/data-plane/src/link_load.rs
@@ -16,6 +16,8 @@
 const SMOOTHING: f64 = 0.1;
 /// The part of the link's speed at which large responses are sent: the rest is for all else.
 const PACE_PART: f64 = 0.8;
+/// The part of its latency target for which a large response may find the link at work, its own sending included.
+const MAX_BACKLOG_PART: f64 = 0.5;
 /// Time not used for sending is not saved up for longer than this.
 const MAX_BURST: Micros = Micros::ms(20);
 
@@ -61,6 +63,19 @@
         }
     }
 
+    /// Whether one more response of this kind may be begun, where it is wanted within `latency_target`.
+    ///
+    /// On an idle link it may, whatever its usual size: what is refused is not measured, so an estimate that is too high would stay so.
+    ///
+    /// # Errors
+    ///
+    /// It would come too late: how long the link has to work.
+    pub fn admit(&self, kind: u32, latency_target: Micros) -> Result<(), Micros> {
+        let is_idle = self.unsent_bytes.get() == 0 && self.expected_bytes.get() == 0;
+        let backlog = self.backlog_with(kind);
+        if is_idle || backlog <= latency_target.times(MAX_BACKLOG_PART) { Ok(()) } else { Err(backlog) }
+    }
+
     /// Whether responses of this kind are large.
     pub fn is_large(&self, kind: u32) -> bool {
         self.usual_bytes_of(kind) >= 1.0
--- a/crates/data-plane/tests/link_load.rs
+++ b/crates/data-plane/tests/link_load.rs
@@ -53,3 +53,44 @@
     assert!(load.pace(start + Micros::ms(10_000), 160_000) < Micros::ms(20));
     assert!(load.pace(start + Micros::ms(10_000), 1) > Micros::ms(130));
 }
+
+/// Half of the target is 600 ms: larger responses fit in only one at a time.
+const TARGET: Micros = Micros::ms(1_200);
+
+#[test]
+fn an_idle_link_takes_a_response_of_any_usual_size_and_a_busy_one_only_what_it_carries_in_time() {
+    let load = link();
+    (0..60).for_each(|_| load.measure(KIND, 8 * FILE_BYTES));
+    assert!(load.backlog_with(KIND) > Micros::ms(700));
+    assert_eq!(load.admit(KIND, TARGET), Ok(()));
+    let at_work = load.expect(KIND);
+    assert!(load.admit(KIND, TARGET).is_err(), "one of them is at work");
+    drop(at_work);
+    let unsent = load.add(8 * FILE_BYTES);
+    assert!(load.admit(KIND, TARGET).is_err(), "one of them is being sent");
+    drop(unsent);
+    assert_eq!(load.admit(KIND, TARGET), Ok(()));
+}
+
+/// Files of drawn sizes, each begun where the link takes it and sent before the next one comes: none is refused for good.
+#[test]
+fn after_any_sizes_files_of_the_usual_size_are_soon_taken_side_by_side_again() {
+    for seed in 0..1_000u64 {
+        let mut chance = seed.wrapping_mul(6_364_136_223_846_793_005) | 1;
+        let mut below = |bound: usize| {
+            chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (chance >> 33) as usize % bound
+        };
+        let load = link();
+        let serve = |bytes: usize| {
+            assert_eq!(load.admit(KIND, TARGET), Ok(()), "seed {seed}: an idle link refuses");
+            let expected = load.expect(KIND);
+            load.measure(KIND, bytes);
+            drop(expected);
+        };
+        (0..below(200)).for_each(|_| serve(1 + below(40) * FILE_BYTES));
+        (0..40).for_each(|_| serve(FILE_BYTES));
+        let _at_work = load.expect(KIND);
+        assert_eq!(load.admit(KIND, TARGET), Ok(()), "seed {seed}: two at once");
+    }
+}
