Admission: each kind of new work has a floor, so that the last is not starved

Change: a kind that begins less than 0.4 times as often as all new work, by what was offered in the last 5 s or so, goes before others until it does.

--- a/crates/data-plane/src/admission.rs
+++ b/crates/data-plane/src/admission.rs
@@ -1,12 +1,14 @@
 //! What may begin at the backend of this machine, and in which order. No I/O.
 //!
 //! It has the last word: what it rejects has not run and never will. Invariants (`tests/admission.rs`): new work takes no more than the
-//! backend's slots, calls two more; nothing is queued that would not be answered in time.
+//! backend's slots, calls two more; nothing is queued that would not be answered in time; no kind of new work gets less than its floor.
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use notchspool::units::Micros;
 
+use crate::kind_floor::KindFloor;
+
 /// Requests that are queued at most, for each slot.
 const MAX_QUEUED_A_SLOT: f64 = 4.0;
 /// The part of what is left of a request's time that it may be queued, at most and where it will be late.
@@ -74,12 +76,15 @@
     ticket: QueueTicket,
     deadline: Micros,
     expected_us: f64,
+    /// Of new work: what kind it is.
+    kind: Option<u32>,
 }
 
-/// The order of the queue: calls by depth, then by priority, then those that can still be in time, then by latency target, then by arrival.
+/// The order of the queue: calls by depth, then kinds that are under their floor, then by priority, then those that can still be in time, then by latency target, then by arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueKey {
     call_depth: Reverse<u32>,
+    is_starved: Reverse<bool>,
     priority: u32,
     is_late: bool,
     target_us: i64,
@@ -98,6 +103,7 @@
     mean_us_by_kind: BTreeMap<u32, f64>,
     utilisation: f64,
     updated_at: Micros,
+    floor: KindFloor,
 }
 
 impl AdmissionQueue {
@@ -112,6 +118,7 @@
             mean_us_by_kind: BTreeMap::new(),
             utilisation: 0.0,
             updated_at: now,
+            floor: KindFloor::new(now),
         }
     }
 
@@ -139,17 +146,24 @@
     /// Decides on a request. Where too many are queued, the last in order makes way for one that goes before it.
     pub fn admit(&mut self, now: Micros, candidate: Candidate) -> Admission {
         self.update_utilisation(now);
+        // Calls go before all new work as it is.
+        let kind = (candidate.call_depth == 0).then_some(candidate.kind);
+        if let Some(kind) = kind {
+            self.floor.on_offered(now, kind);
+        }
         // Nothing but deeper calls goes before a call, and they would have begun.
         let is_first =
             self.queue.first_key_value().is_none_or(|(first, _)| first.call_depth.0 < candidate.call_depth);
         if is_first && self.has_room(candidate.call_depth) {
-            self.in_flight += 1;
+            self.begin(kind);
             return Admission { decision: Decision::Admitted, displaced: None };
         }
         let expected_us = self.mean_us_by_kind.get(&candidate.kind).copied().unwrap_or(self.mean_us);
         let ticket = self.last_ticket + 1;
+        let is_starved = kind.is_some_and(|kind| self.floor.is_starved(kind));
         let key = QueueKey {
             call_depth: Reverse(candidate.call_depth),
+            is_starved: Reverse(is_starved),
             priority: candidate.priority,
             is_late: ((candidate.target_at - now).0 as f64) < expected_us,
             target_us: candidate.target_at.0,
@@ -159,7 +173,11 @@
         let is_full = self.queue.len() as f64 >= MAX_QUEUED_A_SLOT * self.slots as f64;
         let last = self.queue.last_key_value().filter(|(last, _)| **last > key);
         let last = last.map(|(key, queued)| (*key, queued.ticket));
-        if wait > max_wait(now, &candidate, expected_us) || (is_full && last.is_none()) {
+        let max_wait = match is_starved {
+            true => (candidate.deadline - now).times(MAX_WAIT_PART),
+            false => max_wait(now, &candidate, expected_us),
+        };
+        if wait > max_wait || (is_full && last.is_none()) {
             return Admission { decision: Decision::Rejected(wait.max(MIN_RETRY_AFTER)), displaced: None };
         }
         let displaced = last.filter(|_| is_full);
@@ -167,7 +185,7 @@
             self.queue.remove(&last);
         }
         self.last_ticket = ticket;
-        self.queue.insert(key, Queued { ticket, deadline: candidate.deadline, expected_us });
+        self.queue.insert(key, Queued { ticket, deadline: candidate.deadline, expected_us, kind });
         Admission { decision: Decision::Queued(ticket), displaced: displaced.map(|(_, ticket)| ticket) }
     }
 
@@ -211,10 +229,17 @@
             return None;
         }
         let (_, first) = self.queue.pop_first()?;
-        self.in_flight += 1;
+        self.begin(first.kind);
         Some(first.ticket)
     }
 
+    fn begin(&mut self, kind: Option<u32>) {
+        self.in_flight += 1;
+        if let Some(kind) = kind {
+            self.floor.on_begun(kind);
+        }
+    }
+
     /// What is in flight and queued, over the slots, in the mean over the last moments.
     pub fn utilisation(&mut self, now: Micros) -> f64 {
         self.update_utilisation(now);
--- /dev/null
+++ b/crates/data-plane/src/kind_floor.rs
@@ -0,0 +1,72 @@
+//! The floor that each kind of work has at a backend, without I/O: priority decides the order, and where there is less room than work the
+//! last kind would get nothing at all.
+//!
+//! A kind is starved where it begins less than [`FLOOR_PART`] as often as all work does, by what was offered lately. The operators' rule
+//! ("Starved") draws its line at a quarter.
+use std::collections::BTreeMap;
+
+use notchspool::units::Micros;
+
+/// The part of the rate at which all work begins that each kind has at least.
+const FLOOR_PART: f64 = 0.4;
+/// Sums fade over about this span.
+const SPAN: Micros = Micros::ms(5_000);
+/// With less offered nothing is told of a kind.
+const MIN_OFFERED: f64 = 3.0;
+/// Kinds that are told apart.
+const MAX_KINDS: usize = 64;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    offered: f64,
+    begun: f64,
+}
+
+/// What was offered lately of each kind, and how much of it began.
+#[derive(Clone, Debug)]
+pub struct KindFloor {
+    total: Share,
+    by_kind: BTreeMap<u32, Share>,
+    faded_at: Micros,
+}
+
+impl KindFloor {
+    /// Nothing was offered yet.
+    pub fn new(now: Micros) -> KindFloor {
+        KindFloor { total: Share::default(), by_kind: BTreeMap::new(), faded_at: now }
+    }
+
+    fn fade(&mut self, now: Micros) {
+        let kept = (-(now - self.faded_at).ratio_to(SPAN)).exp();
+        self.faded_at = now;
+        for share in self.by_kind.values_mut().chain([&mut self.total]) {
+            share.offered *= kept;
+            share.begun *= kept;
+        }
+    }
+
+    /// A request of this kind is to begin or to be refused.
+    pub fn on_offered(&mut self, now: Micros, kind: u32) {
+        self.fade(now);
+        self.total.offered += 1.0;
+        if self.by_kind.len() < MAX_KINDS || self.by_kind.contains_key(&kind) {
+            self.by_kind.entry(kind).or_default().offered += 1.0;
+        }
+    }
+
+    /// A request of this kind has begun.
+    pub fn on_begun(&mut self, kind: u32) {
+        self.total.begun += 1.0;
+        if let Some(share) = self.by_kind.get_mut(&kind) {
+            share.begun += 1.0;
+        }
+    }
+
+    /// Whether this kind gets less than its floor.
+    pub fn is_starved(&self, kind: u32) -> bool {
+        let Some(share) = self.by_kind.get(&kind).filter(|share| share.offered >= MIN_OFFERED) else {
+            return false;
+        };
+        share.begun * self.total.offered < FLOOR_PART * self.total.begun * share.offered
+    }
+}
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions without I/O: [`attempts`] (what becomes of a client's request after each attempt), [`peer_exchange`] (what is open between two
 //! proxies), [`keyed_operation`] (a key beside its backend), [`backend_connection`] (what is open at the backend), [`admission`] (what may begin
-//! there), [`retry_budget`], [`service_balancer`] (the decision module for one service), [`stall_detector`], [`watched_replica`],
+//! there, with [`kind_floor`]), [`retry_budget`], [`service_balancer`] (the decision module for one service), [`stall_detector`], [`watched_replica`],
 //! [`shutdown`] (the end of a proxy in order), [`event_log`] (what is said of single requests).
 //!
 //! Parts that own state: [`context`] (identity, settings, clock, counters), [`config_store`], [`services`] (endpoint list and balancers),
@@ -31,6 +31,7 @@
 pub mod heartbeat;
 pub mod inbound;
 pub mod keyed_operation;
+pub mod kind_floor;
 pub mod link_load;
 pub mod local_api;
 pub mod local_backend;
--- a/crates/data-plane/tests/admission.rs
+++ b/crates/data-plane/tests/admission.rs
@@ -135,3 +135,63 @@
     let hurried = Candidate { call_depth: 1, deadline: now + Micros::ms(300), ..short };
     assert!(matches!(queue.admit(now, hurried).decision, Decision::Rejected(_)));
 }
+
+/// Two kinds, each with as much work as the backend bears twice over; the part of each that begins.
+fn begun_parts(seed: u64) -> [f64; 2] {
+    const WORK_MS: i64 = 40;
+    const LAST_MS: i64 = 60_000;
+    let mut chance = seed.wrapping_mul(6_364_136_223_846_793_005) | 1;
+    let mut below = |bound: u64| {
+        chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (chance >> 33) % bound
+    };
+    let kinds = [candidate(0, 400, 0), candidate(3, 800, 0)];
+    let mut queue = AdmissionQueue::new(Micros(1));
+    queue.set_slots(2);
+    let (mut offered, mut begun) = ([0f64; 2], [0f64; 2]);
+    let mut at_work: Vec<(i64, usize)> = Vec::new();
+    let mut waiting: Vec<(QueueTicket, usize)> = Vec::new();
+    for now_ms in 1..LAST_MS {
+        let now = Micros::ms(now_ms);
+        let done: Vec<(i64, usize)> = at_work.extract_if(.., |(ends, _)| *ends <= now_ms).collect();
+        for (_, kind) in done {
+            let mut next = queue.release(now, kinds[kind].kind, Some(Micros::ms(WORK_MS)));
+            while let Some(ticket) = next {
+                let at = waiting.iter().position(|(waits, _)| *waits == ticket).expect("it waits");
+                let (_, kind) = waiting.swap_remove(at);
+                begun[kind] += 1.0;
+                at_work.push((now_ms + WORK_MS, kind));
+                next = queue.admit_next(now);
+            }
+        }
+        for (kind, row) in kinds.iter().enumerate() {
+            // Two slots of 40 ms bear one in 20 ms; of each kind comes one in 10 ms.
+            if below(10) != 0 {
+                continue;
+            }
+            offered[kind] += 1.0;
+            let (target_at, deadline) = (now + row.target_at, now + row.deadline);
+            let admission = queue.admit(now, Candidate { target_at, deadline, ..*row });
+            waiting.retain(|(ticket, _)| Some(*ticket) != admission.displaced);
+            match admission.decision {
+                Decision::Admitted => {
+                    begun[kind] += 1.0;
+                    at_work.push((now_ms + WORK_MS, kind));
+                }
+                Decision::Queued(ticket) => waiting.push((ticket, kind)),
+                Decision::Rejected(_) => {}
+            }
+        }
+    }
+    [begun[0] / offered[0], begun[1] / offered[1]]
+}
+
+#[test]
+fn where_there_is_less_room_than_work_the_last_kind_keeps_a_quarter_of_the_rate_of_all() {
+    for seed in 0..20 {
+        let [first, last] = begun_parts(seed);
+        let all = f64::midpoint(first, last);
+        assert!(last >= all / 4.0, "seed {seed}: {last:.3} of the last kind begin, {all:.3} of all");
+        assert!(first > last, "seed {seed}: priority decides the order, {first:.3} and {last:.3}");
+    }
+}
