Bodies: memory is a budget, and a large body is sent as the other proxy asks for it

Cause: requests in hand were bounded by number and not by bytes; a body was collected, joined, copied into a frame, and held whole again beside the backend. Earlier builds are served as before.

--- a/crates/data-plane/src/backend_exchange.rs
+++ b/crates/data-plane/src/backend_exchange.rs
@@ -18,6 +18,7 @@
 use crate::context::{Context, within};
 use crate::headers::{CALLING_SERVICE, TARGET_INSTANCE, TIME_LEFT};
 use crate::link_load::LinkLoad;
+use crate::request_body::BodySource;
 
 /// A connection to the same machine is up by then.
 const CONNECT_TIMEOUT: Micros = Micros::ms(500);
@@ -75,8 +76,13 @@
         self.pool.close_expired(now);
     }
 
-    /// Sends a request to the backend, and reads its answer.
-    pub async fn send(self: &Rc<BackendClient>, request: &Request, deadline: Micros) -> BackendOutcome {
+    /// Sends a request to the backend, with the body from `body`, and reads its answer.
+    pub async fn send(
+        self: &Rc<BackendClient>,
+        request: &Request,
+        body: BodySource,
+        deadline: Micros,
+    ) -> BackendOutcome {
         let Some(app_address) = self.context.settings().app_address else {
             return BackendOutcome::not_reached("no backend is told");
         };
@@ -93,7 +99,7 @@
         if time_left <= MIN_TIME_LEFT {
             return BackendOutcome::not_reached("its time is over");
         }
-        let exchange = self.exchange(pooled, request, time_left, deadline);
+        let exchange = self.exchange(pooled, request, body, time_left, deadline);
         let outcome = within(time_left, exchange).await;
         outcome.unwrap_or_else(|| BackendOutcome::may_have_run("no answer in time"))
     }
@@ -120,11 +126,12 @@
         self: &Rc<BackendClient>,
         pooled: PooledConnection,
         request: &Request,
+        body: BodySource,
         time_left: Micros,
         deadline: Micros,
     ) -> BackendOutcome {
         let PooledConnection { mut stream, mut connection } = pooled;
-        match write_request(&mut stream, &request_head(request, time_left), &request.body).await {
+        match write_request(&mut stream, &request_head(request, time_left), body).await {
             Ok(Written::Completely) => connection.apply(Event::Written),
             Ok(Written::UntilEarlyData) => connection.apply(Event::EarlyData),
             Err(e) => return BackendOutcome::may_have_run(&format!("writing: {e}")),
@@ -268,13 +275,18 @@
     UntilEarlyData,
 }
 
-async fn write_request(stream: &mut TcpStream, head: &[u8], body: &[u8]) -> std::io::Result<Written> {
+async fn write_request(
+    stream: &mut TcpStream,
+    head: &[u8],
+    mut body: BodySource,
+) -> std::io::Result<Written> {
     let (mut reader, mut writer) = stream.split();
     let mut byte = [0u8; 1];
     let write = async {
         writer.write_all(head).await?;
-        if !body.is_empty() {
-            writer.write_all(body).await?;
+        let broke_off = |_| std::io::Error::other("the body of the request broke off");
+        while let Some(piece) = body.next().await.map_err(broke_off)? {
+            writer.write_all(&piece).await?;
         }
         Ok(Written::Completely)
     };
@@ -300,8 +312,9 @@
     put(&[TARGET_INSTANCE.as_bytes(), b": ", request.instance.as_bytes(), b"\r\n"]);
     put(&[CALLING_SERVICE.as_bytes(), b": ", request.caller.as_bytes(), b"\r\n"]);
     let takes_body = matches!(request.method.as_str(), "POST" | "PUT" | "PATCH");
-    if !request.body.is_empty() || takes_body {
-        put(&[b"content-length: ", request.body.len().to_string().as_bytes(), b"\r\n"]);
+    let length = if request.remote_body { request.body_length } else { request.body.len() as u64 };
+    if length > 0 || takes_body {
+        put(&[b"content-length: ", length.to_string().as_bytes(), b"\r\n"]);
     }
     put(&[b"\r\n"]);
     head
--- a/crates/data-plane/src/body_pipe.rs
+++ b/crates/data-plane/src/body_pipe.rs
@@ -47,6 +47,16 @@
         }
     }
 
+    /// Bytes that stand in it.
+    pub fn len(&self) -> usize {
+        self.0.bytes.get()
+    }
+
+    /// Whether nothing stands in it.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Nothing follows. The first end counts.
     pub fn finish(&self, end: BodyEnd) {
         if self.0.end.get().is_none() {
--- a/crates/data-plane/src/context.rs
+++ b/crates/data-plane/src/context.rs
@@ -9,6 +9,7 @@
 use notchspool_runtime::node_settings::NodeSettings;
 use oorandom::Rand64;
 
+use crate::body_budget::BodyBudget;
 use crate::event_log::EventLog;
 use crate::stall_detector::StallDetector;
 
@@ -26,6 +27,8 @@
     counters: RefCell<BTreeMap<&'static str, u64>>,
     /// What the log says of single requests.
     pub event_log: EventLog,
+    /// Memory for the bodies of requests that begin here.
+    pub body_budget: BodyBudget,
 }
 
 impl Context {
@@ -41,6 +44,7 @@
             last_id: Cell::new(0),
             counters: RefCell::default(),
             event_log: EventLog::default(),
+            body_budget: BodyBudget::new(settings.memory_mb),
             settings: RefCell::new(settings),
         }
     }
@@ -101,6 +105,7 @@
             boot_id: self.boot_id,
             address: self.address.clone(),
             role: Role::Proxy.into(),
+            asks_for_bodies: true,
             ..Hello::default()
         }
     }
--- a/crates/data-plane/src/inbound.rs
+++ b/crates/data-plane/src/inbound.rs
@@ -18,6 +18,7 @@
 use crate::link_load::LinkLoad;
 use crate::local_backend::{LocalBackend, Unavailable};
 use crate::peer_link::{PeerResponse, without_answer};
+use crate::request_body::BodySource;
 use crate::running_requests::{Origin, RunningRequests};
 use crate::shutdown::{KnownEnd, Need};
 
@@ -198,8 +199,8 @@
 
     // ---- One request, from its arrival to the backend -----------------------------------------------------
 
-    /// Runs a request at the backend here, or says why not.
-    pub async fn serve(self: Rc<Inbound>, request: Request) -> PeerResponse {
+    /// Runs a request at the backend here, with the body from `body`, or says why not.
+    pub async fn serve(self: Rc<Inbound>, request: Request, body: BodySource) -> PeerResponse {
         let _serving = ServingCount::new(&self);
         let arrival = Arrival::new(request, self.context.now());
         let request = &arrival.request;
@@ -226,8 +227,8 @@
             Err(retry_after) => return self.refused(request.id, "full", retry_after).into(),
         };
         match claim {
-            Some(claim) => self.run_keyed(slot, arrival, claim).await,
-            None => self.run(slot, &arrival).await,
+            Some(claim) => self.run_keyed(slot, arrival, body, claim).await,
+            None => self.run(slot, &arrival, body).await,
         }
     }
 
@@ -327,6 +328,7 @@
         self: Rc<Inbound>,
         slot: Slot,
         arrival: Arrival,
+        body: BodySource,
         mut claim: ClaimGuard,
     ) -> PeerResponse {
         let request = &arrival.request;
@@ -346,7 +348,7 @@
         claim.is_armed = false;
         let (done, finished) = oneshot::channel();
         tokio::task::spawn_local(async move {
-            let response = self.clone().run(slot, &arrival).await.response;
+            let response = self.clone().run(slot, &arrival, body).await.response;
             self.on_keyed_finished(&arrival.request, &response);
             // Whoever waited may have left.
             let _ = done.send(response);
@@ -366,12 +368,12 @@
 
     // ---- The backend --------------------------------------------------------------------------------------
 
-    async fn run(self: Rc<Inbound>, mut slot: Slot, arrival: &Arrival) -> PeerResponse {
+    async fn run(self: Rc<Inbound>, mut slot: Slot, arrival: &Arrival, body: BodySource) -> PeerResponse {
         let started_at = self.context.now();
         let request = &arrival.request;
         let expected = self.link_load.expect(request.latency_target_ms);
         let running = self.running.begin(&request.attempt_id, arrival.origin);
-        let BackendOutcome { mut response, rest } = self.client.send(request, arrival.deadline).await;
+        let BackendOutcome { mut response, rest } = self.client.send(request, body, arrival.deadline).await;
         response.call_failed = response.status >= FAILURE_STATUS && running.has_failed_call();
         drop((running, expected));
         let took = self.context.now() - started_at;
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`shutdown`] (the end of a proxy in order), [`event_log`] (what is said of single requests).
 //!
 //! Parts that own state: [`context`] (identity, settings, clock, counters), [`config_store`], [`services`] (endpoint list and balancers),
-//! [`local_backend`], [`running_requests`], [`link_load`], [`replicas`] and [`claim_client`] (the control plane as it is known here).
+//! [`local_backend`], [`running_requests`], [`link_load`], [`body_budget`] (memory for bodies, [`request_body`]), [`replicas`] and [`claim_client`] (the control plane as it is known here).
 //!
 //! The way of a request: [`outbound`] (accept, route, pick, attempt, retry or answer), [`peer_connections`] to the proxy beside the backend,
 //! there [`peer_server`], [`inbound`] (admit, with [`backend_queue`]) and [`backend_exchange`]. [`control_client`] carries the connections to the replicas,
@@ -20,6 +20,7 @@
 pub mod backend_exchange;
 pub mod backend_pool;
 pub mod backend_queue;
+pub mod body_budget;
 pub mod body_pipe;
 pub mod claim_client;
 pub mod client_response;
@@ -43,6 +44,7 @@
 pub mod proxy;
 pub mod replicas;
 pub mod report_confirmation;
+pub mod request_body;
 pub mod retry_budget;
 pub mod run;
 pub mod running_requests;
--- a/crates/data-plane/src/local_api.rs
+++ b/crates/data-plane/src/local_api.rs
@@ -150,6 +150,7 @@
             format!("list_version {}", self.services.list_version()),
             format!("replicas_reached {} of {}", reach.reached, reach.voters),
             format!("in_hand {}", self.outbound.in_flight()),
+            format!("body_memory_free {}", self.context.body_budget.free_bytes()),
             format!("kept_answer_bytes {}", self.inbound.cached_response_bytes()),
         ];
         let healthy = self.services.healthy_backends().into_iter();
--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -6,9 +6,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use notchspool::units::{AttemptOutcome, BackendId, Micros, RequestId};
 use notchspool_idempotency::claim_proposal::Outcome as ClaimOutcome;
 use notchspool_mesh_config::route_config::{Route, RouteConfig, RouteKind};
@@ -17,6 +16,7 @@
 use crate::attempts::{
     Action, Attempts, Event, MAX_CALL_REFUSALS, MAX_REFUSALS, MAX_REFUSALS_CROWDED, RetryPolicy,
 };
+use crate::body_budget::{BodyRoom, MAX_SMALL_BYTES, NoRoom, STEP_BYTES};
 use crate::claim_client::ClaimClient;
 use crate::client_response::{self, ClientResponse};
 use crate::config_store::ConfigStore;
@@ -25,6 +25,7 @@
 use crate::keyed_operation::NOT_RUN_HERE;
 use crate::peer_connections::PeerConnections;
 use crate::peer_link::{PeerResponse, without_answer};
+use crate::request_body::RequestBody;
 use crate::running_requests::{Origin, RunningRequests};
 use crate::service_balancer::{AttemptEnd, BalancerAction};
 use crate::services::Services;
@@ -39,6 +40,9 @@
 /// When to come back while no configuration is known, or too many requests are in flight.
 const NO_CONFIG_RETRY_AFTER: Micros = Micros::ms(200);
 const IN_FLIGHT_FULL_RETRY_AFTER: Micros = Micros::ms(300);
+/// A large body waits for memory for this part of its request's time; then it is refused, and may come back after this.
+const MAX_ROOM_WAIT_PART: f64 = 0.5;
+const NO_ROOM_RETRY_AFTER: Micros = Micros::ms(500);
 /// When to come back where this proxy ends: to another one, which the platform names.
 const ENDING_RETRY_AFTER: Micros = Micros::ms(100);
 /// When to come back after a claim that was withdrawn.
@@ -74,7 +78,9 @@
     target: String,
     host: String,
     headers: Vec<Header>,
-    body: Bytes,
+    body: RequestBody,
+    /// The memory that its body takes.
+    _room: BodyRoom,
     attempt_id: String,
     key: String,
     /// Since when it stands here.
@@ -211,12 +217,15 @@
         let Some(key) = headers::single_value(&head.parts.headers, OPERATION_KEY) else {
             return Err(client_response::plain(400, "the Notchspool-Operation-Key can't be told"));
         };
-        let body = match Limited::new(body, config.limits.max_body_bytes).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(e) if e.is::<LengthLimitError>() => {
-                return Err(client_response::plain(413, "the body is over the limit"));
+        let time = deadline - self.context.now();
+        let (body, room) = match self.read_body(body, config.limits.max_body_bytes, time).await {
+            Ok(read) => read,
+            Err(BodyError::TooLong) => return Err(client_response::plain(413, "the body is over the limit")),
+            Err(BodyError::CutShort) => return Err(client_response::plain(400, "the body was cut short")),
+            Err(BodyError::NoRoom) => {
+                self.context.count("bodies_full");
+                return Err(self.refuse("there is no memory for its body here", NO_ROOM_RETRY_AFTER));
             }
-            Err(_) => return Err(client_response::plain(400, "the body was cut short")),
         };
         let own = Origin { call_depth: 0, priority: route.priority, target_at: now + route.latency_target };
         let origin = self.running.origin_of_call(&attempt_id).unwrap_or(own);
@@ -226,6 +235,7 @@
             host: head.host,
             headers,
             body,
+            _room: room,
             attempt_id,
             key,
             received_at,
@@ -235,6 +245,38 @@
         Ok((route.clone(), client))
     }
 
+    /// Reads a body completely, as there is room for it.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+        time: Micros,
+    ) -> Result<(RequestBody, BodyRoom), BodyError> {
+        let give_up_at = self.context.now() + time.times(MAX_ROOM_WAIT_PART);
+        let budget = &self.context.body_budget;
+        let mut room = BodyRoom::default();
+        if let Some(length) = body.size_hint().exact() {
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            if length > max_bytes {
+                return Err(BodyError::TooLong);
+            }
+            budget.extend(&mut room, length, give_up_at - self.context.now()).await?;
+        }
+        let mut body = Limited::new(body, max_bytes);
+        let (mut pieces, mut length) = (Vec::new(), 0);
+        while let Some(frame) = body.frame().await {
+            let piece = frame.map_err(|e| BodyError::of(e.as_ref()))?.into_data().unwrap_or_default();
+            length += piece.len();
+            if length > room.bytes() {
+                let wanted = length.max(room.bytes() + STEP_BYTES);
+                let wanted = if length <= MAX_SMALL_BYTES { MAX_SMALL_BYTES } else { wanted };
+                budget.extend(&mut room, wanted, give_up_at - self.context.now()).await?;
+            }
+            pieces.push(piece);
+        }
+        Ok((RequestBody::new(pieces), room))
+    }
+
     async fn route(self: &Rc<Outbound>, route: &Route, client: ClientRequest) -> ClientResponse {
         let service = route.pick_service(self.context.random()).to_string();
         let request = RequestId(self.context.next_id());
@@ -418,7 +460,7 @@
         };
         let time_left = delivery.client.deadline - self.context.now();
         let request = self.peer_request(delivery, instance, ticket, time_left);
-        let response = within(time_left, self.peers.send(&proxy, request)).await;
+        let response = within(time_left, self.peers.send(&proxy, request, &delivery.client.body)).await;
         response.unwrap_or_else(|| without_answer(0, Verdict::MayHaveRun, "no answer in time").into())
     }
 
@@ -433,13 +475,11 @@
         let now = self.context.now();
         let ms = |time: Micros, min: i64| (time.0 / 1000).clamp(min, MAX_TIME_MS) as u32;
         PeerRequest {
-            id: self.context.next_id(),
             service: service.to_string(),
             instance,
             method: client.method.clone(),
             target: client.target.clone(),
             headers: client.headers.clone(),
-            body: client.body.clone(),
             time_left_ms: ms(time_left, 1),
             latency_target_ms: ms(route.latency_target, 1),
             target_left_ms: ms(client.origin.target_at - now, 0),
@@ -452,6 +492,7 @@
             caller: self.context.settings().service.clone(),
             host: client.host.clone(),
             age_ms: ms(now - client.received_at, 0),
+            ..PeerRequest::default()
         }
     }
 
@@ -549,6 +590,26 @@
     }
 }
 
+/// Why a body was not read.
+enum BodyError {
+    TooLong,
+    CutShort,
+    /// There is no memory for it in time.
+    NoRoom,
+}
+
+impl BodyError {
+    fn of(error: &(dyn std::error::Error + 'static)) -> BodyError {
+        if error.is::<LengthLimitError>() { BodyError::TooLong } else { BodyError::CutShort }
+    }
+}
+
+impl From<NoRoom> for BodyError {
+    fn from(_: NoRoom) -> BodyError {
+        BodyError::NoRoom
+    }
+}
+
 /// What follows from a response.
 struct Evaluated {
     verdict: Verdict,
--- a/crates/data-plane/src/peer_connections.rs
+++ b/crates/data-plane/src/peer_connections.rs
@@ -16,6 +16,7 @@
 use crate::peer_exchange::{ExchangeId, MAX_SILENCE, OutgoingEvent};
 use crate::peer_link::{PeerLink, PeerResponse, without_answer};
 use crate::peer_server::PeerServer;
+use crate::request_body::{RequestBody, Upload};
 
 /// A machine that does not take a connection by then is not there.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -24,6 +25,8 @@
 /// On thin links responses wait behind others: so many milliseconds more for a speed of 1 Mbit/s, less for faster ones, but no more than
 /// the longest silence.
 const THIN_LINK_MS: f64 = 20_000.0;
+/// A build that asks for bodies says so as soon as the connection is there.
+const HELLO_TIMEOUT: Micros = Micros::ms(400);
 /// Connections at most, each way.
 const MAX_CONNECTIONS: usize = 1_000;
 
@@ -65,11 +68,30 @@
     }
 
     /// Sends a request to the proxy beside a backend. Dropped, it is taken back there where that can still be done.
-    pub async fn send(self: &Rc<PeerConnections>, proxy: &str, request: Request) -> PeerResponse {
+    pub async fn send(
+        self: &Rc<PeerConnections>,
+        proxy: &str,
+        mut request: Request,
+        body: &RequestBody,
+    ) -> PeerResponse {
         if proxy == self.context.address {
-            return self.inbound.clone().serve(request).await;
+            request.remote_body = true;
+            request.body_length = body.len() as u64;
+            return self.inbound.clone().serve(request, body.reader()).await;
+        }
+        let Some(link) = self.link(proxy) else {
+            return without_answer(request.id, Verdict::NotRun, "no link").into();
+        };
+        if body.is_inline() || !link.asks_for_bodies(HELLO_TIMEOUT).await {
+            request.body = body.to_bytes();
+        } else {
+            request.remote_body = true;
+            request.body_length = body.len() as u64;
         }
-        self.exchange(proxy, request.id, Payload::Request(request)).await
+        // Numbers on a connection rise, and it may have waited.
+        request.id = self.context.next_id();
+        let upload = request.remote_body.then(|| body.upload());
+        self.exchange_on(&link, request.id, Payload::Request(request), upload).await
     }
 
     /// The response to a key that another proxy holds, in that run of it.
@@ -84,18 +106,20 @@
             return self.inbound.held_response(id, key, holder_boot_id);
         }
         let fetch = FetchResponse { id, key: key.to_string(), holder_boot_id };
-        self.exchange(holder, id, Payload::FetchResponse(fetch)).await.response
+        match self.link(holder) {
+            Some(link) => self.exchange_on(&link, id, Payload::FetchResponse(fetch), None).await.response,
+            None => without_answer(id, Verdict::NotRun, "no link"),
+        }
     }
 
-    async fn exchange(
-        self: &Rc<PeerConnections>,
-        address: &str,
+    async fn exchange_on(
+        &self,
+        link: &Rc<PeerLink>,
         id: ExchangeId,
         payload: Payload,
+        upload: Option<Upload>,
     ) -> PeerResponse {
-        let Some(link) = self.link(address) else {
-            return without_answer(id, Verdict::NotRun, "no link").into();
-        };
+        let _sending = upload.map(|upload| link.add_upload(id, upload));
         let (response, guard) = link.request(self.context.now(), id, payload);
         let response = response
             .await
@@ -152,6 +176,14 @@
         let aborted = match payload {
             Payload::Response(response) => link.on_response(now, response),
             Payload::BodyChunk(chunk) => link.on_body_chunk(now, chunk),
+            Payload::BodyConsumed(requested) => {
+                link.on_body_requested(&requested);
+                None
+            }
+            Payload::Hello(hello) => {
+                link.on_hello(&hello);
+                None
+            }
             Payload::Pong(pong) => link.apply(now, OutgoingEvent::Pong(pong.number)),
             Payload::GoAway(_) => link.apply(now, OutgoingEvent::GoAway),
             _ => None,
--- a/crates/data-plane/src/peer_link.rs
+++ b/crates/data-plane/src/peer_link.rs
@@ -1,14 +1,17 @@
 //! One connection to another proxy, and what comes back over it. `peer_connections` carries them.
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use notchspool::units::Micros;
-use notchspool_mesh_protocol::{BodyChunk, BodyConsumed, Cancel, Payload, Ping, Response, Verdict};
+use notchspool_mesh_protocol::{BodyChunk, BodyConsumed, Cancel, Hello, Payload, Ping, Response, Verdict};
 use notchspool_runtime::frame_connection::FrameSender;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::body_pipe::{BodyEnd, BodyPipe};
+use crate::context::within;
 use crate::peer_exchange::{ExchangeId, OutgoingAction, OutgoingEvent, OutgoingExchanges};
+use crate::request_body::Upload;
 
 /// A response, and the rest of it where it is streamed. Where it is dropped before the rest has come, the rest is given up.
 pub struct PeerResponse {
@@ -38,6 +41,22 @@
     /// Its sending end.
     pub sender: FrameSender,
     exchanges: RefCell<OutgoingExchanges<Waiting, BodyPipe>>,
+    /// Bodies that the other side asks for.
+    uploads: RefCell<HashMap<ExchangeId, Upload>>,
+    /// Whether the other side asks for bodies; `None` until it has said what it is.
+    asks_for_bodies: watch::Sender<Option<bool>>,
+}
+
+/// Ends the sending of a body: its request is answered, or nobody waits for that any more.
+pub struct UploadGuard {
+    link: Rc<PeerLink>,
+    id: ExchangeId,
+}
+
+impl Drop for UploadGuard {
+    fn drop(&mut self) {
+        self.link.uploads.borrow_mut().remove(&self.id);
+    }
 }
 
 /// Abandons an exchange where its wait, or the rest of its response, is dropped: the other side is told.
@@ -74,7 +93,39 @@
     /// A connection that is being opened.
     pub fn new(now: Micros) -> Rc<PeerLink> {
         let exchanges = RefCell::new(OutgoingExchanges::new(now));
-        Rc::new(PeerLink { sender: FrameSender::default(), exchanges })
+        Rc::new(PeerLink {
+            sender: FrameSender::default(),
+            exchanges,
+            uploads: RefCell::default(),
+            asks_for_bodies: watch::Sender::new(None),
+        })
+    }
+
+    /// The other side says what it is.
+    pub fn on_hello(&self, hello: &Hello) {
+        self.asks_for_bodies.send_replace(Some(hello.asks_for_bodies));
+    }
+
+    /// Whether the other side asks for bodies. Builds before this one never say, so that is waited for no longer than `time`.
+    pub async fn asks_for_bodies(&self, time: Micros) -> bool {
+        let mut told = self.asks_for_bodies.subscribe();
+        let told = within(time, told.wait_for(Option::is_some)).await;
+        told.and_then(Result::ok).and_then(|told| *told).unwrap_or(false)
+    }
+
+    /// Sends this body for a request as the other side asks for it, until the guard is dropped.
+    pub fn add_upload(self: &Rc<PeerLink>, id: ExchangeId, upload: Upload) -> UploadGuard {
+        self.uploads.borrow_mut().insert(id, upload);
+        UploadGuard { link: self.clone(), id }
+    }
+
+    /// The other side asks for bytes of a body. What is not sent any more is asked for in vain.
+    pub fn on_body_requested(&self, requested: &BodyConsumed) {
+        let BodyConsumed { id, bytes } = *requested;
+        let chunks = self.uploads.borrow_mut().get_mut(&id).map(|upload| upload.on_requested(bytes));
+        for (bytes, last) in chunks.into_iter().flatten() {
+            self.sender.send(Payload::BodyChunk(BodyChunk { id, bytes, last, truncated: false }));
+        }
     }
 
     /// Whether new requests may go on it.
--- a/crates/data-plane/src/peer_server.rs
+++ b/crates/data-plane/src/peer_server.rs
@@ -17,12 +17,15 @@
 use crate::link_load::UnsentBytes;
 use crate::peer_exchange::{ExchangeId, IncomingAction, IncomingEvent, IncomingExchanges};
 use crate::peer_link::without_answer;
+use crate::request_body::{BodySource, RemoteBody, WINDOW_BYTES};
 use crate::stall_detector;
 
 /// Bytes of a streamed response that may be on their way: what the link carries in this time, within bounds.
 const WINDOW_SECONDS: f64 = 0.05;
 const MIN_WINDOW_BYTES: usize = 32 << 10;
 const MAX_WINDOW_BYTES: usize = 256 << 10;
+/// Bytes of a request's body that stand here at most: what was asked for and not read yet.
+const MAX_UNREAD_BYTES: usize = 2 * WINDOW_BYTES as usize;
 
 /// Flow control of a streamed response: how much of it was sent and not taken yet.
 #[derive(Default)]
@@ -38,6 +41,8 @@
     sender: FrameSender,
     exchanges: RefCell<IncomingExchanges<AbortHandle>>,
     streams: RefCell<HashMap<ExchangeId, Rc<FlowControl>>>,
+    /// Bodies of requests that come as they are asked for.
+    bodies: RefCell<HashMap<ExchangeId, BodyPipe>>,
 }
 
 impl PeerServer {
@@ -49,6 +54,7 @@
             sender: FrameSender::default(),
             exchanges: RefCell::default(),
             streams: RefCell::default(),
+            bodies: RefCell::default(),
         })
     }
 
@@ -60,9 +66,12 @@
     /// Carries the connection until it ends; work that is open then is ended with it.
     pub async fn carry(self: Rc<PeerServer>, stream: TcpStream) {
         frame_connection::configure_socket(&stream);
+        self.sender.send(Payload::Hello(self.context.hello()));
         let on_message = |payload| self.on_message(payload);
         let reason = frame_connection::run(stream, self.sender.clone(), None, on_message).await;
         log::debug!(target: "peers", "a connection from outside ends: {reason}");
+        // Work on a key goes on, and must not wait for the rest of its body.
+        self.bodies.take().into_values().for_each(|pipe| pipe.finish(BodyEnd::Truncated));
         let action = self.exchanges.borrow_mut().apply(IncomingEvent::Closed);
         if let IncomingAction::AbortAll(handles) = action {
             handles.iter().for_each(AbortHandle::abort);
@@ -74,6 +83,7 @@
             Payload::Request(request) => self.on_request(request),
             Payload::Cancel(cancel) => self.on_cancel(cancel.id),
             Payload::BodyConsumed(consumed) => self.on_body_consumed(&consumed),
+            Payload::BodyChunk(chunk) => self.on_body_chunk(chunk),
             Payload::FetchResponse(fetch) => {
                 let response = self.inbound.held_response(fetch.id, &fetch.key, fetch.holder_boot_id);
                 self.sender.send(Payload::Response(response));
@@ -109,7 +119,9 @@
 
     async fn serve(self: Rc<PeerServer>, request: Request) {
         let id = request.id;
-        let served = self.inbound.clone().serve(request).await;
+        let body = self.body_of(&request);
+        let served = self.inbound.clone().serve(request, body).await;
+        self.bodies.borrow_mut().remove(&id);
         let length = served.response.length as usize;
         let first_bytes = served.response.body.len();
         self.sender.send(Payload::Response(Response { id, ..served.response }));
@@ -126,7 +138,38 @@
         self.exchanges.borrow_mut().apply(IncomingEvent::Finished(id));
     }
 
+    /// The body that came with a request, or that is to be asked for.
+    fn body_of(&self, request: &Request) -> BodySource {
+        if !request.remote_body {
+            return BodySource::inline(request.body.clone());
+        }
+        let (id, pipe, sender) = (request.id, BodyPipe::default(), self.sender.clone());
+        self.bodies.borrow_mut().insert(id, pipe.clone());
+        let ask = move |bytes| {
+            sender.send(Payload::BodyConsumed(BodyConsumed { id, bytes }));
+        };
+        BodySource::Remote(RemoteBody::new(request.body_length, pipe, Box::new(ask)))
+    }
+
+    /// Part of a body that was asked for. What comes for a request that is done is nobody's.
+    fn on_body_chunk(&self, chunk: BodyChunk) {
+        let bodies = self.bodies.borrow();
+        let Some(pipe) = bodies.get(&chunk.id) else { return };
+        if pipe.len() + chunk.bytes.len() > MAX_UNREAD_BYTES {
+            // More than was ever asked for.
+            self.context.count("bodies_astray");
+            return pipe.finish(BodyEnd::Truncated);
+        }
+        pipe.write(chunk.bytes);
+        if chunk.last {
+            pipe.finish(if chunk.truncated { BodyEnd::Truncated } else { BodyEnd::Complete });
+        }
+    }
+
     fn on_cancel(&self, id: ExchangeId) {
+        if let Some(pipe) = self.bodies.borrow_mut().remove(&id) {
+            pipe.finish(BodyEnd::Truncated);
+        }
         self.streams.borrow_mut().remove(&id);
         let action = self.exchanges.borrow_mut().apply(IncomingEvent::Cancel(id));
         if let IncomingAction::Abort(task) = action {
--- a/crates/data-plane/tests/wire.rs
+++ b/crates/data-plane/tests/wire.rs
@@ -9,9 +9,10 @@
 use bytes::{Bytes, BytesMut};
 use notchspool::units::Micros;
 use notchspool_data_plane::proxy::Proxy;
+use notchspool_data_plane::request_body::{BodySource, MAX_INLINE_BYTES, RequestBody};
 use notchspool_mesh_protocol::{
-    BodyChunk, Cancel, ClaimReply, Member, Payload, Request, Response, Verdict, VoterSet, Welcome, decode,
-    encode,
+    BodyChunk, BodyConsumed, Cancel, ClaimReply, Hello, Member, Payload, Request, Response, Verdict,
+    VoterSet, Welcome, decode, encode,
 };
 use notchspool_runtime::frame_connection::is_quiet;
 use notchspool_runtime::node_settings::NodeSettings;
@@ -89,7 +90,8 @@
 
 async fn send(proxy: &Rc<Proxy>, request: Request) -> Verdict {
     let deadline = proxy.context.now() + Micros::ms(15_000);
-    proxy.client.send(&request, deadline).await.response.verdict()
+    let body = BodySource::inline(request.body.clone());
+    proxy.client.send(&request, body, deadline).await.response.verdict()
 }
 
 #[test]
@@ -195,16 +197,21 @@
         encode(what, &mut out);
         self.stream.write_all(&out).unwrap();
     }
-    fn requested(&mut self) -> u64 {
+    fn request(&mut self) -> Request {
         loop {
             if let Payload::Request(ask) = self.next().unwrap() {
-                return ask.id;
+                return ask;
             }
         }
     }
+    fn requested(&mut self) -> u64 {
+        self.request().id
+    }
 }
 
-fn peer(then: impl FnOnce(Other) + Send + 'static) -> (String, std::thread::JoinHandle<()>) {
+fn peer<T: Send + 'static>(
+    then: impl FnOnce(Other) -> T + Send + 'static,
+) -> (String, std::thread::JoinHandle<T>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap().to_string();
     (at, std::thread::spawn(move || then(Other::of(listener.accept().unwrap().0))))
@@ -223,7 +230,7 @@
             while other.next().is_some() {}
         });
         let proxy = proxy(nowhere());
-        let response = proxy.peers.send(&at, Request { id: proxy.context.next_id(), ..ask("a", 0) }).await;
+        let response = proxy.peers.send(&at, ask("a", 0), &RequestBody::default()).await;
         assert_eq!((response.response.verdict(), response.response.status), (Verdict::MayHaveRun, 0));
         tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
     });
@@ -251,7 +258,7 @@
             while other.next().expect("it was not given up") != Payload::Cancel(Cancel { id }) {}
         });
         let proxy = proxy(nowhere());
-        let response = proxy.peers.send(&at, Request { id: proxy.context.next_id(), ..ask("a", 0) }).await;
+        let response = proxy.peers.send(&at, ask("a", 0), &RequestBody::default()).await;
         assert!(response.rest.is_some());
         drop(response);
         tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
@@ -265,6 +272,7 @@
         let at = listener.local_addr().unwrap();
         let hand = std::thread::spawn(move || {
             let mut other = Other::of(TcpStream::connect(at).unwrap());
+            assert!(matches!(other.next(), Some(Payload::Hello(Hello { asks_for_bodies: true, .. }))));
             other.say(Payload::Request(Request { id: 5, time_left_ms: 1_000, ..ask("a", 0) }));
             assert!(matches!(other.next(), Some(Payload::Response(Response { id: 5, .. }))));
             other.say(Payload::Request(Request { id: 5, time_left_ms: 1_000, ..ask("a", 0) }));
@@ -327,3 +335,118 @@
         );
     });
 }
+
+fn large_body() -> RequestBody {
+    RequestBody::new((0..40u8).map(|byte| Bytes::from(vec![byte; 10_000])).collect())
+}
+
+fn answered(id: u64) -> Payload {
+    Payload::Response(Response { id, verdict: Verdict::Answered.into(), status: 200, ..Response::default() })
+}
+
+#[test]
+fn a_large_body_is_sent_as_the_other_proxy_asks_for_it_and_no_sooner() {
+    plays(async {
+        let body = large_body();
+        let (at, hand) = peer(|mut other| {
+            other.say(Payload::Hello(Hello { asks_for_bodies: true, ..Hello::default() }));
+            let request = other.request();
+            assert_eq!((request.remote_body, request.body_length, request.body.len()), (true, 400_000, 0));
+            let id = request.id;
+            let mut read = Vec::new();
+            while read.len() < 400_000 {
+                let wanted = read.len() + 30_000;
+                other.say(Payload::BodyConsumed(BodyConsumed { id, bytes: 30_000 }));
+                while read.len() < wanted.min(400_000) {
+                    let Some(Payload::BodyChunk(chunk)) = other.next() else { panic!("no chunk") };
+                    read.extend_from_slice(&chunk.bytes);
+                    assert_eq!(chunk.last, read.len() == 400_000);
+                }
+                assert!(read.len() <= wanted, "more than was asked for");
+            }
+            other.say(answered(id));
+            read
+        });
+        let proxy = proxy(nowhere());
+        let response = proxy.peers.send(&at, ask("a", 0), &body).await;
+        assert_eq!(response.response.verdict(), Verdict::Answered);
+        let read = tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
+        assert_eq!(read, body.to_bytes());
+    });
+}
+
+#[test]
+fn a_proxy_of_an_earlier_build_gets_a_large_body_with_its_request() {
+    plays(async {
+        let (at, hand) = peer(|mut other| {
+            let request = other.request();
+            other.say(answered(request.id));
+            request
+        });
+        let proxy = proxy(nowhere());
+        let response = proxy.peers.send(&at, ask("a", 0), &large_body()).await;
+        assert_eq!(response.response.verdict(), Verdict::Answered);
+        let request = tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
+        assert!(!request.remote_body && request.body == large_body().to_bytes());
+    });
+}
+
+/// A backend that reads a whole request and answers with the number of its bytes.
+fn counting_backend() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (mut got, mut part) = (Vec::new(), vec![0u8; 1 << 16]);
+            let whole = loop {
+                let head = got.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
+                let text = String::from_utf8_lossy(&got[..head.unwrap_or(0)]).into_owned();
+                let length = text.lines().find_map(|line| line.strip_prefix("content-length: "));
+                let length: usize = length.map_or(0, |length| length.parse().unwrap());
+                if head.is_some_and(|head| got.len() >= head + length) {
+                    break true;
+                }
+                match stream.read(&mut part) {
+                    Ok(n) if n > 0 => got.extend_from_slice(&part[..n]),
+                    _ => break false,
+                }
+            };
+            let head = got.windows(4).position(|w| w == b"\r\n\r\n").map_or(0, |at| at + 4);
+            let body = format!("{whole} {}", got.len() - head);
+            let answer = format!(
+                "HTTP/1.1 200 X\r\nnotchspool-attempt-id: a\r\n{SEAL}content-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            stream.write_all(answer.as_bytes()).ok();
+        }
+    });
+    at
+}
+
+#[test]
+fn a_body_that_breaks_off_on_its_way_is_never_a_whole_request_at_the_backend() {
+    plays(async {
+        let proxy = proxy(counting_backend());
+        for (length, chunks, verdict) in [
+            (3 * MAX_INLINE_BYTES, 3, Verdict::Answered),
+            (3 * MAX_INLINE_BYTES, 2, Verdict::MayHaveRun),
+            // The last one is longer than what was announced.
+            (3 * MAX_INLINE_BYTES - 1, 3, Verdict::MayHaveRun),
+        ] {
+            let pipe = notchspool_data_plane::body_pipe::BodyPipe::default();
+            for _ in 0..chunks {
+                pipe.write(Bytes::from(vec![1; MAX_INLINE_BYTES]));
+            }
+            pipe.finish(notchspool_data_plane::body_pipe::BodyEnd::Truncated);
+            let remote =
+                notchspool_data_plane::request_body::RemoteBody::new(length as u64, pipe, Box::new(|_| ()));
+            let request = Request { remote_body: true, body_length: length as u64, ..ask("a", 0) };
+            let deadline = proxy.context.now() + Micros::ms(15_000);
+            let outcome = proxy.client.send(&request, BodySource::Remote(remote), deadline).await;
+            assert_eq!(outcome.response.verdict(), verdict, "{length} bytes, {chunks} chunks");
+            if verdict == Verdict::Answered {
+                assert_eq!(outcome.response.body, format!("true {length}").as_bytes());
+            }
+        }
+    });
+}
--- a/crates/mesh-protocol/src/message/connection.rs
+++ b/crates/mesh-protocol/src/message/connection.rs
@@ -41,6 +41,9 @@
     /// Of a replica: its loss counts against what the site tolerates, so that it may become a voter.
     #[prost(bool, tag = "7")]
     pub counted: bool,
+    /// Of a proxy: it asks for bodies of requests ([`super::exchange::Request::remote_body`]).
+    #[prost(bool, tag = "8")]
+    pub asks_for_bodies: bool,
     /// Digests of the texts that it holds, the newest last.
     #[prost(bytes = "bytes", repeated, tag = "15")]
     pub text_digests: Vec<Bytes>,
--- a/crates/mesh-protocol/src/message/exchange.rs
+++ b/crates/mesh-protocol/src/message/exchange.rs
@@ -36,7 +36,7 @@
     /// Headers.
     #[prost(message, repeated, tag = "6")]
     pub headers: Vec<Header>,
-    /// The whole body.
+    /// The whole body, unless [`Request::remote_body`].
     #[prost(bytes = "bytes", tag = "7")]
     pub body: Bytes,
     /// Milliseconds until its deadline, when it is sent.
@@ -75,6 +75,12 @@
     /// How many requests wait for this one to be done: 0 for a client's own, 1 for a call made for such a one.
     #[prost(uint32, tag = "19")]
     pub call_depth: u32,
+    /// The body comes as [`BodyChunk`]s, as the receiver asks for them by [`BodyConsumed`]. Only to those that said that they do so.
+    #[prost(bool, tag = "20")]
+    pub remote_body: bool,
+    /// Of such a body: its bytes.
+    #[prost(uint64, tag = "21")]
+    pub body_length: u64,
 }
 
 /// What became of a request at the proxy beside the backend.
@@ -195,13 +201,13 @@
     pub truncated: bool,
 }
 
-/// Flow control: the reader of a streamed body has taken bytes.
+/// Flow control: the reader of a streamed response has taken bytes, or asks for bytes of a request's body.
 #[derive(Clone, PartialEq, Message)]
 pub struct BodyConsumed {
     /// The request's number.
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    /// Bytes taken since the last such message.
+    /// Bytes taken, or asked for, since the last such message.
     #[prost(uint64, tag = "2")]
     pub bytes: u64,
 }
