Admission: a floor for each priority and latency target, held as a slot comes free

Change: a kind is a priority and a latency target. Starvation is decided as a slot comes free, for the first of a kind, in place of the order at arrival; a kind is starved where it lacks a request or more.

--- a/crates/data-plane/src/admission.rs
+++ b/crates/data-plane/src/admission.rs
@@ -8,6 +8,7 @@
 use notchspool::units::Micros;
 
 use crate::kind_floor::KindFloor;
+use crate::work_kind::WorkKind;
 
 /// Requests that are queued at most, for each slot.
 const MAX_QUEUED_A_SLOT: f64 = 4.0;
@@ -63,8 +64,8 @@
     pub call_depth: u32,
     /// 0 is the highest.
     pub priority: u32,
-    /// Work of one kind takes about as long: its route's latency target, in milliseconds.
-    pub kind: u32,
+    /// Work of one kind takes about as long, and has a floor of its own.
+    pub kind: WorkKind,
     /// Until when a response has its full value.
     pub target_at: Micros,
     /// Until when it has any.
@@ -77,20 +78,24 @@
     deadline: Micros,
     expected_us: f64,
     /// Of new work: what kind it is.
-    kind: Option<u32>,
+    kind: Option<WorkKind>,
 }
 
-/// The order of the queue: calls by depth, then kinds that are under their floor, then by priority, then those that can still be in time, then by latency target, then by arrival.
+/// The order of the queue: calls by depth, then by priority, then those that can still be in time, then by latency target, then by arrival.
+/// The first of a kind that is under its floor goes before all new work, when a slot comes free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueKey {
     call_depth: Reverse<u32>,
-    is_starved: Reverse<bool>,
     priority: u32,
     is_late: bool,
     target_us: i64,
     ticket: QueueTicket,
 }
 
+/// Before all new work, behind all calls.
+const FIRST_OF_NEW_WORK: QueueKey =
+    QueueKey { call_depth: Reverse(0), priority: 0, is_late: false, target_us: i64::MIN, ticket: 0 };
+
 /// Requests at the backend, and those that wait for it.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
@@ -100,7 +105,7 @@
     last_ticket: QueueTicket,
     /// Mean time of the backend's work, over all and of each kind; 0 where none was measured.
     mean_us: f64,
-    mean_us_by_kind: BTreeMap<u32, f64>,
+    mean_us_by_kind: BTreeMap<WorkKind, f64>,
     utilisation: f64,
     updated_at: Micros,
     floor: KindFloor,
@@ -160,33 +165,44 @@
         }
         let expected_us = self.mean_us_by_kind.get(&candidate.kind).copied().unwrap_or(self.mean_us);
         let ticket = self.last_ticket + 1;
-        let is_starved = kind.is_some_and(|kind| self.floor.is_starved(kind));
         let key = QueueKey {
             call_depth: Reverse(candidate.call_depth),
-            is_starved: Reverse(is_starved),
             priority: candidate.priority,
             is_late: ((candidate.target_at - now).0 as f64) < expected_us,
             target_us: candidate.target_at.0,
             ticket,
         };
-        let wait = self.expected_wait(&key);
-        let is_full = self.queue.len() as f64 >= MAX_QUEUED_A_SLOT * self.slots as f64;
-        let last = self.queue.last_key_value().filter(|(last, _)| **last > key);
-        let last = last.map(|(key, queued)| (*key, queued.ticket));
-        let max_wait = match is_starved {
-            true => (candidate.deadline - now).times(MAX_WAIT_PART),
-            false => max_wait(now, &candidate, expected_us),
+        let is_starved_head = kind.is_some_and(|kind| self.floor.is_starved(kind) && !self.is_queued(kind));
+        let (place, max_wait) = match is_starved_head {
+            true => (FIRST_OF_NEW_WORK, (candidate.deadline - now).times(MAX_WAIT_PART)),
+            false => (key, max_wait(now, &candidate, expected_us)),
         };
+        let wait = self.expected_wait(&place);
+        let is_full = self.queue.len() as f64 >= MAX_QUEUED_A_SLOT * self.slots as f64;
+        let last = if is_full { self.last_after(&place) } else { None };
         if wait > max_wait || (is_full && last.is_none()) {
             return Admission { decision: Decision::Rejected(wait.max(MIN_RETRY_AFTER)), displaced: None };
         }
-        let displaced = last.filter(|_| is_full);
-        if let Some((last, _)) = displaced {
-            self.queue.remove(&last);
-        }
+        let displaced = last.and_then(|last| self.queue.remove(&last)).map(|queued| queued.ticket);
         self.last_ticket = ticket;
         self.queue.insert(key, Queued { ticket, deadline: candidate.deadline, expected_us, kind });
-        Admission { decision: Decision::Queued(ticket), displaced: displaced.map(|(_, ticket)| ticket) }
+        Admission { decision: Decision::Queued(ticket), displaced }
+    }
+
+    fn is_queued(&self, kind: WorkKind) -> bool {
+        self.queue.values().any(|queued| queued.kind == Some(kind))
+    }
+
+    /// The first queued request of each kind that is under its floor, the most starved kind first.
+    fn starved_heads(&self) -> Vec<QueueKey> {
+        let head = |kind| self.queue.iter().find(|(_, queued)| queued.kind == Some(kind));
+        self.floor.starved_kinds().into_iter().filter_map(head).map(|(key, _)| *key).collect()
+    }
+
+    /// The last in order that may make way for one at `place`.
+    fn last_after(&self, place: &QueueKey) -> Option<QueueKey> {
+        let kept = self.starved_heads();
+        self.queue.range(place..).rev().map(|(key, _)| *key).find(|key| !kept.contains(key))
     }
 
     /// One slot comes free in the time that one request takes, over the slots; those ahead take them first.
@@ -202,7 +218,7 @@
     }
 
     /// A request of this kind that was in flight is done, `took` where it was measured. Gives the one that begins next.
-    pub fn release(&mut self, now: Micros, kind: u32, took: Option<Micros>) -> Option<QueueTicket> {
+    pub fn release(&mut self, now: Micros, kind: WorkKind, took: Option<Micros>) -> Option<QueueTicket> {
         self.update_utilisation(now);
         debug_assert!(self.in_flight > 0, "a slot that was given back twice");
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -212,7 +228,7 @@
         self.admit_next(now)
     }
 
-    fn measure(&mut self, kind: u32, took_us: f64) {
+    fn measure(&mut self, kind: WorkKind, took_us: f64) {
         let smoothed = |old: f64| if old == 0.0 { took_us } else { old + SMOOTHING * (took_us - old) };
         self.mean_us = smoothed(self.mean_us);
         if self.mean_us_by_kind.len() < MAX_KINDS || self.mean_us_by_kind.contains_key(&kind) {
@@ -224,16 +240,18 @@
     /// The first of the queue that still has time begins, where there is room.
     pub fn admit_next(&mut self, now: Micros) -> Option<QueueTicket> {
         self.queue.retain(|_, queued| queued.deadline > now);
-        let call_depth = self.queue.first_key_value()?.0.call_depth.0;
+        let first = *self.queue.first_key_value()?.0;
+        let call_depth = first.call_depth.0;
         if !self.has_room(call_depth) {
             return None;
         }
-        let (_, first) = self.queue.pop_first()?;
-        self.begin(first.kind);
-        Some(first.ticket)
+        let starved = if call_depth == 0 { self.starved_heads().first().copied() } else { None };
+        let next = self.queue.remove(&starved.unwrap_or(first))?;
+        self.begin(next.kind);
+        Some(next.ticket)
     }
 
-    fn begin(&mut self, kind: Option<u32>) {
+    fn begin(&mut self, kind: Option<WorkKind>) {
         self.in_flight += 1;
         if let Some(kind) = kind {
             self.floor.on_begun(kind);
--- a/crates/data-plane/src/backend_queue.rs
+++ b/crates/data-plane/src/backend_queue.rs
@@ -12,6 +12,7 @@
 use crate::admission::{Candidate, Decision, QueueTicket};
 use crate::context::{Context, within};
 use crate::local_backend::LocalBackend;
+use crate::work_kind::WorkKind;
 
 /// The queue before the backend of this machine.
 pub struct BackendQueue {
@@ -24,7 +25,7 @@
 /// A slot at the backend.
 pub struct Slot {
     queue: Rc<BackendQueue>,
-    kind: u32,
+    kind: WorkKind,
     /// How long the backend took, where it answered.
     took: Option<Micros>,
 }
@@ -87,7 +88,12 @@
         }
     }
 
-    async fn wait(self: &Rc<BackendQueue>, ticket: QueueTicket, kind: u32, timeout: Micros) -> Option<Slot> {
+    async fn wait(
+        self: &Rc<BackendQueue>,
+        ticket: QueueTicket,
+        kind: WorkKind,
+        timeout: Micros,
+    ) -> Option<Slot> {
         let (sender, admitted) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, sender);
         let _place = QueuePlace { queue: self.clone(), ticket };
@@ -100,7 +106,7 @@
     fn admit_waiting(self: &Rc<BackendQueue>, next: Option<QueueTicket>) {
         let mut next = next;
         while let Some(ticket) = next {
-            let slot = Slot { queue: self.clone(), kind: 0, took: None };
+            let slot = Slot { queue: self.clone(), kind: WorkKind::default(), took: None };
             let waiting = self.waiting.borrow_mut().remove(&ticket);
             // Where nobody waits any more the slot is given back here.
             drop(waiting.map(|waiting| waiting.send(slot)));
--- a/crates/data-plane/src/inbound.rs
+++ b/crates/data-plane/src/inbound.rs
@@ -21,6 +21,7 @@
 use crate::request_body::BodySource;
 use crate::running_requests::{Origin, RunningRequests};
 use crate::shutdown::{KnownEnd, Need};
+use crate::work_kind::WorkKind;
 
 /// Kept clear of the end of a request's time.
 const DEADLINE_MARGIN: Micros = Micros::ms(2);
@@ -92,7 +93,10 @@
         Candidate {
             call_depth: self.origin.call_depth,
             priority: self.origin.priority,
-            kind: self.request.latency_target_ms,
+            kind: WorkKind {
+                priority: self.request.priority,
+                latency_target_ms: self.request.latency_target_ms,
+            },
             target_at: self.origin.target_at,
             deadline: self.deadline,
         }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -53,3 +53,4 @@
 pub mod shutdown;
 pub mod stall_detector;
 pub mod watched_replica;
+pub mod work_kind;
--- a/crates/data-plane/tests/admission.rs
+++ b/crates/data-plane/tests/admission.rs
@@ -1,6 +1,7 @@
 //! What may begin at a backend, and in which order.
 use notchspool::units::Micros;
 use notchspool_data_plane::admission::{Admission, AdmissionQueue, Candidate, Decision, QueueTicket};
+use notchspool_data_plane::work_kind::WorkKind;
 
 fn busy_queue(slots: u32) -> AdmissionQueue {
     let mut queue = AdmissionQueue::new(Micros(1));
@@ -11,12 +12,16 @@
     }
     queue
 }
+fn kind_of(priority: u32, latency_target_ms: u32) -> WorkKind {
+    WorkKind { priority, latency_target_ms }
+}
+
 fn candidate(priority: u32, target: i64, now: i64) -> Candidate {
     let at = |ms: i64| Micros::ms(now + ms);
     Candidate {
         call_depth: 0,
         priority,
-        kind: target as u32,
+        kind: kind_of(priority, target as u32),
         target_at: at(target),
         deadline: at(3 * target),
     }
@@ -35,7 +40,7 @@
     let order = ticket(queue.admit(now, candidate(1, 800, 1)));
     let check = ticket(queue.admit(now, candidate(1, 200, 1)));
     let first = ticket(queue.admit(now, candidate(0, 900, 1)));
-    let ended = |queue: &mut AdmissionQueue| queue.release(now, 800, None);
+    let ended = |queue: &mut AdmissionQueue| queue.release(now, kind_of(1, 800), None);
     assert_eq!(
         [ended(&mut queue), ended(&mut queue), ended(&mut queue)],
         [Some(first), Some(check), Some(order)]
@@ -57,7 +62,7 @@
 #[test]
 fn who_would_be_late_by_waiting_is_turned_away_at_once() {
     let (mut queue, now) = (busy_queue(1), Micros::ms(300));
-    queue.release(now, 2_000, Some(now));
+    queue.release(now, kind_of(1, 2_000), Some(now));
     assert_eq!(queue.admit(now, candidate(1, 2_000, 300)).decision, Decision::Admitted);
     // Work takes 300 ms, one place at a time: the third would begin after 900 ms, and a few such would miss their target.
     ticket(queue.admit(now, candidate(1, 2_000, 300)));
@@ -85,7 +90,9 @@
                 }
             } else if inside > 0 {
                 inside -= 1;
-                inside += usize::from(queue.release(Micros::ms(now), 200, Some(Micros::ms(40))).is_some());
+                inside += usize::from(
+                    queue.release(Micros::ms(now), kind_of(1, 200), Some(Micros::ms(40))).is_some(),
+                );
             }
             if inside > 5 || queue.in_flight() != inside || queue.queued() > 12 {
                 return false;
@@ -113,18 +120,23 @@
     let of_order = ticket(queue.admit(now, call(1, 1)));
     let of_lookup = ticket(queue.admit(now, call(1, 2)));
     let deep = ticket(queue.admit(now, call(2, 2)));
-    let order: Vec<_> = (0..7).filter_map(|_| queue.release(now, 800, None)).collect();
+    let order: Vec<_> = (0..7).filter_map(|_| queue.release(now, kind_of(1, 800), None)).collect();
     assert_eq!(order, [deep, of_order, of_lookup, patient, urgent]);
 }
 
 #[test]
 fn a_call_waits_where_a_request_of_the_same_target_is_turned_away() {
     let (mut queue, now) = (busy_queue(1), Micros::ms(300));
-    queue.release(now, 300, Some(Micros::ms(300)));
+    queue.release(now, kind_of(1, 300), Some(Micros::ms(300)));
     assert_eq!(queue.admit(now, candidate(1, 300, 300)).decision, Decision::Admitted);
     let deadline = now + Micros::ms(600);
-    let short =
-        Candidate { call_depth: 0, priority: 1, kind: 200, target_at: now + Micros::ms(200), deadline };
+    let short = Candidate {
+        call_depth: 0,
+        priority: 1,
+        kind: kind_of(1, 200),
+        target_at: now + Micros::ms(200),
+        deadline,
+    };
     assert!(matches!(queue.admit(now, short).decision, Decision::Rejected(_)));
     let call = Candidate { call_depth: 1, ..short };
     for _ in 0..2 {
@@ -136,8 +148,8 @@
     assert!(matches!(queue.admit(now, hurried).decision, Decision::Rejected(_)));
 }
 
-/// Two kinds, each with as much work as the backend bears twice over; the part of each that begins.
-fn begun_parts(seed: u64) -> [f64; 2] {
+/// Two kinds of these latency targets, each with as much work as the backend bears twice over; the part of each that begins.
+fn begun_parts(seed: u64, targets_ms: [i64; 2]) -> [f64; 2] {
     const WORK_MS: i64 = 40;
     const LAST_MS: i64 = 60_000;
     let mut chance = seed.wrapping_mul(6_364_136_223_846_793_005) | 1;
@@ -145,7 +157,7 @@
         chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (chance >> 33) % bound
     };
-    let kinds = [candidate(0, 400, 0), candidate(3, 800, 0)];
+    let kinds = [candidate(0, targets_ms[0], 0), candidate(3, targets_ms[1], 0)];
     let mut queue = AdmissionQueue::new(Micros(1));
     queue.set_slots(2);
     let (mut offered, mut begun) = ([0f64; 2], [0f64; 2]);
@@ -188,10 +200,19 @@
 
 #[test]
 fn where_there_is_less_room_than_work_the_last_kind_keeps_a_quarter_of_the_rate_of_all() {
-    for seed in 0..20 {
-        let [first, last] = begun_parts(seed);
-        let all = f64::midpoint(first, last);
-        assert!(last >= all / 4.0, "seed {seed}: {last:.3} of the last kind begin, {all:.3} of all");
-        assert!(first > last, "seed {seed}: priority decides the order, {first:.3} and {last:.3}");
+    // By their latency targets alone the kinds of the second pair are the same.
+    for targets_ms in [[400, 800], [800, 800]] {
+        for seed in 0..20 {
+            let [first, last] = begun_parts(seed, targets_ms);
+            let all = f64::midpoint(first, last);
+            assert!(
+                last >= all / 4.0,
+                "seed {seed}, {targets_ms:?} ms: {last:.3} of the last kind begin, {all:.3} of all"
+            );
+            assert!(
+                first > last,
+                "seed {seed}, {targets_ms:?} ms: priority decides the order, {first:.3} and {last:.3}"
+            );
+        }
     }
 }
--- a/crates/data-plane/tests/backend_queue.rs
+++ b/crates/data-plane/tests/backend_queue.rs
@@ -7,6 +7,7 @@
 use notchspool_data_plane::backend_queue::{BackendQueue, Slot};
 use notchspool_data_plane::context::Context;
 use notchspool_data_plane::local_backend::LocalBackend;
+use notchspool_data_plane::work_kind::WorkKind;
 use notchspool_endpoint_registry::heartbeats::{Event, Heartbeat};
 use notchspool_runtime::node_settings::NodeSettings;
 use oorandom::Rand64;
@@ -48,7 +49,7 @@
         let candidate = Candidate {
             call_depth: 0,
             priority,
-            kind: 800,
+            kind: WorkKind { priority, latency_target_ms: 800 },
             target_at: now + Micros::ms(600_000),
             deadline: now + Micros::ms(900_000),
         };
--- a/crates/lab/src/mesh/traffic/proxy.rs
+++ b/crates/lab/src/mesh/traffic/proxy.rs
@@ -9,6 +9,7 @@
 use notchspool_data_plane::peer_exchange::{IncomingAction, IncomingEvent, IncomingExchanges};
 use notchspool_data_plane::peer_link::without_answer;
 use notchspool_data_plane::stall_detector::{self, StallDetector};
+use notchspool_data_plane::work_kind::WorkKind;
 use notchspool_idempotency::claim_proposal::{ClaimProposal, Outcome as Claimed};
 use notchspool_idempotency::response_cache::ResponseCache;
 use notchspool_mesh_protocol::{
@@ -344,7 +345,7 @@
         let candidate = Candidate {
             call_depth: 0,
             priority: 1,
-            kind: work.ask.latency_target_ms,
+            kind: WorkKind { priority: 1, latency_target_ms: work.ask.latency_target_ms },
             target_at: aim,
             deadline: work.until,
         };
@@ -367,7 +368,7 @@
     /// A place at the backend is free again.
     fn done(&mut self, at: usize) {
         let now = self.now;
-        let mut next = self.proxies[at].door.release(now, 0, None);
+        let mut next = self.proxies[at].door.release(now, WorkKind::default(), None);
         while let Some(place) = next {
             let called = self.proxies[at].waiting.remove(&place);
             next = match called {
@@ -375,7 +376,7 @@
                     self.begin(at, number);
                     self.proxies[at].door.admit_next(now)
                 }
-                None => self.proxies[at].door.release(now, 0, None),
+                None => self.proxies[at].door.release(now, WorkKind::default(), None),
             };
         }
     }
