--- a/crates/control-plane/src/server/disk_thread.rs
+++ b/crates/control-plane/src/server/disk_thread.rs
@@ -37,7 +37,27 @@
     pub written: bool,
 }
 
+/// What the thread writes to.
+pub trait BatchWriter: Send + 'static {
+    /// Makes a batch durable.
+    ///
+    /// # Errors
+    ///
+    /// None of it counts as written.
+    fn write(&mut self, batch: &[WriteOp]) -> Result<(), StorageError>;
+}
+
+impl BatchWriter for Storage {
+    fn write(&mut self, batch: &[WriteOp]) -> Result<(), StorageError> {
+        Storage::write(self, batch)
+    }
+}
+
 /// Opens the disk. One that refuses at first, full or slow, is tried again: without it there is nothing to do.
+///
+/// # Errors
+///
+/// It refused for two minutes.
 pub async fn open(folder: &Path, claim_window: Duration) -> Result<(Storage, Recovered), StorageError> {
     let mut retries = 0;
     loop {
@@ -54,9 +74,13 @@
     }
 }
 
-/// Starts the thread; it ends when either end of its channels does.
+/// Starts the thread; it ends when either end of its channels does. Should it panic, the reports end.
+///
+/// # Errors
+///
+/// The system has no thread for it.
 pub fn spawn(
-    storage: Storage,
+    storage: impl BatchWriter,
     reports: UnboundedSender<WriteReport>,
 ) -> std::io::Result<Sender<WriteRequest>> {
     let (requests, incoming) = channel();
@@ -68,7 +92,7 @@
 }
 
 fn write_batches(
-    mut storage: Storage,
+    mut storage: impl BatchWriter,
     incoming: &Receiver<WriteRequest>,
     reports: &UnboundedSender<WriteReport>,
 ) {
--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -1,5 +1,5 @@
 //! Sockets, disk thread and clock around a [`Replica`]. One loop; the disk has a thread of its own, and nothing waits for it but what must.
-mod disk_thread;
+pub mod disk_thread;
 mod operator_api;
 mod peer_links;
 
@@ -23,6 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use crate::replica::{CallId, ConnectionId, Effect, Replica, ReplicaOptions};
 use disk_thread::{WriteReport, WriteRequest};
@@ -149,14 +150,15 @@
         });
     }
 
-    fn take_write_reports(self: &Rc<Server>, mut reports: UnboundedReceiver<WriteReport>) {
+    /// The task ends where the disk thread has ended.
+    fn take_write_reports(self: &Rc<Server>, mut reports: UnboundedReceiver<WriteReport>) -> JoinHandle<()> {
         let server = self.clone();
         tokio::task::spawn_local(async move {
             while let Some(WriteReport { id, written }) = reports.recv().await {
                 let effects = server.replica.borrow_mut().on_written(server.clock.now(), id, written);
                 server.carry_out(effects);
             }
-        });
+        })
     }
 
     fn run_ticks(self: &Rc<Server>) {
@@ -214,7 +216,8 @@
 ///
 /// # Errors
 ///
-/// Where the disk, a listener or its thread can't be opened at the start.
+/// Where the disk, a listener or its thread can't be opened at the start, or the thread ends: without it nothing is voted for, and a new
+/// start may help.
 pub async fn run(settings: CheckedSettings<SocketAddr>, signals: Signals) -> ServiceResult {
     let CheckedSettings { node: settings, file, listeners: operator_address } = settings;
     let mut process_events = signals.watch(&file);
@@ -255,10 +258,16 @@
     }
     server.accept_peers(peer_listener);
     server.accept_operators(operator_listener);
-    server.take_write_reports(reports);
+    let mut disk_thread = server.take_write_reports(reports);
     server.run_ticks();
-    while process_events.next().await == Event::Reload {
-        server.reload_settings(&file);
+    loop {
+        tokio::select! {
+            event = process_events.next() => match event {
+                Event::Reload => server.reload_settings(&file),
+                Event::Terminate => break,
+            },
+            _ = &mut disk_thread => return Err("the disk thread has ended".into()),
+        }
     }
     info!(target: "control-plane", "ends on SIGTERM");
     server.shut_down().await;
