Mesh: an idle connection between processes is probed, and ends with its machine

Change: TCP keepalive, 15 s and 5 s, on both ends of each connection of the mesh. Measured: an_idle_connection_is_probed_on_both_sides fails before, passes now. A network that drops packets was not played.

--- a/crates/runtime/src/frame_connection.rs
+++ b/crates/runtime/src/frame_connection.rs
@@ -10,6 +10,7 @@
 
 use bytes::BytesMut;
 use notchspool_mesh_protocol::{FrameError, Payload, decode, encode};
+use socket2::TcpKeepalive;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -19,6 +20,9 @@
 const MAX_UNSENT_BYTES: usize = 48 << 20;
 /// A write or a connection that the other machine does not acknowledge ends after this.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// An idle connection is probed after this; it ends where the probe is not acknowledged within the interval.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(15);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// A read buffer begins with this.
 const READ_BUFFER_BYTES: usize = 4096;
 /// An empty read buffer over this is replaced by a small one.
@@ -142,7 +146,10 @@
 pub fn configure_socket(stream: &TcpStream) {
     // Without them the connection works all the same, slower or with later errors.
     let _ = stream.set_nodelay(true);
-    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_TIME).with_interval(KEEPALIVE_INTERVAL);
+    let _ = socket.set_tcp_keepalive(&keepalive);
 }
 
 /// Whether nothing stands to be read on it, and it has not ended.
--- a/crates/runtime/tests/frame_connection.rs
+++ b/crates/runtime/tests/frame_connection.rs
@@ -1,9 +1,11 @@
 //! A connection between two processes, over loopback.
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use notchspool_mesh_protocol::{Payload, Ping, encode};
-use notchspool_runtime::frame_connection::{CloseReason, FrameSender, run};
+use notchspool_runtime::frame_connection::{CloseReason, FrameSender, configure_socket, connect, run};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -25,6 +27,21 @@
     into.extend_from_slice(&out);
 }
 
+/// A connection whose other machine had lost power while nothing was sent stayed for good, and counted against the bound.
+#[tokio::test]
+async fn an_idle_connection_is_probed_on_both_sides() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let here = connect(listener.local_addr().unwrap(), Duration::from_secs(1)).await.unwrap();
+    let (there, _) = listener.accept().await.unwrap();
+    configure_socket(&there);
+    for stream in [&here, &there] {
+        let socket = SockRef::from(stream);
+        assert!(socket.keepalive().unwrap());
+        let silence = socket.tcp_keepalive_time().unwrap() + socket.tcp_keepalive_interval().unwrap();
+        assert!(silence <= Duration::from_secs(30), "{silence:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_message_of_unknown_form_is_counted_and_left_out() {
     let mut all = Vec::new();
