Configurations: an unknown service beside a trafficSplit, and 600.0000004 s, are refused

What operators saw (review): such a configuration was acknowledged, though a route names an unknown service, or a time-out is over ten minutes. Cause: service was not looked at where there is a trafficSplit; the time-out was compared after it had been rounded to microseconds. Change: all names are looked up, and the time-out is compared as written; a trafficSplit that is no list is refused as well.

--- a/crates/mesh-config/src/parse.rs
+++ b/crates/mesh-config/src/parse.rs
@@ -10,7 +10,7 @@
 /// Routes of one configuration at most.
 const MAX_ROUTES: usize = 20_000;
 /// No route may hold a request for longer.
-const MAX_TIMEOUT: Micros = Micros::ms(600_000);
+const MAX_TIMEOUT_S: f64 = 600.0;
 /// Where no health check is named.
 const DEFAULT_HEALTH_PATH: &str = "/health";
 /// Where no number of connections is given.
@@ -167,8 +167,12 @@
     }
 
     fn timeout(&self) -> Result<Micros, InvalidConfig> {
-        match self.value.get("timeoutS").and_then(seconds) {
-            Some(timeout) if timeout > MAX_TIMEOUT => self.invalid("timeoutS", "is over ten minutes"),
+        let value = self.value.get("timeoutS");
+        // As it is written: rounded it could be ten minutes.
+        if value.and_then(ValueAsScalar::cast_f64).is_some_and(|timeout_s| timeout_s > MAX_TIMEOUT_S) {
+            return self.invalid("timeoutS", "is over ten minutes");
+        }
+        match value.and_then(seconds) {
             Some(timeout) if timeout > Micros(0) => Ok(timeout),
             _ => self.invalid("timeoutS", "is missing or not above 0"),
         }
@@ -188,20 +192,22 @@
         services: &BTreeMap<String, Service>,
     ) -> Result<Vec<WeightedService>, InvalidConfig> {
         let mut split = Vec::new();
-        if let Some(parts) = self.value.get("trafficSplit").and_then(|v| v.as_array()) {
+        if let Some(parts) = self.value.get("trafficSplit").filter(|parts| !parts.is_null()) {
+            let Some(parts) = parts.as_array() else { return self.invalid("trafficSplit", "is no list") };
             for (index, part) in parts.iter().enumerate() {
                 split.push(self.weighted_service(index, part)?);
             }
         }
+        let named = split.iter().map(|part| part.service.as_str()).chain(self.text("service"));
+        if let Some(unknown) = named.into_iter().find(|service| !services.contains_key(*service)) {
+            return self.invalid("service", format!("{unknown:?} is not among the services"));
+        }
         if split.is_empty() {
             match self.text("service") {
                 Some(service) => split.push(WeightedService { service: service.to_string(), weight: 1.0 }),
                 None => return self.invalid("service", "is missing, and there is no trafficSplit"),
             }
         }
-        if let Some(unknown) = split.iter().find(|part| !services.contains_key(&part.service)) {
-            return self.invalid("service", format!("{:?} is not among the services", unknown.service));
-        }
         if split.iter().map(|part| part.weight).sum::<f64>() <= 0.0 {
             return self.invalid("trafficSplit", "has no weight at all");
         }
--- a/crates/mesh-config/tests/route_config.rs
+++ b/crates/mesh-config/tests/route_config.rs
@@ -36,7 +36,14 @@
             "routes.a.host",
         ),
         ("\"timeoutS\":2.5", "\"timeoutS\":600.5", "routes.a.timeoutS"),
+        ("\"timeoutS\":2.5", "\"timeoutS\":600.0000004", "routes.a.timeoutS"),
         ("\"timeoutS\":2.5", "\"timeoutS\":0", "routes.a.timeoutS"),
+        ("\"trafficSplit\":", "\"service\":\"s3\",\"trafficSplit\":", "routes.a.service"),
+        (
+            "\"service\":\"s2\",\"maxAttempts\":2",
+            "\"service\":\"s2\",\"trafficSplit\":7,\"maxAttempts\":2",
+            "routes.b.trafficSplit",
+        ),
         ("\"service\":\"s2\",\"maxAttempts\":2", "\"service\":\"s3\",\"maxAttempts\":2", "routes.b.service"),
         (
             "\"service\":\"s2\",\"maxAttempts\":2",
