Bodies: one that does not come in time is answered 408, and gives its memory back

Cause: reading a body had no bound in time, and large ones hold room in a budget now: a few clients that announce 46 MiB and send nothing would have had all other large bodies refused for good. Change: reading ends with the time of the request; nothing has run, so 408.

--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -218,15 +218,9 @@
             return Err(client_response::plain(400, "the Notchspool-Operation-Key can't be told"));
         };
         let time = deadline - self.context.now();
-        let (body, room) = match self.read_body(body, config.limits.max_body_bytes, time).await {
-            Ok(read) => read,
-            Err(BodyError::TooLong) => return Err(client_response::plain(413, "the body is over the limit")),
-            Err(BodyError::CutShort) => return Err(client_response::plain(400, "the body was cut short")),
-            Err(BodyError::NoRoom) => {
-                self.context.count("bodies_full");
-                return Err(self.refuse("there is no memory for its body here", NO_ROOM_RETRY_AFTER));
-            }
-        };
+        let read = within(time, self.read_body(body, config.limits.max_body_bytes, time)).await;
+        let read = read.unwrap_or(Err(BodyError::TooSlow));
+        let (body, room) = read.map_err(|error| self.answer_to_body_error(error))?;
         let own = Origin { call_depth: 0, priority: route.priority, target_at: now + route.latency_target };
         let origin = self.running.origin_of_call(&attempt_id).unwrap_or(own);
         let client = ClientRequest {
@@ -245,6 +239,21 @@
         Ok((route.clone(), client))
     }
 
+    fn answer_to_body_error(&self, error: BodyError) -> ClientResponse {
+        match error {
+            BodyError::TooLong => client_response::plain(413, "the body is over the limit"),
+            BodyError::CutShort => client_response::plain(400, "the body was cut short"),
+            BodyError::TooSlow => {
+                self.context.count("bodies_slow");
+                client_response::plain(408, "the body has not come in time")
+            }
+            BodyError::NoRoom => {
+                self.context.count("bodies_full");
+                self.refuse("there is no memory for its body here", NO_ROOM_RETRY_AFTER)
+            }
+        }
+    }
+
     /// Reads a body completely, as there is room for it.
     async fn read_body(
         &self,
@@ -594,6 +603,8 @@
 enum BodyError {
     TooLong,
     CutShort,
+    /// It was not complete when the time of the request was over.
+    TooSlow,
     /// There is no memory for it in time.
     NoRoom,
 }
