--- a/crates/control-plane/src/replica/succession.rs
+++ b/crates/control-plane/src/replica/succession.rs
@@ -17,6 +17,9 @@
 const MEMBER_TIMEOUT: Micros = Micros::ms(6_000);
 /// The same where that machine was started after the member fell silent: it is likely its successor.
 const REPLACED_MEMBER_TIMEOUT: Micros = Micros::ms(2_500);
+/// A member that comes with an empty disk waits for so long for those that are not there yet: after a loss of power they may come with empty
+/// disks too, and each change of the set stops all votes until a majority has installed it.
+const EMPTY_DISKS_GATHER_FOR: Micros = Micros::ms(300);
 /// A machine without a seat has been in reach for so long before it counts on.
 const STEADY_AFTER: Micros = Micros::ms(1_000);
 
@@ -89,7 +92,11 @@
         if reasons.is_empty() {
             return None;
         }
-        Some(WantedSet { members: renewed, reason: reasons.join(", "), delay: Micros(0) })
+        let is_here = |member: &Member| {
+            member.address == self.own_address || self.peers.is_reached(self.now, &member.address)
+        };
+        let delay = if members.iter().all(is_here) { Micros(0) } else { EMPTY_DISKS_GATHER_FOR };
+        Some(WantedSet { members: renewed, reason: reasons.join(", "), delay })
     }
 
     /// Machines that could take a seat.
--- a/crates/control-plane/tests/succession.rs
+++ b/crates/control-plane/tests/succession.rs
@@ -21,7 +21,12 @@
 impl Scene {
     /// The member is `10.0.0.1`, in zone a; seeds are 1, 2 and 3.
     fn new(tolerate: Tolerance) -> Scene {
-        let seeds: Vec<String> = (1..=3).map(address).collect();
+        Scene::with_members(tolerate, 3)
+    }
+
+    /// The same with so many seeds.
+    fn with_members(tolerate: Tolerance, members: usize) -> Scene {
+        let seeds: Vec<String> = (1..=members).map(address).collect();
         let options = ReplicaOptions {
             address: address(1),
             zone: "a".into(),
@@ -114,6 +119,31 @@
     assert_eq!(scene.proposed(), None);
 }
 
+/// Two disks were lost at once, and each had a change of the set for itself: twice as long without a majority.
+#[test]
+fn two_empty_disks_that_come_one_after_the_other_are_taken_in_by_one_change() {
+    let mut scene = Scene::with_members(Tolerance { machines: 2, zones: 0 }, 5);
+    scene.add_peer(2, "b", 0, true);
+    scene.add_peer(3, "c", 0, true);
+    scene.add_peer(4, "d", 9, true);
+    scene.pass(150);
+    assert_eq!(scene.proposed(), None, "another member is still to come");
+    scene.add_peer(5, "e", 8, true);
+    scene.pass(300);
+    let both = "10.0.0.4:1 comes with an empty disk, 10.0.0.5:1 comes with an empty disk";
+    assert_eq!(scene.proposed(), Some(both));
+}
+
+#[test]
+fn an_empty_disk_does_not_wait_for_long_for_a_member_that_stays_away() {
+    let mut scene = Scene::with_members(Tolerance { machines: 2, zones: 0 }, 5);
+    scene.add_peer(2, "b", 0, true);
+    scene.add_peer(3, "c", 0, true);
+    scene.add_peer(4, "d", 9, true);
+    scene.pass(600);
+    assert_eq!(scene.proposed(), Some("10.0.0.4:1 comes with an empty disk"));
+}
+
 #[test]
 fn it_grows_to_what_is_to_be_borne_and_stays_odd() {
     let two = Tolerance { machines: 2, zones: 0 };
