Admission: a kind has a floor however many kinds there were before it

Cause: kinds were never forgotten; after 64 of them, as changes of a configuration bring them, a new one had no floor until a restart. Change: a kind whose share has faded is forgotten. Measured: a_new_kind_has_a_floor_however_many_there_were_before failed before (after 200 kinds), passes now.

--- a/crates/data-plane/src/kind_floor.rs
+++ b/crates/data-plane/src/kind_floor.rs
@@ -15,8 +15,10 @@
 const SPAN: Micros = Micros::ms(5_000);
 /// Requests that a kind lacks to its floor before it is taken for starved.
 const MIN_DEFICIT: f64 = 1.0;
-/// Kinds that are told apart.
+/// Kinds that are told apart at once.
 const MAX_KINDS: usize = 64;
+/// A kind is forgotten once what was offered of it has faded to this.
+const MIN_OFFERED: f64 = 0.01;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
@@ -45,6 +47,7 @@
             share.offered *= kept;
             share.begun *= kept;
         }
+        self.by_kind.retain(|_, share| share.offered >= MIN_OFFERED);
     }
 
     /// A request of this kind is to begin or to be refused.
