--- a/crates/data-plane/src/body_budget.rs
+++ b/crates/data-plane/src/body_budget.rs
@@ -16,33 +16,33 @@
 pub const MAX_SMALL_BYTES: usize = 64 << 10;
 /// A permit stands for so many bytes.
 const BYTES_A_PERMIT: usize = 1 << 10;
-/// Without a length a body takes so much room at a time.
+/// For a body without a length so much is reserved at a time.
 pub const STEP_BYTES: usize = 256 << 10;
 
-/// The room of one process.
+/// The budget of one process.
 pub struct BodyBudget {
     large: Arc<Semaphore>,
     large_permits: usize,
     small: Arc<Semaphore>,
 }
 
-/// Room for a body, given back when it is dropped.
+/// Memory reserved for a body, given back when it is dropped.
 #[derive(Debug, Default)]
-pub struct BodyRoom {
+pub struct BodyReservation {
     permits: Vec<OwnedSemaphorePermit>,
     bytes: usize,
 }
 
-impl BodyRoom {
-    /// Bytes for which there is room.
+impl BodyReservation {
+    /// Bytes that are reserved.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
 }
 
-/// There is no room in time.
+/// Not enough of the budget was free in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NoRoom;
+pub struct BudgetExhausted;
 
 fn permits_of(memory_mb: u64, percent: u64) -> usize {
     let bytes = (memory_mb << 20) * percent / 100;
@@ -50,7 +50,7 @@
 }
 
 impl BodyBudget {
-    /// The room of a process that may have so much memory.
+    /// The budget of a process that may have so many megabytes of memory.
     pub fn new(memory_mb: u64) -> BodyBudget {
         let large_permits = permits_of(memory_mb, LARGE_PERCENT);
         BodyBudget {
@@ -60,13 +60,18 @@
         }
     }
 
-    /// More room for a body, up to `bytes` in all; waits for it, but not for longer than `time`.
+    /// Reserves more for a body, up to `bytes` in all; waits for it, but not for longer than `time`.
     ///
     /// # Errors
     ///
-    /// There is none in time; what there was before stays.
-    pub async fn extend(&self, room: &mut BodyRoom, bytes: usize, time: Micros) -> Result<(), NoRoom> {
-        let wanted = bytes.saturating_sub(room.bytes);
+    /// Not enough is free in time; what was reserved before stays so.
+    pub async fn extend(
+        &self,
+        reservation: &mut BodyReservation,
+        bytes: usize,
+        time: Micros,
+    ) -> Result<(), BudgetExhausted> {
+        let wanted = bytes.saturating_sub(reservation.bytes);
         if wanted == 0 {
             return Ok(());
         }
@@ -76,12 +81,12 @@
         let permits = wanted.div_ceil(BYTES_A_PERMIT).min(self.large_permits);
         let permits = u32::try_from(permits).unwrap_or(u32::MAX);
         let permit = within(time, semaphore.clone().acquire_many_owned(permits)).await;
-        room.permits.push(permit.ok_or(NoRoom)?.map_err(|_| NoRoom)?);
-        room.bytes = bytes;
+        reservation.permits.push(permit.ok_or(BudgetExhausted)?.map_err(|_| BudgetExhausted)?);
+        reservation.bytes = bytes;
         Ok(())
     }
 
-    /// Bytes of large bodies for which there is room now.
+    /// Bytes of the budget of large bodies that are free now.
     pub fn free_bytes(&self) -> usize {
         self.large.available_permits() * BYTES_A_PERMIT
     }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -6,9 +6,10 @@
 //! [`shutdown`] (the end of a proxy in order), [`event_log`] (what is said of single requests).
 //!
 //! Parts that own state: [`context`] (identity, settings, clock, counters), [`config_store`], [`services`] (endpoint list and balancers),
-//! [`local_backend`], [`running_requests`], [`link_load`], [`body_budget`] (memory for bodies, [`request_body`]), [`replicas`] and [`claim_client`] (the control plane as it is known here).
+//! [`local_backend`], [`running_requests`], [`link_load`], [`body_budget`] (memory for bodies), [`replicas`] and [`claim_client`] (the control
+//! plane as it is known here).
 //!
-//! The way of a request: [`outbound`] (accept, route, pick, attempt, retry or answer), [`peer_connections`] to the proxy beside the backend,
+//! The way of a request: [`outbound`] (accept, with [`body_reader`], route, pick, attempt, retry or answer), [`peer_connections`] to the proxy beside the backend,
 //! there [`peer_server`], [`inbound`] (admit, with [`backend_queue`]) and [`backend_exchange`]. [`control_client`] carries the connections to the replicas,
 //! [`local_api`] answers the platform and the backend, [`proxy`] puts the parts together, [`run`] is the process.
 #![warn(missing_docs, clippy::missing_errors_doc)]
@@ -22,6 +23,7 @@
 pub mod backend_queue;
 pub mod body_budget;
 pub mod body_pipe;
+pub mod body_reader;
 pub mod claim_client;
 pub mod client_response;
 pub mod config_store;
--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -6,8 +6,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use notchspool::units::{AttemptOutcome, BackendId, Micros, RequestId};
 use notchspool_idempotency::claim_proposal::Outcome as ClaimOutcome;
 use notchspool_mesh_config::route_config::{Route, RouteConfig, RouteKind};
@@ -16,7 +15,8 @@
 use crate::attempts::{
     Action, Attempts, Event, MAX_CALL_REFUSALS, MAX_REFUSALS, MAX_REFUSALS_CROWDED, RetryPolicy,
 };
-use crate::body_budget::{BodyRoom, MAX_SMALL_BYTES, NoRoom, STEP_BYTES};
+use crate::body_budget::BodyReservation;
+use crate::body_reader::{self, BodyError};
 use crate::claim_client::ClaimClient;
 use crate::client_response::{self, ClientResponse};
 use crate::config_store::ConfigStore;
@@ -40,9 +40,8 @@
 /// When to come back while no configuration is known, or too many requests are in flight.
 const NO_CONFIG_RETRY_AFTER: Micros = Micros::ms(200);
 const IN_FLIGHT_FULL_RETRY_AFTER: Micros = Micros::ms(300);
-/// A large body waits for memory for this part of its request's time; then it is refused, and may come back after this.
-const MAX_ROOM_WAIT_PART: f64 = 0.5;
-const NO_ROOM_RETRY_AFTER: Micros = Micros::ms(500);
+/// When to come back after a body for which there was no memory.
+const BODIES_FULL_RETRY_AFTER: Micros = Micros::ms(500);
 /// When to come back where this proxy ends: to another one, which the platform names.
 const ENDING_RETRY_AFTER: Micros = Micros::ms(100);
 /// When to come back after a claim that was withdrawn.
@@ -80,7 +79,7 @@
     headers: Vec<Header>,
     body: RequestBody,
     /// The memory that its body takes.
-    _room: BodyRoom,
+    _reservation: BodyReservation,
     attempt_id: String,
     key: String,
     /// Since when it stands here.
@@ -217,10 +216,8 @@
         let Some(key) = headers::single_value(&head.parts.headers, OPERATION_KEY) else {
             return Err(client_response::plain(400, "the Notchspool-Operation-Key can't be told"));
         };
-        let time = deadline - self.context.now();
-        let read = within(time, self.read_body(body, config.limits.max_body_bytes, time)).await;
-        let read = read.unwrap_or(Err(BodyError::TooSlow));
-        let (body, room) = read.map_err(|error| self.answer_to_body_error(error))?;
+        let read = body_reader::read(&self.context, body, config.limits.max_body_bytes, deadline).await;
+        let (body, reservation) = read.map_err(|error| self.answer_to_body_error(error))?;
         let own = Origin { call_depth: 0, priority: route.priority, target_at: now + route.latency_target };
         let origin = self.running.origin_of_call(&attempt_id).unwrap_or(own);
         let client = ClientRequest {
@@ -229,7 +226,7 @@
             host: head.host,
             headers,
             body,
-            _room: room,
+            _reservation: reservation,
             attempt_id,
             key,
             received_at,
@@ -247,45 +244,13 @@
                 self.context.count("bodies_slow");
                 client_response::plain(408, "the body has not come in time")
             }
-            BodyError::NoRoom => {
+            BodyError::BudgetExhausted => {
                 self.context.count("bodies_full");
-                self.refuse("there is no memory for its body here", NO_ROOM_RETRY_AFTER)
+                self.refuse("there is no memory for its body here", BODIES_FULL_RETRY_AFTER)
             }
         }
     }
 
-    /// Reads a body completely, as there is room for it.
-    async fn read_body(
-        &self,
-        body: Incoming,
-        max_bytes: usize,
-        time: Micros,
-    ) -> Result<(RequestBody, BodyRoom), BodyError> {
-        let give_up_at = self.context.now() + time.times(MAX_ROOM_WAIT_PART);
-        let budget = &self.context.body_budget;
-        let mut room = BodyRoom::default();
-        if let Some(length) = body.size_hint().exact() {
-            let length = usize::try_from(length).unwrap_or(usize::MAX);
-            if length > max_bytes {
-                return Err(BodyError::TooLong);
-            }
-            budget.extend(&mut room, length, give_up_at - self.context.now()).await?;
-        }
-        let mut body = Limited::new(body, max_bytes);
-        let (mut pieces, mut length) = (Vec::new(), 0);
-        while let Some(frame) = body.frame().await {
-            let piece = frame.map_err(|e| BodyError::of(e.as_ref()))?.into_data().unwrap_or_default();
-            length += piece.len();
-            if length > room.bytes() {
-                let wanted = length.max(room.bytes() + STEP_BYTES);
-                let wanted = if length <= MAX_SMALL_BYTES { MAX_SMALL_BYTES } else { wanted };
-                budget.extend(&mut room, wanted, give_up_at - self.context.now()).await?;
-            }
-            pieces.push(piece);
-        }
-        Ok((RequestBody::new(pieces), room))
-    }
-
     async fn route(self: &Rc<Outbound>, route: &Route, client: ClientRequest) -> ClientResponse {
         let service = route.pick_service(self.context.random()).to_string();
         let request = RequestId(self.context.next_id());
@@ -599,28 +564,6 @@
     }
 }
 
-/// Why a body was not read.
-enum BodyError {
-    TooLong,
-    CutShort,
-    /// It was not complete when the time of the request was over.
-    TooSlow,
-    /// There is no memory for it in time.
-    NoRoom,
-}
-
-impl BodyError {
-    fn of(error: &(dyn std::error::Error + 'static)) -> BodyError {
-        if error.is::<LengthLimitError>() { BodyError::TooLong } else { BodyError::CutShort }
-    }
-}
-
-impl From<NoRoom> for BodyError {
-    fn from(_: NoRoom) -> BodyError {
-        BodyError::NoRoom
-    }
-}
-
 /// What follows from a response.
 struct Evaluated {
     verdict: Verdict,
--- a/crates/data-plane/src/peer_link.rs
+++ b/crates/data-plane/src/peer_link.rs
@@ -108,9 +108,9 @@
 
     /// Whether the other side asks for bodies. Builds before this one never say, so that is waited for no longer than `time`.
     pub async fn asks_for_bodies(&self, time: Micros) -> bool {
-        let mut told = self.asks_for_bodies.subscribe();
-        let told = within(time, told.wait_for(Option::is_some)).await;
-        told.and_then(Result::ok).and_then(|told| *told).unwrap_or(false)
+        let mut announcements = self.asks_for_bodies.subscribe();
+        let announced = within(time, announcements.wait_for(Option::is_some)).await;
+        announced.and_then(Result::ok).and_then(|announced| *announced).unwrap_or(false)
     }
 
     /// Sends this body for a request as the other side asks for it, until the guard is dropped.
--- a/crates/data-plane/src/request_body.rs
+++ b/crates/data-plane/src/request_body.rs
@@ -59,7 +59,7 @@
 
     /// Reads it from its beginning.
     pub fn reader(&self) -> BodySource {
-        BodySource::Whole(PieceReader { pieces: self.pieces.clone(), next_piece: 0, offset: 0 })
+        BodySource::Buffered(PieceReader { pieces: self.pieces.clone(), next_piece: 0, offset: 0 })
     }
 
     /// Sends it to another proxy, as that asks for it.
@@ -117,7 +117,7 @@
 /// Where the bytes for the backend come from.
 pub enum BodySource {
     /// It is here.
-    Whole(PieceReader),
+    Buffered(PieceReader),
     /// The proxy where the request began sends it.
     Remote(RemoteBody),
 }
@@ -139,7 +139,7 @@
     /// The rest does not come.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BodyBrokeOff> {
         match self {
-            BodySource::Whole(reader) => Ok(reader.take(usize::MAX)),
+            BodySource::Buffered(reader) => Ok(reader.take(usize::MAX)),
             BodySource::Remote(remote) => remote.next().await,
         }
     }
--- a/crates/data-plane/tests/request_body.rs
+++ b/crates/data-plane/tests/request_body.rs
@@ -37,7 +37,7 @@
 }
 
 #[test]
-fn whatever_is_asked_for_comes_in_chunks_once_and_the_last_is_marked() {
+fn requested_bytes_come_in_chunks_once_and_the_last_is_marked() {
     let (body, joined) = body();
     for step in [1_000u64, 16 << 10, 100_001, u64::MAX] {
         let (mut upload, mut sent, mut last) = (body.upload(), Vec::new(), false);
--- a/crates/data-plane/tests/wire.rs
+++ b/crates/data-plane/tests/wire.rs
@@ -391,14 +391,14 @@
     });
 }
 
-/// A backend that reads a whole request and answers with the number of its bytes.
+/// A backend that reads a complete request and answers with the number of its bytes.
 fn counting_backend() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
             let (mut got, mut part) = (Vec::new(), vec![0u8; 1 << 16]);
-            let whole = loop {
+            let complete = loop {
                 let head = got.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
                 let text = String::from_utf8_lossy(&got[..head.unwrap_or(0)]).into_owned();
                 let length = text.lines().find_map(|line| line.strip_prefix("content-length: "));
@@ -412,7 +412,7 @@
                 }
             };
             let head = got.windows(4).position(|w| w == b"\r\n\r\n").map_or(0, |at| at + 4);
-            let body = format!("{whole} {}", got.len() - head);
+            let body = format!("{complete} {}", got.len() - head);
             let answer = format!(
                 "HTTP/1.1 200 X\r\nnotchspool-attempt-id: a\r\n{SEAL}content-length: {}\r\n\r\n{body}",
                 body.len()
@@ -424,7 +424,7 @@
 }
 
 #[test]
-fn a_body_that_breaks_off_on_its_way_is_never_a_whole_request_at_the_backend() {
+fn a_body_that_breaks_off_on_its_way_is_never_a_complete_request_at_the_backend() {
     plays(async {
         let proxy = proxy(counting_backend());
         for (length, chunks, verdict) in [
--- a/crates/proxy/tests/slow_body.rs
+++ b/crates/proxy/tests/slow_body.rs
@@ -87,8 +87,8 @@
     wait_until("a configuration is taken", || {
         replica.http("8306", "POST /notchspool/rpc?call=config.replace", CONFIG).as_deref() == Some("200")
     });
-    let whole = vec![b'x'; LARGE_BYTES];
-    wait_until("a large body is served", || status(&mut begin_upload(&site, "warm-up", &whole)) == "200");
+    let complete = vec![b'x'; LARGE_BYTES];
+    wait_until("a large body is served", || status(&mut begin_upload(&site, "warm-up", &complete)) == "200");
     for round in 0..2 {
         let began = Instant::now();
         let mut stalled = begin_upload(&site, &format!("stalled-{round}"), b"x");
@@ -97,7 +97,7 @@
         assert!(took < TIME_LEFT + ANSWER_MARGIN, "round {round}: {took:?}");
         // Its connection is still open on this side.
         assert_eq!(
-            status(&mut begin_upload(&site, &format!("whole-{round}"), &whole)),
+            status(&mut begin_upload(&site, &format!("complete-{round}"), &complete)),
             "200",
             "round {round}"
         );
