--- a/crates/control-plane/tests/availability.rs
+++ b/crates/control-plane/tests/availability.rs
@@ -22,29 +22,29 @@
 }
 
 #[test]
-fn an_empty_disk_that_nobody_welcomes_is_told_after_a_second_and_each_five() {
+fn an_empty_disk_that_nobody_welcomes_is_logged_after_a_second_and_each_five() {
     let (mut replica, _) = start(false);
     assert_eq!(replica.impediment(Micros(1)), Some(Impediment::NoSetKnown));
     assert_eq!(lines(&mut replica, 0, 1_000), [] as [String; 0]);
-    let told = lines(&mut replica, 1_000, 8_000);
+    let logged = lines(&mut replica, 1_000, 8_000);
     let expected = ["does not serve for 1000 ms", "does not serve for 6000 ms"];
-    assert_eq!(told.len(), expected.len(), "{told:?}");
-    for (line, beginning) in told.iter().zip(expected) {
+    assert_eq!(logged.len(), expected.len(), "{logged:?}");
+    for (line, beginning) in logged.iter().zip(expected) {
         assert!(line.starts_with(beginning) && line.ends_with("nobody has told who votes"), "{line}");
     }
 }
 
 #[test]
-fn a_disk_that_stays_silent_is_told_before_all_else() {
+fn a_disk_that_stays_silent_is_logged_before_all_else() {
     let (mut replica, effects) = start(true);
     let write = effects.iter().find_map(|effect| match effect {
         Effect::Write { id, .. } => Some(*id),
         _ => None,
     });
     let write = write.expect("the first set goes to the disk");
-    let told = lines(&mut replica, 0, 3_000);
+    let logged = lines(&mut replica, 0, 3_000);
     let silent = format!("the disk has not written batch {write}");
-    assert!(told.iter().any(|line| line.ends_with(&silent)), "{told:?}");
+    assert!(logged.iter().any(|line| line.ends_with(&silent)), "{logged:?}");
     replica.on_written(Micros::ms(3_000), write, true);
     assert_eq!(replica.impediment(Micros::ms(3_000)), Some(Impediment::NoMajority { reached: 1, voters: 3 }));
 }
--- a/crates/control-plane/tests/succession.rs
+++ b/crates/control-plane/tests/succession.rs
@@ -119,13 +119,19 @@
     assert_eq!(scene.proposed(), None);
 }
 
-/// Two disks were lost at once, and each had a change of the set for itself: twice as long without a majority.
-#[test]
-fn two_empty_disks_that_come_one_after_the_other_are_taken_in_by_one_change() {
+/// Five are members; of the others two are as they were, and one comes with an empty disk.
+fn five_of_which_one_has_an_empty_disk() -> Scene {
     let mut scene = Scene::with_members(Tolerance { machines: 2, zones: 0 }, 5);
     scene.add_peer(2, "b", 0, true);
     scene.add_peer(3, "c", 0, true);
     scene.add_peer(4, "d", 9, true);
+    scene
+}
+
+/// Two disks were lost at once, and each had a change of the set for itself: twice as long without a majority.
+#[test]
+fn two_empty_disks_that_come_one_after_the_other_are_taken_in_by_one_change() {
+    let mut scene = five_of_which_one_has_an_empty_disk();
     scene.pass(150);
     assert_eq!(scene.proposed(), None, "another member is still to come");
     scene.add_peer(5, "e", 8, true);
@@ -136,10 +142,7 @@
 
 #[test]
 fn an_empty_disk_does_not_wait_for_long_for_a_member_that_stays_away() {
-    let mut scene = Scene::with_members(Tolerance { machines: 2, zones: 0 }, 5);
-    scene.add_peer(2, "b", 0, true);
-    scene.add_peer(3, "c", 0, true);
-    scene.add_peer(4, "d", 9, true);
+    let mut scene = five_of_which_one_has_an_empty_disk();
     scene.pass(600);
     assert_eq!(scene.proposed(), Some("10.0.0.4:1 comes with an empty disk"));
 }
--- a/crates/data-plane/tests/claim_client.rs
+++ b/crates/data-plane/tests/claim_client.rs
@@ -9,7 +9,6 @@
 use notchspool_mesh_protocol::{ClaimReply, ClaimVote, KnownVersion, Ticket};
 use notchspool_runtime::frame_connection::FrameSender;
 use notchspool_runtime::node_settings::NodeSettings;
-use oorandom::Rand64;
 use tokio::task::{spawn_local, yield_now};
 
 const SETTINGS: &str = r#"{"node":"n","zone":"a","ipAddress":"127.0.0.1","portRange":[7620,7635],"listenAddresses":{},"seedNodes":[],
@@ -34,6 +33,12 @@
     Ticket { boot_id: 1, number, attempt: 0 }
 }
 
+/// This voter grants the claim that was the n-th to begin here: claims are numbered from 1.
+fn grant(claims: &ClaimClient, claim: u64, voter: u32) {
+    let vote = ClaimVote::Granted.into();
+    claims.on_reply(ClaimReply { id: claim, voter, vote, set_number: SET_NUMBER, ..ClaimReply::default() });
+}
+
 fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, test);
@@ -43,20 +48,26 @@
 #[test]
 fn a_claim_whose_request_is_dropped_leaves_nothing_open() {
     run(async {
-        let (claims, mut random) = (claim_client(), Rand64::new(7));
+        let claims = claim_client();
+        let mut begun = 0;
         for number in 0..200 {
             let task = {
                 let claims = claims.clone();
                 spawn_local(async move { claims.claim(&format!("k-{number}"), ticket(number)).await })
             };
-            for _ in 0..random.rand_range(0..4) {
+            // Before it has begun, as it waits for both voters, and as it waits for the second.
+            for _ in 0..number % 3 {
                 yield_now().await;
             }
-            tokio::time::sleep(std::time::Duration::from_millis(random.rand_range(0..5))).await;
+            begun += claims.open_count() as u64;
+            if number % 3 == 2 {
+                grant(&claims, begun, 0);
+            }
             task.abort();
             let _ = task.await;
             assert_eq!(claims.open_count(), 0, "after request {number}");
         }
+        assert!(begun >= 100, "{begun} of 200 claims had begun");
     });
 }
 
--- a/crates/storage/tests/claim_log.rs
+++ b/crates/storage/tests/claim_log.rs
@@ -8,16 +8,9 @@
 use notchspool_storage::WriteOp;
 use notchspool_storage::claim_log::{ClaimLog, RETRY_INTERVAL};
 
-fn claim(key: &str) -> WriteOp {
-    let ticket = Some(Ticket { boot_id: 1, number: 1, attempt: 0 });
-    WriteOp::Claim(Claim {
-        key: key.into(),
-        ticket,
-        holder: "h".into(),
-        holder_boot_id: 1,
-        ..Claim::default()
-    })
-}
+mod support;
+
+use support::claim;
 
 /// A folder of this test alone, empty.
 fn empty_folder(name: &str) -> PathBuf {
--- a/crates/storage/tests/claim_log_power_loss.rs
+++ b/crates/storage/tests/claim_log_power_loss.rs
@@ -5,11 +5,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use notchspool_mesh_protocol::{Claim, Ticket};
 use notchspool_storage::WriteOp;
 use notchspool_storage::claim_log::{ClaimLog, LogLimits, RETRY_INTERVAL};
 use notchspool_storage::directory::Directory;
 
+mod support;
+
+use support::{TICKET, claim};
+
 const WINDOW: Duration = Duration::from_secs(60);
 /// A segment holds a few claims.
 const LIMITS: LogLimits = LogLimits { segment_bytes: 400, found_bytes: 4_000, total_bytes: 1 << 20 };
@@ -187,30 +190,15 @@
     }
 }
 
-fn ticket() -> Ticket {
-    Ticket { boot_id: 1, number: 1, attempt: 0 }
-}
-
-fn claim(key: &str) -> WriteOp {
-    let ticket = Some(ticket());
-    WriteOp::Claim(Claim {
-        key: key.into(),
-        ticket,
-        holder: "h".into(),
-        holder_boot_id: 1,
-        ..Claim::default()
-    })
-}
-
 fn open(disk: &Disk, window: Duration, limits: LogLimits) -> (ClaimLog, BTreeSet<String>) {
     let opened = ClaimLog::open_with(Box::new(disk.clone()), None, window, limits);
     let (log, claims) = opened.unwrap_or_else(|e| panic!("what is left can't be opened: {e}"));
     (log, claims.into_iter().map(|claim| claim.key).collect())
 }
 
-/// What the log owes its user.
+/// What is to be found in the log.
 #[derive(Default)]
-struct Owed {
+struct Expected {
     /// Acknowledged, and not withdrawn.
     held: BTreeSet<String>,
     /// Withdrawn by an acknowledged batch.
@@ -218,7 +206,7 @@
     last_key: usize,
 }
 
-impl Owed {
+impl Expected {
     /// Writes a drawn batch; whether it was written.
     fn write(&mut self, log: &mut ClaimLog, chance: &mut Chance) -> bool {
         let mut claimed = Vec::new();
@@ -228,7 +216,7 @@
         }
         let mut batch: Vec<WriteOp> = claimed.iter().map(|key| claim(key)).collect();
         let withdrawn = self.held.iter().nth(chance.below(20)).cloned().filter(|_| chance.below(3) == 0);
-        batch.extend(withdrawn.iter().map(|key| WriteOp::WithdrawClaim(key.clone(), ticket())));
+        batch.extend(withdrawn.iter().map(|key| WriteOp::WithdrawClaim(key.clone(), TICKET)));
         let written = log.write(&batch).is_ok();
         if let Some(key) = withdrawn {
             // Where the batch failed it may be there or not.
@@ -255,17 +243,17 @@
 fn power_lost_at_any_step_again_and_again_loses_no_claim_that_was_acknowledged() {
     for seed in 0..600 {
         let mut chance = Chance(seed * 7_919 + 13);
-        let (mut disk, mut owed) = (Disk::of(BTreeMap::new()), Owed::default());
+        let (mut disk, mut expected) = (Disk::of(BTreeMap::new()), Expected::default());
         for round in 0..6 {
             let (mut log, found) = open(&disk, WINDOW, LIMITS);
-            owed.check(&found, &format!("seed {seed}, round {round}"));
+            expected.check(&found, &format!("seed {seed}, round {round}"));
             disk.set_left(chance.below(60), false);
-            while owed.write(&mut log, &mut chance) {}
+            while expected.write(&mut log, &mut chance) {}
             disk = disk.lose_power(&mut chance);
         }
         let (mut log, found) = open(&disk, WINDOW, LIMITS);
-        owed.check(&found, &format!("seed {seed}"));
-        assert!(owed.write(&mut log, &mut chance), "seed {seed}: can't be written to");
+        expected.check(&found, &format!("seed {seed}"));
+        assert!(expected.write(&mut log, &mut chance), "seed {seed}: can't be written to");
     }
 }
 
@@ -273,39 +261,39 @@
 fn a_disk_that_refuses_at_any_step_takes_claims_again_and_has_lost_none() {
     for seed in 0..40 {
         let mut chance = Chance(seed * 104_729 + 5);
-        let (disk, mut owed) = (Disk::of(BTreeMap::new()), Owed::default());
+        let (disk, mut expected) = (Disk::of(BTreeMap::new()), Expected::default());
         let (mut log, _) = open(&disk, WINDOW, LIMITS);
         for _ in 0..4 {
             disk.set_left(chance.below(20), true);
-            while owed.write(&mut log, &mut chance) {}
+            while expected.write(&mut log, &mut chance) {}
             // As if the pause were over.
             log.on_failure(std::time::Instant::now().checked_sub(RETRY_INTERVAL).unwrap());
             disk.set_left(usize::MAX, true);
-            assert!(owed.write(&mut log, &mut chance), "seed {seed}");
+            assert!(expected.write(&mut log, &mut chance), "seed {seed}");
         }
         let (_, found) = open(&disk.lose_power(&mut chance), WINDOW, LIMITS);
-        owed.check(&found, &format!("seed {seed}"));
+        expected.check(&found, &format!("seed {seed}"));
     }
 }
 
 #[test]
 fn segments_whose_window_is_over_are_removed() {
-    let (disk, mut owed, mut chance) = (Disk::of(BTreeMap::new()), Owed::default(), Chance(1));
+    let (disk, mut expected, mut chance) = (Disk::of(BTreeMap::new()), Expected::default(), Chance(1));
     let (mut log, _) = open(&disk, Duration::ZERO, LIMITS);
     for _ in 0..200 {
-        assert!(owed.write(&mut log, &mut chance));
+        assert!(expected.write(&mut log, &mut chance));
         assert!(disk.file_names().len() <= 2, "{:?}", disk.file_names());
     }
 }
 
 #[test]
 fn what_was_found_is_written_anew_where_it_is_long_and_the_same_claims_are_found_again() {
-    let (disk, mut owed, mut chance) = (Disk::of(BTreeMap::new()), Owed::default(), Chance(2));
+    let (disk, mut expected, mut chance) = (Disk::of(BTreeMap::new()), Expected::default(), Chance(2));
     let (mut log, _) = open(&disk, WINDOW, LIMITS);
-    (0..200).for_each(|_| assert!(owed.write(&mut log, &mut chance)));
+    (0..200).for_each(|_| assert!(expected.write(&mut log, &mut chance)));
     assert!(disk.file_names().len() > 10);
     let (_, found) = open(&disk, WINDOW, LIMITS);
-    owed.check(&found, "as it was found");
+    expected.check(&found, "as it was found");
     assert_eq!(disk.file_names().len(), 1);
     let (_, again) = open(&disk, WINDOW, LIMITS);
     assert_eq!(again, found);
@@ -314,11 +302,11 @@
 #[test]
 fn a_log_that_is_as_long_as_it_may_be_refuses_and_loses_nothing() {
     let limits = LogLimits { total_bytes: 2_000, ..LIMITS };
-    let (disk, mut owed, mut chance) = (Disk::of(BTreeMap::new()), Owed::default(), Chance(3));
+    let (disk, mut expected, mut chance) = (Disk::of(BTreeMap::new()), Expected::default(), Chance(3));
     let (mut log, _) = open(&disk, WINDOW, limits);
-    while owed.write(&mut log, &mut chance) {}
+    while expected.write(&mut log, &mut chance) {}
     let total: usize = disk.file_names().iter().map(|name| disk.read(name).unwrap().unwrap().len()).sum();
     assert!((2_000..2_600).contains(&total), "{total}");
     let (_, found) = open(&disk, WINDOW, limits);
-    owed.check(&found, "after it refused");
+    expected.check(&found, "after it refused");
 }
--- a/crates/storage/tests/install.rs
+++ b/crates/storage/tests/install.rs
@@ -5,10 +5,14 @@
 use notchspool_consensus::voter_set::VoterSet;
 use notchspool_consensus::{Ballot, ContenderId, Entry};
 use notchspool_mesh_protocol::snapshot::encode;
-use notchspool_mesh_protocol::{Claim, Snapshot, Ticket};
+use notchspool_mesh_protocol::{Snapshot, Ticket};
 use notchspool_storage::file_store::with_checksum;
 use notchspool_storage::{MembershipRecord, Recovered, Storage, WriteOp};
 
+mod support;
+
+use support::claim;
+
 const WINDOW: Duration = Duration::from_secs(60);
 
 fn ballot(round: u64) -> Ballot {
@@ -22,17 +26,6 @@
     }
 }
 
-fn claim(key: &str) -> WriteOp {
-    let ticket = Some(Ticket { boot_id: 1, number: 1, attempt: 0 });
-    WriteOp::Claim(Claim {
-        key: key.into(),
-        ticket,
-        holder: "h".into(),
-        holder_boot_id: 1,
-        ..Claim::default()
-    })
-}
-
 fn seat(number: u64) -> WriteOp {
     let set = VoterSet { number, ..VoterSet::first(&["10.0.0.1:1".into()]) };
     WriteOp::Membership(MembershipRecord { incarnation: 5, set, ..MembershipRecord::default() })
