--- a/review/standin-2/empty_chunk_size.rs
+++ b/review/standin-2/empty_chunk_size.rs
@@ -1,5 +1,5 @@
-//! A backend in trouble spoils a few of its answers in the middle: where the size of the next chunk is due it sends an empty line, and it closes
-//! the connection without the rest.
+//! A backend in trouble spoils a few of its answers in the middle: where the size of the second chunk is due it sends an empty line first. All
+//! else of the answer is sound, and the connection stays.
 #[path = "../standin/harness.rs"]
 mod harness;
 use harness::*;
@@ -97,18 +97,15 @@
         let chunk = |part: &String| format!("{:x}\r\n{part}\r\n", part.len());
         let is_spoilt = self.in_trouble.load(Ordering::SeqCst) && n.is_multiple_of(ONE_IN);
         let body = match is_spoilt {
-            // No size, no last chunk: an empty line, twice.
-            true => chunk(&parts[0]) + "\r\n\r\n",
+            // No size of a chunk: an empty line.
+            true => chunk(&parts[0]) + "\r\n" + &chunk(&parts[1]) + &chunk(&parts[2]) + "0\r\n\r\n",
             false => parts.iter().map(chunk).collect::<String>() + "0\r\n\r\n",
         };
         if is_spoilt {
             self.spoilt.fetch_add(1, Ordering::SeqCst);
-            self.record.say(&format!("{} ran attempt {attempt}: its answer is spoilt after the first of three parts, and it closes", self.instance));
+            self.record.say(&format!("{} ran attempt {attempt}: an empty line stands after the first of the three chunks of its answer", self.instance));
         }
         let wrote = stream.write_all((head + &body).as_bytes());
-        if is_spoilt {
-            return None;
-        }
         wrote.ok()
     }
 }
