Shutdown: what waits at other proxies is given back before its own proxy ends

Cause: the end of a proxy was known to that proxy alone. What it had sent elsewhere stayed in the queues there, and began there, as if it could still be answered.

Change: a new message, CallerShutdown, tells until when responses can be passed on; earlier builds leave it out. The proxy beside the backend begins nothing that would be answered later, by the usual work of its kind and 30% more, and refuses it as not run at once, from the queue and while its key is claimed. The proxy that ends sends nothing more in the last 0.35 s, and refuses a request whose body has not come.

Why it works: what has not begun can still be withdrawn where it waits, so 503 is true; the wait is over before the process is.

--- a/crates/data-plane/src/admission.rs
+++ b/crates/data-plane/src/admission.rs
@@ -163,7 +163,7 @@
             self.begin(kind);
             return Admission { decision: Decision::Admitted, displaced: None };
         }
-        let expected_us = self.mean_us_by_kind.get(&candidate.kind).copied().unwrap_or(self.mean_us);
+        let expected_us = self.expected_us(candidate.kind);
         let ticket = self.last_ticket + 1;
         let key = QueueKey {
             call_depth: Reverse(candidate.call_depth),
@@ -189,6 +189,15 @@
         Admission { decision: Decision::Queued(ticket), displaced }
     }
 
+    fn expected_us(&self, kind: WorkKind) -> f64 {
+        self.mean_us_by_kind.get(&kind).copied().unwrap_or(self.mean_us)
+    }
+
+    /// How long work of this kind is likely to take at the most; nothing while none was measured.
+    pub fn likely_work(&self, kind: WorkKind) -> Micros {
+        Micros(self.expected_us(kind) as i64).times(WORK_MARGIN)
+    }
+
     fn is_queued(&self, kind: WorkKind) -> bool {
         self.queue.values().any(|queued| queued.kind == Some(kind))
     }
--- a/crates/data-plane/src/attempts.rs
+++ b/crates/data-plane/src/attempts.rs
@@ -38,6 +38,8 @@
     Picked,
     /// There is no backend to which it can be sent.
     NoBackend,
+    /// This proxy ends: a response might come too late to be passed on.
+    ProxyEnds,
     /// This came of the attempt.
     Response(&'a Response),
     /// A claim for its key was made with this ticket, in place of the one that was sent.
@@ -131,6 +133,10 @@
                 Action::Send { attempt, ticket }
             }
             Event::NoBackend => self.give_up(now),
+            Event::ProxyEnds => {
+                self.reason = "the proxy here ends".into();
+                self.give_up(now)
+            }
             Event::Fence { ticket, granted } => self.on_fence(now, ticket, granted, try_spend),
             Event::Response(response) => self.on_response(now, response, try_spend),
         }
--- a/crates/data-plane/src/inbound.rs
+++ b/crates/data-plane/src/inbound.rs
@@ -19,10 +19,13 @@
 use crate::local_backend::{LocalBackend, Unavailable};
 use crate::peer_link::{PeerResponse, without_answer};
 use crate::request_body::BodySource;
+use crate::response_cutoff::ResponseCutoff;
 use crate::running_requests::{Origin, RunningRequests};
 use crate::shutdown::{KnownEnd, Need};
 use crate::work_kind::WorkKind;
 
+/// When to come back where the proxy of a client ends: to another one, which the platform names.
+const CALLER_END_RETRY_AFTER: Micros = Micros::ms(100);
 /// Kept clear of the end of a request's time.
 const DEADLINE_MARGIN: Micros = Micros::ms(2);
 /// Responses to keyed operations are kept for this long beyond their window.
@@ -76,27 +79,36 @@
     request: Request,
     origin: Origin,
     deadline: Micros,
+    cutoff: ResponseCutoff,
+}
+
+/// A request that may begin at the backend.
+struct Admitted {
+    slot: Slot,
+    /// Of a request with a key.
+    claim: Option<ClaimGuard>,
 }
 
 impl Arrival {
-    fn new(request: Request, now: Micros) -> Arrival {
+    fn new(request: Request, cutoff: ResponseCutoff, now: Micros) -> Arrival {
         let origin = Origin {
             call_depth: request.call_depth,
             priority: request.priority,
             target_at: now + Micros::ms(i64::from(request.target_left_ms)),
         };
         let deadline = now + Micros::ms(i64::from(request.time_left_ms));
-        Arrival { request, origin, deadline }
+        Arrival { request, origin, deadline, cutoff }
+    }
+
+    fn kind(&self) -> WorkKind {
+        WorkKind { priority: self.request.priority, latency_target_ms: self.request.latency_target_ms }
     }
 
     fn candidate(&self) -> Candidate {
         Candidate {
             call_depth: self.origin.call_depth,
             priority: self.origin.priority,
-            kind: WorkKind {
-                priority: self.request.priority,
-                latency_target_ms: self.request.latency_target_ms,
-            },
+            kind: self.kind(),
             target_at: self.origin.target_at,
             deadline: self.deadline,
         }
@@ -203,37 +215,65 @@
 
     // ---- One request, from its arrival to the backend -----------------------------------------------------
 
-    /// Runs a request at the backend here, with the body from `body`, or says why not.
-    pub async fn serve(self: Rc<Inbound>, request: Request, body: BodySource) -> PeerResponse {
+    /// Runs a request at the backend here, with the body from `body`, or says why not. It begins only where its response comes before the
+    /// end of its caller.
+    pub async fn serve(
+        self: Rc<Inbound>,
+        request: Request,
+        body: BodySource,
+        cutoff: ResponseCutoff,
+    ) -> PeerResponse {
         let _serving = ServingCount::new(&self);
-        let arrival = Arrival::new(request, self.context.now());
+        let arrival = Arrival::new(request, cutoff, self.context.now());
+        // What is dropped before it is admitted leaves the queue, and its claim is withdrawn.
+        let admitted = tokio::select! {
+            biased;
+            admitted = self.admit(&arrival) => admitted,
+            () = self.wait_until_too_late(&arrival) => Err(self.refused_at_caller_end(&arrival)),
+        };
+        match admitted {
+            Err(response) => response.into(),
+            Ok(Admitted { slot, claim: Some(claim) }) => self.run_keyed(slot, arrival, body, claim).await,
+            Ok(Admitted { slot, claim: None }) => self.run(slot, &arrival, body).await,
+        }
+    }
+
+    /// Claims the key of a request where it has one, and waits for a slot. What becomes of it where it may not begin.
+    async fn admit(self: &Rc<Inbound>, arrival: &Arrival) -> Result<Admitted, Response> {
         let request = &arrival.request;
-        if let Some(refusal) = self.refusal_on_arrival(&arrival) {
-            return refusal.into();
+        if let Some(refusal) = self.refusal_on_arrival(arrival) {
+            return Err(refusal);
         }
         let mut claim = None;
         if let (false, Some(ticket)) = (request.key.is_empty(), request.ticket) {
-            match self.claim(request, ticket).await {
-                Ok(granted) => claim = Some(granted),
-                Err(response) => return response.into(),
-            }
+            claim = Some(self.claim(request, ticket).await?);
         }
         // Much may have changed while its key was claimed, and again while it was queued.
-        if let Some(refusal) = self.refusal(&arrival) {
-            return refusal.into();
+        if let Some(refusal) = self.refusal(arrival) {
+            return Err(refusal);
         }
         let entered = self.queue.enter(arrival.candidate()).await;
-        if let Some(refusal) = self.refusal(&arrival) {
-            return refusal.into();
-        }
-        let slot = match entered {
-            Ok(slot) => slot,
-            Err(retry_after) => return self.refused(request.id, "full", retry_after).into(),
-        };
-        match claim {
-            Some(claim) => self.run_keyed(slot, arrival, body, claim).await,
-            None => self.run(slot, &arrival, body).await,
+        if let Some(refusal) = self.refusal(arrival) {
+            return Err(refusal);
         }
+        let slot = entered.map_err(|retry_after| self.refused(request.id, "full", retry_after))?;
+        Ok(Admitted { slot, claim })
+    }
+
+    fn likely_work(&self, arrival: &Arrival) -> Micros {
+        self.backend.admission().likely_work(arrival.kind())
+    }
+
+    async fn wait_until_too_late(&self, arrival: &Arrival) {
+        let cutoff = arrival.cutoff.clone();
+        cutoff.wait_until_too_late(&self.context, || self.likely_work(arrival)).await;
+    }
+
+    /// Its caller ends before the request would be answered: no other backend would do better.
+    fn refused_at_caller_end(&self, arrival: &Arrival) -> Response {
+        self.context.count("refused_at_caller_end");
+        let refused = self.refused(arrival.request.id, "its proxy ends", CALLER_END_RETRY_AFTER);
+        Response { final_refusal: true, ..refused }
     }
 
     /// Why a request does not even wait for its turn.
@@ -252,7 +292,7 @@
         Some(self.refused(request.id, "the link is full", backlog))
     }
 
-    /// Why a request may not begin now: another instance is here, it drains, this proxy ends, or the request's time is over.
+    /// Why a request may not begin now: another instance is here, it drains, this proxy or that of its client ends, or its time is over.
     fn refusal(&self, arrival: &Arrival) -> Option<Response> {
         let request = &arrival.request;
         let unavailable = self.backend.unavailable(&request.instance, &request.service);
@@ -266,6 +306,9 @@
             self.context.count("refused_at_end");
             return Some(self.refused(request.id, "the proxy here ends", Micros(0)));
         }
+        if arrival.cutoff.is_too_late(self.context.now(), self.likely_work(arrival)) {
+            return Some(self.refused_at_caller_end(arrival));
+        }
         if arrival.deadline - self.context.now() <= DEADLINE_MARGIN {
             return Some(self.refused(request.id, "its time is over", Micros(0)));
         }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -10,7 +10,7 @@
 //! plane as it is known here).
 //!
 //! The way of a request: [`outbound`] (accept, with [`body_reader`], route, pick, attempt, retry or answer), [`peer_connections`] to the proxy beside the backend,
-//! there [`peer_server`], [`inbound`] (admit, with [`backend_queue`]) and [`backend_exchange`]. [`control_client`] carries the connections to the replicas,
+//! there [`peer_server`], [`inbound`] (admit, with [`backend_queue`] and [`response_cutoff`]) and [`backend_exchange`]. [`control_client`] carries the connections to the replicas,
 //! [`local_api`] answers the platform and the backend, [`proxy`] puts the parts together, [`run`] is the process.
 #![warn(missing_docs, clippy::missing_errors_doc)]
 
@@ -47,6 +47,7 @@
 pub mod replicas;
 pub mod report_confirmation;
 pub mod request_body;
+pub mod response_cutoff;
 pub mod retry_budget;
 pub mod run;
 pub mod running_requests;
--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -11,6 +11,7 @@
 use notchspool_idempotency::claim_proposal::Outcome as ClaimOutcome;
 use notchspool_mesh_config::route_config::{Route, RouteConfig, RouteKind};
 use notchspool_mesh_protocol::{Header, Request as PeerRequest, Response as PeerReply, Ticket, Verdict};
+use tokio::sync::watch;
 
 use crate::attempts::{
     Action, Attempts, Event, MAX_CALL_REFUSALS, MAX_REFUSALS, MAX_REFUSALS_CROWDED, RetryPolicy,
@@ -26,6 +27,7 @@
 use crate::peer_connections::PeerConnections;
 use crate::peer_link::{PeerResponse, without_answer};
 use crate::request_body::RequestBody;
+use crate::response_cutoff::{AnswerBy, ResponseCutoff};
 use crate::running_requests::{Origin, RunningRequests};
 use crate::service_balancer::{AttemptEnd, BalancerAction};
 use crate::services::Services;
@@ -67,6 +69,8 @@
     in_flight: Cell<usize>,
     /// The end of this proxy, once it is known.
     end: Cell<Option<KnownEnd>>,
+    /// The same for those that wait for something.
+    answer_by: watch::Sender<AnswerBy>,
     /// The part of requests that were refused lately, smoothed.
     refused_part: Cell<f64>,
 }
@@ -150,6 +154,7 @@
             running,
             in_flight: Cell::new(0),
             end: Cell::new(None),
+            answer_by: watch::Sender::new(None),
             refused_part: Cell::new(0.0),
         }
     }
@@ -157,6 +162,7 @@
     /// This proxy ends: what may not be answered completely before is refused.
     pub fn set_end(&self, end: KnownEnd) {
         self.end.set(Some(end));
+        self.answer_by.send_if_modified(|answer_by| answer_by.replace(end.answer_by()).is_none());
     }
 
     /// Requests that are served now.
@@ -205,8 +211,7 @@
         // What must not be repeated is refused beside its backend, where it is known whether it ran.
         let need = Need { deadline, must_be_complete: route.kind == RouteKind::Download };
         if self.end.get().is_some_and(|end| !end.allows(need)) {
-            self.context.count("refused_at_end");
-            return Err(self.refuse("the proxy here ends", ENDING_RETRY_AFTER));
+            return Err(self.refuse_at_end());
         }
         let headers = headers::forwarded(&head.parts.headers);
         let attempt_id = headers::single_value(&head.parts.headers, ATTEMPT_ID);
@@ -216,8 +221,7 @@
         let Some(key) = headers::single_value(&head.parts.headers, OPERATION_KEY) else {
             return Err(client_response::plain(400, "the Notchspool-Operation-Key can't be told"));
         };
-        let read = body_reader::read(&self.context, body, config.limits.max_body_bytes, deadline).await;
-        let (body, reservation) = read.map_err(|error| self.answer_to_body_error(error))?;
+        let (body, reservation) = self.read_body(body, config.limits.max_body_bytes, deadline).await?;
         let own = Origin { call_depth: 0, priority: route.priority, target_at: now + route.latency_target };
         let origin = self.running.origin_of_call(&attempt_id).unwrap_or(own);
         let client = ClientRequest {
@@ -236,6 +240,29 @@
         Ok((route.clone(), client))
     }
 
+    /// Reads the body of a request, unless this proxy ends before it has come.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+        deadline: Micros,
+    ) -> Result<(RequestBody, BodyReservation), ClientResponse> {
+        let cutoff = ResponseCutoff::new(self.answer_by.subscribe());
+        tokio::select! {
+            biased;
+            read = body_reader::read(&self.context, body, max_bytes, deadline) => {
+                read.map_err(|error| self.answer_to_body_error(error))
+            }
+            () = cutoff.wait_until_too_late(&self.context, || Micros(0)) => Err(self.refuse_at_end()),
+        }
+    }
+
+    /// This proxy ends before the request could be answered.
+    fn refuse_at_end(&self) -> ClientResponse {
+        self.context.count("refused_at_end");
+        self.refuse("the proxy here ends", ENDING_RETRY_AFTER)
+    }
+
     fn answer_to_body_error(&self, error: BodyError) -> ClientResponse {
         match error {
             BodyError::TooLong => client_response::plain(413, "the body is over the limit"),
@@ -289,8 +316,7 @@
         let mut failure: Option<PeerResponse> = None;
         loop {
             let picked = picked_backend(&actions, delivery.request);
-            let event = if picked.is_some() { Event::Picked } else { Event::NoBackend };
-            let action = attempts.apply(self.context.now(), event, &try_spend);
+            let action = attempts.apply(self.context.now(), self.event_before_sending(picked), &try_spend);
             let (to, attempt, ticket) = match (picked, action) {
                 (Some(to), Action::Send { attempt, ticket }) => (to, attempt, ticket),
                 (picked, action) => {
@@ -330,6 +356,15 @@
         }
     }
 
+    fn event_before_sending(&self, picked: Option<BackendId>) -> Event<'static> {
+        let now = self.context.now();
+        match picked {
+            _ if self.end.get().is_some_and(|end| end.is_too_late_to_send(now)) => Event::ProxyEnds,
+            Some(_) => Event::Picked,
+            None => Event::NoBackend,
+        }
+    }
+
     fn retry_policy(&self, delivery: &Delivery<'_>) -> RetryPolicy {
         let is_keyed = delivery.route.kind == RouteKind::Keyed && !delivery.client.key.is_empty();
         let ticket = Ticket { boot_id: self.context.boot_id, number: delivery.request.0, attempt: 0 };
--- a/crates/data-plane/src/peer_connections.rs
+++ b/crates/data-plane/src/peer_connections.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use notchspool::units::Micros;
-use notchspool_mesh_protocol::{FetchResponse, GoAway, Payload, Request, Response, Verdict};
+use notchspool_mesh_protocol::{CallerShutdown, FetchResponse, GoAway, Payload, Request, Response, Verdict};
 use notchspool_runtime::frame_connection::{self, FrameSender};
 use tokio::net::TcpStream;
 
@@ -17,6 +17,7 @@
 use crate::peer_link::{PeerLink, PeerResponse, without_answer};
 use crate::peer_server::PeerServer;
 use crate::request_body::{RequestBody, Upload};
+use crate::response_cutoff::{AnswerBy, ResponseCutoff};
 
 /// A machine that does not take a connection by then is not there.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -40,6 +41,8 @@
     accepted: RefCell<Vec<FrameSender>>,
     /// This proxy ends: others are told to send nothing more.
     is_going_away: Cell<bool>,
+    /// Once this proxy ends: what others send later can't be passed on.
+    answer_by: Cell<AnswerBy>,
 }
 
 impl PeerConnections {
@@ -51,6 +54,7 @@
             links: RefCell::default(),
             accepted: RefCell::default(),
             is_going_away: Cell::new(false),
+            answer_by: Cell::new(None),
         }
     }
 
@@ -67,6 +71,18 @@
         }
     }
 
+    /// This proxy ends: those to whom it has sent requests are told until when responses can be passed on.
+    pub fn announce_end(&self, answer_by: Micros) {
+        self.answer_by.set(Some(answer_by));
+        self.links.borrow().values().for_each(|link| self.tell_end(link));
+    }
+
+    fn tell_end(&self, link: &PeerLink) {
+        let Some(answer_by) = self.answer_by.get() else { return };
+        let time_left_ms = ((answer_by - self.context.now()).0 / 1_000).max(0) as u32;
+        link.sender.send(Payload::CallerShutdown(CallerShutdown { time_left_ms }));
+    }
+
     /// Sends a request to the proxy beside a backend. Dropped, it is taken back there where that can still be done.
     pub async fn send(
         self: &Rc<PeerConnections>,
@@ -77,7 +93,7 @@
         if proxy == self.context.address {
             request.remote_body = true;
             request.body_length = body.len() as u64;
-            return self.inbound.clone().serve(request, body.reader()).await;
+            return self.inbound.clone().serve(request, body.reader(), ResponseCutoff::none()).await;
         }
         let Some(link) = self.link(proxy) else {
             return without_answer(request.id, Verdict::NotRun, "no link").into();
@@ -140,6 +156,7 @@
         let to: SocketAddr = address.parse().ok()?;
         let link = PeerLink::new(self.context.now());
         link.sender.send(Payload::Hello(self.context.hello()));
+        self.tell_end(&link);
         self.links.borrow_mut().insert(address.to_string(), link.clone());
         tokio::task::spawn_local(self.clone().carry_outgoing(link.clone(), to, address.to_string()));
         Some(link)
--- a/crates/data-plane/src/peer_server.rs
+++ b/crates/data-plane/src/peer_server.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use notchspool::units::Micros;
-use notchspool_mesh_protocol::{BodyChunk, BodyConsumed, Payload, Request, Response, Verdict};
+use notchspool_mesh_protocol::{
+    BodyChunk, BodyConsumed, CallerShutdown, Payload, Request, Response, Verdict,
+};
 use notchspool_runtime::frame_connection::{self, FrameSender};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 
 use crate::body_pipe::{BodyEnd, BodyPipe, CHUNK_BYTES};
@@ -18,6 +20,7 @@
 use crate::peer_exchange::{ExchangeId, IncomingAction, IncomingEvent, IncomingExchanges};
 use crate::peer_link::without_answer;
 use crate::request_body::{BodySource, RemoteBody, WINDOW_BYTES};
+use crate::response_cutoff::{AnswerBy, ResponseCutoff};
 use crate::stall_detector;
 
 /// Bytes of a streamed response that may be on their way: what the link carries in this time, within bounds.
@@ -43,6 +46,8 @@
     streams: RefCell<HashMap<ExchangeId, Rc<FlowControl>>>,
     /// Bodies of requests that come as they are asked for.
     bodies: RefCell<HashMap<ExchangeId, BodyPipe>>,
+    /// The end of the proxy that opened the connection, once it is known.
+    answer_by: watch::Sender<AnswerBy>,
 }
 
 impl PeerServer {
@@ -55,6 +60,7 @@
             exchanges: RefCell::default(),
             streams: RefCell::default(),
             bodies: RefCell::default(),
+            answer_by: watch::Sender::new(None),
         })
     }
 
@@ -84,6 +90,7 @@
             Payload::Cancel(cancel) => self.on_cancel(cancel.id),
             Payload::BodyConsumed(consumed) => self.on_body_consumed(&consumed),
             Payload::BodyChunk(chunk) => self.on_body_chunk(chunk),
+            Payload::CallerShutdown(shutdown) => self.on_caller_shutdown(shutdown),
             Payload::FetchResponse(fetch) => {
                 let response = self.inbound.held_response(fetch.id, &fetch.key, fetch.holder_boot_id);
                 self.sender.send(Payload::Response(response));
@@ -120,7 +127,8 @@
     async fn serve(self: Rc<PeerServer>, request: Request) {
         let id = request.id;
         let body = self.body_of(&request);
-        let served = self.inbound.clone().serve(request, body).await;
+        let cutoff = ResponseCutoff::new(self.answer_by.subscribe());
+        let served = self.inbound.clone().serve(request, body, cutoff).await;
         self.bodies.borrow_mut().remove(&id);
         let length = served.response.length as usize;
         let first_bytes = served.response.body.len();
@@ -166,6 +174,13 @@
         }
     }
 
+    /// The proxy that opened the connection ends: what waits here is told when its response would come too late.
+    fn on_caller_shutdown(&self, shutdown: CallerShutdown) {
+        let age = self.context.observe_running();
+        let time_left = Micros::ms(i64::from(shutdown.time_left_ms)) - age;
+        self.answer_by.send_replace(Some(self.context.now() + time_left));
+    }
+
     fn on_cancel(&self, id: ExchangeId) {
         if let Some(pipe) = self.bodies.borrow_mut().remove(&id) {
             pipe.finish(BodyEnd::Truncated);
--- a/crates/data-plane/src/run.rs
+++ b/crates/data-plane/src/run.rs
@@ -224,6 +224,7 @@
     let context = &proxy.context;
     let mut shutdown = Shutdown::new(context.now(), grace);
     proxy.api.is_stopping.set(true);
+    proxy.peers.announce_end(shutdown.known_end(context.now()).answer_by());
     log::info!(target: "proxy", "ends on SIGTERM, {} requests in hand", proxy.outbound.in_flight());
     while shutdown.phase() != Phase::Ended {
         let now = context.now();
--- a/crates/data-plane/src/shutdown.rs
+++ b/crates/data-plane/src/shutdown.rs
@@ -11,6 +11,9 @@
 //!
 //! Invariants (`tests/shutdown.rs`): a phase is never left for an earlier one; `Ended` is reached with work in flight only at the end of the
 //! grace period; once `Draining` is entered nothing new begins at the backend, so what is in flight there can only become less.
+//!
+//! Requests that began here and wait at other proxies are answered before the end: those are told of it ([`crate::response_cutoff`]), and refuse
+//! what would not be answered in time.
 use notchspool::units::Micros;
 
 /// Callers are told to send nothing to the backend here this long after SIGTERM. Until they have heard, what comes is served.
@@ -21,6 +24,8 @@
 pub const CLIENTS_SENT_FOR: Micros = Micros::ms(2_200);
 /// Kept clear of the end of the grace period, at which the process is killed.
 const GRACE_MARGIN: Micros = Micros::ms(700);
+/// What another proxy refuses has to come back before the end, and to reach its client.
+const ANSWER_MARGIN: Micros = Micros::ms(350);
 /// Other proxies that have nothing open close their connections within this.
 const PEERS_CLOSE_WITHIN: Micros = Micros::ms(500);
 
@@ -43,6 +48,16 @@
 }
 
 impl KnownEnd {
+    /// What another proxy sends later may not be passed on any more.
+    pub fn answer_by(&self) -> Micros {
+        self.at - ANSWER_MARGIN
+    }
+
+    /// Whether a request that has not been sent yet is not to be sent any more.
+    pub fn is_too_late_to_send(&self, now: Micros) -> bool {
+        now >= self.answer_by()
+    }
+
     /// Whether a request may begin. What is certain to be over before the end may; what is not only while clients are sent here, who would
     /// be refused otherwise, and if it is likely to be over soon and does little harm where it is not.
     pub fn allows(&self, need: Need) -> bool {
--- a/crates/data-plane/tests/admission.rs
+++ b/crates/data-plane/tests/admission.rs
@@ -216,3 +216,14 @@
         }
     }
 }
+
+#[test]
+fn work_is_likely_to_take_somewhat_longer_than_usual() {
+    let mut queue = busy_queue(2);
+    let (measured, other) = (kind_of(1, 800), kind_of(2, 100));
+    assert_eq!(queue.likely_work(measured), Micros(0), "nothing was measured");
+    queue.release(Micros::ms(100), measured, Some(Micros::ms(100)));
+    for kind in [measured, other] {
+        assert_eq!(queue.likely_work(kind), Micros::ms(130), "{kind:?}");
+    }
+}
--- a/crates/data-plane/tests/attempts.rs
+++ b/crates/data-plane/tests/attempts.rs
@@ -71,6 +71,17 @@
     assert_eq!(receive(&mut safe, &ends), Action::Unanswered { timed_out: false });
 }
 
+#[test]
+fn at_the_end_of_its_proxy_nothing_is_sent() {
+    let mut once = Attempts::new(policy(false, None));
+    assert_eq!(receive(&mut once, &response(Verdict::NotRun, false)), Action::Retry);
+    assert_eq!(once.apply(Micros(1), Event::ProxyEnds, &|| true), Action::Reject);
+    let mut safe = Attempts::new(policy(true, None));
+    assert_eq!(receive(&mut safe, &response(Verdict::MayHaveRun, true)), Action::Retry);
+    assert_eq!(safe.apply(Micros(1), Event::ProxyEnds, &|| true), Action::Unanswered { timed_out: false });
+    assert_eq!((once.sent(), safe.sent()), (1, 1));
+}
+
 #[test]
 fn past_its_time_nothing_is_sent() {
     let mut once = Attempts::new(policy(false, None));
--- a/crates/data-plane/tests/shutdown.rs
+++ b/crates/data-plane/tests/shutdown.rs
@@ -96,6 +96,10 @@
     let end = |at| shutdown.known_end(Micros::ms(at));
     assert_eq!(end(1_000), KnownEnd { at: Micros::ms(6_300), clients_are_sent: true });
     assert!(end(3_199).clients_are_sent && !end(3_200).clients_are_sent);
+    assert!(
+        !end(5_900).is_too_late_to_send(Micros::ms(5_949))
+            && end(5_900).is_too_late_to_send(Micros::ms(5_950))
+    );
     let need = |deadline, must_be_complete| Need { deadline: Micros::ms(deadline), must_be_complete };
     // (asked at, deadline, must be complete): taken
     let rows = [
--- a/crates/mesh-protocol/src/lib.rs
+++ b/crates/mesh-protocol/src/lib.rs
@@ -18,7 +18,7 @@
 pub use message::config::{
     Ballot, ConfigRequest, ConfigUpdate, KnownVersion, MAX_CONFIG_BYTES, Vote, VoteReply, VoteRequest,
 };
-pub use message::connection::{GoAway, Hello, Ping, Role, Welcome};
+pub use message::connection::{CallerShutdown, GoAway, Hello, Ping, Role, Welcome};
 pub use message::endpoint::{
     Age, Endpoint, EndpointState, EndpointUpdate, LivenessReport, UnwatchEndpoints, WatchEndpoints,
 };
--- a/crates/mesh-protocol/src/message/connection.rs
+++ b/crates/mesh-protocol/src/message/connection.rs
@@ -85,6 +85,15 @@
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct GoAway {}
 
+/// The speaker, which opened the connection, ends: what it has sent on it is cut off then. Requests that have not begun at the backend, and
+/// whose responses would come later, are to be refused as not run.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct CallerShutdown {
+    /// Milliseconds until responses come too late, when it is sent.
+    #[prost(uint32, tag = "1")]
+    pub time_left_ms: u32,
+}
+
 /// A sign that a process lives, and the answer to one.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Ping {
--- a/crates/proxy/tests/soak.rs
+++ b/crates/proxy/tests/soak.rs
@@ -3,8 +3,7 @@
 //!
 //! CI plays a few seeds. By hand: `NOTCHSPOOL_SOAK_SEEDS=100..150 NOTCHSPOOL_SOAK_PROXIES=12 cargo test -p notchspool-proxy --test soak`.
 use std::collections::BTreeMap;
-use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,16 +13,26 @@
 
 mod support;
 
-use support::{BOUND, BackendLog, BackendRequest, Proxy, ProxySite, read_headers, start_replicas};
+use support::client::{ClientConnection, Seen};
+use support::{BackendLog, BackendRequest, Proxy, ProxySite, start_replicas, wait_until};
 
 const SEEDS_VARIABLE: &str = "NOTCHSPOOL_SOAK_SEEDS";
 const DEFAULT_SEEDS: Range<u64> = 0..4;
-/// Light load and load over capacity, see [`play`].
+/// Light load and load over capacity, see [`load_of`].
 const SEEDS_JUDGED_FOR_LOSSES: [u64; 2] = [10, 11];
+/// Of long work, which waits at other proxies.
+const SEEDS_OF_LONG_WORK: Range<u64> = 20..22;
 const DEFAULT_PROXIES: u64 = 6;
 /// Faults are drawn for this long.
 const FAULTS_FOR: Duration = Duration::from_secs(10);
+/// A connection that ends later than this after its request was sent has lost it: the operators' `lossSlackS`.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// What clients have for long work: more than a proxy takes to end.
+const LONG_TIME_LEFT_MS: u64 = 15_000;
+/// What a backend takes for it; a segment of its path says so.
+const LONG_WORK: Duration = Duration::from_millis(1_200);
 /// Of three proxies one stands beside a backend that makes calls to the service of the others.
+const CALLED_PART: f64 = 2.0 / 3.0;
 const CALLING_SERVICE: &str = "front";
 const CALLED_SERVICE: &str = "store";
 
@@ -33,14 +42,19 @@
     clients_a_proxy: usize,
     /// Of each backend.
     slots: u32,
-    /// Less of any kind served means that the mesh did not serve through it all.
+    /// Less of any kind served means that the mesh did not serve through it all: a part of what was asked, and of long work, which clients
+    /// ask for again at once where it is refused, a part of what the slots could do in the time of the faults.
     min_served_part: f64,
+    /// All work is long, and must not be repeated.
+    is_long: bool,
 }
 
 /// There is room for all.
-const LIGHT: Load = Load { clients_a_proxy: 2, slots: 6, min_served_part: 0.8 };
+const LIGHT: Load = Load { clients_a_proxy: 2, slots: 6, min_served_part: 0.8, is_long: false };
 /// Requests queue and displace each other, and there is not room for all.
-const CROWDED: Load = Load { clients_a_proxy: 12, slots: 2, min_served_part: 0.1 };
+const CROWDED: Load = Load { clients_a_proxy: 12, slots: 2, min_served_part: 0.1, is_long: false };
+/// The same with work of which a proxy that ends can't wait for all that queues.
+const LONG: Load = Load { clients_a_proxy: 6, slots: 2, min_served_part: 0.3, is_long: true };
 
 /// What a client asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,26 +63,19 @@
     Calling,
     Keyed,
     Large,
+    /// Takes more than a second, and must not be repeated.
+    Long,
 }
 
-const KINDS: [Kind; 3] = [Kind::Calling, Kind::Keyed, Kind::Large];
-
-/// What a client has seen of a request that it sent completely.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Seen {
-    Answer {
-        status: u16,
-        complete: bool,
-    },
-    /// The connection ended before the first byte of an answer.
-    NoAnswer,
-}
+const KINDS: [Kind; 4] = [Kind::Calling, Kind::Keyed, Kind::Large, Kind::Long];
 
 struct Observation {
     attempt_id: String,
     key: String,
     kind: Kind,
     seen: Seen,
+    /// From the sending of the request to its answer, or to the end of the connection.
+    waited: Duration,
 }
 
 fn seeds() -> Range<u64> {
@@ -83,8 +90,11 @@
 
 fn config(version: u64) -> String {
     let route = |name: &str, prefix: &str, kind: &str, service: &str, priority: u32| {
+        // What may be waited for follows from the target: long work is to queue.
+        let long_s = LONG_TIME_LEFT_MS / 1_000;
+        let (timeout_s, target_s) = if kind == "unsafe" { (long_s, long_s) } else { (4, 1) };
         format!(
-            r#""{name}":{{"host":"h.example","pathPrefix":"{prefix}","routeKind":"{kind}","timeoutS":4,"targetS":1,"priority":{priority},"service":"{service}","maxAttempts":2}}"#
+            r#""{name}":{{"host":"h.example","pathPrefix":"{prefix}","routeKind":"{kind}","timeoutS":{timeout_s},"targetS":{target_s},"priority":{priority},"service":"{service}","maxAttempts":2}}"#
         )
     };
     // A route that comes and goes makes each version another one.
@@ -94,6 +104,7 @@
         route("called", "/5/", "safe", CALLED_SERVICE, 1),
         route("keyed", "/20/", "keyed", CALLED_SERVICE, 1),
         route("large", "/15/", "download", CALLED_SERVICE, 2),
+        route("long", "/1200/", "unsafe", CALLED_SERVICE, 1),
         extra,
     ];
     let routes = routes.join(",");
@@ -102,55 +113,12 @@
     )
 }
 
-/// A connection of a client, kept for as long as the other side keeps it.
-struct ClientConnection {
-    stream: TcpStream,
-    reader: BufReader<TcpStream>,
-}
-
-impl ClientConnection {
-    fn open(to: SocketAddr) -> Option<ClientConnection> {
-        let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
-        stream.set_nodelay(true).ok()?;
-        stream.set_read_timeout(Some(BOUND)).ok()?;
-        let reader = BufReader::new(stream.try_clone().ok()?);
-        Some(ClientConnection { stream, reader })
-    }
-
-    /// Sends a request, and reads its answer. `None` where it could not be sent completely; then whether the connection can be used again.
-    fn request(&mut self, path: &str, attempt_id: &str, key: &str) -> Option<(Seen, bool)> {
-        let key = if key.is_empty() { String::new() } else { format!("notchspool-operation-key: {key}\r\n") };
-        let head = format!(
-            "GET {path} HTTP/1.1\r\nhost: h.example\r\nnotchspool-attempt-id: {attempt_id}\r\nnotchspool-time-left-ms: 4000\r\n{key}\r\n"
-        );
-        self.stream.write_all(head.as_bytes()).ok()?;
-        Some(self.read_answer().unwrap_or((Seen::NoAnswer, false)))
-    }
-
-    fn read_answer(&mut self) -> Option<(Seen, bool)> {
-        let mut line = String::new();
-        std::io::BufRead::read_line(&mut self.reader, &mut line).ok().filter(|bytes| *bytes > 0)?;
-        let status = line.split(' ').nth(1)?.parse().ok()?;
-        let cut = Some((Seen::Answer { status, complete: false }, false));
-        let Some(headers) = read_headers(&mut self.reader) else { return cut };
-        let Some(length) = headers.get("content-length").and_then(|length| length.parse::<u64>().ok()) else {
-            return cut;
-        };
-        let mut body = Vec::new();
-        let read = (&mut self.reader).take(length).read_to_end(&mut body);
-        if read.is_err() || body.len() as u64 != length {
-            return cut;
-        }
-        let is_kept = headers.get("connection").is_none_or(|value| value != "close");
-        Some((Seen::Answer { status, complete: true }, is_kept))
-    }
-}
-
 /// What all threads of one run share.
 struct Soak {
     is_over: AtomicBool,
     next_id: AtomicU64,
     seed: u64,
+    load: Load,
     observations: Mutex<Vec<Observation>>,
 }
 
@@ -159,6 +127,7 @@
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let attempt_id = format!("s{}a{id}", self.seed);
         match random.rand_range(0..10) {
+            _ if self.load.is_long => (Kind::Long, format!("/1200/{id}"), attempt_id, String::new()),
             0..=4 => (Kind::Calling, format!("/10/{id}"), attempt_id, String::new()),
             5..=7 => (Kind::Keyed, format!("/20/{id}"), attempt_id, format!("k{}-{id}", self.seed)),
             _ => (Kind::Large, format!("/15/{id}/large"), attempt_id, String::new()),
@@ -173,14 +142,24 @@
             std::thread::sleep(Duration::from_millis(random.rand_range(1..30)));
             let Some(open) = connection.as_mut() else {
                 connection = ClientConnection::open(outbound);
+                if self.load.is_long {
+                    connection = connection.map(|open| open.with_time_left_ms(LONG_TIME_LEFT_MS));
+                }
                 continue;
             };
             let (kind, path, attempt_id, key) = self.draw_request(&mut random);
-            let Some((seen, is_kept)) = ClientConnection::request(open, &path, &attempt_id, &key) else {
+            let began = Instant::now();
+            let Some((seen, is_kept)) = open.request(&path, &attempt_id, &key) else {
                 connection = None;
                 continue;
             };
-            self.observations.lock().unwrap().push(Observation { attempt_id, key, kind, seen });
+            self.observations.lock().unwrap().push(Observation {
+                attempt_id,
+                key,
+                kind,
+                seen,
+                waited: began.elapsed(),
+            });
             if !is_kept {
                 connection = None;
             }
@@ -246,14 +225,6 @@
     }
 }
 
-fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !is_so() {
-        assert!(began.elapsed() < BOUND, "not within {BOUND:?}: {what}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// What a backend of the calling service does: a call through the proxy beside it, under the id of the request.
 fn make_call(outbound: SocketAddr, request: &BackendRequest) -> bool {
     if !request.path.starts_with("/10/") {
@@ -265,15 +236,19 @@
     matches!(answer, Some((Seen::Answer { status: 200, complete: true }, _)))
 }
 
-fn play(seed: u64) -> Outcome {
-    let load = if seed.is_multiple_of(2) { LIGHT } else { CROWDED };
-    let net = 100 + seed % 100;
-    let data = std::env::temp_dir().join(format!("notchspool-soak-{seed}-{}", std::process::id()));
-    let replica_ip = format!("127.78.{net}.250");
+fn load_of(seed: u64) -> Load {
+    if seed.is_multiple_of(2) { LIGHT } else { CROWDED }
+}
+
+fn play(seed: u64, load: Load) -> Outcome {
+    // Tests of both kinds of work may play the same seed at once.
+    let net = format!("127.{}.{}", if load.is_long { 80 } else { 78 }, 100 + seed % 100);
+    let data = std::env::temp_dir().join(format!("notchspool-soak-{net}-{}", std::process::id()));
+    let replica_ip = format!("{net}.250");
     start_replicas(std::slice::from_ref(&replica_ip), &data);
     let sites: Vec<ProxySite> = (0..proxies())
         .map(|index| ProxySite {
-            ip: format!("127.78.{net}.{}", index + 1),
+            ip: format!("{net}.{}", index + 1),
             service: if index % 3 == 0 { CALLING_SERVICE } else { CALLED_SERVICE }.to_string(),
             instance: format!("i-{seed}-{index}"),
             slots: load.slots,
@@ -308,6 +283,7 @@
         is_over: AtomicBool::new(false),
         next_id: AtomicU64::new(0),
         seed,
+        load,
         observations: Mutex::default(),
     });
     let mut threads = Vec::new();
@@ -390,7 +366,7 @@
         let runs_by_key = sum(&self.logs, |log| &log.runs_by_key);
         let mut broken = Vec::new();
         for observation in &self.observations {
-            let Observation { attempt_id, key, kind, seen } = observation;
+            let Observation { attempt_id, key, kind, seen, waited } = observation;
             let has_run = runs_by_attempt.contains_key(attempt_id);
             match seen {
                 Seen::Answer { complete: false, .. } => {
@@ -399,7 +375,10 @@
                 Seen::NoAnswer if has_run => {
                     broken.push(format!("{kind:?} {attempt_id}: ran, and has no answer"));
                 }
-                Seen::Answer { status: 503, .. } if has_run && *kind == Kind::Keyed => {
+                Seen::NoAnswer if *waited > LOSS_SLACK => {
+                    broken.push(format!("{kind:?} {attempt_id}: has no answer after {waited:?}"));
+                }
+                Seen::Answer { status: 503, .. } if has_run && matches!(kind, Kind::Keyed | Kind::Long) => {
                     broken.push(format!("{attempt_id}: ran, and was told that it has not"));
                 }
                 Seen::Answer { status: 502 | 504, .. } if has_run => {
@@ -423,7 +402,16 @@
 
     /// The mesh served through it all.
     fn judge_served(&self) {
-        for kind in KINDS {
+        if self.load.is_long {
+            let could_be =
+                self.logs.len() as f64 * CALLED_PART * f64::from(self.load.slots) * FAULTS_FOR.as_secs_f64()
+                    / LONG_WORK.as_secs_f64();
+            let served = self.served(Kind::Long);
+            let is_enough = served as f64 >= self.load.min_served_part * could_be;
+            assert!(is_enough, "seed {}: {served} served, and {could_be:.0} could be", self.seed);
+            return;
+        }
+        for kind in KINDS.into_iter().filter(|kind| *kind != Kind::Long) {
             let (asked, served) = (self.asked(kind), self.served(kind));
             let part = served as f64 / asked as f64;
             assert!(
@@ -440,15 +428,26 @@
 fn planned_work_loses_no_request() {
     if std::env::var_os(SEEDS_VARIABLE).is_none() {
         for seed in SEEDS_JUDGED_FOR_LOSSES {
-            play(seed).judge_losses();
+            play(seed, load_of(seed)).judge_losses();
         }
     }
 }
 
+/// Guards against requests that wait at another proxy and are cut off with the proxy that took them (`docs/incidents/queued-at-end.md`).
+#[test]
+fn planned_work_loses_no_request_that_waits_for_long_work() {
+    let seeds = if std::env::var_os(SEEDS_VARIABLE).is_none() { SEEDS_OF_LONG_WORK } else { seeds() };
+    for seed in seeds {
+        let outcome = play(seed, LONG);
+        outcome.judge_losses();
+        outcome.judge_served();
+    }
+}
+
 #[test]
 fn planned_work_in_series_loses_no_request() {
     for seed in seeds() {
-        let outcome = play(seed);
+        let outcome = play(seed, load_of(seed));
         outcome.judge_losses();
         outcome.judge_served();
     }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use notchspool_runtime::program::CheckedSettings;
 use notchspool_runtime::signals::Signals;
 
+pub mod client;
 pub mod peer;
 pub mod stand_in_replica;
 
@@ -136,6 +137,15 @@
     }
 }
 
+/// Asks again until it is so.
+pub fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !is_so() {
+        assert!(began.elapsed() < BOUND, "not within {BOUND:?}: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Where a proxy runs, and for which backend.
 #[derive(Clone)]
 pub struct ProxySite {
