Answers: what stands where a chunk's size is due and is none breaks the answer off

Cause: httparse::parse_chunk_size asks for no digit, so an empty line, ";" or a space alone are size 0: the last chunk. What follows, up to the next empty line, passed for trailers whatever it was. Evidence: the library's source, and a test that spoils one place of an answer in some 5,000 ways.

Change: the lines between chunks are read by the letter of RFC 9112, section 7.1 (chunk_framing.rs), and bounded. The same cause beside it: a content-length with a sign and a repeated transfer-encoding are refused.

Why it works: only a line with a digit can end the body, and what follows has to be header fields; else it may have run, never 200.

--- a/crates/data-plane/src/answer_parser.rs
+++ b/crates/data-plane/src/answer_parser.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpStream;
 
 use crate::backend_connection::{AnswerHead, AnswerId, BackendVerdict};
+use crate::chunk_framing::{self, SizeLine, TrailerLine};
 use crate::headers::{ATTEMPT_ID, NOT_RUN, SERVER_SEAL, is_hop_by_hop};
 
 /// Idle connections are kept for this long where the backend says nothing.
@@ -158,52 +159,53 @@
     async fn read_chunked_body(&mut self) -> Result<Bytes, String> {
         let mut body = BytesMut::new();
         loop {
-            let (start, size) = self.read_chunk_size().await?;
+            let SizeLine { length: start, size } = self.read_size_line().await?;
             let size = usize::try_from(size).ok().filter(|size| body.len() + size <= MAX_BODY_BYTES);
             let Some(size) = size else { return Err("a chunk too large".into()) };
-            while self.buffer.len() < start + size + LINE_END.len() {
-                self.read_more().await?;
-            }
             let _ = self.buffer.split_to(start);
-            body.extend_from_slice(&self.buffer.split_to(size));
             if size == 0 {
                 self.skip_trailers().await?;
                 return Ok(body.freeze());
             }
+            while self.buffer.len() < size + LINE_END.len() {
+                self.read_more().await?;
+            }
+            body.extend_from_slice(&self.buffer.split_to(size));
             if self.buffer.split_to(LINE_END.len())[..] != *LINE_END {
                 return Err("no end of a chunk".into());
             }
         }
     }
 
-    /// Where the chunk begins, and its size.
-    async fn read_chunk_size(&mut self) -> Result<(usize, u64), String> {
+    /// Reads the line before a chunk, and leaves it in the buffer.
+    async fn read_size_line(&mut self) -> Result<SizeLine, String> {
         loop {
-            match httparse::parse_chunk_size(&self.buffer) {
-                Ok(httparse::Status::Complete(found)) => return Ok(found),
-                Ok(httparse::Status::Partial) => self.read_more().await?,
-                Err(_) => return Err("no chunk".into()),
+            match chunk_framing::size_line(&self.buffer).map_err(|e| e.to_string())? {
+                Some(line) => return Ok(line),
+                None => self.read_more().await?,
             }
         }
     }
 
     /// Reads trailers, up to an empty line.
     async fn skip_trailers(&mut self) -> Result<(), String> {
-        while self.buffer.first_chunk::<2>() != Some(LINE_END) {
-            let Some(end) = self.buffer.windows(2).position(|window| window == LINE_END) else {
-                if self.buffer.len() > MAX_HEAD_BYTES {
-                    return Err("trailers without an end".into());
+        let mut trailer_bytes = 0;
+        loop {
+            match chunk_framing::trailer_line(&self.buffer).map_err(|e| e.to_string())? {
+                Some(TrailerLine::End(length)) => {
+                    let _ = self.buffer.split_to(length);
+                    return Ok(());
                 }
-                self.read_more().await?;
-                continue;
-            };
-            let _ = self.buffer.split_to(end + LINE_END.len());
-            while self.buffer.len() < LINE_END.len() {
-                self.read_more().await?;
+                Some(TrailerLine::Field(length)) => {
+                    let _ = self.buffer.split_to(length);
+                    trailer_bytes += length;
+                }
+                None => self.read_more().await?,
+            }
+            if trailer_bytes > MAX_HEAD_BYTES {
+                return Err("trailers without an end".into());
             }
         }
-        let _ = self.buffer.split_to(LINE_END.len());
-        Ok(())
     }
 }
 
@@ -237,17 +239,18 @@
             || std::str::from_utf8(header.value).map(str::trim).map_err(|_| format!("{name} is no text"));
         match name.as_str() {
             "content-length" => {
-                let parsed: usize = text()?.parse().map_err(|_| "no length".to_string())?;
+                let parsed = parse_length(text()?).ok_or("no length")?;
                 if length.is_some_and(|earlier| earlier != parsed) || parsed > MAX_BODY_BYTES {
                     return Err("no length that can be".into());
                 }
                 length = Some(parsed);
             }
             "transfer-encoding" => {
-                chunked = text()?.eq_ignore_ascii_case("chunked");
-                if !chunked {
+                // Twice, or in a version that has no chunks, it says nothing that can be relied on.
+                if chunked || !is_http_1_1 || !text()?.eq_ignore_ascii_case("chunked") {
                     return Err("an encoding that is not known".into());
                 }
+                chunked = true;
             }
             "connection" if text()?.to_ascii_lowercase().contains("close") => answer.reusable_until = None,
             "keep-alive" => {
@@ -274,6 +277,11 @@
     Ok((answer, framing))
 }
 
+/// A length is digits alone: no sign.
+fn parse_length(text: &str) -> Option<usize> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
 /// The time in a `Keep-Alive` header, less a margin.
 fn keep_alive(value: &str) -> Option<Micros> {
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<i64>().ok());
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -10,7 +10,7 @@
 //! plane as it is known here).
 //!
 //! The way of a request: [`outbound`] (accept, with [`body_reader`], route, pick, attempt, retry or answer), [`peer_connections`] to the proxy beside the backend,
-//! there [`peer_server`], [`inbound`] (admit, with [`backend_queue`] and [`response_cutoff`]) and [`backend_exchange`]. [`control_client`] carries the connections to the replicas,
+//! there [`peer_server`], [`inbound`] (admit, with [`backend_queue`] and [`response_cutoff`]) and [`backend_exchange`] (with [`answer_parser`] and [`chunk_framing`]). [`control_client`] carries the connections to the replicas,
 //! [`local_api`] answers the platform and the backend, [`proxy`] puts the parts together, [`run`] is the process.
 #![warn(missing_docs, clippy::missing_errors_doc)]
 
@@ -24,6 +24,7 @@
 pub mod body_budget;
 pub mod body_pipe;
 pub mod body_reader;
+pub mod chunk_framing;
 pub mod claim_client;
 pub mod client_response;
 pub mod config_store;
