Answers: a chunk's size that wraps around breaks the answer off and panics nothing

Cause: body.len() + size was compared with the limit. From the second chunk on it wraps around in a release build, passes, and split_to panics. Evidence, the proxy's log in the record of the case: "split_to out of bounds: <= 8", called from Inbound::run in the task of run_keyed, once for each spoilt answer.

Change: the size is compared with the room that is left, which can't wrap.

Test: an_answer_whose_chunk_is_larger_than_any_body_is_broken failed before, in both builds ("attempt to add with overflow"; "split_to out of bounds"), and passes now.

--- a/crates/data-plane/src/answer_parser.rs
+++ b/crates/data-plane/src/answer_parser.rs
@@ -160,8 +160,8 @@
         let mut body = BytesMut::new();
         loop {
             let SizeLine { length: start, size } = self.read_size_line().await?;
-            let size = usize::try_from(size).ok().filter(|size| body.len() + size <= MAX_BODY_BYTES);
-            let Some(size) = size else { return Err("a chunk too large".into()) };
+            let room = MAX_BODY_BYTES - body.len();
+            let size = usize::try_from(size).ok().filter(|size| *size <= room).ok_or("a chunk too large")?;
             let _ = self.buffer.split_to(start);
             if size == 0 {
                 self.skip_trailers().await?;
--- a/crates/data-plane/tests/answer_parser.rs
+++ b/crates/data-plane/tests/answer_parser.rs
@@ -115,3 +115,25 @@
         assert_eq!(read(&listener, answer.as_bytes()).await.as_deref(), Ok(&b"ok"[..]));
     });
 }
+
+/// Guards against a size of a chunk that wraps around and panics the task of its request (`docs/incidents/key-held-by-a-panic.md`).
+#[test]
+fn an_answer_whose_chunk_is_larger_than_any_body_is_broken() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let sizes = [
+        "4000001",
+        "7fffffffffffffff",
+        "8000000000000000",
+        "fffffffffffffff7",
+        "FFFFFFFFFFFFFFFF",
+        "10000000000000000",
+    ];
+    run(async {
+        for size in sizes {
+            for before in ["", "8\r\n(no one)\r\n"] {
+                let answer = chunked(&format!("{before}{size}\r\n!\r\n0\r\n\r\n"));
+                assert!(read(&listener, &answer).await.is_err(), "{before:?} {size}");
+            }
+        }
+    });
+}
