Keys: an operation whose task ends by a panic has ended for its repeats

Cause: the task of a run takes the operation from Running to its end as its last step. A task that panics never gets there, and what is Running is not forgotten when its window is over. So any panic below Inbound::run, whatever its reason, holds a key.

Change: the end is told by a value that the task owns; dropped in any other way, it tells that the operation may have run. Repeats get "its answer is not known" (502) within the window, as after any other break. Figure tasks_broke_off.

Test: an_operation_whose_task_panics_has_ended_for_its_repeats failed before (InProgress in the place of ResponseLost), passes now. Stand-ins of tests/wire.rs moved to tests/support, to be shared.

--- a/crates/data-plane/src/inbound.rs
+++ b/crates/data-plane/src/inbound.rs
@@ -134,6 +134,37 @@
     }
 }
 
+/// An operation at the backend. Where its task ends without saying how, by a panic, it may have run: its key would be at work for good
+/// otherwise.
+struct RunningOperation {
+    inbound: Rc<Inbound>,
+    key: String,
+    ticket: Option<Ticket>,
+    has_ended: bool,
+}
+
+impl RunningOperation {
+    fn new(inbound: &Rc<Inbound>, request: &Request) -> RunningOperation {
+        let (key, ticket) = (request.key.clone(), request.ticket);
+        RunningOperation { inbound: inbound.clone(), key, ticket, has_ended: false }
+    }
+
+    fn finish(mut self, response: &Response) {
+        self.has_ended = true;
+        self.inbound.on_keyed_finished(&self.key, self.ticket, response);
+    }
+}
+
+impl Drop for RunningOperation {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.inbound.context.count("tasks_broke_off");
+            let response = without_answer(0, Verdict::MayHaveRun, "the task of its run ended");
+            self.inbound.on_keyed_finished(&self.key, self.ticket, &response);
+        }
+    }
+}
+
 impl Inbound {
     /// Serves with `backend`, over `client`; keys are claimed with `claims`.
     pub fn new(
@@ -394,9 +425,10 @@
         }
         claim.is_armed = false;
         let (done, finished) = oneshot::channel();
+        let operation = RunningOperation::new(&self, request);
         tokio::task::spawn_local(async move {
-            let response = self.clone().run(slot, &arrival, body).await.response;
-            self.on_keyed_finished(&arrival.request, &response);
+            let response = self.run(slot, &arrival, body).await.response;
+            operation.finish(&response);
             // Whoever waited may have left.
             let _ = done.send(response);
         });
@@ -404,12 +436,11 @@
         finished.unwrap_or_else(|_| without_answer(id, Verdict::MayHaveRun, "it was dropped")).into()
     }
 
-    fn on_keyed_finished(&self, request: &Request, response: &Response) {
+    fn on_keyed_finished(&self, key: &str, ticket: Option<Ticket>, response: &Response) {
         let now = self.context.now();
-        let withdraw =
-            keyed_operation::on_finished(&mut self.operations.borrow_mut(), now, &request.key, response);
-        if let Some(ticket) = request.ticket.filter(|_| withdraw) {
-            self.claims.withdraw(&request.key, ticket);
+        let withdraw = keyed_operation::on_finished(&mut self.operations.borrow_mut(), now, key, response);
+        if let Some(ticket) = ticket.filter(|_| withdraw) {
+            self.claims.withdraw(key, ticket);
         }
     }
 
--- /dev/null
+++ b/crates/data-plane/tests/task_panics.rs
@@ -0,0 +1,91 @@
+//! A task that ends by a panic leaves nothing behind that waits for it. Panics are made by what a test hands in, or holds borrowed.
+use std::net::TcpListener;
+
+use notchspool_data_plane::body_pipe::BodyPipe;
+use notchspool_data_plane::request_body::{BodySource, RemoteBody};
+use notchspool_data_plane::response_cutoff::ResponseCutoff;
+use notchspool_endpoint_registry::heartbeats::{Event, Heartbeat};
+use notchspool_mesh_protocol::{
+    ClaimReply, ClaimVote, Member, Payload, Request, Ticket, Verdict, VoterSet, Welcome,
+};
+
+mod support;
+
+use support::{StandInPeer, proxy, request, run_test};
+
+const INSTANCE: &str = "i";
+const SERVICE: &str = "s";
+
+fn heartbeat() -> Event {
+    let slots = 2;
+    Event::Heartbeat(Heartbeat {
+        instance: INSTANCE.into(),
+        service: SERVICE.into(),
+        slots,
+        ..Heartbeat::default()
+    })
+}
+
+/// The only voter, which grants every claim.
+fn start_granting_voter() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let voters = vec![address.clone()];
+    std::thread::spawn(move || {
+        let mut proxy = StandInPeer::new(listener.accept().unwrap().0);
+        let members =
+            voters.iter().map(|address| Member { address: address.clone(), ..Member::default() }).collect();
+        let voter_set = Some(VoterSet { number: 1, members });
+        proxy.send(Payload::Welcome(Welcome { voters, voter_set, ..Welcome::default() }));
+        while let Some(payload) = proxy.next() {
+            if let Payload::Claim(claim) = payload {
+                let vote = ClaimVote::Granted.into();
+                let reply = ClaimReply {
+                    id: claim.id,
+                    vote,
+                    ticket: claim.ticket,
+                    set_number: 1,
+                    ..ClaimReply::default()
+                };
+                proxy.send(Payload::ClaimReply(reply));
+            }
+        }
+    });
+    address
+}
+
+fn keyed_request(number: u64) -> Request {
+    Request {
+        id: number,
+        key: "k".into(),
+        ticket: Some(Ticket { boot_id: 7, number, attempt: 0 }),
+        service: SERVICE.into(),
+        time_left_ms: 10_000,
+        ..request("a", 0)
+    }
+}
+
+/// A body that panics as soon as the backend is to have it.
+fn body_that_panics() -> BodySource {
+    BodySource::Remote(RemoteBody::new(10, BodyPipe::default(), Box::new(|_| panic!("by the test"))))
+}
+
+/// Guards against a key that is answered "at work" after its only run has ended by a panic (`docs/incidents/key-held-by-a-panic.md`).
+#[test]
+fn an_operation_whose_task_panics_has_ended_for_its_repeats() {
+    let backend = TcpListener::bind("127.0.0.1:0").unwrap();
+    run_test(async move {
+        let proxy = proxy(backend.local_addr().unwrap());
+        proxy.backend.apply(heartbeat());
+        proxy.control.keep_connected(start_granting_voter());
+        while proxy.api.replicas.reach().reached == 0 {
+            tokio::task::yield_now().await;
+        }
+        let serve =
+            |number, body| proxy.inbound.clone().serve(keyed_request(number), body, ResponseCutoff::none());
+        let first = serve(1, body_that_panics()).await.response;
+        assert_eq!(first.verdict(), Verdict::MayHaveRun, "{first:?}");
+        let repeat = serve(2, BodySource::inline("".into())).await.response;
+        assert_eq!(repeat.verdict(), Verdict::ResponseLost, "{repeat:?}");
+    });
+}
--- a/crates/data-plane/tests/wire.rs
+++ b/crates/data-plane/tests/wire.rs
@@ -2,54 +2,22 @@
 //! generous bound.
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use notchspool::units::Micros;
 use notchspool_data_plane::proxy::Proxy;
 use notchspool_data_plane::request_body::{BodySource, MAX_INLINE_BYTES, RequestBody};
 use notchspool_mesh_protocol::{
     BodyChunk, BodyConsumed, Cancel, ClaimReply, Hello, Member, Payload, Request, Response, Verdict,
-    VoterSet, Welcome, decode, encode,
+    VoterSet, Welcome,
 };
 use notchspool_runtime::frame_connection::is_quiet;
-use notchspool_runtime::node_settings::NodeSettings;
 
-const BOUND: Duration = Duration::from_secs(20);
+mod support;
 
-fn proxy(app: SocketAddr) -> Rc<Proxy> {
-    let text = format!(
-        r#"{{"node":"n","zone":"a","ipAddress":"127.0.0.1","portRange":[7620,7635],"listenAddresses":{{"inbound":"127.0.0.1:1",
-        "outbound":"127.0.0.1:2","readiness":"127.0.0.1:3","controlPlane":"127.0.0.1:4"}},"seedNodes":["127.0.0.1:4"],"firstStart":true,
-        "dataPath":null,"beatIntervalS":1.5,"bounds":["drainS=2","graceS=6","keyWindowS=60","retryRatio=0.2","retryWindowS=10",
-        "retrySlack=60"],"limits":{{"memoryMb":64}},"appAddress":"{app}","service":"s"}}"#
-    );
-    Rc::new(Proxy::new(NodeSettings::parse(Path::new("x"), text.as_bytes()).unwrap(), 7))
-}
-
-fn plays<F: Future<Output = ()>>(run: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new()
-        .block_on(&runtime, async { tokio::time::timeout(BOUND, run).await.unwrap() });
-}
-
-fn ask(attempt: &str, body: usize) -> Request {
-    Request {
-        method: "POST".into(),
-        target: "/".into(),
-        host: "h".into(),
-        attempt_id: attempt.into(),
-        body: Bytes::from(vec![0; body]),
-        instance: "i".into(),
-        headers: vec![notchspool_mesh_protocol::Header {
-            name: "notchspool-attempt-id".into(),
-            value: Bytes::from(attempt.to_string()),
-        }],
-        ..Request::default()
-    }
-}
+use support::{BOUND, StandInPeer, nowhere, peer, proxy, request, run_test};
 
 /// A backend that answers the nth request on its nth connection with these; and a word for each connection that it took. After its last
 /// answer it closes, or stays open and reads no more.
@@ -96,7 +64,7 @@
 
 #[test]
 fn what_came_since_is_seen_before_a_connection_is_used_again() {
-    plays(async {
+    run_test(async {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = tokio::net::TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         let (mut other, _) = listener.accept().unwrap();
@@ -113,124 +81,71 @@
 
 #[test]
 fn an_answer_that_comes_before_the_body_is_sent_is_read_at_once() {
-    plays(async {
+    run_test(async {
         let (at, _) = backend(vec![vec![answer(503, "a", NOT_RUN)]], false);
         let proxy = proxy(at);
         let began = proxy.context.now();
-        assert_eq!(send(&proxy, ask("a", 32 << 20)).await, Verdict::NotRun);
+        assert_eq!(send(&proxy, request("a", 32 << 20)).await, Verdict::NotRun);
         assert!(proxy.context.now() - began < Micros::ms(10_000), "it was held up till the end of its time");
     });
 }
 
 #[test]
 fn a_connection_that_brought_a_strangers_answer_is_not_used_again() {
-    plays(async {
+    run_test(async {
         let stray = answer(200, "z", SEAL) + &answer(200, "a", SEAL);
         let (at, taken) =
             backend(vec![vec![stray, answer(200, "b", SEAL)], vec![answer(200, "b", SEAL)]], false);
         let proxy = proxy(at);
-        assert_eq!(send(&proxy, ask("a", 0)).await, Verdict::Answered);
-        assert_eq!(send(&proxy, ask("b", 0)).await, Verdict::Answered);
+        assert_eq!(send(&proxy, request("a", 0)).await, Verdict::Answered);
+        assert_eq!(send(&proxy, request("b", 0)).await, Verdict::Answered);
         assert_eq!(taken.iter().take(2).count(), 2);
     });
 }
 
 #[test]
 fn a_connection_whose_answers_were_its_own_is_used_again() {
-    plays(async {
+    run_test(async {
         let (at, taken) = backend(vec![vec![answer(200, "a", SEAL), answer(200, "b", SEAL)]], false);
         let proxy = proxy(at);
-        assert_eq!(send(&proxy, ask("a", 0)).await, Verdict::Answered);
-        assert_eq!(send(&proxy, ask("b", 0)).await, Verdict::Answered);
+        assert_eq!(send(&proxy, request("a", 0)).await, Verdict::Answered);
+        assert_eq!(send(&proxy, request("b", 0)).await, Verdict::Answered);
         assert!(taken.try_recv().is_ok() && taken.try_recv().is_err());
     });
 }
 
 #[test]
 fn a_refusal_without_an_id_is_believed_on_a_new_connection_only() {
-    plays(async {
+    run_test(async {
         let (at, _) = backend(vec![vec![answer(503, "", NOT_RUN)]], true);
-        assert_eq!(send(&proxy(at), ask("a", 0)).await, Verdict::NotRun);
+        assert_eq!(send(&proxy(at), request("a", 0)).await, Verdict::NotRun);
         let (at, _) = backend(vec![vec![answer(200, "a", SEAL), answer(503, "", NOT_RUN)]], true);
         let proxy = proxy(at);
-        assert_eq!(send(&proxy, ask("a", 0)).await, Verdict::Answered);
-        assert_eq!(send(&proxy, ask("b", 0)).await, Verdict::MayHaveRun);
+        assert_eq!(send(&proxy, request("a", 0)).await, Verdict::Answered);
+        assert_eq!(send(&proxy, request("b", 0)).await, Verdict::MayHaveRun);
     });
 }
 
 #[test]
 fn a_promise_that_the_backend_does_not_make_is_not_passed_on() {
-    plays(async {
+    run_test(async {
         for status in [503, 429, 408] {
             let (at, _) = backend(vec![vec![answer(status, "a", "")]], true);
-            assert_eq!(send(&proxy(at), ask("a", 0)).await, Verdict::MayHaveRun, "{status}");
+            assert_eq!(send(&proxy(at), request("a", 0)).await, Verdict::MayHaveRun, "{status}");
         }
     });
 }
 
-/// A stand-in for another proxy: what comes from the one that is tested, and what is said to it.
-struct Other {
-    stream: TcpStream,
-    got: BytesMut,
-}
-
-impl Other {
-    fn of(stream: TcpStream) -> Other {
-        stream.set_read_timeout(Some(BOUND)).unwrap();
-        Other { stream, got: BytesMut::new() }
-    }
-    /// The next message; none where the connection ended.
-    fn next(&mut self) -> Option<Payload> {
-        loop {
-            if let Some(what) = decode(&mut self.got).unwrap() {
-                return Some(what);
-            }
-            let mut part = [0u8; 4096];
-            match self.stream.read(&mut part) {
-                Ok(n) if n > 0 => self.got.extend_from_slice(&part[..n]),
-                _ => return None,
-            }
-        }
-    }
-    fn say(&mut self, what: Payload) {
-        let mut out = BytesMut::new();
-        encode(what, &mut out);
-        self.stream.write_all(&out).unwrap();
-    }
-    fn request(&mut self) -> Request {
-        loop {
-            if let Payload::Request(ask) = self.next().unwrap() {
-                return ask;
-            }
-        }
-    }
-    fn requested(&mut self) -> u64 {
-        self.request().id
-    }
-}
-
-fn peer<T: Send + 'static>(
-    then: impl FnOnce(Other) -> T + Send + 'static,
-) -> (String, std::thread::JoinHandle<T>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = listener.local_addr().unwrap().to_string();
-    (at, std::thread::spawn(move || then(Other::of(listener.accept().unwrap().0))))
-}
-
-fn nowhere() -> SocketAddr {
-    "127.0.0.1:9".parse().unwrap()
-}
-
 #[test]
 fn an_answer_to_no_question_ends_the_link_and_is_given_to_nobody() {
-    plays(async {
+    run_test(async {
         let (at, hand) = peer(|mut other| {
-            let id = other.requested();
-            other.say(Payload::Response(Response { id: id + 1, status: 200, ..Response::default() }));
+            let id = other.next_request_id();
+            other.send(Payload::Response(Response { id: id + 1, status: 200, ..Response::default() }));
             while other.next().is_some() {}
         });
         let proxy = proxy(nowhere());
-        let response = proxy.peers.send(&at, ask("a", 0), &RequestBody::default()).await;
+        let response = proxy.peers.send(&at, request("a", 0), &RequestBody::default()).await;
         assert_eq!((response.response.verdict(), response.response.status), (Verdict::MayHaveRun, 0));
         tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
     });
@@ -238,18 +153,18 @@
 
 #[test]
 fn the_rest_of_an_answer_is_given_up_as_soon_as_nobody_wants_it() {
-    plays(async {
+    run_test(async {
         let (at, hand) = peer(|mut other| {
-            let id = other.requested();
+            let id = other.next_request_id();
             let verdict = Verdict::Answered.into();
-            other.say(Payload::Response(Response {
+            other.send(Payload::Response(Response {
                 id,
                 verdict,
                 more: true,
                 length: 90_000,
                 ..Response::default()
             }));
-            other.say(Payload::BodyChunk(BodyChunk {
+            other.send(Payload::BodyChunk(BodyChunk {
                 id,
                 bytes: Bytes::from_static(b"some"),
                 ..BodyChunk::default()
@@ -258,7 +173,7 @@
             while other.next().expect("it was not given up") != Payload::Cancel(Cancel { id }) {}
         });
         let proxy = proxy(nowhere());
-        let response = proxy.peers.send(&at, ask("a", 0), &RequestBody::default()).await;
+        let response = proxy.peers.send(&at, request("a", 0), &RequestBody::default()).await;
         assert!(response.rest.is_some());
         drop(response);
         tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
@@ -267,15 +182,15 @@
 
 #[test]
 fn a_request_that_comes_twice_on_a_link_ends_it_and_begins_nothing() {
-    plays(async {
+    run_test(async {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let at = listener.local_addr().unwrap();
         let hand = std::thread::spawn(move || {
-            let mut other = Other::of(TcpStream::connect(at).unwrap());
+            let mut other = StandInPeer::new(TcpStream::connect(at).unwrap());
             assert!(matches!(other.next(), Some(Payload::Hello(Hello { asks_for_bodies: true, .. }))));
-            other.say(Payload::Request(Request { id: 5, time_left_ms: 1_000, ..ask("a", 0) }));
+            other.send(Payload::Request(Request { id: 5, time_left_ms: 1_000, ..request("a", 0) }));
             assert!(matches!(other.next(), Some(Payload::Response(Response { id: 5, .. }))));
-            other.say(Payload::Request(Request { id: 5, time_left_ms: 1_000, ..ask("a", 0) }));
+            other.send(Payload::Request(Request { id: 5, time_left_ms: 1_000, ..request("a", 0) }));
             assert!(other.next().is_none(), "the same id was answered again");
         });
         let proxy = proxy(nowhere());
@@ -287,16 +202,16 @@
 
 #[test]
 fn a_vote_counts_for_the_replica_that_it_came_from() {
-    plays(async {
+    run_test(async {
         let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
         let voters = listeners.each_ref().map(|l| l.local_addr().unwrap().to_string()).to_vec();
         for (own, listener) in listeners.into_iter().enumerate() {
             let voters = voters.clone();
             std::thread::spawn(move || {
-                let mut other = Other::of(listener.accept().unwrap().0);
+                let mut other = StandInPeer::new(listener.accept().unwrap().0);
                 let member = |address: &String| Member { address: address.clone(), ..Member::default() };
                 let set = Some(VoterSet { number: 1, members: voters.iter().map(member).collect() });
-                other.say(Payload::Welcome(Welcome {
+                other.send(Payload::Welcome(Welcome {
                     voters,
                     own_position: own as u32,
                     voter_set: set,
@@ -307,7 +222,7 @@
                     if let (Payload::Claim(claim), 0) = (what, own) {
                         for voter in [0, 1] {
                             let (id, ticket) = (claim.id, claim.ticket);
-                            other.say(Payload::ClaimReply(ClaimReply {
+                            other.send(Payload::ClaimReply(ClaimReply {
                                 id,
                                 vote: 1,
                                 ticket,
@@ -346,17 +261,17 @@
 
 #[test]
 fn a_large_body_is_sent_as_the_other_proxy_asks_for_it_and_no_sooner() {
-    plays(async {
+    run_test(async {
         let body = large_body();
         let (at, hand) = peer(|mut other| {
-            other.say(Payload::Hello(Hello { asks_for_bodies: true, ..Hello::default() }));
-            let request = other.request();
+            other.send(Payload::Hello(Hello { asks_for_bodies: true, ..Hello::default() }));
+            let request = other.next_request();
             assert_eq!((request.remote_body, request.body_length, request.body.len()), (true, 400_000, 0));
             let id = request.id;
             let mut read = Vec::new();
             while read.len() < 400_000 {
                 let wanted = read.len() + 30_000;
-                other.say(Payload::BodyConsumed(BodyConsumed { id, bytes: 30_000 }));
+                other.send(Payload::BodyConsumed(BodyConsumed { id, bytes: 30_000 }));
                 while read.len() < wanted.min(400_000) {
                     let Some(Payload::BodyChunk(chunk)) = other.next() else { panic!("no chunk") };
                     read.extend_from_slice(&chunk.bytes);
@@ -364,11 +279,11 @@
                 }
                 assert!(read.len() <= wanted, "more than was asked for");
             }
-            other.say(answered(id));
+            other.send(answered(id));
             read
         });
         let proxy = proxy(nowhere());
-        let response = proxy.peers.send(&at, ask("a", 0), &body).await;
+        let response = proxy.peers.send(&at, request("a", 0), &body).await;
         assert_eq!(response.response.verdict(), Verdict::Answered);
         let read = tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
         assert_eq!(read, body.to_bytes());
@@ -377,14 +292,14 @@
 
 #[test]
 fn a_proxy_of_an_earlier_build_gets_a_large_body_with_its_request() {
-    plays(async {
+    run_test(async {
         let (at, hand) = peer(|mut other| {
-            let request = other.request();
-            other.say(answered(request.id));
+            let request = other.next_request();
+            other.send(answered(request.id));
             request
         });
         let proxy = proxy(nowhere());
-        let response = proxy.peers.send(&at, ask("a", 0), &large_body()).await;
+        let response = proxy.peers.send(&at, request("a", 0), &large_body()).await;
         assert_eq!(response.response.verdict(), Verdict::Answered);
         let request = tokio::task::spawn_blocking(move || hand.join().unwrap()).await.unwrap();
         assert!(!request.remote_body && request.body == large_body().to_bytes());
@@ -425,7 +340,7 @@
 
 #[test]
 fn a_body_that_breaks_off_on_its_way_is_never_a_complete_request_at_the_backend() {
-    plays(async {
+    run_test(async {
         let proxy = proxy(counting_backend());
         for (length, chunks, verdict) in [
             (3 * MAX_INLINE_BYTES, 3, Verdict::Answered),
@@ -440,7 +355,7 @@
             pipe.finish(notchspool_data_plane::body_pipe::BodyEnd::Truncated);
             let remote =
                 notchspool_data_plane::request_body::RemoteBody::new(length as u64, pipe, Box::new(|_| ()));
-            let request = Request { remote_body: true, body_length: length as u64, ..ask("a", 0) };
+            let request = Request { remote_body: true, body_length: length as u64, ..request("a", 0) };
             let deadline = proxy.context.now() + Micros::ms(15_000);
             let outcome = proxy.client.send(&request, BodySource::Remote(remote), deadline).await;
             assert_eq!(outcome.response.verdict(), verdict, "{length} bytes, {chunks} chunks");
