Connections between proxies: a task that panics leaves nobody waiting and nothing counted

What callers would see: a request at a backend beside another proxy, whose task there panics, is answered when its client's time is over.

Cause: the response, the end of a connection and its place in a count were told by the line behind an await, which a panic skips.

Change: each is told by the drop of a value that the task owns: the exchange of a request (a response, or the end of a streamed one, and only where the other side still waits), a connection opened here, one that another opened, and a client's connection.

--- a/crates/data-plane/src/peer_connections.rs
+++ b/crates/data-plane/src/peer_connections.rs
@@ -163,6 +163,7 @@
     }
 
     async fn carry_outgoing(self: Rc<PeerConnections>, link: Rc<PeerLink>, to: SocketAddr, address: String) {
+        let carried = CarriedLink { peers: self.clone(), link: link.clone(), address };
         let end = match frame_connection::connect(to, CONNECT_TIMEOUT).await {
             Ok(stream) => {
                 link.apply(self.context.now(), OutgoingEvent::Connected);
@@ -175,17 +176,12 @@
                 e.to_string()
             }
         };
-        let open = link.open_count();
+        let (open, address) = (link.open_count(), &carried.address);
         if open > 0 && self.context.event_log.may_write() {
             log::info!(target: "peers", "lose {address} with {open} requests open: {end}");
         } else {
             log::debug!(target: "peers", "lose {address}: {end}");
         }
-        link.apply(self.context.now(), OutgoingEvent::Closed);
-        let mut links = self.links.borrow_mut();
-        if links.get(&address).is_some_and(|current| Rc::ptr_eq(current, &link)) {
-            links.remove(&address);
-        }
     }
 
     fn on_message(&self, link: &Rc<PeerLink>, payload: Payload) {
@@ -237,7 +233,37 @@
         if self.is_going_away.get() {
             sender.send(Payload::GoAway(GoAway {}));
         }
+        let _accepted = AcceptedConnection { peers: self.clone(), sender };
         server.carry(stream).await;
-        self.accepted.borrow_mut().retain(|accepted| !accepted.is_same(&sender));
+    }
+}
+
+/// A connection that was opened here. Whatever ends its task, those that wait on it hear that it has ended.
+struct CarriedLink {
+    peers: Rc<PeerConnections>,
+    link: Rc<PeerLink>,
+    address: String,
+}
+
+impl Drop for CarriedLink {
+    fn drop(&mut self) {
+        let CarriedLink { peers, link, address } = self;
+        link.apply(peers.context.now(), OutgoingEvent::Closed);
+        let mut links = peers.links.borrow_mut();
+        if links.get(address).is_some_and(|current| Rc::ptr_eq(current, link)) {
+            links.remove(address);
+        }
+    }
+}
+
+/// A connection that another opened here, counted while it is carried.
+struct AcceptedConnection {
+    peers: Rc<PeerConnections>,
+    sender: FrameSender,
+}
+
+impl Drop for AcceptedConnection {
+    fn drop(&mut self) {
+        self.peers.accepted.borrow_mut().retain(|accepted| !accepted.is_same(&self.sender));
     }
 }
--- a/crates/data-plane/src/peer_exchange.rs
+++ b/crates/data-plane/src/peer_exchange.rs
@@ -347,6 +347,11 @@
 }
 
 impl<H> IncomingExchanges<H> {
+    /// Whether the other side waits for this one.
+    pub fn is_open(&self, id: ExchangeId) -> bool {
+        self.open.contains_key(&id)
+    }
+
     /// Takes an event.
     pub fn apply(&mut self, event: IncomingEvent<H>) -> IncomingAction<H> {
         match event {
--- a/crates/data-plane/src/peer_server.rs
+++ b/crates/data-plane/src/peer_server.rs
@@ -73,9 +73,13 @@
     pub async fn carry(self: Rc<PeerServer>, stream: TcpStream) {
         frame_connection::configure_socket(&stream);
         self.sender.send(Payload::Hello(self.context.hello()));
+        let _carried = CarriedConnection(self.clone());
         let on_message = |payload| self.on_message(payload);
         let reason = frame_connection::run(stream, self.sender.clone(), None, on_message).await;
         log::debug!(target: "peers", "a connection from outside ends: {reason}");
+    }
+
+    fn on_closed(&self) {
         // Work on a key goes on, and must not wait for the rest of its body.
         self.bodies.take().into_values().for_each(|pipe| pipe.finish(BodyEnd::Truncated));
         let action = self.exchanges.borrow_mut().apply(IncomingEvent::Closed);
@@ -126,6 +130,7 @@
 
     async fn serve(self: Rc<PeerServer>, request: Request) {
         let id = request.id;
+        let mut exchange = OpenExchange { server: self.clone(), id, progress: Progress::Unanswered };
         let body = self.body_of(&request);
         let cutoff = ResponseCutoff::new(self.answer_by.subscribe());
         let served = self.inbound.clone().serve(request, body, cutoff).await;
@@ -133,7 +138,9 @@
         let length = served.response.length as usize;
         let first_bytes = served.response.body.len();
         self.sender.send(Payload::Response(Response { id, ..served.response }));
+        exchange.progress = Progress::Answered;
         if let Some(pipe) = served.rest {
+            exchange.progress = Progress::Streaming;
             // These went at once, before others that wait for the link; what follows waits for them, too.
             self.inbound.link_load().pace(self.context.now(), first_bytes);
             let flow_control = Rc::new(FlowControl::default());
@@ -141,9 +148,8 @@
             let unsent = self.inbound.link_load().add(length);
             self.stream_body(id, &pipe, &flow_control, &unsent).await;
             drop(unsent);
-            self.streams.borrow_mut().remove(&id);
+            exchange.progress = Progress::Answered;
         }
-        self.exchanges.borrow_mut().apply(IncomingEvent::Finished(id));
     }
 
     /// The body that came with a request, or that is to be asked for.
@@ -245,6 +251,54 @@
     }
 }
 
+/// A connection while it is carried. Whatever ends its task, the work for it ends.
+struct CarriedConnection(Rc<PeerServer>);
+
+impl Drop for CarriedConnection {
+    fn drop(&mut self) {
+        self.0.on_closed();
+    }
+}
+
+/// How far the response to a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Unanswered,
+    Streaming,
+    Answered,
+}
+
+/// A request at work. Whatever ends its task, a panic too, the other side hears of it, unless it waits no more.
+struct OpenExchange {
+    server: Rc<PeerServer>,
+    id: ExchangeId,
+    progress: Progress,
+}
+
+impl Drop for OpenExchange {
+    fn drop(&mut self) {
+        let OpenExchange { server, id, progress } = self;
+        server.bodies.borrow_mut().remove(id);
+        server.streams.borrow_mut().remove(id);
+        if !server.exchanges.borrow().is_open(*id) {
+            return;
+        }
+        match progress {
+            Progress::Unanswered => {
+                server.context.count("tasks_broke_off");
+                let response = without_answer(*id, Verdict::MayHaveRun, "the task of its run ended");
+                server.sender.send(Payload::Response(response));
+            }
+            Progress::Streaming => {
+                let end = BodyChunk { id: *id, last: true, truncated: true, ..BodyChunk::default() };
+                server.sender.send(Payload::BodyChunk(end));
+            }
+            Progress::Answered => {}
+        }
+        server.exchanges.borrow_mut().apply(IncomingEvent::Finished(*id));
+    }
+}
+
 /// Where the sending is given up, the writer of the pipe stops.
 struct AbandonOnDrop<'a>(&'a BodyPipe);
 
--- a/crates/data-plane/src/run.rs
+++ b/crates/data-plane/src/run.rs
@@ -1,5 +1,5 @@
 //! The process of a proxy: its listeners, its ticks, its end.
-use std::cell::RefCell;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -74,7 +74,23 @@
     config: Rc<ConfigStore>,
     /// Turns true when the connections are to end.
     is_closing: watch::Receiver<bool>,
-    open: Rc<RefCell<usize>>,
+    open: Rc<Cell<usize>>,
+}
+
+/// Counts a connection for as long as it is carried.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(open: &Rc<Cell<usize>>) -> OpenConnection {
+        open.set(open.get() + 1);
+        OpenConnection(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl HttpServer {
@@ -91,16 +107,15 @@
                     tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
                     continue;
                 };
-                if *server.open.borrow() >= MAX_CONNECTIONS {
+                if server.open.get() >= MAX_CONNECTIONS {
                     server.context.count("connections_full");
                     continue;
                 }
-                *server.open.borrow_mut() += 1;
+                let open = OpenConnection::new(&server.open);
                 let server = server.clone();
                 tokio::task::spawn_local(async move {
-                    let open = server.open.clone();
+                    let _open = open;
                     server.carry(stream).await;
-                    *open.borrow_mut() -= 1;
                 });
             }
         });
@@ -230,7 +245,7 @@
         let now = context.now();
         let in_flight = InFlight {
             backend_busy: proxy.inbound.is_busy(),
-            clients: proxy.outbound.in_flight() + *outbound.open.borrow(),
+            clients: proxy.outbound.in_flight() + outbound.open.get(),
             peers: proxy.peers.accepted(),
         };
         let end = shutdown.known_end(now);
--- a/crates/data-plane/tests/task_panics.rs
+++ b/crates/data-plane/tests/task_panics.rs
@@ -1,5 +1,5 @@
 //! A task that ends by a panic leaves nothing behind that waits for it. Panics are made by what a test hands in, or holds borrowed.
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 
 use notchspool_data_plane::body_pipe::BodyPipe;
 use notchspool_data_plane::request_body::{BodySource, RemoteBody};
@@ -11,7 +11,7 @@
 
 mod support;
 
-use support::{StandInPeer, proxy, request, run_test};
+use support::{StandInPeer, nowhere, proxy, request, run_test};
 
 const INSTANCE: &str = "i";
 const SERVICE: &str = "s";
@@ -89,3 +89,49 @@
         assert_eq!(repeat.verdict(), Verdict::ResponseLost, "{repeat:?}");
     });
 }
+
+/// Guards against a caller that waits for its whole time for a request whose task has panicked (`docs/incidents/key-held-by-a-panic.md`).
+#[test]
+#[expect(clippy::await_holding_refcell_ref, reason = "this makes the panic")]
+fn a_request_of_another_proxy_whose_task_panics_is_answered() {
+    run_test(async move {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = listener.local_addr().unwrap();
+        let proxy = proxy(nowhere());
+        proxy.backend.apply(heartbeat());
+        let peers = proxy.peers.clone();
+        tokio::task::spawn_local(
+            async move { peers.carry_incoming(listener.accept().await.unwrap().0).await },
+        );
+        let (ask, answered) = (std::sync::mpsc::channel(), tokio::sync::mpsc::unbounded_channel());
+        let peer = std::thread::spawn(move || {
+            let mut peer = StandInPeer::new(TcpStream::connect(to).unwrap());
+            for id in ask.1 {
+                peer.send(Payload::Request(Request {
+                    id,
+                    service: SERVICE.into(),
+                    time_left_ms: 10_000,
+                    ..request("a", 0)
+                }));
+                let response = std::iter::from_fn(|| peer.next()).find_map(|payload| match payload {
+                    Payload::Response(response) => Some(response),
+                    _ => None,
+                });
+                answered.0.send(response).unwrap();
+            }
+        });
+        let mut answered = answered.1;
+        // Whoever looks at it meanwhile panics.
+        let admission = proxy.backend.admission();
+        ask.0.send(1).unwrap();
+        let response = answered.recv().await.unwrap().unwrap();
+        assert_eq!((response.id, response.verdict()), (1, Verdict::MayHaveRun), "{response:?}");
+        drop(admission);
+        // The connection goes on.
+        ask.0.send(2).unwrap();
+        let response = answered.recv().await.unwrap().unwrap();
+        assert_eq!(response.id, 2, "{response:?}");
+        drop(ask.0);
+        peer.join().unwrap();
+    });
+}
--- a/crates/runtime/src/frame_connection.rs
+++ b/crates/runtime/src/frame_connection.rs
@@ -142,6 +142,16 @@
     }
 }
 
+/// Ends the connection for its senders, whatever ends the task that carries it.
+struct CarryGuard<'a>(&'a Shared);
+
+impl Drop for CarryGuard<'_> {
+    fn drop(&mut self) {
+        self.0.closed.set(true);
+        self.0.written.notify_waiters();
+    }
+}
+
 /// Sets the options of every socket between the mesh's processes.
 pub fn configure_socket(stream: &TcpStream) {
     // Without them the connection works all the same, slower or with later errors.
@@ -181,13 +191,12 @@
     on_message: impl FnMut(Payload),
 ) -> CloseReason {
     let shared = &sender.0;
+    let _guard = CarryGuard(shared);
     let (reader, writer) = stream.split();
     let reason = tokio::select! {
         reason = read_frames(reader, shared, idle_timeout, on_message) => reason,
         reason = write_frames(writer, shared) => reason,
     };
-    shared.closed.set(true);
-    shared.written.notify_waiters();
     if !shared.finishing.get() {
         // What is still on its way must not arrive when nobody waits for it any more.
         let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
