Processes: one whose essential task panics ends, for a new start

What callers would see: after a panic in a clock, a listener or a connection to a replica the process goes on without it: a proxy that takes no connection, notices no silence, or hears of no configuration; a replica that goes on voting with state half changed.

Cause: the runtime ends the task that panics, and nobody waits for these.

Change: they are spawned by runtime::tasks::spawn_essential, which ends the process with 1 and a line in the log where they panic. Requests and calls of operators stay apart: they are answered or end alone, so that no input can end one replica after the other.

Before there was no such call.

--- a/crates/control-plane/src/server/mod.rs
+++ b/crates/control-plane/src/server/mod.rs
@@ -18,6 +18,7 @@
 use notchspool_runtime::node_settings::NodeSettings;
 use notchspool_runtime::program::{CheckedSettings, ServiceResult};
 use notchspool_runtime::signals::{Event, Signals};
+use notchspool_runtime::tasks::spawn_essential;
 use notchspool_runtime::{Clock, random_id};
 use notchspool_storage::Recovered;
 use tokio::net::TcpListener;
@@ -44,6 +45,22 @@
 /// Configurations that are held, so that others can be told and made out as differences.
 const MAX_HELD_TEXTS: usize = 4;
 
+/// Counts an operator's connection for as long as it is served.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(open: &Rc<Cell<usize>>) -> OpenConnection {
+        open.set(open.get() + 1);
+        OpenConnection(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// One replica with its connections.
 struct Server {
     replica: RefCell<Replica>,
@@ -113,7 +130,7 @@
 
     fn accept_peers(self: &Rc<Server>, listener: TcpListener) {
         let server = self.clone();
-        tokio::task::spawn_local(async move {
+        spawn_essential("the listener for the mesh", async move {
             loop {
                 let Ok((stream, _)) = listener.accept().await else {
                     tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
@@ -122,7 +139,8 @@
                 if server.senders.borrow().len() < MAX_CONNECTIONS {
                     // It counts from here on: many may come before the first of their tasks runs.
                     let (connection, sender) = server.add_connection();
-                    tokio::task::spawn_local(server.clone().carry_incoming(stream, connection, sender));
+                    let carried = server.clone().carry_incoming(stream, connection, sender);
+                    spawn_essential("a connection of the mesh", carried);
                 }
             }
         });
@@ -131,7 +149,7 @@
     fn accept_operators(self: &Rc<Server>, listener: TcpListener) {
         let server = self.clone();
         let open = Rc::new(Cell::new(0usize));
-        tokio::task::spawn_local(async move {
+        spawn_essential("the listener for operators", async move {
             loop {
                 let Ok((stream, _)) = listener.accept().await else {
                     tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
@@ -140,11 +158,11 @@
                 if open.get() >= MAX_CONNECTIONS {
                     continue;
                 }
-                open.set(open.get() + 1);
-                let (server, open) = (server.clone(), open.clone());
+                let (server, open) = (server.clone(), OpenConnection::new(&open));
+                // No essential one: a call that panics here would do so at each replica to which it is sent.
                 tokio::task::spawn_local(async move {
+                    let _open = open;
                     server.serve_operator(stream).await;
-                    open.set(open.get() - 1);
                 });
             }
         });
@@ -153,7 +171,7 @@
     /// The task ends where the disk thread has ended.
     fn take_write_reports(self: &Rc<Server>, mut reports: UnboundedReceiver<WriteReport>) -> JoinHandle<()> {
         let server = self.clone();
-        tokio::task::spawn_local(async move {
+        spawn_essential("the reader of write reports", async move {
             while let Some(WriteReport { id, written }) = reports.recv().await {
                 let effects = server.replica.borrow_mut().on_written(server.clock.now(), id, written);
                 server.carry_out(effects);
@@ -163,7 +181,7 @@
 
     fn run_ticks(self: &Rc<Server>) {
         let server = self.clone();
-        tokio::task::spawn_local(async move {
+        spawn_essential("the clock", async move {
             let mut interval = tokio::time::interval(TICK_INTERVAL);
             interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
             loop {
--- a/crates/control-plane/src/server/peer_links.rs
+++ b/crates/control-plane/src/server/peer_links.rs
@@ -8,6 +8,7 @@
 use notchspool_mesh_protocol::{Hello, Payload, Role};
 use notchspool_runtime::frame_connection::{self, CloseReason, FrameSender};
 use notchspool_runtime::random_id;
+use notchspool_runtime::tasks::spawn_essential;
 use tokio::net::TcpStream;
 
 use super::Server;
@@ -47,7 +48,7 @@
             return;
         }
         let server = self.clone();
-        tokio::task::spawn_local(async move {
+        spawn_essential("a connection to a replica", async move {
             let Ok(to) = address.parse::<SocketAddr>() else { return };
             let mut backoff = MIN_BACKOFF;
             loop {
--- a/crates/data-plane/src/control_client.rs
+++ b/crates/data-plane/src/control_client.rs
@@ -12,6 +12,7 @@
     VoterSet, WatchEndpoints, Welcome,
 };
 use notchspool_runtime::frame_connection::{self, CloseReason, FrameSender};
+use notchspool_runtime::tasks::spawn_essential;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -109,7 +110,7 @@
             return;
         }
         let client = self.clone();
-        tokio::task::spawn_local(async move {
+        spawn_essential("a connection to a replica", async move {
             let Ok(to) = address.parse::<SocketAddr>() else { return };
             let mut failures = 0u32;
             loop {
@@ -304,7 +305,7 @@
 
     fn watch_after(self: &Rc<ControlClient>, delay: Duration) {
         let client = self.clone();
-        tokio::task::spawn_local(async move {
+        spawn_essential("the watch of endpoints", async move {
             tokio::time::sleep(delay).await;
             client.watch();
         });
@@ -361,7 +362,7 @@
             self.awaited_version.set(version);
         }
         let (client, sender) = (self.clone(), sender.clone());
-        tokio::task::spawn_local(async move {
+        spawn_essential("a request for a configuration", async move {
             tokio::time::sleep(delay).await;
             if client.lacks(version) {
                 sender.send(Payload::ConfigRequest(ConfigRequest { version }));
--- a/crates/data-plane/src/run.rs
+++ b/crates/data-plane/src/run.rs
@@ -13,6 +13,7 @@
 use notchspool_runtime::program::{CheckedSettings, ServiceResult};
 use notchspool_runtime::random_id;
 use notchspool_runtime::signals::{Event, Signals};
+use notchspool_runtime::tasks::spawn_essential;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -97,7 +98,7 @@
     /// Takes connections until they are to end.
     fn listen(&self, listener: TcpListener) {
         let mut server = self.clone();
-        tokio::task::spawn_local(async move {
+        spawn_essential("a listener", async move {
             loop {
                 let accepted = tokio::select! {
                     accepted = listener.accept() => accepted,
@@ -157,7 +158,7 @@
 
 fn accept_peers(proxy: &Proxy, listener: TcpListener) {
     let peers = proxy.peers.clone();
-    tokio::task::spawn_local(async move {
+    spawn_essential("the listener for proxies", async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => drop(tokio::task::spawn_local(peers.clone().carry_incoming(stream))),
@@ -169,7 +170,7 @@
 
 fn run_ticks(proxy: &Rc<Proxy>) {
     let proxy = proxy.clone();
-    tokio::task::spawn_local(async move {
+    spawn_essential("the clock", async move {
         let mut interval = tokio::time::interval(TICK_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut ticks = 0u64;
