Bodies: kept in blocks of their own, whatever the chunks in which they come

Cause: a body was kept as the pieces that came: 32 bytes for each entry, in a list that grows by doubling, and the read buffer of which the piece is a part. The budget counted the data alone. Evidence: one body of 8 MiB in chunks of 4 bytes takes a proxy to 92 MiB, one of 20 MiB in chunks of 1,000 bytes stays within 64.

Change: pieces are copied into blocks of 64 KiB at the most, of what is expected where a length is known (byte_blocks.rs).

Why it works: what is kept are full blocks, so memory is the bytes and one block, and that is what the budget counts.

--- a/crates/data-plane/src/body_reader.rs
+++ b/crates/data-plane/src/body_reader.rs
@@ -4,6 +4,7 @@
 use notchspool::units::Micros;
 
 use crate::body_budget::{BodyReservation, BudgetExhausted, MAX_SMALL_BYTES, STEP_BYTES};
+use crate::byte_blocks::ByteBlocks;
 use crate::context::{Context, within};
 use crate::request_body::RequestBody;
 
@@ -60,24 +61,24 @@
     let give_up_at = context.now() + time.times(MAX_MEMORY_WAIT_PART);
     let budget = &context.body_budget;
     let mut reservation = BodyReservation::default();
-    if let Some(length) = body.size_hint().exact() {
-        let length = usize::try_from(length).unwrap_or(usize::MAX);
+    let announced = body.size_hint().exact().map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+    if let Some(length) = announced {
         if length > max_bytes {
             return Err(BodyError::TooLong);
         }
         budget.extend(&mut reservation, length, give_up_at - context.now()).await?;
     }
     let mut body = Limited::new(body, max_bytes);
-    let (mut pieces, mut length) = (Vec::new(), 0);
+    let mut blocks = ByteBlocks::expecting(announced);
     while let Some(frame) = body.frame().await {
         let piece = frame.map_err(|e| BodyError::of(e.as_ref()))?.into_data().unwrap_or_default();
-        length += piece.len();
+        let length = blocks.len() + piece.len();
         if length > reservation.bytes() {
             let wanted = length.max(reservation.bytes() + STEP_BYTES);
             let wanted = if length <= MAX_SMALL_BYTES { MAX_SMALL_BYTES } else { wanted };
             budget.extend(&mut reservation, wanted, give_up_at - context.now()).await?;
         }
-        pieces.push(piece);
+        blocks.push(&piece);
     }
-    Ok((RequestBody::new(pieces), reservation))
+    Ok((RequestBody::new(blocks.into_blocks()), reservation))
 }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`shutdown`] (the end of a proxy in order), [`event_log`] (what is said of single requests).
 //!
 //! Parts that own state: [`context`] (identity, settings, clock, counters), [`config_store`], [`services`] (endpoint list and balancers),
-//! [`local_backend`], [`running_requests`], [`link_load`], [`body_budget`] (memory for bodies), [`replicas`] and [`claim_client`] (the control
+//! [`local_backend`], [`running_requests`], [`link_load`], [`body_budget`] (memory for bodies, which are kept as [`byte_blocks`]), [`replicas`] and [`claim_client`] (the control
 //! plane as it is known here).
 //!
 //! The way of a request: [`outbound`] (accept, with [`body_reader`], route, pick, attempt, retry or answer), [`peer_connections`] to the proxy beside the backend,
@@ -24,6 +24,7 @@
 pub mod body_budget;
 pub mod body_pipe;
 pub mod body_reader;
+pub mod byte_blocks;
 pub mod chunk_framing;
 pub mod claim_client;
 pub mod client_response;
--- a/crates/data-plane/src/request_body.rs
+++ b/crates/data-plane/src/request_body.rs
@@ -1,7 +1,7 @@
 //! The body of a request on its way to the backend.
 //!
-//! Where the request began its body is kept as the pieces that came, for attempts at other backends; what is large stands in the budget of
-//! the process ([`crate::body_budget`]). To another proxy a small body goes with the request. A large one is sent as the proxy beside the
+//! Where the request began its body is kept in blocks ([`crate::byte_blocks`]), for attempts at other backends; what is large stands in the
+//! budget of the process ([`crate::body_budget`]). To another proxy a small body goes with the request. A large one is sent as the proxy beside the
 //! backend asks for it, once the backend takes it: that proxy holds no more than a window, and a refusal costs no body.
 use std::cell::Cell;
 use std::rc::Rc;
@@ -15,7 +15,7 @@
 /// Bytes that a proxy asks for in advance.
 pub const WINDOW_BYTES: u64 = 256 << 10;
 
-/// A complete body, as the pieces that came.
+/// A complete body.
 #[derive(Clone, Debug, Default)]
 pub struct RequestBody {
     pieces: Rc<Vec<Bytes>>,
--- a/crates/proxy/tests/slow_body.rs
+++ b/crates/proxy/tests/slow_body.rs
@@ -1,29 +1,23 @@
-//! Clients that send the body of a request slowly or not at all: the real program, a replica and a backend.
+//! Clients that send the body of a request slowly, not at all, or in small chunks: the real program, a replica and a backend.
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 mod support;
 
-use support::{BOUND, Proxy, ProxySite, read_headers, start_replicas};
+use support::{BOUND, MEMORY_MB, Proxy, ProxySite, read_headers, start_replicas, wait_until};
 
-const REPLICA: &str = "127.86.1.250";
 /// More than half of what a proxy of 64 MB has for large bodies, and less than all.
 const LARGE_BYTES: usize = 20 << 20;
 const TIME_LEFT: Duration = Duration::from_millis(1_000);
+/// Chunks that a client writes at once.
+const CHUNKS_A_WRITE: usize = 1_024;
 /// The answer comes within this after its time is over.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
-const CONFIG: &str = r#"{"version":1,"routes":{"upload":{"host":"h.example","pathPrefix":"/","routeKind":"safe","timeoutS":4,"targetS":1,
+const CONFIG: &str = r#"{"version":1,"routes":{"upload":{"host":"h.example","pathPrefix":"/","routeKind":"safe","timeoutS":60,"targetS":1,
     "priority":1,"service":"store","maxAttempts":2}},"services":{"store":{}},"limits":{"maxBodyBytes":67108864}}"#;
 
-fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !is_so() {
-        assert!(began.elapsed() < BOUND, "not within {BOUND:?}: {what}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 /// A backend that reads each request completely, and answers it.
 fn start_reading_backend(address: &str) {
     let listener = TcpListener::bind(address).unwrap();
@@ -69,38 +63,98 @@
     text.split(' ').nth(1).unwrap_or("none").to_string()
 }
 
+/// A proxy with its backend, and a configuration that lets requests with bodies through.
+struct UploadSite {
+    site: ProxySite,
+    proxy: Proxy,
+    data: PathBuf,
+}
+
+impl Drop for UploadSite {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.data);
+    }
+}
+
+impl UploadSite {
+    fn start(net: u8) -> UploadSite {
+        let data = std::env::temp_dir().join(format!("notchspool-uploads-{net}-{}", std::process::id()));
+        let replica_ip = format!("127.86.{net}.250");
+        start_replicas(std::slice::from_ref(&replica_ip), &data);
+        let site = ProxySite {
+            ip: format!("127.86.{net}.1"),
+            service: "store".into(),
+            instance: "i-1".into(),
+            slots: 4,
+            seed: format!("{replica_ip}:8306"),
+        };
+        let replica = ProxySite { ip: replica_ip, ..site.clone() };
+        start_reading_backend(&format!("{}:8301", site.ip));
+        let proxy = Proxy::start_with_backend(site.clone());
+        let put = || replica.http("8306", "POST /notchspool/rpc?call=config.replace", CONFIG);
+        wait_until("a configuration is taken", || put().as_deref() == Some("200"));
+        wait_until("a body is served", || {
+            status(&mut begin_upload(&site, "warm-up", &[b'x'; LARGE_BYTES])) == "200"
+        });
+        UploadSite { site, proxy, data }
+    }
+}
+
 /// Guards against: clients that announce large bodies and never send them keep their memory, and all other large bodies are refused for good.
 #[test]
 fn a_body_that_does_not_come_in_time_gives_its_memory_back() {
-    let data = std::env::temp_dir().join(format!("notchspool-slow-body-{}", std::process::id()));
-    start_replicas(&[REPLICA.to_string()], &data);
-    let site = ProxySite {
-        ip: "127.86.1.1".into(),
-        service: "store".into(),
-        instance: "i-1".into(),
-        slots: 4,
-        seed: format!("{REPLICA}:8306"),
-    };
-    let replica = ProxySite { ip: REPLICA.into(), ..site.clone() };
-    start_reading_backend(&format!("{}:8301", site.ip));
-    let _proxy = Proxy::start_with_backend(site.clone());
-    wait_until("a configuration is taken", || {
-        replica.http("8306", "POST /notchspool/rpc?call=config.replace", CONFIG).as_deref() == Some("200")
-    });
+    let uploads = UploadSite::start(1);
+    let site = &uploads.site;
     let complete = vec![b'x'; LARGE_BYTES];
-    wait_until("a large body is served", || status(&mut begin_upload(&site, "warm-up", &complete)) == "200");
     for round in 0..2 {
         let began = Instant::now();
-        let mut stalled = begin_upload(&site, &format!("stalled-{round}"), b"x");
+        let mut stalled = begin_upload(site, &format!("stalled-{round}"), b"x");
         assert_eq!(status(&mut stalled), "408", "round {round}");
         let took = began.elapsed();
         assert!(took < TIME_LEFT + ANSWER_MARGIN, "round {round}: {took:?}");
         // Its connection is still open on this side.
         assert_eq!(
-            status(&mut begin_upload(&site, &format!("complete-{round}"), &complete)),
+            status(&mut begin_upload(site, &format!("complete-{round}"), &complete)),
             "200",
             "round {round}"
         );
     }
-    let _ = std::fs::remove_dir_all(data);
+}
+
+/// Sends a body in chunks of so many bytes; the status of the answer.
+fn upload_in_chunks(site: &ProxySite, attempt_id: &str, body_bytes: usize, chunk_bytes: usize) -> String {
+    let mut stream = TcpStream::connect(format!("{}:8304", site.ip)).unwrap();
+    stream.set_read_timeout(Some(BOUND)).unwrap();
+    write!(
+        stream,
+        "POST /u HTTP/1.1\r\nhost: h.example\r\nnotchspool-attempt-id: {attempt_id}\r\nnotchspool-time-left-ms: 60000\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+    .unwrap();
+    let chunk = format!("{chunk_bytes:x}\r\n{}\r\n", "x".repeat(chunk_bytes));
+    let batch = chunk.repeat(CHUNKS_A_WRITE);
+    for _ in 0..body_bytes / (chunk_bytes * CHUNKS_A_WRITE) {
+        stream.write_all(batch.as_bytes()).unwrap();
+    }
+    stream.write_all(b"0\r\n\r\n").unwrap();
+    status(&mut stream)
+}
+
+/// Guards against bodies that take a multiple of their bytes, since they come in small chunks (`docs/incidents/body-in-small-chunks.md`).
+#[test]
+fn a_body_in_small_chunks_takes_no_more_memory_than_one_with_a_length() {
+    let uploads = UploadSite::start(2);
+    for (body_bytes, chunk_bytes) in [(8 << 20, 4), (LARGE_BYTES, 1_000)] {
+        let attempt_id = format!("chunks-{chunk_bytes}");
+        assert_eq!(
+            upload_in_chunks(&uploads.site, &attempt_id, body_bytes, chunk_bytes),
+            "200",
+            "{chunk_bytes}"
+        );
+        let peak = uploads.proxy.peak_memory_bytes();
+        assert!(
+            peak <= MEMORY_MB << 20,
+            "{} MiB of {MEMORY_MB} after chunks of {chunk_bytes} bytes",
+            peak >> 20
+        );
+    }
 }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -19,6 +19,8 @@
 
 /// Whatever is waited for happens within this.
 pub const BOUND: Duration = Duration::from_secs(30);
+/// Memory that the settings give a proxy.
+pub const MEMORY_MB: u64 = 64;
 /// So large a response is streamed.
 pub const LARGE_BYTES: usize = 400_000;
 
@@ -164,7 +166,7 @@
         let text = format!(
             r#"{{"node":"IP","zone":"a","ipAddress":"IP","portRange":[7620,7635],"listenAddresses":{listen},"seedNodes":["{}"],
             "firstStart":true,"dataPath":null,"beatIntervalS":1.5,"bounds":["drainS=2","graceS=6","keyWindowS=60","retryRatio=0.2",
-            "retryWindowS=10","retrySlack=60"],"limits":{{"memoryMb":64}},"appAddress":"IP:8301","service":"{}"}}"#,
+            "retryWindowS=10","retrySlack=60"],"limits":{{"memoryMb":{MEMORY_MB}}},"appAddress":"IP:8301","service":"{}"}}"#,
             self.seed, self.service
         );
         text.replace("IP", &self.ip)
@@ -285,6 +287,14 @@
         format!("{}:7620", self.site.ip).parse().unwrap()
     }
 
+    /// The most memory that it has had at a time.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let kilobytes = line.trim().trim_end_matches(" kB").parse::<u64>().unwrap();
+        kilobytes << 10
+    }
+
     /// Sends it a signal, by its name.
     pub fn signal(&self, name: &str) {
         let pid = self.process.id().to_string();
