Streamed bodies: small chunks are copied together, and keep no buffer each

What callers would see: a backend that sends a large answer byte by byte to a caller that takes nothing takes the proxy beside it over its memory, and all that is in hand there is lost.

Cause: what was read stood in the pipe as it came. Each read had a buffer of 16 KiB to itself, and 256 KiB of data may stand in a pipe.

Change: chunks under 8 KiB are copied together up to 16 KiB. The same pipe holds bodies that another proxy sends.

--- a/crates/data-plane/src/body_pipe.rs
+++ b/crates/data-plane/src/body_pipe.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, SizeHint};
 
 /// Bytes that may stand in a pipe.
@@ -14,6 +14,9 @@
 /// Bytes of one chunk at most.
 pub const CHUNK_BYTES: usize = 16 << 10;
 
+/// A chunk from here on stands in the pipe as it came. Smaller ones are copied together: each would keep the buffer of which it is a part.
+const MIN_KEPT_BYTES: usize = 8 << 10;
+
 /// How a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -26,6 +29,8 @@
 #[derive(Default)]
 struct Shared {
     chunks: RefCell<VecDeque<Bytes>>,
+    /// Small chunks behind the last one of `chunks`.
+    joined: RefCell<BytesMut>,
     bytes: Cell<usize>,
     end: Cell<Option<BodyEnd>>,
     is_abandoned: Cell<bool>,
@@ -33,6 +38,26 @@
     writer: RefCell<Option<Waker>>,
 }
 
+impl Shared {
+    fn push(&self, chunk: Bytes) {
+        let (mut chunks, mut joined) = (self.chunks.borrow_mut(), self.joined.borrow_mut());
+        let is_kept = chunk.len() >= MIN_KEPT_BYTES;
+        if !joined.is_empty() && (is_kept || joined.len() + chunk.len() > CHUNK_BYTES) {
+            chunks.push_back(joined.split().freeze());
+        }
+        if is_kept {
+            chunks.push_back(chunk);
+        } else {
+            joined.extend_from_slice(&chunk);
+        }
+    }
+
+    fn pop(&self) -> Option<Bytes> {
+        let chunk = self.chunks.borrow_mut().pop_front();
+        chunk.or_else(|| Some(self.joined.borrow_mut().split().freeze()).filter(|chunk| !chunk.is_empty()))
+    }
+}
+
 /// One pipe; clones are its ends.
 #[derive(Clone, Default)]
 pub struct BodyPipe(Rc<Shared>);
@@ -42,7 +67,7 @@
     pub fn write(&self, chunk: Bytes) {
         if !self.0.is_abandoned.get() && !chunk.is_empty() {
             self.0.bytes.set(self.0.bytes.get() + chunk.len());
-            self.0.chunks.borrow_mut().push_back(chunk);
+            self.0.push(chunk);
             self.wake_reader();
         }
     }
@@ -69,6 +94,7 @@
     pub fn abandon(&self) {
         self.0.is_abandoned.set(true);
         self.0.chunks.borrow_mut().clear();
+        self.0.joined.take();
         if let Some(writer) = self.0.writer.take() {
             writer.wake();
         }
@@ -105,7 +131,7 @@
     }
 
     fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Result<Bytes, BodyEnd>> {
-        if let Some(chunk) = self.0.chunks.borrow_mut().pop_front() {
+        if let Some(chunk) = self.0.pop() {
             self.0.bytes.set(self.0.bytes.get() - chunk.len());
             if let Some(writer) = self.0.writer.take() {
                 writer.wake();
