Agent: what a process has learnt is left without waiting for the disk

What callers would see: an agent that takes over while the disk is busy starts cold. Cause: the learnt state was synced before it was there to be read, and the new process waits 0.36 s for it; it needs no sync, being of use only to a process that runs at that moment.

Change: no sync for the learnt state.

--- a/crates/agent/src/process/shared_state.rs
+++ b/crates/agent/src/process/shared_state.rs
@@ -170,7 +170,8 @@
     }
 
     fn leave_state(&self, text: &str) {
-        if let Some(Err(error)) = self.path(LEARNED_STATE).map(|path| replace_file(&path, text)) {
+        // It is of use to a process that runs now, which waits for it: it need not outlast a loss of power.
+        if let Some(Err(error)) = self.path(LEARNED_STATE).map(|path| replace_file(&path, text, Sync::No)) {
             log::warn!("what was learnt can't be left: {error}");
         }
     }
@@ -223,7 +224,7 @@
         let failed = |source| PersistError::Io { path: path.clone(), source };
         let _lock = lock.map_err(failed)?;
         let text = ban_file::encode(&self.bans);
-        replace_file(&path, &text).map_err(failed)?;
+        replace_file(&path, &text, Sync::Yes).map_err(failed)?;
         self.last_text = Some(text);
         Ok(())
     }
@@ -284,13 +285,22 @@
     open_lock_file(path).ok().filter(|file| file.try_lock().is_ok())
 }
 
+/// Whether a file has to be on the disk before it counts.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sync {
+    Yes,
+    No,
+}
+
 /// A new file in place of the old one: whoever reads finds either, complete.
-fn replace_file(path: &Path, text: &str) -> io::Result<()> {
+fn replace_file(path: &Path, text: &str, sync: Sync) -> io::Result<()> {
     let mut new_path = path.as_os_str().to_owned();
     new_path.push(".new");
     let mut file = File::create(&new_path)?;
     file.write_all(text.as_bytes())?;
-    file.sync_all()?;
+    if sync == Sync::Yes {
+        file.sync_all()?;
+    }
     std::fs::rename(&new_path, path)
 }
 
