Proxy: a request whose client leaves is forgotten, with the attempt that is given up

Cause: a dropped request told that its client had left, and nobody told the end of the attempt that was dropped with it.

Change: the attempt that is open is a value of the request, and is ended as cancelled where that is dropped. Figure requests_open S n.

--- a/crates/data-plane/src/local_api.rs
+++ b/crates/data-plane/src/local_api.rs
@@ -154,8 +154,7 @@
             format!("kept_answer_bytes {}", self.inbound.cached_response_bytes()),
         ];
         lines.extend(self.inbound.backend_figure());
-        let healthy = self.services.healthy_backends().into_iter();
-        lines.extend(healthy.map(|(service, count)| format!("sound_backends {service} {count}")));
+        lines.extend(self.services.figures());
         let counters = self.context.counters().into_iter();
         lines.extend(counters.map(|(name, count)| format!("{name} {count}")));
         lines.join("\n") + "\n"
--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -99,14 +99,43 @@
     host: String,
 }
 
-/// A request in flight; where it is dropped unanswered the client has left.
+/// An attempt that has been sent and not ended.
+#[derive(Clone, Copy)]
+struct OpenAttempt {
+    number: u32,
+    started_at: Micros,
+}
+
+/// A request in flight; where it is dropped unanswered the client has left, and the attempt that is open is given up with it.
 struct InFlight {
     outbound: Rc<Outbound>,
     service: String,
     request: RequestId,
+    attempt: Cell<Option<OpenAttempt>>,
     is_answered: Cell<bool>,
 }
 
+impl InFlight {
+    /// An attempt begins.
+    fn begin_attempt(&self, number: u32) {
+        let started_at = self.outbound.context.now();
+        self.attempt.set(Some(OpenAttempt { number, started_at }));
+    }
+
+    /// How long the attempt that is open has been so.
+    fn attempt_age(&self) -> Micros {
+        self.attempt.get().map_or(Micros(0), |attempt| self.outbound.context.now() - attempt.started_at)
+    }
+
+    /// The attempt that is open has ended in this way, after this time: where the request is to be sent next.
+    fn end_attempt(&self, outcome: AttemptOutcome, took: Micros, is_final: bool) -> Vec<BalancerAction> {
+        let Some(attempt) = self.attempt.take() else { return Vec::new() };
+        let now = self.outbound.context.now();
+        let end = AttemptEnd { attempt: attempt.number, outcome, took, is_final };
+        self.outbound.services.with(&self.service, |b| b.on_attempt_end(now, self.request, end))
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         if !self.is_answered.get() {
@@ -114,6 +143,7 @@
             context.count("clients_left");
             let now = context.now();
             self.outbound.services.with(&self.service, |b| b.on_client_left(now, self.request));
+            self.end_attempt(AttemptOutcome::Cancelled, self.attempt_age(), true);
         }
     }
 }
@@ -133,6 +163,7 @@
     service: &'a str,
     request: RequestId,
     client: &'a ClientRequest,
+    in_flight: &'a InFlight,
 }
 
 impl Outbound {
@@ -285,11 +316,12 @@
             outbound: self.clone(),
             service: service.clone(),
             request,
+            attempt: Cell::new(None),
             is_answered: Cell::new(false),
         };
         let now = self.context.now();
         let actions = self.services.with(&service, |b| b.begin(now, request, route, client.deadline));
-        let delivery = Delivery { route, service: &service, request, client: &client };
+        let delivery = Delivery { route, service: &service, request, client: &client, in_flight: &in_flight };
         let response = self.deliver(&delivery, actions).await;
         if client.origin.call_depth > 0 {
             self.context.count("calls");
@@ -321,7 +353,9 @@
                 (Some(to), Action::Send { attempt, ticket }) => (to, attempt, ticket),
                 (picked, action) => {
                     if picked.is_some() {
-                        self.release_unsent(delivery, attempts.sent());
+                        // A backend was picked, and the request is not sent there after all.
+                        delivery.in_flight.begin_attempt(attempts.sent());
+                        delivery.in_flight.end_attempt(AttemptOutcome::NotSent, Micros(0), true);
                     }
                     return match failure.take() {
                         Some(failure) => client_response::relayed(failure, &delivery.client.attempt_id),
@@ -329,21 +363,15 @@
                     };
                 }
             };
-            let started_at = self.context.now();
+            delivery.in_flight.begin_attempt(attempt);
             let response = self.send(delivery, to, ticket).await;
-            let took = self.context.now() - started_at;
+            let took = delivery.in_flight.attempt_age();
             let now = self.context.now();
             let utilisation = response.response.utilisation;
             self.services.with(delivery.service, |b| b.on_load_report(now, to, utilisation));
             let reached = self.evaluate(delivery, &mut attempts, &response.response, attempt).await;
-            let end = AttemptEnd {
-                attempt,
-                outcome: self.attempt_outcome(delivery, &response.response, reached.verdict),
-                took,
-                is_final: reached.action != Action::Retry,
-            };
-            let now = self.context.now();
-            actions = self.services.with(delivery.service, |b| b.on_attempt_end(now, delivery.request, end));
+            let outcome = self.attempt_outcome(delivery, &response.response, reached.verdict);
+            actions = delivery.in_flight.end_attempt(outcome, took, reached.action != Action::Retry);
             match reached.action {
                 Action::Retry => failure = self.on_retry(reached.verdict, response),
                 Action::Relay => {
@@ -387,13 +415,6 @@
         }
     }
 
-    /// A backend was picked, and the request is not sent there after all.
-    fn release_unsent(&self, delivery: &Delivery<'_>, attempt: u32) {
-        let (now, took) = (self.context.now(), Micros(0));
-        let end = AttemptEnd { attempt, outcome: AttemptOutcome::NotSent, took, is_final: true };
-        self.services.with(delivery.service, |b| b.on_attempt_end(now, delivery.request, end));
-    }
-
     /// What follows from a response, with a fence where it is not known whether a keyed request ran.
     async fn evaluate(
         &self,
--- a/crates/data-plane/src/service_balancer.rs
+++ b/crates/data-plane/src/service_balancer.rs
@@ -153,6 +153,11 @@
         self.balancer.healthy_backends()
     }
 
+    /// How many of its requests have neither been answered nor given up.
+    pub fn open_requests(&self) -> usize {
+        self.balancer.open_requests()
+    }
+
     /// The number of this instance: its own, or that of one that has left.
     fn id_of(&mut self, endpoint: &Endpoint) -> BackendId {
         if let Some(id) = self.ids.get(&endpoint.instance) {
--- a/crates/data-plane/src/services.rs
+++ b/crates/data-plane/src/services.rs
@@ -90,10 +90,14 @@
         self.balancers.borrow_mut().values_mut().for_each(|balancer| drop(balancer.tick(now)));
     }
 
-    /// Services with the number of their healthy backends.
-    pub fn healthy_backends(&self) -> Vec<(String, usize)> {
+    /// Of each service: how many backends are healthy, and how many requests are open.
+    pub fn figures(&self) -> Vec<String> {
         let balancers = self.balancers.borrow();
-        balancers.iter().map(|(service, b)| (service.clone(), b.healthy_backends())).collect()
+        let of_service = |(service, balancer): (&String, &ServiceBalancer)| {
+            let (healthy, open) = (balancer.healthy_backends(), balancer.open_requests());
+            [format!("sound_backends {service} {healthy}"), format!("requests_open {service} {open}")]
+        };
+        balancers.iter().flat_map(of_service).collect()
     }
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use notchspool_runtime::signals::Signals;
 
 pub mod client;
+pub mod mesh;
 pub mod peer;
 pub mod stand_in_replica;
 
@@ -193,6 +194,12 @@
         self.answer("8302", "GET /notchspool/figures HTTP/1.1", "").unwrap_or_default()
     }
 
+    /// One of these figures, by the words in front of its value.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let of_name = |line: &str| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok();
+        self.figures().lines().find_map(of_name)
+    }
+
     /// The status of the answer to a client's request for the host `x`; `None` where there is none.
     pub fn request(&self, path: &str, attempt_id: &str) -> Option<String> {
         self.exchange("8304", &format!("GET {path} HTTP/1.1\r\nnotchspool-attempt-id: {attempt_id}"), "")
@@ -297,6 +304,11 @@
         proxy
     }
 
+    /// Where clients send their requests.
+    pub fn outbound_address(&self) -> SocketAddr {
+        format!("{}:8304", self.site.ip).parse().unwrap()
+    }
+
     pub fn peer_address(&self) -> SocketAddr {
         format!("{}:7620", self.site.ip).parse().unwrap()
     }
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -100,6 +100,11 @@
         self.requests.contains_key(&request).then_some(RequestHandle { balancer: self, request })
     }
 
+    /// How many requests have neither been answered nor given up.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
     pub(crate) fn at(&mut self, id: BackendId) -> Option<&mut Backend> {
         self.backends.get_mut(id.0 as usize)?.as_mut()
     }
