Connections between proxies: one that was told to go away is looked after until it ends

What callers would see: after the other end said go away, requests that are open on that connection wait for all of their time where its machine falls silent; and what waits at its other end is not told when this proxy ends.

Cause: silence, the announcement of an end and the count went by the table of connections by address, from which a replaced one is gone.

Change: all that are carried are kept until their task ends, and these three go by them.

--- a/crates/data-plane/src/peer_connections.rs
+++ b/crates/data-plane/src/peer_connections.rs
@@ -35,8 +35,10 @@
 pub struct PeerConnections {
     context: Rc<Context>,
     inbound: Rc<Inbound>,
-    /// Connections that were opened here, by address.
+    /// Connections that were opened here and take new requests, by address.
     links: RefCell<BTreeMap<String, Rc<PeerLink>>>,
+    /// All that were opened here: also those that take nothing new and have requests open.
+    carried: RefCell<Vec<Rc<PeerLink>>>,
     /// Those that others opened here.
     accepted: RefCell<Vec<FrameSender>>,
     /// This proxy ends: others are told to send nothing more.
@@ -52,6 +54,7 @@
             context,
             inbound,
             links: RefCell::default(),
+            carried: RefCell::default(),
             accepted: RefCell::default(),
             is_going_away: Cell::new(false),
             answer_by: Cell::new(None),
@@ -74,7 +77,7 @@
     /// This proxy ends: those to whom it has sent requests are told until when responses can be passed on.
     pub fn announce_end(&self, answer_by: Micros) {
         self.answer_by.set(Some(answer_by));
-        self.links.borrow().values().for_each(|link| self.tell_end(link));
+        self.carried.borrow().iter().for_each(|link| self.tell_end(link));
     }
 
     fn tell_end(&self, link: &PeerLink) {
@@ -150,7 +153,7 @@
         if let Some(link) = self.links.borrow().get(address).filter(|link| link.accepts_requests()) {
             return Some(link.clone());
         }
-        if self.links.borrow().len() >= MAX_CONNECTIONS {
+        if self.carried.borrow().len() >= MAX_CONNECTIONS {
             return None;
         }
         let to: SocketAddr = address.parse().ok()?;
@@ -158,6 +161,7 @@
         link.sender.send(Payload::Hello(self.context.hello()));
         self.tell_end(&link);
         self.links.borrow_mut().insert(address.to_string(), link.clone());
+        self.carried.borrow_mut().push(link.clone());
         tokio::task::spawn_local(self.clone().carry_outgoing(link.clone(), to, address.to_string()));
         Some(link)
     }
@@ -213,8 +217,8 @@
         let link_mbps = self.context.settings().link_mbps.max(1.0);
         let thin_link = Micros::ms((THIN_LINK_MS / link_mbps) as i64);
         let max_silence = (SILENCE_TIMEOUT + thin_link).min(MAX_SILENCE);
-        let links: Vec<Rc<PeerLink>> = self.links.borrow().values().cloned().collect();
-        for link in links {
+        let carried = self.carried.borrow().clone();
+        for link in carried {
             let tick = OutgoingEvent::Tick { read_count: link.sender.read_count(), max_silence };
             if link.apply(now, tick).is_some() {
                 self.context.count("links_silent");
@@ -249,6 +253,7 @@
     fn drop(&mut self) {
         let CarriedLink { peers, link, address } = self;
         link.apply(peers.context.now(), OutgoingEvent::Closed);
+        peers.carried.borrow_mut().retain(|carried| !Rc::ptr_eq(carried, link));
         let mut links = peers.links.borrow_mut();
         if links.get(address).is_some_and(|current| Rc::ptr_eq(current, link)) {
             links.remove(address);
