Proxy: Notchspool-Time-Left-Ms may have a fraction

Cause: the value was parsed as an integer. Change: a plain decimal number is taken, to the microsecond; all else is no time, as before.

--- a/crates/data-plane/src/headers.rs
+++ b/crates/data-plane/src/headers.rs
@@ -1,6 +1,9 @@
 //! HTTP headers that the mesh knows by name. The names are the operators'.
+use notchspool::units::Micros;
 use notchspool_mesh_protocol::Header;
 
+const MICROS_A_MILLISECOND: f64 = 1e3;
+
 /// The id of one attempt of a client.
 pub const ATTEMPT_ID: &str = "notchspool-attempt-id";
 /// Milliseconds until the client's deadline.
@@ -43,6 +46,14 @@
     values.all(|other| other == first).then(|| first.to_string())
 }
 
+/// A time in milliseconds, which may have a fraction; `None` where it is no such time, or none is left.
+pub fn milliseconds(text: &str) -> Option<Micros> {
+    let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let milliseconds = text.parse::<f64>().ok().filter(|_| is_decimal)?;
+    let time = Micros((milliseconds * MICROS_A_MILLISECOND) as i64);
+    (time > Micros(0)).then_some(time)
+}
+
 /// The headers of a client's request that go along to a backend.
 pub fn forwarded(headers: &hyper::HeaderMap) -> Vec<Header> {
     let connection = headers.get("connection").and_then(|value| value.to_str().ok()).unwrap_or_default();
--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -654,7 +654,7 @@
     /// The time that the client has left.
     fn time_left(&self) -> Micros {
         let value = self.parts.headers.get(TIME_LEFT).and_then(|value| value.to_str().ok());
-        let ms = value.and_then(|value| value.parse::<i64>().ok()).filter(|ms| *ms > 0);
-        ms.map_or(DEFAULT_TIME_LEFT, |ms| Micros::ms(ms.min(MAX_TIME_MS)))
+        let time_left = value.and_then(headers::milliseconds);
+        time_left.map_or(DEFAULT_TIME_LEFT, |time_left| time_left.min(Micros::ms(MAX_TIME_MS)))
     }
 }
