Answers: large ones without a length are streamed, and what is kept whole has a budget

Cause: what had no length was kept whole, up to 64 MiB each, in no budget, and went to the other proxy in one frame; so did large answers to keys, whatever their framing.

Change: a body is read piece by piece (answer_body.rs), and a large success is passed on as it comes, to its client in chunks. What has to be kept whole takes memory of a budget of 10% (kept_body.rs), and breaks off where there is none for a second. What is large and whole goes to the other proxy in parts (response_parts.rs). A request says whether an unknown length is taken, so earlier builds get such a body whole. A body that is larger than its budget and comes in chunks has all of it alone, as one with a length had. AnswerError in place of strings.

Why it works: what stands between two sockets is bounded by a window or a budget, whatever tells the end of a body.

--- a/crates/data-plane/src/backend_exchange.rs
+++ b/crates/data-plane/src/backend_exchange.rs
@@ -8,13 +8,15 @@
 use bytes::BytesMut;
 use notchspool::units::Micros;
 use notchspool_mesh_protocol::{Request, Response, Verdict};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::answer_parser::{Answer, AnswerReader, StreamedBodies};
+use crate::answer_body::BodyReader;
+use crate::answer_parser::{Answer, AnswerReader, ReadOptions, StreamedBodies};
 use crate::backend_connection::{Action, BackendConnection, BackendVerdict, Event};
 use crate::backend_pool::{BackendPool, PooledConnection};
-use crate::body_pipe::{BodyEnd, BodyPipe, CHUNK_BYTES};
+use crate::body_budget::BodyReservation;
+use crate::body_pipe::{BodyEnd, BodyPipe};
 use crate::context::{Context, within};
 use crate::headers::{CALLING_SERVICE, TARGET_INSTANCE, TIME_LEFT};
 use crate::link_load::LinkLoad;
@@ -36,25 +38,35 @@
     pub response: Response,
     /// The rest of a large answer.
     pub rest: Option<BodyPipe>,
+    /// The memory that a large answer takes which was kept whole.
+    pub memory: BodyReservation,
 }
 
 impl BackendOutcome {
+    fn of_response(response: Response) -> BackendOutcome {
+        BackendOutcome { response, rest: None, memory: BodyReservation::default() }
+    }
+
     /// The backend took no connection, or none was asked for: not a byte was sent.
     fn not_reached(reason: &str) -> BackendOutcome {
         let verdict = Verdict::NotRun.into();
-        let response = Response { verdict, reason: reason.into(), ..Response::default() };
-        BackendOutcome { response, rest: None }
+        BackendOutcome::of_response(Response { verdict, reason: reason.into(), ..Response::default() })
     }
 
     fn may_have_run(reason: &str) -> BackendOutcome {
         let verdict = Verdict::MayHaveRun.into();
-        let response =
-            Response { verdict, reached_backend: true, reason: reason.into(), ..Response::default() };
-        BackendOutcome { response, rest: None }
+        let reason = reason.into();
+        BackendOutcome::of_response(Response {
+            verdict,
+            reached_backend: true,
+            reason,
+            ..Response::default()
+        })
     }
 
     fn answered(verdict: BackendVerdict, answer: Answer) -> BackendOutcome {
-        BackendOutcome { response: verdict.into_response(0, answer.response), rest: None }
+        let response = verdict.into_response(0, answer.response);
+        BackendOutcome { memory: answer.memory, ..BackendOutcome::of_response(response) }
     }
 }
 
@@ -136,19 +148,22 @@
             Ok(Written::UntilEarlyData) => connection.apply(Event::EarlyData),
             Err(e) => return BackendOutcome::may_have_run(&format!("writing: {e}")),
         };
-        let min_bytes = self.min_streamed_bytes();
-        let streamed =
-            request.key.is_empty().then_some(StreamedBodies { attempt_id: &request.attempt_id, min_bytes });
         let mut reader = AnswerReader::new(&mut stream);
-        let answer = match self.read_own_answer(&mut reader, &mut connection, request, streamed).await {
+        let mut answer = match self.read_own_answer(&mut reader, &mut connection, request).await {
             Ok(answer) => answer,
             Err(outcome) => return outcome,
         };
         let buffer = reader.into_buffer();
-        if let Some(length) = answer.unread_body {
-            self.link_load.measure(request.latency_target_ms, length);
-            let pooled = PooledConnection { stream, connection };
-            return self.stream_rest(pooled, answer, length, buffer, deadline);
+        if let Some(rest) = answer.rest.take() {
+            let unread = UnreadBody {
+                pooled: PooledConnection { stream, connection },
+                reader: rest.reader,
+                length: rest.length,
+                read_bytes: answer.response.body.len(),
+                reusable_until: answer.reusable_until,
+                kind: request.latency_target_ms,
+            };
+            return self.stream_rest(unread, answer, deadline);
         }
         let complete = Event::Complete { reusable_until: answer.reusable_until, surplus: !buffer.is_empty() };
         if let Action::Reuse(_) = connection.apply(complete) {
@@ -163,17 +178,16 @@
         reader: &mut AnswerReader<'_>,
         connection: &mut BackendConnection,
         request: &Request,
-        streamed: Option<StreamedBodies<'_>>,
     ) -> Result<Answer, BackendOutcome> {
-        let head_only = request.method == "HEAD";
+        let options = self.read_options(request);
         loop {
-            let answer = match reader.read_answer(head_only, self.context.now(), streamed).await {
+            let answer = match reader.read_answer(self.context.now(), options).await {
                 Ok(answer) => answer,
                 Err(reason) => {
                     if connection.is_reused() {
                         self.context.count("reused_broke");
                     }
-                    return Err(BackendOutcome::may_have_run(&reason));
+                    return Err(BackendOutcome::may_have_run(&reason.to_string()));
                 }
             };
             match connection.apply(Event::Head(&answer.head)) {
@@ -198,6 +212,17 @@
         }
     }
 
+    /// Answers to keyed operations are kept whole, for their repeats.
+    fn read_options<'a>(&'a self, request: &'a Request) -> ReadOptions<'a> {
+        let streamed = request.key.is_empty().then(|| StreamedBodies {
+            attempt_id: &request.attempt_id,
+            min_bytes: self.min_streamed_bytes(),
+            takes_unknown_length: request.takes_unknown_length,
+        });
+        let (head_only, budget) = (request.method == "HEAD", Some(&self.context.answer_budget));
+        ReadOptions { head_only, streamed, budget }
+    }
+
     fn min_streamed_bytes(&self) -> usize {
         let bytes = self.context.link_bytes_per_second() * STREAM_FROM_LINK_SECONDS;
         (bytes as usize).clamp(MIN_STREAMED_BYTES, MAX_UNSTREAMED_BYTES)
@@ -206,55 +231,52 @@
     /// The first part of a large answer now, the rest through a pipe.
     fn stream_rest(
         self: &Rc<BackendClient>,
-        pooled: PooledConnection,
+        unread: UnreadBody,
         answer: Answer,
-        length: usize,
-        mut buffer: BytesMut,
         deadline: Micros,
     ) -> BackendOutcome {
-        let first = buffer.split_to(buffer.len().min(length)).freeze();
+        let length = unread.length.unwrap_or(0) as u64;
+        if let Some(length) = unread.length {
+            self.link_load.measure(unread.kind, length);
+        }
         let pipe = BodyPipe::default();
-        let rest = UnreadBody {
-            pooled,
-            remaining: length - first.len(),
-            reusable_until: answer.reusable_until,
-            surplus: !buffer.is_empty(),
-        };
-        tokio::task::spawn_local(self.clone().read_rest(rest, pipe.clone(), deadline));
-        let response = Response { body: first, more: true, length: length as u64, ..answer.response };
+        tokio::task::spawn_local(self.clone().read_rest(unread, pipe.clone(), deadline));
+        let response = Response { more: true, length, ..answer.response };
         let response = BackendVerdict::Answered.into_response(0, response);
-        BackendOutcome { response, rest: Some(pipe) }
+        BackendOutcome { response, rest: Some(pipe), memory: answer.memory }
     }
 
     /// Reads the rest of a large answer into its pipe. The connection is kept where the body came completely and nothing after it.
-    async fn read_rest(self: Rc<BackendClient>, rest: UnreadBody, pipe: BodyPipe, deadline: Micros) {
-        let UnreadBody { mut pooled, mut remaining, reusable_until, surplus } = rest;
-        let mut buffer = BytesMut::new();
-        while remaining > 0 {
+    async fn read_rest(self: Rc<BackendClient>, mut unread: UnreadBody, pipe: BodyPipe, deadline: Micros) {
+        loop {
             let read = async {
                 if !pipe.wait_for_room().await {
-                    return Ok(0);
-                }
-                if !buffer.is_empty() {
-                    return Ok(buffer.len());
+                    return None;
                 }
-                buffer.reserve(remaining.min(CHUNK_BYTES));
-                pooled.stream.read_buf(&mut buffer).await
+                unread.reader.next(&mut unread.pooled.stream).await.ok()
             };
-            match within(deadline - self.context.now(), read).await {
-                Some(Ok(bytes)) if bytes > 0 => {
-                    let chunk = buffer.split_to(buffer.len().min(remaining).min(CHUNK_BYTES));
-                    remaining -= chunk.len();
-                    pipe.write(chunk.freeze());
+            match within(deadline - self.context.now(), read).await.flatten() {
+                Some(Some(piece)) => {
+                    unread.read_bytes += piece.len();
+                    pipe.write(piece);
                 }
-                _ => {
+                Some(None) => break,
+                None => {
                     self.context.count("pieces_broke");
                     return pipe.finish(BodyEnd::Truncated);
                 }
             }
         }
         pipe.finish(BodyEnd::Complete);
-        let complete = Event::Complete { reusable_until, surplus: surplus || !buffer.is_empty() };
+        self.on_body_read(unread);
+    }
+
+    fn on_body_read(&self, unread: UnreadBody) {
+        let UnreadBody { mut pooled, reader, length, read_bytes, reusable_until, kind } = unread;
+        if length.is_none() {
+            self.link_load.measure(kind, read_bytes);
+        }
+        let complete = Event::Complete { reusable_until, surplus: !reader.into_buffer().is_empty() };
         if let Action::Reuse(_) = pooled.connection.apply(complete) {
             self.pool.keep(pooled);
         }
@@ -264,9 +286,14 @@
 /// What is left of a large answer, and its connection.
 struct UnreadBody {
     pooled: PooledConnection,
-    remaining: usize,
+    reader: BodyReader,
+    /// Bytes of the whole body, where they are known.
+    length: Option<usize>,
+    /// Bytes that were read.
+    read_bytes: usize,
     reusable_until: Option<Micros>,
-    surplus: bool,
+    /// What kind of response it is, for the load of the link.
+    kind: u32,
 }
 
 enum Written {
--- a/crates/data-plane/src/body_pipe.rs
+++ b/crates/data-plane/src/body_pipe.rs
@@ -156,8 +156,8 @@
         first: Option<Bytes>,
         /// The rest.
         pipe: BodyPipe,
-        /// Bytes that are still to come, the first part included.
-        remaining: u64,
+        /// Bytes that are still to come, the first part included; `None` where that is not known before the end.
+        remaining: Option<u64>,
         /// Tells the sender of the rest how many bytes were passed on.
         on_consumed: Box<dyn Fn(usize)>,
     },
@@ -187,14 +187,18 @@
                     Some(chunk) => chunk,
                     None => match std::task::ready!(pipe.poll_next(cx)) {
                         Ok(chunk) => chunk,
-                        Err(BodyEnd::Complete) if *remaining == 0 => return Poll::Ready(None),
+                        Err(BodyEnd::Complete) if remaining.is_none_or(|remaining| remaining == 0) => {
+                            return Poll::Ready(None);
+                        }
                         Err(_) => return Poll::Ready(Some(Err(std::io::ErrorKind::UnexpectedEof.into()))),
                     },
                 };
-                if chunk.len() as u64 > *remaining {
-                    return Poll::Ready(Some(Err(std::io::ErrorKind::InvalidData.into())));
+                if let Some(bytes) = remaining {
+                    let Some(left) = bytes.checked_sub(chunk.len() as u64) else {
+                        return Poll::Ready(Some(Err(std::io::ErrorKind::InvalidData.into())));
+                    };
+                    *bytes = left;
                 }
-                *remaining -= chunk.len() as u64;
                 on_consumed(chunk.len());
                 Poll::Ready(Some(Ok(Frame::data(chunk))))
             }
@@ -213,7 +217,9 @@
             ResponseBody::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            ResponseBody::Streamed { remaining, .. } => SizeHint::with_exact(*remaining),
+            ResponseBody::Streamed { remaining, .. } => {
+                remaining.map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
         }
     }
 }
--- a/crates/data-plane/src/client_response.rs
+++ b/crates/data-plane/src/client_response.rs
@@ -33,11 +33,12 @@
 
 /// A backend's answer. `attempt_id`: the request's own; what is kept for a key came with that of its first try.
 pub fn relayed(answer: PeerResponse, attempt_id: &str) -> ClientResponse {
-    let PeerResponse { response: answer, rest, on_consumed } = answer;
+    let PeerResponse { response: answer, rest, on_consumed, .. } = answer;
     let first = Some(answer.body).filter(|body| !body.is_empty());
+    let remaining = Some(answer.length).filter(|length| *length > 0);
     let body = match rest {
         None => ResponseBody::Full(first),
-        Some(pipe) => ResponseBody::Streamed { first, pipe, remaining: answer.length, on_consumed },
+        Some(pipe) => ResponseBody::Streamed { first, pipe, remaining, on_consumed },
     };
     let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(answer.status as u16).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/data-plane/src/context.rs
+++ b/crates/data-plane/src/context.rs
@@ -9,7 +9,7 @@
 use notchspool_runtime::node_settings::NodeSettings;
 use oorandom::Rand64;
 
-use crate::body_budget::BodyBudget;
+use crate::body_budget::{BodyBudget, MemoryBudget};
 use crate::event_log::EventLog;
 use crate::stall_detector::StallDetector;
 
@@ -29,6 +29,8 @@
     pub event_log: EventLog,
     /// Memory for the bodies of requests that begin here.
     pub body_budget: BodyBudget,
+    /// Memory for large answers of the backend here that are kept whole.
+    pub answer_budget: MemoryBudget,
 }
 
 impl Context {
@@ -45,6 +47,7 @@
             counters: RefCell::default(),
             event_log: EventLog::default(),
             body_budget: BodyBudget::new(settings.memory_mb),
+            answer_budget: MemoryBudget::for_answers(settings.memory_mb),
             settings: RefCell::new(settings),
         }
     }
--- a/crates/data-plane/src/inbound.rs
+++ b/crates/data-plane/src/inbound.rs
@@ -457,7 +457,8 @@
         let request = &arrival.request;
         let expected = self.link_load.expect(request.latency_target_ms);
         let running = self.running.begin(&request.attempt_id, arrival.origin);
-        let BackendOutcome { mut response, rest } = self.client.send(request, body, arrival.deadline).await;
+        let outcome = self.client.send(request, body, arrival.deadline).await;
+        let BackendOutcome { mut response, rest, memory } = outcome;
         response.call_failed = response.status >= FAILURE_STATUS && running.has_failed_call();
         drop((running, expected));
         let took = self.context.now() - started_at;
@@ -471,7 +472,7 @@
         }
         drop(slot);
         let response = self.with_load(Response { id: request.id, ..response });
-        PeerResponse { rest, ..response.into() }
+        PeerResponse { rest, memory, ..response.into() }
     }
 
     /// A request that was handed to the backend ended without an answer of it.
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -10,11 +10,12 @@
 //! plane as it is known here).
 //!
 //! The way of a request: [`outbound`] (accept, with [`body_reader`], route, pick, attempt, retry or answer), [`peer_connections`] to the proxy beside the backend,
-//! there [`peer_server`], [`inbound`] (admit, with [`backend_queue`] and [`response_cutoff`]) and [`backend_exchange`] (with [`answer_parser`] and [`chunk_framing`]). [`control_client`] carries the connections to the replicas,
+//! there [`peer_server`] (with [`response_parts`]), [`inbound`] (admit, with [`backend_queue`] and [`response_cutoff`]) and [`backend_exchange`] (with [`answer_parser`], [`answer_body`], [`kept_body`] and [`chunk_framing`]). [`control_client`] carries the connections to the replicas,
 //! [`local_api`] answers the platform and the backend, [`proxy`] puts the parts together, [`run`] is the process.
 #![warn(missing_docs, clippy::missing_errors_doc)]
 
 pub mod admission;
+pub mod answer_body;
 pub mod answer_parser;
 pub mod attempts;
 pub mod backend_connection;
@@ -35,6 +36,7 @@
 pub mod headers;
 pub mod heartbeat;
 pub mod inbound;
+pub mod kept_body;
 pub mod keyed_operation;
 pub mod kind_floor;
 pub mod link_load;
@@ -50,6 +52,7 @@
 pub mod report_confirmation;
 pub mod request_body;
 pub mod response_cutoff;
+pub mod response_parts;
 pub mod retry_budget;
 pub mod run;
 pub mod running_requests;
--- a/crates/data-plane/src/link_load.rs
+++ b/crates/data-plane/src/link_load.rs
@@ -105,10 +105,13 @@
         }
     }
 
-    /// So many bytes are to be sent from now on.
-    pub fn add(self: &Rc<LinkLoad>, bytes: usize) -> UnsentBytes {
+    /// So many bytes are to be sent from now on; where that is not known, what is usual for this kind is taken, and there is more to come
+    /// until the guard is dropped.
+    pub fn add(self: &Rc<LinkLoad>, bytes: Option<usize>, kind: u32) -> UnsentBytes {
+        let min_remaining = usize::from(bytes.is_none());
+        let bytes = bytes.unwrap_or_else(|| (self.usual_bytes_of(kind) as usize).max(min_remaining));
         self.unsent_bytes.set(self.unsent_bytes.get() + bytes);
-        UnsentBytes { load: self.clone(), remaining: Cell::new(bytes) }
+        UnsentBytes { load: self.clone(), remaining: Cell::new(bytes), min_remaining }
     }
 
     /// So many bytes of a large response are to be handed to the link: how long to wait before. All large responses wait in one line.
@@ -136,12 +139,17 @@
 pub struct UnsentBytes {
     load: Rc<LinkLoad>,
     remaining: Cell<usize>,
+    /// What stays until the end, where it is not known how much is still to come.
+    min_remaining: usize,
 }
 
 impl UnsentBytes {
     /// So many of them were sent.
     pub fn on_sent(&self, bytes: usize) {
-        let bytes = bytes.min(self.remaining.get());
+        self.take_off(bytes.min(self.remaining.get() - self.min_remaining));
+    }
+
+    fn take_off(&self, bytes: usize) {
         self.remaining.set(self.remaining.get() - bytes);
         self.load.unsent_bytes.set(self.load.unsent_bytes.get().saturating_sub(bytes));
     }
@@ -149,6 +157,6 @@
 
 impl Drop for UnsentBytes {
     fn drop(&mut self) {
-        self.on_sent(self.remaining.get());
+        self.take_off(self.remaining.get());
     }
 }
--- a/crates/data-plane/src/local_api.rs
+++ b/crates/data-plane/src/local_api.rs
@@ -151,6 +151,7 @@
             format!("replicas_reached {} of {}", reach.reached, reach.voters),
             format!("in_hand {}", self.outbound.in_flight()),
             format!("body_memory_free {}", self.context.body_budget.free_bytes()),
+            format!("answer_memory_free {}", self.context.answer_budget.free_bytes()),
             format!("kept_answer_bytes {}", self.inbound.cached_response_bytes()),
         ];
         lines.extend(self.inbound.backend_figure());
--- a/crates/data-plane/src/outbound.rs
+++ b/crates/data-plane/src/outbound.rs
@@ -91,6 +91,8 @@
     /// For whom it is served: its own client, or the one for whose request the backend here makes this call.
     origin: Origin,
     deadline: Micros,
+    /// It can be told the end of a body whose length it does not know.
+    takes_unknown_length: bool,
 }
 
 /// The head of a request, and what follows from it.
@@ -258,6 +260,7 @@
         let client = ClientRequest {
             target: head.parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_string(),
             method: head.parts.method.to_string(),
+            takes_unknown_length: head.parts.version >= hyper::Version::HTTP_11,
             host: head.host,
             headers,
             body,
@@ -522,6 +525,7 @@
             caller: self.context.settings().service.clone(),
             host: client.host.clone(),
             age_ms: ms(now - client.received_at, 0),
+            takes_unknown_length: client.takes_unknown_length,
             ..PeerRequest::default()
         }
     }
--- a/crates/data-plane/src/peer_link.rs
+++ b/crates/data-plane/src/peer_link.rs
@@ -8,6 +8,7 @@
 use notchspool_runtime::frame_connection::FrameSender;
 use tokio::sync::{oneshot, watch};
 
+use crate::body_budget::BodyReservation;
 use crate::body_pipe::{BodyEnd, BodyPipe};
 use crate::context::within;
 use crate::peer_exchange::{ExchangeId, OutgoingAction, OutgoingEvent, OutgoingExchanges};
@@ -21,11 +22,14 @@
     pub rest: Option<BodyPipe>,
     /// Tells the sender of the rest how many bytes were passed on.
     pub on_consumed: Box<dyn Fn(usize)>,
+    /// The memory that a large body takes which is here whole.
+    pub memory: BodyReservation,
 }
 
 impl From<Response> for PeerResponse {
     fn from(response: Response) -> PeerResponse {
-        PeerResponse { response, rest: None, on_consumed: Box::new(|_| ()) }
+        let on_consumed = Box::new(|_| ());
+        PeerResponse { response, rest: None, on_consumed, memory: BodyReservation::default() }
     }
 }
 
--- a/crates/data-plane/src/peer_server.rs
+++ b/crates/data-plane/src/peer_server.rs
@@ -18,9 +18,10 @@
 use crate::inbound::Inbound;
 use crate::link_load::UnsentBytes;
 use crate::peer_exchange::{ExchangeId, IncomingAction, IncomingEvent, IncomingExchanges};
-use crate::peer_link::without_answer;
+use crate::peer_link::{PeerResponse, without_answer};
 use crate::request_body::{BodySource, RemoteBody, WINDOW_BYTES};
 use crate::response_cutoff::{AnswerBy, ResponseCutoff};
+use crate::response_parts;
 use crate::stall_detector;
 
 /// Bytes of a streamed response that may be on their way: what the link carries in this time, within bounds.
@@ -132,20 +133,23 @@
         let id = request.id;
         let mut exchange = OpenExchange { server: self.clone(), id, progress: Progress::Unanswered };
         let body = self.body_of(&request);
+        let kind = request.latency_target_ms;
         let cutoff = ResponseCutoff::new(self.answer_by.subscribe());
         let served = self.inbound.clone().serve(request, body, cutoff).await;
         self.bodies.borrow_mut().remove(&id);
-        let length = served.response.length as usize;
-        let first_bytes = served.response.body.len();
-        self.sender.send(Payload::Response(Response { id, ..served.response }));
+        // The memory of a large body is taken until it has been sent.
+        let PeerResponse { response, rest, memory: _memory, .. } = response_parts::in_parts(served);
+        let length = Some(response.length as usize).filter(|length| *length > 0);
+        let first_bytes = response.body.len();
+        self.sender.send(Payload::Response(Response { id, ..response }));
         exchange.progress = Progress::Answered;
-        if let Some(pipe) = served.rest {
+        if let Some(pipe) = rest {
             exchange.progress = Progress::Streaming;
             // These went at once, before others that wait for the link; what follows waits for them, too.
             self.inbound.link_load().pace(self.context.now(), first_bytes);
             let flow_control = Rc::new(FlowControl::default());
             self.streams.borrow_mut().insert(id, flow_control.clone());
-            let unsent = self.inbound.link_load().add(length);
+            let unsent = self.inbound.link_load().add(length, kind);
             self.stream_body(id, &pipe, &flow_control, &unsent).await;
             drop(unsent);
             exchange.progress = Progress::Answered;
--- a/crates/data-plane/tests/answer_parser.rs
+++ b/crates/data-plane/tests/answer_parser.rs
@@ -3,7 +3,7 @@
 use std::net::TcpListener;
 
 use notchspool::units::Micros;
-use notchspool_data_plane::answer_parser::AnswerReader;
+use notchspool_data_plane::answer_parser::{AnswerReader, ReadOptions};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nnotchspool-attempt-id: a\r\nnotchspool-server-seal: z\r\n";
 /// No byte of it is a digit of a chunk's size, or could stand in the name of a trailer.
@@ -21,8 +21,8 @@
     let (mut backend, _) = listener.accept().unwrap();
     backend.write_all(bytes).unwrap();
     drop(backend);
-    let answer = AnswerReader::new(&mut stream).read_answer(false, Micros(0), None).await?;
-    Ok(answer.response.body.to_vec())
+    let answer = AnswerReader::new(&mut stream).read_answer(Micros(0), ReadOptions::default()).await;
+    answer.map(|answer| answer.response.body.to_vec()).map_err(|error| error.to_string())
 }
 
 fn in_chunks() -> String {
--- a/crates/data-plane/tests/link_load.rs
+++ b/crates/data-plane/tests/link_load.rs
@@ -31,7 +31,7 @@
     // One of them is done, and its response is smaller than usual.
     let [done, _other] = at_work;
     drop(done);
-    let unsent = load.add(40_000);
+    let unsent = load.add(Some(40_000), KIND);
     assert_eq!(load.backlog(), Micros::ms(140));
     unsent.on_sent(30_000);
     assert_eq!(load.backlog(), Micros::ms(110));
@@ -66,7 +66,7 @@
     let at_work = load.expect(KIND);
     assert!(load.admit(KIND, TARGET).is_err(), "one of them is at work");
     drop(at_work);
-    let unsent = load.add(8 * FILE_BYTES);
+    let unsent = load.add(Some(8 * FILE_BYTES), KIND);
     assert!(load.admit(KIND, TARGET).is_err(), "one of them is being sent");
     drop(unsent);
     assert_eq!(load.admit(KIND, TARGET), Ok(()));
--- a/crates/mesh-protocol/src/message/exchange.rs
+++ b/crates/mesh-protocol/src/message/exchange.rs
@@ -81,6 +81,9 @@
     /// Of such a body: its bytes.
     #[prost(uint64, tag = "21")]
     pub body_length: u64,
+    /// A streamed response may have a body whose length is not known before its end. Earlier builds, which do not say so, get such a body whole.
+    #[prost(bool, tag = "22")]
+    pub takes_unknown_length: bool,
 }
 
 /// What became of a request at the proxy beside the backend.
@@ -124,7 +127,7 @@
     /// More of the body comes as [`BodyChunk`]s.
     #[prost(bool, tag = "6")]
     pub more: bool,
-    /// Bytes of the whole body where they are known.
+    /// Of a streamed one: bytes of the whole body; 0 where they are not known before its end.
     #[prost(uint64, tag = "7")]
     pub length: u64,
     /// Why it was refused, for people.
--- a/crates/mesh-protocol/tests/golden.rs
+++ b/crates/mesh-protocol/tests/golden.rs
@@ -1,5 +1,5 @@
 //! Frames recorded before the messages were renamed: each is read, and written again byte for byte. An upgrade runs with processes of
-//! both builds, so a renamed field must not have moved to another tag. Those that came later (27 to 29, and two of 1 and 2) are added as they were first written.
+//! both builds, so a renamed field must not have moved to another tag. Those that came later (27 to 29, and three of 1 and 2) are added as they were first written.
 use bytes::BytesMut;
 use notchspool_mesh_protocol::{decode, encode};
 
--- a/crates/proxy/tests/support/mesh.rs
+++ b/crates/proxy/tests/support/mesh.rs
@@ -45,8 +45,18 @@
 }
 
 impl Mesh {
-    /// Starts it on loopback addresses of this net, `127.79.1`, with a backend that has so many slots.
+    /// Starts it on loopback addresses of this net, `127.79.1`, with a backend that has so many slots and works as [`start_backend`] says.
     pub fn start(net: &str, slots: u32, route: &RouteSpec) -> Mesh {
+        Mesh::start_with(net, slots, route, start_backend)
+    }
+
+    /// The same with a backend that `start_backend` starts at the address that it is given.
+    pub fn start_with(
+        net: &str,
+        slots: u32,
+        route: &RouteSpec,
+        start_backend: impl FnOnce(&str) -> Arc<Mutex<BackendLog>>,
+    ) -> Mesh {
         let data = std::env::temp_dir().join(format!("notchspool-mesh-{net}-{}", std::process::id()));
         let replica_ip = format!("{net}.250");
         start_replicas(std::slice::from_ref(&replica_ip), &data);
