--- a/crates/data-plane/tests/support/mod.rs
+++ b/crates/data-plane/tests/support/mod.rs
@@ -9,9 +9,15 @@
 
 use bytes::{Bytes, BytesMut};
 use notchspool_data_plane::proxy::Proxy;
-use notchspool_mesh_protocol::{Payload, Request, decode, encode};
+use notchspool_mesh_protocol::{
+    ClaimReply, ClaimVote, Member, Payload, Request, VoterSet, Welcome, decode, encode,
+};
 use notchspool_runtime::node_settings::NodeSettings;
 
+/// The backend of the tests.
+pub const INSTANCE: &str = "i";
+pub const SERVICE: &str = "s";
+
 pub const BOUND: Duration = Duration::from_secs(20);
 
 pub fn proxy(app: SocketAddr) -> Rc<Proxy> {
@@ -98,3 +104,31 @@
 pub fn nowhere() -> SocketAddr {
     "127.0.0.1:9".parse().unwrap()
 }
+
+/// The only voter, which grants every claim.
+pub fn start_granting_voter() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let voters = vec![address.clone()];
+    std::thread::spawn(move || {
+        let mut proxy = StandInPeer::new(listener.accept().unwrap().0);
+        let members =
+            voters.iter().map(|address| Member { address: address.clone(), ..Member::default() }).collect();
+        let voter_set = Some(VoterSet { number: 1, members });
+        proxy.send(Payload::Welcome(Welcome { voters, voter_set, ..Welcome::default() }));
+        while let Some(payload) = proxy.next() {
+            if let Payload::Claim(claim) = payload {
+                let vote = ClaimVote::Granted.into();
+                let reply = ClaimReply {
+                    id: claim.id,
+                    vote,
+                    ticket: claim.ticket,
+                    set_number: 1,
+                    ..ClaimReply::default()
+                };
+                proxy.send(Payload::ClaimReply(reply));
+            }
+        }
+    });
+    address
+}
--- a/crates/data-plane/tests/task_panics.rs
+++ b/crates/data-plane/tests/task_panics.rs
@@ -5,16 +5,11 @@
 use notchspool_data_plane::request_body::{BodySource, RemoteBody};
 use notchspool_data_plane::response_cutoff::ResponseCutoff;
 use notchspool_endpoint_registry::heartbeats::{Event, Heartbeat};
-use notchspool_mesh_protocol::{
-    ClaimReply, ClaimVote, Member, Payload, Request, Ticket, Verdict, VoterSet, Welcome,
-};
+use notchspool_mesh_protocol::{Payload, Request, Ticket, Verdict};
 
 mod support;
 
-use support::{StandInPeer, nowhere, proxy, request, run_test};
-
-const INSTANCE: &str = "i";
-const SERVICE: &str = "s";
+use support::{INSTANCE, SERVICE, StandInPeer, nowhere, proxy, request, run_test, start_granting_voter};
 
 fn heartbeat() -> Event {
     let slots = 2;
@@ -26,34 +21,6 @@
     })
 }
 
-/// The only voter, which grants every claim.
-fn start_granting_voter() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    let voters = vec![address.clone()];
-    std::thread::spawn(move || {
-        let mut proxy = StandInPeer::new(listener.accept().unwrap().0);
-        let members =
-            voters.iter().map(|address| Member { address: address.clone(), ..Member::default() }).collect();
-        let voter_set = Some(VoterSet { number: 1, members });
-        proxy.send(Payload::Welcome(Welcome { voters, voter_set, ..Welcome::default() }));
-        while let Some(payload) = proxy.next() {
-            if let Payload::Claim(claim) = payload {
-                let vote = ClaimVote::Granted.into();
-                let reply = ClaimReply {
-                    id: claim.id,
-                    vote,
-                    ticket: claim.ticket,
-                    set_number: 1,
-                    ..ClaimReply::default()
-                };
-                proxy.send(Payload::ClaimReply(reply));
-            }
-        }
-    });
-    address
-}
-
 fn keyed_request(number: u64) -> Request {
     Request {
         id: number,
