Proxy: requests may have as many headers as fit their bytes, not a hundred

Cause: the reader of clients' requests takes 100 headers where it is told nothing else, whatever their bytes; and a message between proxies takes 128.

Change: a header for each 32 bytes of the limit, 128 to 1,024 of them; a message takes 1,024. A proxy tells in its hello how many it takes, so that one of an earlier build, whose connection more than 128 would end, gets the request from nobody: it is not run there.

Answers of backends are read with 128 headers at the most, as before.

--- a/crates/data-plane/src/answer_parser.rs
+++ b/crates/data-plane/src/answer_parser.rs
@@ -1,7 +1,7 @@
 //! Reads answers of the backend off its connection (HTTP/1.1, RFC 9112).
 use bytes::{Bytes, BytesMut};
 use notchspool::units::Micros;
-use notchspool_mesh_protocol::{Header, MAX_HEADERS, Response};
+use notchspool_mesh_protocol::{Header, MIN_HEADERS, Response};
 use tokio::net::TcpStream;
 
 use crate::answer_body::{self, AnswerError, BodyReader, Framing, MAX_BODY_BYTES};
@@ -117,7 +117,7 @@
     /// Reads heads until one is not informational (1xx).
     async fn read_final_head(&mut self, now: Micros) -> Result<(Answer, Framing), AnswerError> {
         loop {
-            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut headers = [httparse::EMPTY_HEADER; MIN_HEADERS];
             let mut response = httparse::Response::new(&mut headers);
             let parsed = response.parse(&self.buffer).map_err(AnswerError::NoAnswer)?;
             let httparse::Status::Complete(length) = parsed else {
--- a/crates/data-plane/src/context.rs
+++ b/crates/data-plane/src/context.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use notchspool::units::Micros;
-use notchspool_mesh_protocol::{Hello, Role};
+use notchspool_mesh_protocol::{Hello, MAX_HEADERS, Role};
 use notchspool_runtime::Clock;
 use notchspool_runtime::node_settings::NodeSettings;
 use oorandom::Rand64;
@@ -109,6 +109,7 @@
             address: self.address.clone(),
             role: Role::Proxy.into(),
             asks_for_bodies: true,
+            max_headers: MAX_HEADERS as u32,
             ..Hello::default()
         }
     }
--- a/crates/data-plane/src/peer_connections.rs
+++ b/crates/data-plane/src/peer_connections.rs
@@ -7,14 +7,16 @@
 use std::time::Duration;
 
 use notchspool::units::Micros;
-use notchspool_mesh_protocol::{CallerShutdown, FetchResponse, GoAway, Payload, Request, Response, Verdict};
+use notchspool_mesh_protocol::{
+    CallerShutdown, FetchResponse, GoAway, MIN_HEADERS, Payload, Request, Response, Verdict,
+};
 use notchspool_runtime::frame_connection::{self, FrameSender};
 use tokio::net::TcpStream;
 
 use crate::context::Context;
 use crate::inbound::Inbound;
 use crate::peer_exchange::{ExchangeId, MAX_SILENCE, OutgoingEvent};
-use crate::peer_link::{PeerLink, PeerResponse, without_answer};
+use crate::peer_link::{PeerFeatures, PeerLink, PeerResponse, without_answer};
 use crate::peer_server::PeerServer;
 use crate::request_body::{RequestBody, Upload};
 use crate::response_cutoff::{AnswerBy, ResponseCutoff};
@@ -101,7 +103,13 @@
         let Some(link) = self.link(proxy) else {
             return without_answer(request.id, Verdict::NotRun, "no link").into();
         };
-        if body.is_inline() || !link.asks_for_bodies(HELLO_TIMEOUT).await {
+        let is_plain = body.is_inline() && request.headers.len() <= MIN_HEADERS;
+        let features = if is_plain { PeerFeatures::LEAST } else { link.features(HELLO_TIMEOUT).await };
+        if request.headers.len() > features.max_headers {
+            return without_answer(request.id, Verdict::NotRun, "more headers than an earlier build takes")
+                .into();
+        }
+        if body.is_inline() || !features.asks_for_bodies {
             request.body = body.to_bytes();
         } else {
             request.remote_body = true;
--- a/crates/data-plane/src/peer_link.rs
+++ b/crates/data-plane/src/peer_link.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 
 use notchspool::units::Micros;
-use notchspool_mesh_protocol::{BodyChunk, BodyConsumed, Cancel, Hello, Payload, Ping, Response, Verdict};
+use notchspool_mesh_protocol::{
+    BodyChunk, BodyConsumed, Cancel, Hello, MIN_HEADERS, Payload, Ping, Response, Verdict,
+};
 use notchspool_runtime::frame_connection::FrameSender;
 use tokio::sync::{oneshot, watch};
 
@@ -47,8 +49,27 @@
     exchanges: RefCell<OutgoingExchanges<Waiting, BodyPipe>>,
     /// Bodies that the other side asks for.
     uploads: RefCell<HashMap<ExchangeId, Upload>>,
-    /// Whether the other side asks for bodies; `None` until it has said what it is.
-    asks_for_bodies: watch::Sender<Option<bool>>,
+    /// What the other side can do; `None` until it has said what it is.
+    features: watch::Sender<Option<PeerFeatures>>,
+}
+
+/// What a proxy can do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerFeatures {
+    /// It asks for large bodies of requests.
+    pub asks_for_bodies: bool,
+    /// Headers of one request that it takes at most.
+    pub max_headers: usize,
+}
+
+impl PeerFeatures {
+    /// What every build can do.
+    pub const LEAST: PeerFeatures = PeerFeatures { asks_for_bodies: false, max_headers: MIN_HEADERS };
+
+    fn of(hello: &Hello) -> PeerFeatures {
+        let max_headers = (hello.max_headers as usize).max(MIN_HEADERS);
+        PeerFeatures { asks_for_bodies: hello.asks_for_bodies, max_headers }
+    }
 }
 
 /// Ends the sending of a body: its request is answered, or nobody waits for that any more.
@@ -101,20 +122,20 @@
             sender: FrameSender::default(),
             exchanges,
             uploads: RefCell::default(),
-            asks_for_bodies: watch::Sender::new(None),
+            features: watch::Sender::new(None),
         })
     }
 
     /// The other side says what it is.
     pub fn on_hello(&self, hello: &Hello) {
-        self.asks_for_bodies.send_replace(Some(hello.asks_for_bodies));
+        self.features.send_replace(Some(PeerFeatures::of(hello)));
     }
 
-    /// Whether the other side asks for bodies. Builds before this one never say, so that is waited for no longer than `time`.
-    pub async fn asks_for_bodies(&self, time: Micros) -> bool {
-        let mut announcements = self.asks_for_bodies.subscribe();
+    /// What the other side can do. Builds that say nothing of it are waited for no longer than `time`.
+    pub async fn features(&self, time: Micros) -> PeerFeatures {
+        let mut announcements = self.features.subscribe();
         let announced = within(time, announcements.wait_for(Option::is_some)).await;
-        announced.and_then(Result::ok).and_then(|announced| *announced).unwrap_or(false)
+        announced.and_then(Result::ok).and_then(|announced| *announced).unwrap_or(PeerFeatures::LEAST)
     }
 
     /// Sends this body for a request as the other side asks for it, until the guard is dropped.
--- a/crates/data-plane/src/run.rs
+++ b/crates/data-plane/src/run.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use notchspool::units::Micros;
 use notchspool_mesh_config::route_config::Limits;
+use notchspool_mesh_protocol::{MAX_HEADERS, MIN_HEADERS};
 use notchspool_runtime::program::{CheckedSettings, ServiceResult};
 use notchspool_runtime::random_id;
 use notchspool_runtime::signals::{Event, Signals};
@@ -35,6 +36,8 @@
 const MAX_HEADER_TIMEOUT_US: i64 = 600_000_000;
 const MIN_HEADER_BUFFER: usize = 8 << 10;
 const MAX_HEADER_BUFFER: usize = 1 << 20;
+/// So many headers are taken as fit into the limit of their bytes where each has this many.
+const BYTES_A_HEADER: usize = 32;
 const EXTRA_HEADER_BUFFER: usize = 8 << 10;
 /// What was written last has to leave.
 const FLUSH_TIME: Duration = Duration::from_millis(60);
@@ -151,8 +154,12 @@
     let timeout_us = limits.idle_timeout.0.max(limits.header_timeout.0);
     let timeout_us = timeout_us.clamp(MIN_HEADER_TIMEOUT_US, MAX_HEADER_TIMEOUT_US) as u64;
     let buffer = limits.max_header_bytes.clamp(MIN_HEADER_BUFFER, MAX_HEADER_BUFFER) + EXTRA_HEADER_BUFFER;
+    let max_headers = (limits.max_header_bytes / BYTES_A_HEADER).clamp(MIN_HEADERS, MAX_HEADERS);
     let mut http = hyper::server::conn::http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(Duration::from_micros(timeout_us)).max_buf_size(buffer);
+    http.timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_micros(timeout_us))
+        .max_buf_size(buffer)
+        .max_headers(max_headers);
     http
 }
 
--- a/crates/mesh-protocol/src/frame.rs
+++ b/crates/mesh-protocol/src/frame.rs
@@ -12,8 +12,10 @@
 
 /// Bytes of one frame at most: a body of the largest size that goes in one piece, and its head.
 pub const MAX_FRAME_BYTES: usize = 72 << 20;
-/// Headers of one request or response at most.
-pub const MAX_HEADERS: usize = 128;
+/// Headers of one message at most.
+pub const MAX_HEADERS: usize = 1_024;
+/// Headers that every build takes.
+pub const MIN_HEADERS: usize = 128;
 /// Bytes of the length in front.
 const LENGTH_BYTES: usize = 4;
 /// While a frame is incomplete, room for this much of it is made at a time.
--- a/crates/mesh-protocol/src/lib.rs
+++ b/crates/mesh-protocol/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod snapshot;
 pub mod text_transfer;
 
-pub use frame::{Frame, FrameError, MAX_FRAME_BYTES, MAX_HEADERS, Payload, decode, encode};
+pub use frame::{Frame, FrameError, MAX_FRAME_BYTES, MAX_HEADERS, MIN_HEADERS, Payload, decode, encode};
 pub use message::claim::{Claim, ClaimReply, ClaimVote, Ticket, WithdrawClaim};
 pub use message::config::{
     Ballot, ConfigRequest, ConfigUpdate, KnownVersion, MAX_CONFIG_BYTES, Vote, VoteReply, VoteRequest,
--- a/crates/mesh-protocol/src/message/connection.rs
+++ b/crates/mesh-protocol/src/message/connection.rs
@@ -44,6 +44,9 @@
     /// Of a proxy: it asks for bodies of requests ([`super::exchange::Request::remote_body`]).
     #[prost(bool, tag = "8")]
     pub asks_for_bodies: bool,
+    /// Headers of one request that it takes at most; 0 in earlier builds, which take [`crate::MIN_HEADERS`].
+    #[prost(uint32, tag = "9")]
+    pub max_headers: u32,
     /// Digests of the texts that it holds, the newest last.
     #[prost(bytes = "bytes", repeated, tag = "15")]
     pub text_digests: Vec<Bytes>,
