Proxy: balancers of services that no configuration names any more are forgotten

Change: when another configuration comes into force those that it does not name go, once none of their requests is open.

--- a/crates/data-plane/src/config_store.rs
+++ b/crates/data-plane/src/config_store.rs
@@ -21,18 +21,23 @@
         self.current.borrow().as_ref().map(|config| config.version)
     }
 
-    /// A chosen configuration was told; an older one changes nothing.
-    pub fn apply(&self, version: u64, body: &[u8]) {
+    /// A chosen configuration was told: that which is in force now, where it is another one. An older one changes nothing.
+    pub fn apply(&self, version: u64, body: &[u8]) -> Option<Rc<RouteConfig>> {
         if self.version().is_some_and(|current| current >= version) {
-            return;
+            return None;
         }
         match RouteConfig::parse(body) {
             Ok(config) => {
                 log::info!(target: "config", "version {version} is in force, {} routes", config.routes.len());
-                *self.current.borrow_mut() = Some(Rc::new(config));
+                let config = Rc::new(config);
+                *self.current.borrow_mut() = Some(config.clone());
+                Some(config)
+            }
+            Err(error) => {
+                // It was checked before it was acknowledged: the two programs differ.
+                log::warn!(target: "config", "version {version} is not taken: {error}");
+                None
             }
-            // It was checked before it was acknowledged: the two programs differ.
-            Err(error) => log::warn!(target: "config", "version {version} is not taken: {error}"),
         }
     }
 }
--- a/crates/data-plane/src/control_client.rs
+++ b/crates/data-plane/src/control_client.rs
@@ -191,7 +191,7 @@
                 self.on_known_version(sender, known);
             }
             Payload::ConfigUpdate(update) => match update.checked_body() {
-                Some(body) => self.config.apply(update.version, &body),
+                Some(body) => self.on_config(update.version, &body),
                 None => self.context.count("messages_unknown"),
             },
             Payload::EndpointUpdate(update) => {
@@ -239,6 +239,12 @@
         self.on_known_version(sender, known_version);
     }
 
+    fn on_config(&self, version: u64, body: &[u8]) {
+        if let Some(config) = self.config.apply(version, body) {
+            self.services.forget_unnamed(|service| config.services.contains_key(service));
+        }
+    }
+
     /// A replica tells which instances here are on their way out, by its disk.
     fn on_departure_report(&self, address: &str, report: DepartureReport) {
         for departed in report.departed {
--- a/crates/data-plane/src/services.rs
+++ b/crates/data-plane/src/services.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Forgets the balancers of services that the configuration does not name any more, once none of their requests is open.
+    pub fn forget_unnamed(&self, is_named: impl Fn(&str) -> bool) {
+        let mut balancers = self.balancers.borrow_mut();
+        balancers.retain(|service, balancer| is_named(service) || balancer.open_requests() > 0);
+    }
+
     /// Time has passed.
     pub fn tick(&self, now: Micros) {
         self.balancers.borrow_mut().values_mut().for_each(|balancer| drop(balancer.tick(now)));
