Answers: what is passed on as it comes takes no memory of the budget

Cause: the first part of a streamed answer went through the same collector as one that is kept whole, which takes memory for all of a body whose length is known, and held it until the last byte was sent.

Change: an answer is read whole, within the budget, or its first part is, in none: what is here of a body with a length, and as much of one without as shows that it is large.

Tests: any_number_of_clients_may_be_slow_to_take_large_answers, and answers with a length among the others of large_answers.rs; both failed before.

--- a/crates/data-plane/src/answer_body.rs
+++ b/crates/data-plane/src/answer_body.rs
@@ -140,6 +140,16 @@
         self.buffer
     }
 
+    /// Bytes of a body whose length is known that are here already, [`CHUNK_BYTES`] at the most.
+    pub fn buffered(&mut self) -> Option<Bytes> {
+        let State::Bytes(remaining) = self.state else { return None };
+        let bytes = self.buffer.len().min(remaining).min(CHUNK_BYTES);
+        let piece = self.buffer.split_to(bytes).freeze();
+        self.state = State::Bytes(remaining - bytes);
+        self.read += bytes;
+        Some(piece)
+    }
+
     /// The next bytes of the body, [`CHUNK_BYTES`] at the most; `None` once it is complete.
     ///
     /// # Errors
--- a/crates/data-plane/src/answer_parser.rs
+++ b/crates/data-plane/src/answer_parser.rs
@@ -97,20 +97,57 @@
             answer.reusable_until = None;
         }
         let streamed = options.streamed.filter(|streamed| streamed.includes(&answer.head, framing));
-        let mut reader = BodyReader::new(framing, std::mem::take(&mut self.buffer));
-        let mut kept = KeptBody::new(framing.length(), options.budget);
-        while streamed.is_none_or(|streamed| kept.len() < streamed.min_bytes) {
+        let reader = BodyReader::new(framing, std::mem::take(&mut self.buffer));
+        match streamed {
+            Some(StreamedBodies { min_bytes, .. }) => {
+                self.read_first_part(answer, framing, reader, min_bytes).await
+            }
+            None => self.read_whole(answer, framing, reader, options.budget).await,
+        }
+    }
+
+    async fn read_whole(
+        &mut self,
+        mut answer: Answer,
+        framing: Framing,
+        mut reader: BodyReader,
+        budget: Option<&MemoryBudget>,
+    ) -> Result<Answer, AnswerError> {
+        let mut kept = KeptBody::new(framing.length(), budget);
+        while let Some(piece) = reader.next(self.stream).await? {
+            kept.push(piece).await?;
+        }
+        self.buffer = reader.into_buffer();
+        (answer.response.body, answer.memory) = kept.finish().await?;
+        Ok(answer)
+    }
+
+    /// Of a body that is known to be large what is here; of one without a length so much that it is known to be large. It stands in no budget:
+    /// the rest is read as it is passed on.
+    async fn read_first_part(
+        &mut self,
+        mut answer: Answer,
+        framing: Framing,
+        mut reader: BodyReader,
+        min_bytes: usize,
+    ) -> Result<Answer, AnswerError> {
+        let length = framing.length();
+        let mut first = KeptBody::new(None, None);
+        while length.is_none() && first.len() < min_bytes {
             match reader.next(self.stream).await? {
-                Some(piece) => kept.push(piece).await?,
+                Some(piece) => first.push(piece).await?,
                 None => {
                     self.buffer = reader.into_buffer();
-                    (answer.response.body, answer.memory) = kept.finish().await?;
+                    answer.response.body = first.finish().await?.0;
                     return Ok(answer);
                 }
             }
         }
-        (answer.response.body, answer.memory) = kept.finish().await?;
-        answer.rest = Some(BodyRest { reader, length: framing.length() });
+        answer.response.body = match length {
+            Some(_) => reader.buffered().unwrap_or_default(),
+            None => first.finish().await?.0,
+        };
+        answer.rest = Some(BodyRest { reader, length });
         Ok(answer)
     }
 
--- a/crates/proxy/tests/unsized_answers.rs
+++ b/crates/proxy/tests/large_answers.rs
@@ -1,4 +1,4 @@
-//! Large answers whose length is not known before their end, through two proxies: real programs.
+//! Large answers, with a length and without, through two proxies: real programs.
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Barrier, Mutex};
@@ -13,6 +13,8 @@
 /// Several of these are more than a proxy may have of memory.
 const BODY_BYTES: usize = 16 << 20;
 const CLIENTS: usize = 8;
+/// Clients that take nothing for a while: with what each may keep of an answer meanwhile they are within the memory of a proxy.
+const SLOW_CLIENTS: usize = 40;
 /// What the backend writes at a time.
 const PIECE_BYTES: usize = 16 << 10;
 /// No part of the pattern is like another of the same length within this.
@@ -22,9 +24,9 @@
     (offset..offset + length).map(|at| (at % PATTERN_PERIOD) as u8).collect()
 }
 
-/// A backend whose answers have no length; how one ends is told by the path: `/answers/chunked`, `/answers/close`, and with `-cut` behind it
-/// before its end.
-fn start_unsized_backend(address: &str) -> Arc<Mutex<BackendLog>> {
+/// A backend whose answers end as the path says: `/answers/length`, `/answers/chunked`, `/answers/close`, and with `-cut` behind it before
+/// their end.
+fn start_large_backend(address: &str) -> Arc<Mutex<BackendLog>> {
     let listener = TcpListener::bind(address).unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -43,7 +45,12 @@
     let attempt_id = &headers["notchspool-attempt-id"];
     let is_chunked = path.starts_with("chunked");
     let is_cut = path.ends_with("-cut");
-    let framing = if is_chunked { "transfer-encoding: chunked\r\n" } else { "" };
+    let has_length = path.starts_with("length");
+    let framing = match (is_chunked, has_length) {
+        (true, _) => "transfer-encoding: chunked\r\n".to_string(),
+        (_, true) => format!("content-length: {BODY_BYTES}\r\n"),
+        _ => String::new(),
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\nnotchspool-attempt-id: {attempt_id}\r\nnotchspool-server-seal: seal\r\n{framing}\r\n"
     );
@@ -59,6 +66,9 @@
             stream.write_all(&piece).ok()?;
         }
     }
+    if has_length {
+        return (!is_cut).then_some(());
+    }
     match (is_chunked, is_cut) {
         (true, false) => stream.write_all(b"0\r\n\r\n").ok(),
         (true, true) => None,
@@ -156,13 +166,13 @@
 
 fn start(net: &str, kind: &str) -> Mesh {
     let route = RouteSpec { prefix: PREFIX.into(), kind, timeout: Duration::from_secs(25) };
-    Mesh::start_with(net, CLIENTS as u32, &route, start_unsized_backend)
+    Mesh::start_with(net, SLOW_CLIENTS as u32, &route, start_large_backend)
 }
 
 /// Guards against answers that are kept whole in both proxies, and end the connection between them
 /// (`docs/incidents/unsized-answers-kept-whole.md`).
 #[test]
-fn large_answers_without_a_length_pass_whole_and_take_no_more_memory_than_a_proxy_may_have() {
+fn large_answers_pass_whole_and_take_no_more_memory_than_a_proxy_may_have() {
     let mesh = start("127.89.1", "safe");
     let to = mesh.front.outbound_address();
     let together = Arc::new(Barrier::new(CLIENTS));
@@ -170,7 +180,7 @@
         let together = together.clone();
         std::thread::spawn(move || {
             together.wait();
-            let path = if client % 2 == 0 { "chunked" } else { "close" };
+            let path = ["chunked", "close", "length"][client % 3];
             // Some take nothing for a while.
             let pause = Duration::from_millis(if client % 4 < 2 { 0 } else { 1_000 });
             request(to, path, &format!("a-{client}"), pause)
@@ -186,11 +196,28 @@
     }
 }
 
+/// Guards against answers that take memory of a budget although they are passed on as they come: all but a few broke off then.
+#[test]
+fn any_number_of_clients_may_be_slow_to_take_large_answers() {
+    let mesh = start("127.89.4", "safe");
+    let to = mesh.front.outbound_address();
+    for path in ["chunked", "length"] {
+        let clients = (0..SLOW_CLIENTS).map(|client| {
+            let id = format!("{path}-{client}");
+            std::thread::spawn(move || request(to, path, &id, Duration::from_millis(2_000)))
+        });
+        let clients: Vec<_> = clients.collect();
+        for (client, answer) in clients.into_iter().map(|client| client.join().unwrap()).enumerate() {
+            assert_eq!(answer, (200, Body::Whole), "{path}, client {client}");
+        }
+    }
+}
+
 #[test]
 fn a_large_answer_that_breaks_off_never_looks_complete() {
     let mesh = start("127.89.2", "safe");
     let to = mesh.front.outbound_address();
-    for path in ["chunked-cut", "close-cut"] {
+    for path in ["chunked-cut", "close-cut", "length-cut"] {
         let (status, body) = request(to, path, path, Duration::ZERO);
         assert!(body == Body::BrokenOff, "{path}: {status}, {body:?}");
     }
